Prove outcomes and whole answers against runners and callers that break

Cause: the thin path had no test under failure. The new ones found three faults: a HEAD's answer lost its length, equal runners were always taken in the same order so that a runner which fails fast was tried first every time, and the retry budget of a quiet pool ran out after three retries.

Ruled out: a larger share of retries for everyone; it is the quiet pool that needs a reserve.

Change: HEAD answers keep the runner's length; among equal runners the one whose turn is longest ago goes first; a runner is ejected after 3 failures in a row (5 before); 10 retries are held in reserve (3 before). Tests with raw sockets on both sides: cut bodies, two answers, late answers, resets, hang-ups, oversize heads and bodies, smuggling.

--- a/crates/hoisthitch-core/src/budget.rs
+++ b/crates/hoisthitch-core/src/budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget: retries are a share of first tries.
 
 /// Retries that a quiet pool may always spend.
-const RESERVE: f64 = 3.0;
+const RESERVE: f64 = 10.0;
 
 /// Most retries that can be saved up.
 const CEILING: f64 = 100.0;
--- a/crates/hoisthitch-core/src/ledger.rs
+++ b/crates/hoisthitch-core/src/ledger.rs
@@ -6,6 +6,7 @@
 //! ejected runner is probed with one request at a time before it returns.
 
 use std::{
+    cmp::Reverse,
     net::SocketAddr,
     sync::Arc,
     time::{
@@ -19,7 +20,7 @@
 use crate::keys::RunnerKey;
 
 /// Failures in a row after which a runner is ejected.
-const EJECT_AFTER: u32 = 5;
+const EJECT_AFTER: u32 = 3;
 
 /// First time of ejection; doubles with each probe that fails.
 const EJECT_BASE: Duration = Duration::from_millis(500);
@@ -73,6 +74,8 @@
     /// Whether the runner takes work as far as its answers tell.
     pub health: RunnerHealth,
     failures: u32,
+    /// Turn at which a slot was last taken.
+    last_turn: u64,
 }
 
 /// Slots of all runners of one pool.
@@ -81,6 +84,7 @@
     runners: SlotMap<RunnerKey, RunnerSlots>,
     in_flight: u32,
     eject_cap: usize,
+    turn: u64,
 }
 
 impl SlotLedger {
@@ -108,6 +112,7 @@
             leaving,
             health: RunnerHealth::Healthy,
             failures: 0,
+            last_turn: 0,
         });
     }
 
@@ -133,7 +138,9 @@
         }
     }
 
-    /// Takes a slot on the runner with the largest free share.
+    /// Takes a slot on the runner with the largest free share; among equals, on
+    /// the one whose last turn is the longest ago, so that a runner that fails
+    /// fast attracts no more than its share.
     ///
     /// A runner in `avoid` is taken only when no other has a free slot.
     pub fn take(&mut self, now: Instant, avoid: Option<RunnerKey>) -> Option<RunnerKey> {
@@ -144,6 +151,8 @@
         if let RunnerHealth::Ejected { period, .. } = runner.health {
             runner.health = RunnerHealth::Probing { period };
         }
+        self.turn += 1;
+        runner.last_turn = self.turn;
         runner.in_flight += 1;
         self.in_flight += 1;
         Some(key)
@@ -210,7 +219,7 @@
         self.runners
             .iter()
             .filter(|(key, runner)| Some(*key) != avoid && runner.has_free_slot(now))
-            .max_by_key(|(_, runner)| runner.free_share())
+            .max_by_key(|(_, runner)| (runner.free_share(), Reverse(runner.last_turn)))
             .map(|(key, _)| key)
     }
 
--- a/crates/hoisthitch-entry/src/traffic/exchange.rs
+++ b/crates/hoisthitch-entry/src/traffic/exchange.rs
@@ -25,6 +25,7 @@
     },
     header::{
         CONNECTION,
+        CONTENT_LENGTH,
         HeaderValue, //
     },
     http::response::Parts, //
@@ -113,6 +114,11 @@
 pub enum AnswerBody {
     /// The whole body.
     Whole(Bytes),
+    /// No body: the answer to a HEAD.
+    Head {
+        /// Length that the body would have, where the runner named it.
+        length: Option<u64>,
+    },
     /// A long body that is passed on as it comes.
     Stream {
         /// Length, where the runner named it.
@@ -195,6 +201,10 @@
         response: Response<Incoming>,
     ) -> Result<(Parts, Received), AttemptError> {
         let (head, mut body) = response.into_parts();
+        if self.method == Method::HEAD {
+            let length = named_length(&head);
+            return Ok((head, Received::Head { length }));
+        }
         let length = body.size_hint().exact();
         if length.is_some_and(|length| length > WHOLE_LIMIT as u64) {
             let received = Received::Part {
@@ -235,6 +245,7 @@
     ) {
         let (body, rest) = match received {
             Received::Whole(bytes) => (AnswerBody::Whole(bytes), None),
+            Received::Head { length } => (AnswerBody::Head { length }, None),
             Received::Part {
                 length,
                 first,
@@ -272,6 +283,9 @@
 /// What was read of an answer.
 enum Received {
     Whole(Bytes),
+    Head {
+        length: Option<u64>,
+    },
     Part {
         length: Option<u64>,
         first: Bytes,
@@ -279,6 +293,15 @@
     },
 }
 
+fn named_length(head: &Parts) -> Option<u64> {
+    head.headers
+        .get(CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
 /// Passes a long body on until it ends, is cut, or the caller hangs up.
 async fn stream_body(
     first: Bytes,
--- a/crates/hoisthitch-entry/src/traffic/serve.rs
+++ b/crates/hoisthitch-entry/src/traffic/serve.rs
@@ -463,6 +463,7 @@
     builder.insert_header((OUTCOME_HEADER, RequestOutcome::Ran.as_str()));
     match body {
         AnswerBody::Whole(bytes) => builder.body(bytes),
+        AnswerBody::Head { length } => builder.body(StreamedAnswer::without_body(length)),
         AnswerBody::Stream { length, pieces } => builder.body(StreamedAnswer { length, pieces }),
     }
 }
@@ -473,6 +474,14 @@
     pieces: mpsc::Receiver<Result<Bytes, AnswerCut>>,
 }
 
+impl StreamedAnswer {
+    /// The answer to a HEAD: a length, where there is one, and no body.
+    fn without_body(length: Option<u64>) -> Self {
+        let (_, pieces) = mpsc::channel(STREAM_PIECES);
+        Self { length, pieces }
+    }
+}
+
 impl MessageBody for StreamedAnswer {
     type Error = AnswerCut;
 
--- a/crates/hoisthitch-tests/src/fleet.rs
+++ b/crates/hoisthitch-tests/src/fleet.rs
@@ -253,6 +253,33 @@
         Ok(())
     }
 
+    /// Lists a VM whose runner the test runs itself, and assigns it to a pool.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an entry does not take it in.
+    pub async fn add_runner(&mut self, pool: &str, address: SocketAddr) -> Result<()> {
+        let vm = format!("{pool}-own-{}", address.port());
+        self.vms.push(ListedVm {
+            vm: vm.clone(),
+            hall: "charlotte".to_owned(),
+            rack: "rack-own".to_owned(),
+            address,
+            state: VmState::Live,
+        });
+        self.put_vms().await?;
+        self.assign(&vm, pool).await?;
+        for index in 0..self.entries.len() {
+            wait_until("an entry to know the runner", || async {
+                let status = self.status(index).await.ok()?;
+                let mut runners = status.pools.iter().flat_map(|pool| &pool.runners);
+                runners.any(|runner| runner.vm == vm).then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Waits until every entry routes by the table and knows all runners.
     ///
     /// # Errors
@@ -478,22 +505,26 @@
         let pools = self.plan.pools.iter();
         let pools = pools.flat_map(|pool| std::iter::repeat_n(&pool.row.name, pool.runners));
         for (listed, pool) in self.vms.iter().zip(pools) {
-            let call = AssignCall {
-                vm: listed.vm.clone(),
-                pool: pool.clone(),
-            };
-            let url = self.operator_url(0, "/vms/assign");
-            wait_until("an assignment", || async {
-                let ask = HttpAsk::post_json(&url, &call).ok()?;
-                let ask = ask.header("authorization", &format!("Bearer {TOKEN}"));
-                let answer = ask.send().await.ok()?;
-                (answer.status == 200).then_some(())
-            })
-            .await?;
+            self.assign(&listed.vm, pool).await?;
         }
         Ok(())
     }
 
+    async fn assign(&self, vm: &str, pool: &str) -> Result<()> {
+        let call = AssignCall {
+            vm: vm.to_owned(),
+            pool: pool.to_owned(),
+        };
+        let url = self.operator_url(0, "/vms/assign");
+        wait_until("an assignment", || async {
+            let ask = HttpAsk::post_json(&url, &call).ok()?;
+            let ask = ask.header("authorization", &format!("Bearer {TOKEN}"));
+            let answer = ask.send().await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await
+    }
+
     fn start_runners(&mut self) -> Result<()> {
         let total: usize = self.plan.pools.iter().map(|pool| pool.runners).sum();
         for index in 0..total {
--- a/crates/hoisthitch-tests/src/lib.rs
+++ b/crates/hoisthitch-tests/src/lib.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod process;
+mod scripted;
 mod wait;
 
 pub use cases::run_case;
@@ -21,4 +22,10 @@
     HttpAsk, //
 };
 pub use process::ChildProcess;
+pub use scripted::{
+    RawAnswer,
+    ScriptStep,
+    ScriptedRunner,
+    raw_exchange, //
+};
 pub use wait::wait_until;
