Run keyed requests at most once, by claims in the store

Cause: a request that may not be repeated was sent once by one entry, but a caller's second try through another entry ran again.

Ruled out: one record per shard, rewritten for each batch (the record grows with the retention, and six entries contend for it); claims held by a home entry (a frozen home blocks its keys); hashing the keys (a collision would hand one caller another's answer).

A claim that did not lead to a run is freed; one whose outcome is unknown stays. Answers up to 2 KiB are kept for later tries. While the store fails, keyed requests are refused at once.

Before: no claims.

--- a/crates/hoisthitch-core/src/lib.rs
+++ b/crates/hoisthitch-core/src/lib.rs
@@ -51,6 +51,7 @@
     WorkUnit, //
 };
 pub use rank::{
+    hash_bytes,
     hash_name,
     rendezvous_order, //
 };
--- a/crates/hoisthitch-core/src/rank.rs
+++ b/crates/hoisthitch-core/src/rank.rs
@@ -10,6 +10,11 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Hashes bytes; the same in every process and version.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
 /// Orders `nodes` for `subject`, highest rank first.
 ///
 /// When a node goes, only the subjects it ranked first for change hands.
--- a/crates/hoisthitch-entry/src/process.rs
+++ b/crates/hoisthitch-entry/src/process.rs
@@ -28,6 +28,7 @@
     WorkRefusal, //
 };
 use hoisthitch_store::{
+    ClaimBook,
     EtcdClient,
     KeySpace,
     VmLister, //
@@ -73,8 +74,13 @@
 ///
 /// Fails when an address can't be listened on.
 pub async fn run_entry(settings: EntrySettings) -> Result<()> {
-    let shared = SharedState::new(settings).wrap_err("metrics can't be registered")?;
-    let parts = start_control(&shared);
+    let platform = &settings.platform;
+    let store = EtcdClient::new(&platform.store, platform.timeout);
+    let retention = settings.callers.claim_retention;
+    let (desk, book) = ClaimBook::new(store.clone(), retention);
+    let shared = SharedState::new(settings, desk).wrap_err("metrics can't be registered")?;
+    actix_web::rt::spawn(book.run());
+    let parts = start_control(&shared, store);
     let operators = operator_server(&shared, &parts)?;
     let callers = caller_server(&shared)?;
     let handles = [callers.handle(), operators.handle()];
@@ -99,9 +105,8 @@
     writer: Addr<TableWriter>,
 }
 
-fn start_control(shared: &Arc<SharedState>) -> ControlParts {
+fn start_control(shared: &Arc<SharedState>, store: EtcdClient) -> ControlParts {
     let platform = &shared.settings.platform;
-    let store = EtcdClient::new(&platform.store, platform.timeout);
     let lister = VmLister::new(&platform.vms, platform.timeout);
     let keys = KeySpace::new(&platform.root);
     let keeper = ViewKeeper::new(shared.clone()).start();
--- a/crates/hoisthitch-entry/src/settings.rs
+++ b/crates/hoisthitch-entry/src/settings.rs
@@ -53,6 +53,8 @@
     pub stop_notice: Duration,
     /// Longest time that a stopping entry waits for requests under way.
     pub stop_limit: Duration,
+    /// Time that the claim of an idempotency key is kept.
+    pub claim_retention: Duration,
     /// Whether requests skip the queue and limits, to measure their cost.
     pub bypass: bool,
 }
@@ -146,6 +148,12 @@
             Duration::from_secs(60),
             Duration::from_secs(1)..=Duration::from_secs(3_600),
         ),
+        claim_retention: reader.duration(
+            SECTION,
+            "claim_retention",
+            Duration::from_secs(3_600),
+            Duration::from_secs(60)..=Duration::from_secs(86_400),
+        ),
         bypass: reader.optional(SECTION, "bypass", "false").unwrap_or(false),
     }
 }
--- a/crates/hoisthitch-entry/src/state.rs
+++ b/crates/hoisthitch-entry/src/state.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
+use hoisthitch_store::ClaimDesk;
 
 use crate::{
     control::{
@@ -27,6 +28,8 @@
     pub routes: ArcSwap<RouteTable>,
     /// Whether the view of the fleet is fresh enough to send work by.
     pub gate: ViewGate,
+    /// Claims of idempotency keys.
+    pub claims: ClaimDesk,
     /// Metrics of the traffic.
     pub metrics: TrafficMetrics,
     stopping: AtomicBool,
@@ -38,11 +41,12 @@
     /// # Errors
     ///
     /// Fails when the metrics can't be registered.
-    pub fn new(settings: EntrySettings) -> Result<Arc<Self>, prometheus::Error> {
+    pub fn new(settings: EntrySettings, claims: ClaimDesk) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
             settings,
             routes: ArcSwap::default(),
             gate: ViewGate::default(),
+            claims,
             metrics: TrafficMetrics::new()?,
             stopping: AtomicBool::new(false),
         }))
--- a/crates/hoisthitch-entry/src/traffic/exchange.rs
+++ b/crates/hoisthitch-entry/src/traffic/exchange.rs
@@ -11,6 +11,12 @@
     BytesMut, //
 };
 use hoisthitch_core::RequestOutcome;
+use hoisthitch_store::{
+    ClaimAnswer,
+    ClaimBody,
+    ClaimEnd,
+    ClaimTicket, //
+};
 use hoisthitch_telemetry::event;
 use http_body_util::BodyExt;
 use hyper::{
@@ -26,6 +32,7 @@
     header::{
         CONNECTION,
         CONTENT_LENGTH,
+        CONTENT_TYPE,
         HeaderValue, //
     },
     http::response::Parts, //
@@ -57,6 +64,9 @@
 /// An answer up to this length is read whole before the caller sees any of it.
 const WHOLE_LIMIT: usize = 64 << 10;
 
+/// An answer up to this length is kept with the claim of its request.
+const KEPT_LIMIT: usize = 2 << 10;
+
 /// Pieces of a long answer that may wait for the caller.
 const STREAM_PIECES: usize = 4;
 
@@ -83,6 +93,8 @@
     pub deadline: Instant,
     /// The request's place in its team's quota.
     pub hold: TeamHold,
+    /// Claim of the request's idempotency key.
+    pub claim: Option<ClaimTicket>,
 }
 
 /// How an exchange ended.
@@ -137,7 +149,10 @@
 enum AttemptError {
     Hop(HopError),
     /// The head came, and the body was cut short before any of it was passed on.
-    Cut(String),
+    Cut {
+        status: u16,
+        fault: String,
+    },
 }
 
 impl RequestExchange {
@@ -167,6 +182,7 @@
                 _ => None,
             };
             let Some(next) = next else {
+                self.end_unanswered(&err);
                 // A caller that hung up needs no answer.
                 let _ = reply.send(ExchangeResult::Failure(err.into_failure()));
                 return;
@@ -218,10 +234,10 @@
         while whole.len() <= WHOLE_LIMIT {
             let frame = tokio::time::timeout_at(self.deadline, body.frame())
                 .await
-                .map_err(|_| AttemptError::Cut("the deadline passed".to_owned()))?;
+                .map_err(|_| cut(&head, "the deadline passed"))?;
             match frame {
                 None => return Ok((head, Received::Whole(whole.freeze()))),
-                Some(Err(err)) => return Err(AttemptError::Cut(err.to_string())),
+                Some(Err(err)) => return Err(cut(&head, &err.to_string())),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         whole.extend_from_slice(&data);
@@ -238,11 +254,12 @@
     }
 
     async fn pass_on(
-        self,
+        mut self,
         (head, received): (Parts, Received),
         permit: SlotPermit,
         reply: oneshot::Sender<ExchangeResult>,
     ) {
+        self.end_answered(&head, &received);
         let (body, rest) = match received {
             Received::Whole(bytes) => (AnswerBody::Whole(bytes), None),
             Received::Head { length } => (AnswerBody::Head { length }, None),
@@ -267,6 +284,45 @@
         drop(self.hold);
     }
 
+    /// Ends the claim of a request that got no answer to pass on.
+    ///
+    /// A request whose outcome is unknown keeps its key until the lease lapses.
+    fn end_unanswered(&mut self, err: &AttemptError) {
+        let end = match err {
+            AttemptError::Hop(HopError::Sent(_)) => return,
+            AttemptError::Hop(HopError::Unsent(_)) => ClaimEnd::NotRun,
+            AttemptError::Cut { status, .. } => ClaimEnd::Ran(ClaimAnswer {
+                status: *status,
+                content_type: String::new(),
+                body: None,
+            }),
+        };
+        if let Some(ticket) = self.claim.take() {
+            self.shared.claims.end(ticket, end);
+        }
+    }
+
+    /// Ends the claim of a request that ran, and keeps a short answer with it.
+    fn end_answered(&mut self, head: &Parts, body: &Received) {
+        let Some(ticket) = self.claim.take() else {
+            return;
+        };
+        let content_type = head.headers.get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let body = match body {
+            Received::Whole(bytes) if bytes.len() <= KEPT_LIMIT => Some(ClaimBody {
+                bytes: bytes.to_vec(),
+            }),
+            _ => None,
+        };
+        let answer = ClaimAnswer {
+            status: head.status.as_u16(),
+            content_type: content_type.unwrap_or_default().to_owned(),
+            body,
+        };
+        self.shared.claims.end(ticket, ClaimEnd::Ran(answer));
+    }
+
     fn log_retry(&self, failed: &SlotPermit, next: &SlotPermit, was_sent: bool) {
         self.shared.metrics.count_retry(self.lane.name());
         event!(
@@ -293,6 +349,13 @@
     },
 }
 
+fn cut(head: &Parts, fault: &str) -> AttemptError {
+    AttemptError::Cut {
+        status: head.status.as_u16(),
+        fault: fault.to_owned(),
+    }
+}
+
 fn named_length(head: &Parts) -> Option<u64> {
     head.headers
         .get(CONTENT_LENGTH)?
@@ -338,7 +401,7 @@
                 outcome: RequestOutcome::Unknown,
                 fault,
             },
-            Self::Cut(fault) => ExchangeFailure {
+            Self::Cut { fault, .. } => ExchangeFailure {
                 outcome: RequestOutcome::Ran,
                 fault: format!("the answer was cut short: {fault}"),
             },
--- a/crates/hoisthitch-entry/src/traffic/mod.rs
+++ b/crates/hoisthitch-entry/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod body;
+mod claim;
 mod exchange;
 mod headers;
 mod hop;
--- a/crates/hoisthitch-entry/src/traffic/serve.rs
+++ b/crates/hoisthitch-entry/src/traffic/serve.rs
@@ -36,6 +36,7 @@
     PaidPriority,
     RequestOutcome, //
 };
+use hoisthitch_store::ClaimEnd;
 use hoisthitch_telemetry::event;
 use hyper::{
     Method,
@@ -62,6 +63,11 @@
             BodyStream,
             RequestBody, //
         },
+        claim::{
+            ClaimResult,
+            ClaimScope,
+            claim_key, //
+        },
         exchange::{
             AnswerBody,
             AnswerCut,
@@ -148,7 +154,19 @@
     let method = read_method(request)?;
     let uri = read_uri(request)?;
     let body = read_body(shared, request, payload, ask.slot.deadline).await?;
-    let (permit, hold) = acquire(shared, &ask).await?;
+    let claim = match claim(shared, request, &body, &ask).await? {
+        ClaimResult::Send(claim) => claim,
+        ClaimResult::Answer(response) => return Ok(response),
+    };
+    let (permit, hold) = match acquire(shared, &ask).await {
+        Ok(acquired) => acquired,
+        Err(problem) => {
+            if let Some(ticket) = claim {
+                shared.claims.end(ticket, ClaimEnd::NotRun);
+            }
+            return Err(problem);
+        }
+    };
     let (reply, result) = oneshot::channel();
     let exchange = RequestExchange {
         shared: shared.clone(),
@@ -160,6 +178,7 @@
         repeatable: ask.repeatable,
         deadline: ask.slot.deadline,
         hold,
+        claim,
     };
     actix_web::rt::spawn(exchange.run(permit, reply));
     let priority = ask.slot.priority;
@@ -189,6 +208,24 @@
     }
 }
 
+/// Claims the key of a request that may not be repeated.
+async fn claim(
+    shared: &SharedState,
+    request: &HttpRequest,
+    body: &RequestBody,
+    ask: &RequestAsk,
+) -> Result<ClaimResult, Refused> {
+    if ask.repeatable {
+        return Ok(ClaimResult::Send(None));
+    }
+    let scope = ClaimScope {
+        pool: ask.lane.name(),
+        team: &ask.team_name,
+        deadline: ask.slot.deadline,
+    };
+    claim_key(shared, request, body, scope).await
+}
+
 /// Waits for a slot and logs the decision.
 async fn acquire(
     shared: &Arc<SharedState>,
--- a/crates/hoisthitch-store/src/client.rs
+++ b/crates/hoisthitch-store/src/client.rs
@@ -8,6 +8,11 @@
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct StoreRevision(pub i64);
 
+impl StoreRevision {
+    /// A revision that no value has: a swap that expects it only reads.
+    pub const UNKNOWN: Self = Self(i64::MAX);
+}
+
 /// A lease in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LeaseId(pub i64);
@@ -32,6 +37,29 @@
     Conflict(Option<StoredValue>),
 }
 
+/// One of several values that are swapped together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SwapItem {
+    /// Key of the value.
+    pub key: String,
+    /// Revision that the value must still have.
+    pub expected: StoreRevision,
+    /// New value; none to remove it.
+    pub value: Option<Vec<u8>>,
+    /// Lease that the value goes with.
+    pub lease: Option<LeaseId>,
+}
+
+/// What became of several values that were swapped together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BatchOutcome {
+    /// All were written at this revision.
+    Written(StoreRevision),
+    /// None was written, since at least one had another revision; the values
+    /// found are returned in the order of the items.
+    Conflict(Vec<Option<StoredValue>>),
+}
+
 /// One change seen by a watch.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum WatchEvent {
@@ -87,6 +115,12 @@
         expected: StoreRevision,
     ) -> impl Future<Output = Result<SwapOutcome, StoreError>>;
 
+    /// Swaps several values in one call, all or none.
+    fn swap_all(
+        &self,
+        items: Vec<SwapItem>,
+    ) -> impl Future<Output = Result<BatchOutcome, StoreError>>;
+
     /// Grants a lease.
     fn grant_lease(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>>;
 
--- a/crates/hoisthitch-store/src/etcd.rs
+++ b/crates/hoisthitch-store/src/etcd.rs
@@ -26,10 +26,12 @@
 use crate::{
     calls::CallCounter,
     client::{
+        BatchOutcome,
         LeaseId,
         StoreClient,
         StoreRevision,
         StoredValue,
+        SwapItem,
         SwapOutcome,
         WatchEvent,
         WatchStream, //
@@ -193,6 +195,29 @@
         self.txn(&guarded(key, expected, operation)).await
     }
 
+    async fn swap_all(&self, items: Vec<SwapItem>) -> Result<BatchOutcome, StoreError> {
+        const CALL: &str = "/v3/kv/txn";
+        self.calls.count_write();
+        let count = items.len();
+        let request = batch_request(items);
+        let response: message::TxnResponse = self.call(CALL, &request).await?;
+        if response.succeeded {
+            let revision = StoreRevision(response.header.revision);
+            return Ok(BatchOutcome::Written(revision));
+        }
+        let found: Vec<Option<StoredValue>> = response
+            .responses
+            .into_iter()
+            .filter_map(|op| op.response_range)
+            .map(|range| range.kvs.into_iter().next())
+            .map(|kv| kv.map(|kv| to_stored(CALL, kv)).transpose())
+            .collect::<Result<_, _>>()?;
+        if found.len() != count {
+            return Err(malformed(CALL, "values are missing"));
+        }
+        Ok(BatchOutcome::Conflict(found))
+    }
+
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         self.calls.count_write();
         let request = message::LeaseGrantRequest {
@@ -287,6 +312,37 @@
     }
 }
 
+/// A transaction that swaps all items, or reads all of them.
+fn batch_request(items: Vec<SwapItem>) -> message::TxnRequest {
+    let mut request = message::TxnRequest::default();
+    for item in items {
+        let operation = item_operation(&item);
+        let single = guarded(&item.key, item.expected, operation);
+        request.compare.extend(single.compare);
+        request.success.extend(single.success);
+        request.failure.extend(single.failure);
+    }
+    request
+}
+
+fn item_operation(item: &SwapItem) -> message::RequestOp {
+    let key = item.key.as_bytes().to_vec();
+    match &item.value {
+        Some(value) => message::RequestOp {
+            request_put: Some(message::PutRequest {
+                key,
+                value: value.clone(),
+                lease: item.lease.map_or(0, |lease| lease.0),
+            }),
+            ..message::RequestOp::default()
+        },
+        None => message::RequestOp {
+            request_delete_range: Some(message::DeleteRequest { key }),
+            ..message::RequestOp::default()
+        },
+    }
+}
+
 fn guarded(
     key: &str,
     expected: StoreRevision,
--- a/crates/hoisthitch-store/src/keyspace.rs
+++ b/crates/hoisthitch-store/src/keyspace.rs
@@ -44,10 +44,10 @@
         format!("{}/roster/{hall}", self.root)
     }
 
-    /// Claims of idempotency keys in one shard; outside the records that every
-    /// entry follows, since they change with each keyed request.
-    pub fn claims(&self, shard: u32) -> String {
-        format!("{}-claims/{shard:03}", self.root)
+    /// Claim of an idempotency key; outside the records that every entry
+    /// follows, since claims change with each keyed request.
+    pub fn claim(&self, pool: &str, team: &str, key: &str) -> String {
+        format!("{}-claims/{pool}/{team}/{key}", self.root)
     }
 }
 
--- a/crates/hoisthitch-store/src/lib.rs
+++ b/crates/hoisthitch-store/src/lib.rs
@@ -5,6 +5,7 @@
 //! platform needs another small adapter.
 
 mod calls;
+mod claim;
 mod client;
 mod error;
 mod etcd;
@@ -17,11 +18,23 @@
     CallCounter,
     CallCounts, //
 };
+pub use claim::{
+    ClaimAnswer,
+    ClaimBody,
+    ClaimBook,
+    ClaimDesk,
+    ClaimEnd,
+    ClaimRecord,
+    ClaimTicket,
+    ClaimVerdict, //
+};
 pub use client::{
+    BatchOutcome,
     LeaseId,
     StoreClient,
     StoreRevision,
     StoredValue,
+    SwapItem,
     SwapOutcome,
     WatchEvent,
     WatchStream, //
--- a/crates/hoisthitch-tests/src/fleet.rs
+++ b/crates/hoisthitch-tests/src/fleet.rs
@@ -246,7 +246,7 @@
     ///
     /// Fails when it can't be started.
     pub fn restart_runner(&mut self, index: usize) -> Result<()> {
-        self.runners[index].signal("KILL")?;
+        self.runners[index].end();
         let (vm, work_us) = self.runner_plan(index);
         let child = self.spawn_runner(index, &vm, work_us)?;
         self.runners[index] = child;
--- a/crates/hoisthitch-tests/src/process.rs
+++ b/crates/hoisthitch-tests/src/process.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Ends the process, if it runs.
+    pub fn end(&mut self) {
+        // A process that has ended already needs no end.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits until the process has ended by itself.
     ///
     /// # Errors
@@ -134,9 +141,7 @@
 
 impl Drop for ChildProcess {
     fn drop(&mut self) {
-        // A process that has ended already needs no end.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
     }
 }
 
--- /dev/null
+++ b/crates/hoisthitch-tests/tests/at_most_once.rs
@@ -0,0 +1,233 @@
+//! At most once: requests that may not be repeated, and the claims of their
+//! idempotency keys, while entries, the store and answers fail.
+
+use std::time::Duration;
+
+use eyre::{
+    Result,
+    ensure, //
+};
+use hoisthitch_tests::{
+    Fleet,
+    FleetPlan,
+    HttpAnswer,
+    HttpAsk,
+    PoolPlan,
+    cases,
+    wait_until, //
+};
+use serde_json::json;
+use tokio::time::Instant;
+
+/// Longest time that a request which can't be claimed may take.
+const AT_ONCE: Duration = Duration::from_secs(1);
+
+/// Working time of a slow booking, in microseconds.
+const SLOW_US: &str = "600000";
+
+cases! {
+    second_try_while_the_first_runs_does_not_run => try_while_running();
+    second_try_after_the_run_gets_the_kept_answer => try_after_run();
+    second_try_after_the_entry_was_killed_does_not_run => try_after_kill();
+    lost_answer_of_the_claim_is_recognised => lost_claim_answer(1);
+    two_lost_answers_of_the_claim_run_once => lost_claim_answer(2);
+    store_out_is_not_run_at_once => store_fails(json!({"outage": true}));
+    slow_store_is_not_run_at_once => store_fails(json!({"delay_ms": 3_000}));
+    request_that_did_not_run_frees_its_key => not_run_frees();
+    key_of_another_request_is_refused => key_reused();
+    malformed_key_is_refused => bad_key();
+    many_claims_share_few_calls => group_commit();
+    lost_answer_of_the_end_keeps_the_answer => lost_end_answer();
+}
+
+async fn fleet_of_two() -> Result<Fleet> {
+    Fleet::start(FleetPlan::default()).await
+}
+
+fn booking(fleet: &Fleet, entry: usize, key: &str) -> HttpAsk {
+    HttpAsk::post(&fleet.caller_url(entry, "/quotes/book"), b"hall 3")
+        .header("idempotency-key", key)
+        .header("x-request-name", key)
+}
+
+async fn runs_of(fleet: &Fleet, key: &str) -> Result<usize> {
+    let runs = fleet.all_runs().await?;
+    Ok(runs.iter().filter(|run| run.name == key).count())
+}
+
+/// Waits until the claim holds the answer.
+async fn replayed(fleet: &Fleet, entry: usize, key: &str) -> Result<HttpAnswer> {
+    wait_until("the kept answer", || async {
+        let answer = booking(fleet, entry, key).send().await.ok()?;
+        (answer.status == 200).then_some(answer)
+    })
+    .await
+}
+
+async fn try_while_running() -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    let first = booking(&fleet, 0, "b-1").header("x-work-us", SLOW_US);
+    let first = actix_rt::spawn(first.send());
+    wait_until("the first try to run", || async {
+        let runs = runs_of(&fleet, "b-1").await.ok()?;
+        (runs == 1).then_some(())
+    })
+    .await?;
+    let second = booking(&fleet, 1, "b-1").send().await?;
+    ensure!(second.status == 409, "status {}", second.status);
+    ensure!(second.outcome() == "unknown");
+    ensure!(second.header("retry-after").is_some());
+    ensure!(first.await??.status == 200);
+    ensure!(runs_of(&fleet, "b-1").await? == 1);
+    Ok(())
+}
+
+async fn try_after_run() -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    let first = booking(&fleet, 0, "b-2").send().await?;
+    ensure!(first.status == 200);
+    let second = replayed(&fleet, 1, "b-2").await?;
+    ensure!(second.body == first.body && second.outcome() == "ran");
+    ensure!(second.header("hoisthitch-replayed") == Some("true"));
+    ensure!(runs_of(&fleet, "b-2").await? == 1);
+    Ok(())
+}
+
+async fn try_after_kill() -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    let first = booking(&fleet, 0, "b-3").header("x-work-us", SLOW_US);
+    let first = actix_rt::spawn(first.send());
+    wait_until("the first try to run", || async {
+        let runs = runs_of(&fleet, "b-3").await.ok()?;
+        (runs == 1).then_some(())
+    })
+    .await?;
+    fleet.entries[0].signal("KILL")?;
+    ensure!(first.await?.is_err(), "a killed entry answered");
+    for _ in 0..5 {
+        let second = booking(&fleet, 1, "b-3").send().await?;
+        ensure!(second.status == 409 && second.outcome() == "unknown");
+    }
+    ensure!(runs_of(&fleet, "b-3").await? == 1);
+    Ok(())
+}
+
+async fn lost_claim_answer(lost: u32) -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    // The lease is granted first, so that the loss meets the claim.
+    ensure!(booking(&fleet, 0, "warm").send().await?.status == 200);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.set_faults(json!({"lose_answers": lost})).await?;
+    let mut statuses = Vec::new();
+    let answer = wait_until("the booking to run", || {
+        let ask = booking(&fleet, 0, "b-4");
+        async {
+            let answer = ask.send().await.ok()?;
+            (answer.status == 200 || answer.outcome() != "not-run").then_some(answer)
+        }
+    })
+    .await?;
+    statuses.push(answer.status);
+    let answer = replayed(&fleet, 1, "b-4").await?;
+    statuses.push(answer.status);
+    ensure!(runs_of(&fleet, "b-4").await? == 1, "statuses {statuses:?}");
+    Ok(())
+}
+
+async fn store_fails(faults: serde_json::Value) -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    fleet.set_faults(faults).await?;
+    for _ in 0..3 {
+        let started = Instant::now();
+        let answer = booking(&fleet, 0, "b-5").send().await?;
+        ensure!(answer.status == 503 && answer.outcome() == "not-run");
+        ensure!(answer.header("retry-after").is_some());
+        ensure!(started.elapsed() < AT_ONCE, "took {:?}", started.elapsed());
+    }
+    ensure!(runs_of(&fleet, "b-5").await? == 0);
+    fleet.set_faults(json!({})).await?;
+    replayed(&fleet, 0, "b-5").await?;
+    ensure!(runs_of(&fleet, "b-5").await? == 1);
+    Ok(())
+}
+
+async fn not_run_frees() -> Result<()> {
+    let mut fleet = Fleet::start(FleetPlan {
+        pools: vec![PoolPlan::new("quotes", 1)],
+        ..FleetPlan::default()
+    })
+    .await?;
+    fleet.runners[0].signal("KILL")?;
+    fleet.runners[0].ended().await?;
+    let answer = booking(&fleet, 0, "b-6").send().await?;
+    ensure!(
+        answer.outcome() == "not-run",
+        "outcome {}",
+        answer.outcome()
+    );
+    fleet.restart_runner(0)?;
+    replayed(&fleet, 1, "b-6").await?;
+    ensure!(runs_of(&fleet, "b-6").await? == 1);
+    Ok(())
+}
+
+async fn key_reused() -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    ensure!(booking(&fleet, 0, "b-7").send().await?.status == 200);
+    let other = HttpAsk::post(&fleet.caller_url(1, "/quotes/book"), b"hall 4");
+    let answer = other.header("idempotency-key", "b-7").send().await?;
+    ensure!(answer.status == 422 && answer.outcome() == "not-run");
+    Ok(())
+}
+
+async fn bad_key() -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    for key in ["a/b", "a b", ""] {
+        let ask = HttpAsk::post(&fleet.caller_url(0, "/quotes/book"), b"hall 3");
+        let answer = ask.header("idempotency-key", key).send().await?;
+        ensure!(answer.status == 400, "key '{key}': {}", answer.status);
+        ensure!(answer.outcome() == "not-run");
+    }
+    Ok(())
+}
+
+async fn group_commit() -> Result<()> {
+    const COUNT: usize = 300;
+    let fleet = fleet_of_two().await?;
+    let before = store_writes(&fleet).await?;
+    let tries: Vec<_> = (0..COUNT)
+        .map(|number| actix_rt::spawn(booking(&fleet, 0, &format!("g-{number}")).send()))
+        .collect();
+    for answer in tries {
+        ensure!(answer.await??.status == 200);
+    }
+    let writes = store_writes(&fleet).await? - before;
+    ensure!(
+        writes < COUNT as u64 / 4,
+        "{writes} writes for {COUNT} bookings"
+    );
+    ensure!(fleet.all_runs().await?.len() == COUNT);
+    Ok(())
+}
+
+async fn store_writes(fleet: &Fleet) -> Result<u64> {
+    let url = fleet.platform_url("/standin/calls");
+    let calls: serde_json::Value = HttpAsk::get(&url).send().await?.json()?;
+    Ok(calls["writes"].as_u64().unwrap_or(0))
+}
+
+async fn lost_end_answer() -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    let slow = booking(&fleet, 0, "b-8").header("x-work-us", "200000");
+    let first = actix_rt::spawn(slow.send());
+    wait_until("the first try to run", || async {
+        let runs = runs_of(&fleet, "b-8").await.ok()?;
+        (runs == 1).then_some(())
+    })
+    .await?;
+    fleet.set_faults(json!({"lose_answers": 1})).await?;
+    ensure!(first.await??.status == 200);
+    replayed(&fleet, 1, "b-8").await?;
+    ensure!(runs_of(&fleet, "b-8").await? == 1);
+    Ok(())
+}
