--- a/crates/hoisthitch-core/src/edit.rs
+++ b/crates/hoisthitch-core/src/edit.rs
@@ -13,8 +13,7 @@
     PolicyTable,
     PoolRow,
     TeamRow,
-    WriterStamp,
-    sign, //
+    WriterStamp, //
 };
 
 /// One operator's change of one row.
@@ -80,8 +79,7 @@
     /// Nothing is applied when one edit fails.
     pub fn edited(&self, edits: &[RowEdit], stamp: WriterStamp) -> Result<Self, EditError> {
         let mut table = self.clone();
-        table.revision += 1;
-        sign(&mut table.stamp, &mut table.recent, stamp);
+        table.sign(table.revision + 1, stamp);
         for edit in edits {
             table.apply(edit)?;
         }
--- a/crates/hoisthitch-core/src/lib.rs
+++ b/crates/hoisthitch-core/src/lib.rs
@@ -13,6 +13,7 @@
 mod outcome;
 mod queue;
 mod rank;
+mod roster;
 mod scheduler;
 mod share;
 mod table;
@@ -55,6 +56,11 @@
     hash_name,
     rendezvous_order, //
 };
+pub use roster::{
+    RosterEntry,
+    RosterRecord,
+    mesh_neighbours, //
+};
 pub use scheduler::{
     PoolScheduler,
     RefusalReason,
@@ -62,7 +68,10 @@
     WorkRefusal,
     WorkResult, //
 };
-pub use share::fixed_share;
+pub use share::{
+    EntryShare,
+    SharePolicy, //
+};
 pub use table::{
     CellError,
     PaidPriority,
--- a/crates/hoisthitch-core/src/table.rs
+++ b/crates/hoisthitch-core/src/table.rs
@@ -198,6 +198,12 @@
         }
     }
 
+    /// Signs a revision with a new stamp.
+    pub fn sign(&mut self, revision: u64, stamp: WriterStamp) {
+        self.revision = revision;
+        sign(&mut self.stamp, &mut self.recent, stamp);
+    }
+
     /// Finds a pool's row by name.
     pub fn pool(&self, name: &str) -> Option<&PoolRow> {
         self.pools.iter().find(|row| row.name == name)
--- a/crates/hoisthitch-entry/src/control/follow.rs
+++ b/crates/hoisthitch-entry/src/control/follow.rs
@@ -8,7 +8,8 @@
 use actix::Addr;
 use hoisthitch_core::{
     HallRecord,
-    PolicyTable, //
+    PolicyTable,
+    RosterRecord, //
 };
 use hoisthitch_store::{
     KeySpace,
@@ -21,6 +22,7 @@
     WatchStream, //
 };
 use hoisthitch_telemetry::event;
+use hoisthitch_wire::HallVersion;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
@@ -28,7 +30,9 @@
     control::keeper::{
         ApplyHall,
         ApplyListing,
+        ApplyRoster,
         ApplyTable,
+        CompareStore,
         ViewKeeper, //
     },
     state::SharedState, //
@@ -79,11 +83,9 @@
     shared: Arc<SharedState>,
 ) {
     loop {
+        let asked = shared.gate.now();
         match lister.list().await {
-            Ok(vms) => {
-                shared.gate.confirm();
-                keeper.do_send(ApplyListing { vms });
-            }
+            Ok(vms) => keeper.do_send(ApplyListing { vms, asked }),
             Err(err) => event!(Warn, "vms_not_listed", error = err),
         }
         tokio::time::sleep(interval).await;
@@ -100,54 +102,82 @@
 impl<S: StoreClient> StoreFollower<S> {
     /// Reads all records, then follows their changes until the watch fails.
     async fn follow(&self) -> Result<(), StoreError> {
-        let root = self.keys.records();
-        let mut highest = StoreRevision::default();
-        for stored in self.store.read_prefix(&root).await? {
-            highest = highest.max(stored.revision);
-            self.apply(&stored);
-        }
-        self.shared.gate.confirm();
+        let highest = self.read_all().await?;
         let from = StoreRevision(highest.0 + 1);
-        let mut watch = self.store.watch(&root, from).await?;
+        let mut watch = self.store.watch(&self.keys.records(), from).await?;
+        let mut check = Instant::now() + CHECK_INTERVAL;
         loop {
-            match tokio::time::timeout(CHECK_INTERVAL, watch.next()).await {
+            match tokio::time::timeout_at(check, watch.next()).await {
                 Ok(Some(change)) => self.apply_change(change?),
                 Ok(None) => return Ok(()),
-                Err(_) => self.check_table().await?,
+                Err(_) => {
+                    self.read_all().await?;
+                    check = Instant::now() + CHECK_INTERVAL;
+                }
             }
         }
     }
 
-    fn apply_change(&self, change: WatchEvent) {
-        self.shared.gate.confirm();
-        if let WatchEvent::Put(stored) = change {
-            self.apply(&stored);
+    /// Reads all records, applies them, and has the store compared with what is
+    /// in force; answers with the highest revision read.
+    async fn read_all(&self) -> Result<StoreRevision, StoreError> {
+        let asked = self.shared.gate.now();
+        let mut highest = StoreRevision::default();
+        let mut table = 0;
+        let mut halls = Vec::new();
+        for stored in self.store.read_prefix(&self.keys.records()).await? {
+            highest = highest.max(stored.revision);
+            match self.apply(&stored) {
+                Some(FollowedRecord::Table(revision)) => table = revision,
+                Some(FollowedRecord::Hall(version)) => halls.push(version),
+                None => {}
+            }
         }
+        self.keeper.do_send(CompareStore {
+            table,
+            halls,
+            asked,
+        });
+        Ok(highest)
     }
 
-    /// Reads the records anew, in case the watch is dead without a sign.
-    async fn check_table(&self) -> Result<(), StoreError> {
-        for stored in self.store.read_prefix(&self.keys.records()).await? {
+    fn apply_change(&self, change: WatchEvent) {
+        if let WatchEvent::Put(stored) = change {
             self.apply(&stored);
         }
-        self.shared.gate.confirm();
-        Ok(())
     }
 
-    fn apply(&self, stored: &StoredValue) {
+    fn apply(&self, stored: &StoredValue) -> Option<FollowedRecord> {
         if stored.key == self.keys.table() {
-            if let Some(table) = decode::<PolicyTable>(stored) {
-                let source = "store";
-                self.keeper.do_send(ApplyTable { table, source });
-            }
-        } else if stored.key.starts_with(&self.keys.halls())
-            && let Some(record) = decode::<HallRecord>(stored)
-        {
+            let table: PolicyTable = decode(stored)?;
+            let revision = table.revision;
+            let source = "store";
+            self.keeper.do_send(ApplyTable { table, source });
+            return Some(FollowedRecord::Table(revision));
+        }
+        if stored.key.starts_with(&self.keys.halls()) {
+            let record: HallRecord = decode(stored)?;
+            let version = HallVersion {
+                hall: record.hall.clone(),
+                version: record.version,
+            };
             self.keeper.do_send(ApplyHall { record });
+            return Some(FollowedRecord::Hall(version));
+        }
+        if stored.key.starts_with(&self.keys.rosters()) {
+            let record: RosterRecord = decode(stored)?;
+            self.keeper.do_send(ApplyRoster { record });
         }
+        None
     }
 }
 
+/// A record that the store must not hold an older version of.
+enum FollowedRecord {
+    Table(u64),
+    Hall(HallVersion),
+}
+
 fn decode<R: DeserializeOwned>(stored: &StoredValue) -> Option<R> {
     match serde_json::from_slice(&stored.value) {
         Ok(record) => Some(record),
--- a/crates/hoisthitch-entry/src/control/gate.rs
+++ b/crates/hoisthitch-entry/src/control/gate.rs
@@ -4,6 +4,9 @@
 //! entry that has heard from nobody for longer than that - it was frozen, or it
 //! is cut off from the platform and all other entries - can't know who leaves,
 //! so it sends nothing until it has heard again.
+//!
+//! What counts is when the entry asked, not when it read the answer: a process
+//! that was frozen finds answers in its sockets that are as old as the freeze.
 
 use std::{
     sync::atomic::{
@@ -18,11 +21,14 @@
 /// Age beyond which a view is no longer used.
 pub const VIEW_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// A moment on the gate's clock, in milliseconds since the process started.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct GateTime(pub u64);
+
 /// When the view was last confirmed.
 pub struct ViewGate {
     origin: Instant,
-    /// Milliseconds from the origin to the last confirmation, plus one; zero
-    /// where there was none.
+    /// Moment of the latest question that was answered; zero for none.
     confirmed: AtomicU64,
 }
 
@@ -36,19 +42,23 @@
 }
 
 impl ViewGate {
-    /// Notes that the platform or another entry was heard from.
-    pub fn confirm(&self) {
-        self.confirmed.fetch_max(self.now() + 1, Ordering::Relaxed);
+    /// The present moment.
+    pub fn now(&self) -> GateTime {
+        let elapsed = self.origin.elapsed().as_millis();
+        // A moment is never zero, which stands for none.
+        GateTime(u64::try_from(elapsed).unwrap_or(u64::MAX).max(1))
+    }
+
+    /// Notes that a question asked at `asked` was answered and the answer is in
+    /// force.
+    pub fn confirm(&self, asked: GateTime) {
+        self.confirmed.fetch_max(asked.0, Ordering::Relaxed);
     }
 
     /// Whether the view is fresh enough to send work by.
     pub fn is_fresh(&self) -> bool {
         let confirmed = self.confirmed.load(Ordering::Relaxed);
-        confirmed > 0 && Duration::from_millis(self.now() + 1 - confirmed) <= VIEW_LIMIT
-    }
-
-    fn now(&self) -> u64 {
-        let elapsed = self.origin.elapsed().as_millis();
-        u64::try_from(elapsed).unwrap_or(u64::MAX - 1)
+        let age = Duration::from_millis(self.now().0.saturating_sub(confirmed));
+        confirmed > 0 && age <= VIEW_LIMIT
     }
 }
--- a/crates/hoisthitch-entry/src/control/keeper.rs
+++ b/crates/hoisthitch-entry/src/control/keeper.rs
@@ -5,11 +5,14 @@
         BTreeMap,
         BTreeSet, //
     },
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use actix::{
     Actor,
+    Addr,
+    AsyncContext,
     Context,
     Handler,
     Message,
@@ -17,31 +20,84 @@
 };
 use hoisthitch_core::{
     HallRecord,
-    PolicyTable, //
+    PolicyTable,
+    RosterEntry,
+    RosterRecord,
+    hash_name, //
 };
 use hoisthitch_store::{
     ListedVm,
     VmState, //
 };
 use hoisthitch_telemetry::event;
+use hoisthitch_wire::{
+    HallVersion,
+    Heartbeat,
+    HeartbeatEcho,
+    LeavingNotice,
+    MeshFrame,
+    PoolDemand,
+    TableDelta, //
+};
+use tokio::time::Instant;
 
 use crate::{
-    control::routes::{
-        EntryPosition,
-        RouteBuilder,
-        RouteInputs, //
+    control::{
+        gate::GateTime,
+        mesh::{
+            MeshHub,
+            SendAll,
+            SendTo,
+            SetMembers, //
+        },
+        routes::{
+            RouteBuilder,
+            RouteInputs, //
+        },
+        shares::{
+            SlotShares,
+            pool_key, //
+        },
+        writer::{
+            Reinstall,
+            TableWriter, //
+        }, //
     },
     state::SharedState, //
 };
 
+/// Time between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time that another entry's word on a leaving VM holds against a list that
+/// still shows the VM as live.
+const TOLD_LIMIT: Duration = Duration::from_secs(300);
+
 /// Keeps the view and puts route tables in force.
 pub struct ViewKeeper {
     shared: Arc<SharedState>,
     builder: RouteBuilder,
     table: PolicyTable,
     halls: BTreeMap<String, HallRecord>,
+    rosters: BTreeMap<String, RosterRecord>,
     listed: Vec<ListedVm>,
-    position: EntryPosition,
+    /// VMs that other entries called leaving, and when.
+    told: BTreeMap<String, Instant>,
+    /// Moment on their clock of the last heartbeat of each other entry.
+    heard: BTreeMap<String, u64>,
+    shares: SlotShares,
+    mesh: Option<Addr<MeshHub>>,
+    writer: Option<Addr<TableWriter>>,
+}
+
+/// Names the actors that the keeper tells of changes.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Connect {
+    /// The mesh; none for an entry that stands alone.
+    pub mesh: Option<Addr<MeshHub>>,
+    /// The table writer.
+    pub writer: Addr<TableWriter>,
 }
 
 /// A table was heard of.
@@ -62,12 +118,44 @@
     pub record: HallRecord,
 }
 
+/// A roster was heard of.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ApplyRoster {
+    /// The record.
+    pub record: RosterRecord,
+}
+
 /// The platform's list of VMs was read.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct ApplyListing {
     /// The list.
     pub vms: Vec<ListedVm>,
+    /// When it was asked for.
+    pub asked: GateTime,
+}
+
+/// The store was read: what it holds, to be compared with what is in force.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CompareStore {
+    /// Revision of the table in the store; zero where there is none.
+    pub table: u64,
+    /// Versions of the hall records in the store.
+    pub halls: Vec<HallVersion>,
+    /// When it was read.
+    pub asked: GateTime,
+}
+
+/// A frame came from another entry.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct PeerFrame {
+    /// Name of the other entry.
+    pub node: String,
+    /// The frame.
+    pub frame: MeshFrame,
 }
 
 /// Asks for the view.
@@ -89,13 +177,19 @@
 impl ViewKeeper {
     /// Starts with an empty view.
     pub fn new(shared: Arc<SharedState>) -> Self {
+        let settings = &shared.settings;
         Self {
-            shared,
             builder: RouteBuilder::new(),
             table: PolicyTable::default(),
             halls: BTreeMap::new(),
+            rosters: BTreeMap::new(),
             listed: Vec::new(),
-            position: EntryPosition { index: 0, count: 1 },
+            told: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            shares: SlotShares::new(&settings.name, settings.share),
+            mesh: None,
+            writer: None,
+            shared,
         }
     }
 
@@ -103,42 +197,121 @@
         if self.table.revision == 0 {
             return;
         }
-        let leaving: BTreeSet<String> = self
-            .listed
-            .iter()
-            .filter(|listed| listed.state == VmState::Leaving)
-            .map(|listed| listed.vm.clone())
-            .collect();
+        let leaving = self.leaving();
         let routes = self.builder.build(&RouteInputs {
             table: &self.table,
             halls: &self.halls,
             leaving: &leaving,
-            position: self.position,
+            shares: &self.shares,
         });
         self.shared.routes.store(Arc::new(routes));
     }
-}
 
-impl Actor for ViewKeeper {
-    type Context = Context<Self>;
-}
+    /// VMs that the list or another entry calls leaving.
+    fn leaving(&self) -> BTreeSet<String> {
+        let told = self.told.keys().cloned();
+        let listed = leaving_names(&self.listed);
+        told.chain(listed.map(str::to_owned)).collect()
+    }
 
-impl Handler<ApplyTable> for ViewKeeper {
-    type Result = ();
+    fn send_all(&self, frame: MeshFrame) {
+        if let Some(mesh) = &self.mesh {
+            mesh.do_send(SendAll { frame });
+        }
+    }
 
-    fn handle(&mut self, message: ApplyTable, _: &mut Context<Self>) {
-        let ApplyTable { table, source } = message;
+    fn send_to(&self, node: &str, frame: MeshFrame) {
+        if let Some(mesh) = &self.mesh {
+            let node = node.to_owned();
+            mesh.do_send(SendTo { node, frame });
+        }
+    }
+
+    fn beat(&mut self) {
+        let demands = self.demands();
+        self.shares.set_own(demands.clone());
+        self.heard.retain(|node, _| self.shares.hears(node));
+        self.told.retain(|_, since| since.elapsed() < TOLD_LIMIT);
+        self.rebuild();
+        let halls = self.halls.values();
+        let rosters = self.rosters.values();
+        self.send_all(MeshFrame::Heartbeat(Heartbeat {
+            table: self.table.revision,
+            halls: halls
+                .map(|hall| hall_version(&hall.hall, hall.version))
+                .collect(),
+            rosters: rosters
+                .map(|roster| hall_version(&roster.hall, roster.version))
+                .collect(),
+            demands,
+            sent_ms: self.shared.gate.now().0,
+            echoes: self.heard.iter().map(to_echo).collect(),
+        }));
+    }
+
+    /// Slots that this entry asks for.
+    fn demands(&self) -> Vec<PoolDemand> {
+        let routes = self.shared.routes.load();
+        let demand = |lane: &Arc<crate::traffic::PoolLane>| PoolDemand {
+            pool: pool_key(lane.name()),
+            slots: lane.take_peak_demand(),
+        };
+        let demands = routes.lanes().map(demand);
+        demands.filter(|demand| demand.slots > 0).collect()
+    }
+
+    /// Takes in what another entry holds, and asks for what is newer.
+    ///
+    /// The view counts as confirmed only by an entry that holds nothing newer.
+    fn hear_heartbeat(&mut self, node: &str, heartbeat: Heartbeat) {
+        let mut newer = false;
+        if heartbeat.table > self.table.revision {
+            newer = true;
+            self.send_to(node, MeshFrame::AskTable);
+        }
+        for theirs in heartbeat.halls {
+            if theirs.version > self.hall_version(&theirs.hall) {
+                newer = true;
+                self.send_to(node, MeshFrame::AskHall(theirs.hall));
+            }
+        }
+        for theirs in heartbeat.rosters {
+            if theirs.version > self.roster_version(&theirs.hall) {
+                newer = true;
+                self.send_to(node, MeshFrame::AskRoster(theirs.hall));
+            }
+        }
+        self.shares.hear(node, heartbeat.demands);
+        self.heard.insert(node.to_owned(), heartbeat.sent_ms);
+        let own = hash_node(&self.shared.settings.name);
+        let echo = heartbeat.echoes.iter().find(|echo| echo.node == own);
+        if let Some(echo) = echo
+            && !newer
+        {
+            self.shared.gate.confirm(GateTime(echo.sent_ms));
+        }
+    }
+
+    fn hall_version(&self, hall: &str) -> u64 {
+        self.halls.get(hall).map_or(0, |record| record.version)
+    }
+
+    fn roster_version(&self, hall: &str) -> u64 {
+        self.rosters.get(hall).map_or(0, |record| record.version)
+    }
+
+    fn put_table(&mut self, table: PolicyTable, source: &'static str) {
         if table.revision <= self.table.revision {
             return;
         }
         if let Err(faults) = table.check() {
-            let fault = faults[0].to_string();
+            let fault = faults.first().map(ToString::to_string).unwrap_or_default();
             event!(
                 Error,
                 "table_refused",
                 revision = table.revision,
                 source = source,
-                fault = fault
+                fault = fault,
             );
             return;
         }
@@ -148,18 +321,14 @@
             revision = table.revision,
             source = source
         );
-        self.table = table;
+        let old = std::mem::replace(&mut self.table, table);
         self.rebuild();
+        let delta = TableDelta::between(&old, &self.table);
+        self.send_all(MeshFrame::Delta(Box::new(delta)));
     }
-}
-
-impl Handler<ApplyHall> for ViewKeeper {
-    type Result = ();
 
-    fn handle(&mut self, message: ApplyHall, _: &mut Context<Self>) {
-        let record = message.record;
-        let known = self.halls.get(&record.hall).map_or(0, |hall| hall.version);
-        if record.version <= known {
+    fn put_hall(&mut self, record: HallRecord) {
+        if record.version <= self.hall_version(&record.hall) {
             return;
         }
         event!(
@@ -168,26 +337,179 @@
             hall = record.hall,
             version = record.version
         );
-        self.halls.insert(record.hall.clone(), record);
+        let hall = record.hall.clone();
+        self.send_all(MeshFrame::Hall(Box::new(record.clone())));
+        self.halls.insert(hall, record);
+        self.rebuild();
+    }
+
+    fn put_roster(&mut self, record: RosterRecord) {
+        if record.version <= self.roster_version(&record.hall) {
+            return;
+        }
+        event!(
+            Info,
+            "roster_in_force",
+            hall = record.hall,
+            version = record.version,
+            entries = record.entries.len(),
+        );
+        self.send_all(MeshFrame::Roster(Box::new(record.clone())));
+        self.rosters.insert(record.hall.clone(), record);
+        let members: Vec<RosterEntry> = self
+            .rosters
+            .values()
+            .flat_map(|roster| roster.entries.iter().cloned())
+            .collect();
+        self.shared.set_registered(&members);
+        if let Some(mesh) = &self.mesh {
+            mesh.do_send(SetMembers { members });
+        }
+    }
+
+    fn put_leaving(&mut self, notice: LeavingNotice, source: &str) {
+        if self.told.contains_key(&notice.vm) {
+            return;
+        }
+        event!(Info, "vm_leaving", vm = notice.vm, source = source);
+        self.told.insert(notice.vm.clone(), Instant::now());
+        self.send_all(MeshFrame::Leaving(notice));
         self.rebuild();
     }
+
+    fn hear(&mut self, node: &str, frame: MeshFrame) {
+        match frame {
+            MeshFrame::Hello { .. } => {}
+            MeshFrame::Heartbeat(heartbeat) => self.hear_heartbeat(node, heartbeat),
+            MeshFrame::Delta(delta) => match delta.applied(&self.table) {
+                Some(table) => self.put_table(table, "peer"),
+                None if delta.revision > self.table.revision => {
+                    self.send_to(node, MeshFrame::AskTable);
+                }
+                None => {}
+            },
+            MeshFrame::AskTable => {
+                self.send_to(node, MeshFrame::Table(Box::new(self.table.clone())));
+            }
+            MeshFrame::Table(table) => self.put_table(*table, "peer"),
+            MeshFrame::AskHall(hall) => {
+                if let Some(record) = self.halls.get(&hall) {
+                    self.send_to(node, MeshFrame::Hall(Box::new(record.clone())));
+                }
+            }
+            MeshFrame::Hall(record) => self.put_hall(*record),
+            MeshFrame::AskRoster(hall) => {
+                if let Some(record) = self.rosters.get(&hall) {
+                    self.send_to(node, MeshFrame::Roster(Box::new(record.clone())));
+                }
+            }
+            MeshFrame::Roster(record) => self.put_roster(*record),
+            MeshFrame::Leaving(notice) => self.put_leaving(notice, "peer"),
+        }
+    }
+}
+
+impl Actor for ViewKeeper {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        context.run_interval(HEARTBEAT_INTERVAL, |keeper, _| keeper.beat());
+    }
+}
+
+impl Handler<Connect> for ViewKeeper {
+    type Result = ();
+
+    fn handle(&mut self, message: Connect, _: &mut Context<Self>) {
+        self.mesh = message.mesh;
+        self.writer = Some(message.writer);
+    }
+}
+
+impl Handler<ApplyTable> for ViewKeeper {
+    type Result = ();
+
+    fn handle(&mut self, message: ApplyTable, _: &mut Context<Self>) {
+        self.put_table(message.table, message.source);
+    }
+}
+
+impl Handler<ApplyHall> for ViewKeeper {
+    type Result = ();
+
+    fn handle(&mut self, message: ApplyHall, _: &mut Context<Self>) {
+        self.put_hall(message.record);
+    }
+}
+
+impl Handler<ApplyRoster> for ViewKeeper {
+    type Result = ();
+
+    fn handle(&mut self, message: ApplyRoster, _: &mut Context<Self>) {
+        self.put_roster(message.record);
+    }
 }
 
 impl Handler<ApplyListing> for ViewKeeper {
     type Result = ();
 
     fn handle(&mut self, message: ApplyListing, _: &mut Context<Self>) {
-        if self.listed == message.vms {
-            return;
+        if self.listed != message.vms {
+            self.put_listing(message.vms);
         }
-        for vm in newly_leaving(&self.listed, &message.vms) {
-            event!(Info, "vm_leaving", vm = vm, source = "list");
+        self.shared.gate.confirm(message.asked);
+    }
+}
+
+impl ViewKeeper {
+    fn put_listing(&mut self, vms: Vec<ListedVm>) {
+        let old: BTreeSet<&str> = leaving_names(&self.listed).collect();
+        let new = leaving_names(&vms);
+        let fresh: Vec<String> = new
+            .filter(|vm| !old.contains(vm))
+            .map(str::to_owned)
+            .collect();
+        self.listed = vms;
+        for vm in fresh {
+            self.put_leaving(LeavingNotice { vm }, "list");
         }
-        self.listed = message.vms;
         self.rebuild();
     }
 }
 
+impl Handler<CompareStore> for ViewKeeper {
+    type Result = ();
+
+    fn handle(&mut self, message: CompareStore, _: &mut Context<Self>) {
+        let stored = |hall: &str| {
+            let found = message.halls.iter().find(|stored| stored.hall == hall);
+            found.map_or(0, |stored| stored.version)
+        };
+        let halls: Vec<HallRecord> = self
+            .halls
+            .values()
+            .filter(|record| record.version > stored(&record.hall))
+            .cloned()
+            .collect();
+        let table_is_older = message.table < self.table.revision;
+        if let Some(writer) = &self.writer
+            && (table_is_older || !halls.is_empty())
+        {
+            let table = self.table.clone();
+            writer.do_send(Reinstall { table, halls });
+        }
+        self.shared.gate.confirm(message.asked);
+    }
+}
+
+impl Handler<PeerFrame> for ViewKeeper {
+    type Result = ();
+
+    fn handle(&mut self, message: PeerFrame, _: &mut Context<Self>) {
+        self.hear(&message.node, message.frame);
+    }
+}
+
 impl Handler<ReadView> for ViewKeeper {
     type Result = MessageResult<ReadView>;
 
@@ -200,15 +522,29 @@
     }
 }
 
-fn newly_leaving<'a>(old: &[ListedVm], new: &'a [ListedVm]) -> Vec<&'a str> {
-    let was_leaving: BTreeSet<&str> = old
+fn hall_version(hall: &str, version: u64) -> HallVersion {
+    HallVersion {
+        hall: hall.to_owned(),
+        version,
+    }
+}
+
+fn to_echo((node, sent_ms): (&String, &u64)) -> HeartbeatEcho {
+    HeartbeatEcho {
+        node: hash_node(node),
+        sent_ms: *sent_ms,
+    }
+}
+
+/// Key of an entry in heartbeats.
+fn hash_node(node: &str) -> u32 {
+    // CAST: the low half of the hash serves as the key.
+    hash_name(node) as u32
+}
+
+fn leaving_names(listed: &[ListedVm]) -> impl Iterator<Item = &str> {
+    listed
         .iter()
         .filter(|listed| listed.state == VmState::Leaving)
         .map(|listed| listed.vm.as_str())
-        .collect();
-    new.iter()
-        .filter(|listed| listed.state == VmState::Leaving)
-        .map(|listed| listed.vm.as_str())
-        .filter(|vm| !was_leaving.contains(vm))
-        .collect()
 }
--- a/crates/hoisthitch-entry/src/control/mod.rs
+++ b/crates/hoisthitch-entry/src/control/mod.rs
@@ -7,7 +7,10 @@
 mod follow;
 mod gate;
 mod keeper;
+mod mesh;
+mod register;
 mod routes;
+mod shares;
 mod writer;
 
 pub use follow::{
@@ -16,9 +19,12 @@
 };
 pub use gate::ViewGate;
 pub use keeper::{
+    Connect,
     ReadView,
     ViewKeeper, //
 };
+pub use mesh::MeshHub;
+pub use register::RosterKeeper;
 pub use routes::{
     RouteTable,
     TeamRoute, //
--- /dev/null
+++ b/crates/hoisthitch-entry/src/control/register.rs
@@ -0,0 +1,94 @@
+//! Registration: an entry is on the roster before it routes.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix::Addr;
+use hoisthitch_core::{
+    RosterEntry,
+    RosterRecord, //
+};
+use hoisthitch_store::{
+    KeySpace,
+    RecordWriter,
+    StoreClient,
+    WriteError, //
+};
+use hoisthitch_telemetry::event;
+
+use crate::{
+    control::keeper::{
+        ApplyRoster,
+        ViewKeeper, //
+    },
+    state::SharedState, //
+};
+
+/// Time between two looks whether the entry is on the roster.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Puts an entry on the roster and takes it off.
+pub struct RosterKeeper<S> {
+    records: RecordWriter<S>,
+    key: String,
+    hall: String,
+    entry: RosterEntry,
+    keeper: Addr<ViewKeeper>,
+}
+
+impl<S: StoreClient> RosterKeeper<S> {
+    /// Registers `entry` in the settings' data hall.
+    pub fn new(
+        shared: &SharedState,
+        store: S,
+        entry: RosterEntry,
+        keeper: Addr<ViewKeeper>,
+    ) -> Self {
+        let settings = &shared.settings;
+        let patience = settings.platform.timeout * 3;
+        Self {
+            records: RecordWriter::new(store, &settings.name, patience),
+            key: KeySpace::new(&settings.platform.root).roster(&settings.hall),
+            hall: settings.hall.clone(),
+            entry,
+            keeper,
+        }
+    }
+
+    /// Keeps the entry on the roster until a planned stop begins.
+    pub async fn keep_registered(&self, shared: &Arc<SharedState>) {
+        while !shared.is_stopping() {
+            if !shared.is_registered()
+                && let Err(err) = self.write(true).await
+            {
+                event!(Warn, "not_registered", error = err);
+            }
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Takes the entry off the roster.
+    pub async fn unregister(&self) {
+        if let Err(err) = self.write(false).await {
+            event!(Warn, "not_unregistered", error = err);
+        }
+    }
+
+    async fn write(&self, present: bool) -> Result<(), WriteError> {
+        let change = |stored: Option<RosterRecord>, stamp| {
+            let mut record = stored.unwrap_or_else(|| RosterRecord::new(&self.hall));
+            if present {
+                record.put(self.entry.clone());
+            } else {
+                record.remove(&self.entry.name);
+            }
+            record.sign(stamp);
+            Ok::<_, WriteError>(record)
+        };
+        let record = self.records.update(&self.key, change).await?;
+        self.keeper.do_send(ApplyRoster { record });
+        Ok(())
+    }
+}
--- a/crates/hoisthitch-entry/src/control/routes.rs
+++ b/crates/hoisthitch-entry/src/control/routes.rs
@@ -23,13 +23,15 @@
     PoolRow,
     TeamKey,
     TeamRow,
-    VmAssignment,
-    fixed_share, //
+    VmAssignment, //
 };
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::traffic::PoolLane;
+use crate::{
+    control::shares::SlotShares,
+    traffic::PoolLane, //
+};
 
 /// Name of the team that requests without a team belong to.
 pub const DEFAULT_TEAM: &str = "default";
@@ -80,15 +82,6 @@
     }
 }
 
-/// Place of this entry among the entries that share the runners' slots.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct EntryPosition {
-    /// Position in the order of all entries.
-    pub index: usize,
-    /// Number of entries.
-    pub count: usize,
-}
-
 /// Builds route tables and keeps the arenas they share.
 pub struct RouteBuilder {
     lanes: SlotMap<PoolKey, Arc<PoolLane>>,
@@ -103,8 +96,8 @@
     pub halls: &'a BTreeMap<String, HallRecord>,
     /// VMs that the platform or another entry calls leaving.
     pub leaving: &'a BTreeSet<String>,
-    /// Place of this entry.
-    pub position: EntryPosition,
+    /// Shares of the pools' slots that this entry may use.
+    pub shares: &'a SlotShares,
 }
 
 impl RouteBuilder {
@@ -187,7 +180,8 @@
             for assignment in &held {
                 let leaving = assignment.state == AssignmentState::Leaving
                     || inputs.leaving.contains(&assignment.vm);
-                let limit = own_slots(row, &assignment.vm, inputs.position);
+                let share = inputs.shares.of(&row.name);
+                let limit = share.slots_of(&assignment.vm, row.slots_per_runner);
                 ledger.put(&assignment.vm, assignment.address, limit, leaving);
             }
             ledger.retain(|runner| known.contains(&(&*runner.vm, runner.address)));
@@ -217,10 +211,6 @@
     }
 }
 
-fn own_slots(row: &PoolRow, vm: &str, position: EntryPosition) -> u32 {
-    fixed_share(vm, row.slots_per_runner, position.index, position.count)
-}
-
 fn default_team() -> TeamRow {
     TeamRow {
         name: DEFAULT_TEAM.to_owned(),
--- /dev/null
+++ b/crates/hoisthitch-entry/src/control/shares.rs
@@ -0,0 +1,94 @@
+//! Shares of the pools' slots that this entry may use.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use hoisthitch_core::{
+    EntryShare,
+    SharePolicy,
+    hash_name, //
+};
+use hoisthitch_wire::PoolDemand;
+use tokio::time::Instant;
+
+/// Silence after which an entry no longer counts in the shares.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// What entries ask for, and this entry's shares.
+pub struct SlotShares {
+    policy: SharePolicy,
+    own: String,
+    peers: BTreeMap<String, PeerDemands>,
+    own_demands: Vec<PoolDemand>,
+}
+
+struct PeerDemands {
+    heard: Instant,
+    demands: Vec<PoolDemand>,
+}
+
+impl SlotShares {
+    /// Starts without other entries.
+    pub fn new(own: &str, policy: SharePolicy) -> Self {
+        Self {
+            policy,
+            own: own.to_owned(),
+            peers: BTreeMap::new(),
+            own_demands: Vec::new(),
+        }
+    }
+
+    /// Notes what another entry asks for.
+    pub fn hear(&mut self, node: &str, demands: Vec<PoolDemand>) {
+        let heard = Instant::now();
+        self.peers
+            .insert(node.to_owned(), PeerDemands { heard, demands });
+    }
+
+    /// Notes what this entry asks for, and forgets silent entries.
+    pub fn set_own(&mut self, demands: Vec<PoolDemand>) {
+        self.own_demands = demands;
+        self.peers
+            .retain(|_, peer| peer.heard.elapsed() < SILENCE_LIMIT);
+    }
+
+    /// Whether another entry was heard from lately.
+    pub fn hears(&self, node: &str) -> bool {
+        self.peers.contains_key(node)
+    }
+
+    /// Share of a pool's slots.
+    pub fn of(&self, pool: &str) -> EntryShare {
+        let before = self.peers.range(..self.own.clone()).count();
+        match self.policy {
+            SharePolicy::Local => EntryShare::WHOLE,
+            SharePolicy::Even => EntryShare::even(self.peers.len() + 1, before),
+            SharePolicy::Demand => EntryShare::by_demand(&self.demands(pool), before),
+        }
+    }
+
+    /// What the entries ask for, in the order of their names.
+    fn demands(&self, pool: &str) -> Vec<u32> {
+        let key = pool_key(pool);
+        let mut demands: BTreeMap<&str, u32> = self
+            .peers
+            .iter()
+            .map(|(node, peer)| (node.as_str(), demand_of(&peer.demands, key)))
+            .collect();
+        demands.insert(&self.own, demand_of(&self.own_demands, key));
+        demands.into_values().collect()
+    }
+}
+
+/// Key of a pool in heartbeats.
+pub fn pool_key(pool: &str) -> u32 {
+    // CAST: the low half of the hash serves as the key.
+    hash_name(pool) as u32
+}
+
+fn demand_of(demands: &[PoolDemand], pool: u32) -> u32 {
+    let found = demands.iter().find(|demand| demand.pool == pool);
+    found.map_or(0, |demand| demand.slots)
+}
--- a/crates/hoisthitch-entry/src/control/writer.rs
+++ b/crates/hoisthitch-entry/src/control/writer.rs
@@ -20,16 +20,14 @@
     HallRecord,
     PolicyTable,
     RowEdit,
-    VmAssignment, //
+    VmAssignment,
+    WriterStamp, //
 };
 use hoisthitch_store::{
     EtcdClient,
     KeySpace,
     RecordWriter,
     StampedRecord,
-    StoreClient,
-    StoreError,
-    StoreRevision,
     WriteError, //
 };
 use hoisthitch_telemetry::event;
@@ -40,14 +38,12 @@
         ApplyHall,
         ApplyTable,
         ReadView,
-        ViewKeeper, //
+        ViewKeeper,
+        ViewSummary, //
     },
     state::SharedState, //
 };
 
-/// Times that a change of another row is merged before the operator is told.
-const MERGE_LIMIT: usize = 20;
-
 /// Writes operators' changes.
 pub struct TableWriter {
     inner: Rc<WriterParts>,
@@ -67,6 +63,30 @@
     pub edits: Vec<RowEdit>,
 }
 
+/// Writes what is in force to a store that came back older.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Reinstall {
+    /// The table.
+    pub table: PolicyTable,
+    /// The hall records.
+    pub halls: Vec<HallRecord>,
+}
+
+/// Why a record was not written anew.
+enum ReinstallError {
+    /// The store holds it, or something newer.
+    Newer,
+    /// The store failed.
+    Write(WriteError),
+}
+
+impl From<WriteError> for ReinstallError {
+    fn from(err: WriteError) -> Self {
+        Self::Write(err)
+    }
+}
+
 /// Assigns a VM that belongs to no pool.
 #[derive(Message)]
 #[rtype(result = "Result<HallRecord, OperatorError>")]
@@ -92,20 +112,9 @@
     /// The table has no such pool.
     #[error("pool {0} is not in the table; 'hoisthitch table show' lists the pools")]
     UnknownPool(String),
-    /// The store could not be read.
-    #[error("the store could not be read: {0}")]
-    Read(#[from] StoreError),
     /// The store could not be written, or not surely.
     #[error(transparent)]
     Write(#[from] WriteError),
-    /// A record in the store can't be read.
-    #[error("the record {key} can't be read: {fault}; restore it from an export")]
-    Malformed {
-        /// Key of the record.
-        key: String,
-        /// What is wrong.
-        fault: String,
-    },
     /// The control thread is gone.
     #[error("the entry is stopping; ask another one")]
     Stopping,
@@ -139,6 +148,15 @@
     }
 }
 
+impl Handler<Reinstall> for TableWriter {
+    type Result = ResponseFuture<()>;
+
+    fn handle(&mut self, message: Reinstall, _: &mut Context<Self>) -> Self::Result {
+        let parts = self.inner.clone();
+        Box::pin(async move { parts.reinstall(message).await })
+    }
+}
+
 impl Handler<AssignVm> for TableWriter {
     type Result = ResponseFuture<Result<HallRecord, OperatorError>>;
 
@@ -151,12 +169,21 @@
 impl WriterParts {
     async fn edit_table(&self, edits: &[RowEdit]) -> Result<PolicyTable, OperatorError> {
         let key = self.keys.table();
-        let change = |table: Option<PolicyTable>| {
-            let stamp = self.records.stamp();
-            let table = table.unwrap_or_default().edited(edits, stamp.clone())?;
-            Ok((table, stamp))
+        let known = self.view().await?.table;
+        // The store may have come back older than what is in force.
+        let newest = |stored: Option<PolicyTable>| {
+            let stored = stored.unwrap_or_default();
+            if stored.revision < known.revision {
+                known.clone()
+            } else {
+                stored
+            }
         };
-        let table = self.update(&key, change).await?;
+        let change = |stored: Option<PolicyTable>, stamp| {
+            let table = newest(stored).edited(edits, stamp)?;
+            Ok::<_, OperatorError>(table)
+        };
+        let table = self.records.update(&key, change).await?;
         event!(
             Info,
             "table_accepted",
@@ -170,19 +197,70 @@
         Ok(table)
     }
 
+    /// Writes what is in force where the store holds something older.
+    async fn reinstall(&self, message: Reinstall) {
+        let table = message.table;
+        let written = self
+            .reinstall_record(&self.keys.table(), |stored: Option<PolicyTable>, stamp| {
+                let known = stored.map_or(0, |stored| stored.revision);
+                let mut table = table.clone();
+                table.sign(table.revision, stamp);
+                (known < table.revision).then_some(table)
+            })
+            .await;
+        if written {
+            event!(Warn, "table_reinstalled", revision = table.revision);
+        }
+        for hall in message.halls {
+            let written = self
+                .reinstall_record(&self.keys.hall(&hall.hall), |stored, stamp| {
+                    let known = stored.map_or(0, |stored: HallRecord| stored.version);
+                    let mut record = hall.clone();
+                    record.sign(stamp);
+                    (known < hall.version).then_some(record)
+                })
+                .await;
+            if written {
+                event!(
+                    Warn,
+                    "hall_reinstalled",
+                    hall = hall.hall,
+                    version = hall.version
+                );
+            }
+        }
+    }
+
+    async fn reinstall_record<R: StampedRecord>(
+        &self,
+        key: &str,
+        newer: impl Fn(Option<R>, WriterStamp) -> Option<R>,
+    ) -> bool {
+        let change = |stored, stamp| newer(stored, stamp).ok_or(ReinstallError::Newer);
+        match self.records.update(key, change).await {
+            Ok(_) => true,
+            Err(ReinstallError::Newer) => false,
+            Err(ReinstallError::Write(err)) => {
+                event!(Warn, "not_reinstalled", key = key, error = err);
+                false
+            }
+        }
+    }
+
+    async fn view(&self) -> Result<ViewSummary, OperatorError> {
+        let sent = self.keeper.send(ReadView).await;
+        sent.map_err(|_| OperatorError::Stopping)
+    }
+
     async fn assign(&self, vm: &str, pool: &str) -> Result<HallRecord, OperatorError> {
-        let view = self
-            .keeper
-            .send(ReadView)
-            .await
-            .map_err(|_| OperatorError::Stopping)?;
+        let view = self.view().await?;
         if view.table.pool(pool).is_none() {
             return Err(OperatorError::UnknownPool(pool.to_owned()));
         }
         let listed = view.listed.iter().find(|listed| listed.vm == vm);
         let listed = listed.ok_or_else(|| OperatorError::UnknownVm(vm.to_owned()))?;
         let key = self.keys.hall(&listed.hall);
-        let change = |record: Option<HallRecord>| {
+        let change = |record: Option<HallRecord>, stamp| {
             let mut record = record.unwrap_or_else(|| HallRecord::new(&listed.hall));
             record.assign(VmAssignment {
                 vm: listed.vm.clone(),
@@ -191,11 +269,10 @@
                 pool: pool.to_owned(),
                 state: AssignmentState::Serving,
             })?;
-            let stamp = self.records.stamp();
-            record.sign(stamp.clone());
-            Ok((record, stamp))
+            record.sign(stamp);
+            Ok::<_, OperatorError>(record)
         };
-        let record = self.update(&key, change).await?;
+        let record = self.records.update(&key, change).await?;
         event!(
             Info,
             "vm_assigned",
@@ -208,39 +285,4 @@
         self.keeper.do_send(ApplyHall { record: applied });
         Ok(record)
     }
-
-    /// Reads a record, changes it and writes it; on another's change, anew.
-    async fn update<R, F>(&self, key: &str, change: F) -> Result<R, OperatorError>
-    where
-        R: StampedRecord,
-        F: Fn(Option<R>) -> Result<(R, hoisthitch_core::WriterStamp), OperatorError>,
-    {
-        let mut stored = self.records.store().read(key).await?;
-        for _ in 0..MERGE_LIMIT {
-            let revision = stored
-                .as_ref()
-                .map_or(StoreRevision::default(), |stored| stored.revision);
-            let current = stored
-                .map(|stored| decode::<R>(key, &stored.value))
-                .transpose()?;
-            let (record, stamp) = change(current)?;
-            match self.records.write(key, revision, &record, &stamp).await {
-                Ok(_) => return Ok(record),
-                Err(WriteError::Conflict { found, .. }) => stored = found,
-                Err(err) => return Err(err.into()),
-            }
-        }
-        Err(WriteError::Conflict {
-            key: key.to_owned(),
-            found: stored,
-        }
-        .into())
-    }
-}
-
-fn decode<R: StampedRecord>(key: &str, value: &[u8]) -> Result<R, OperatorError> {
-    serde_json::from_slice(value).map_err(|err| OperatorError::Malformed {
-        key: key.to_owned(),
-        fault: err.to_string(),
-    })
 }
--- a/crates/hoisthitch-entry/src/operators/api.rs
+++ b/crates/hoisthitch-entry/src/operators/api.rs
@@ -162,10 +162,12 @@
         OperatorError::Edit(_) => StatusCode::UNPROCESSABLE_ENTITY,
         OperatorError::UnknownVm(_) | OperatorError::UnknownPool(_) => StatusCode::NOT_FOUND,
         OperatorError::Write(WriteError::Unclear { .. }) => StatusCode::GATEWAY_TIMEOUT,
-        OperatorError::Write(WriteError::Encode { .. }) | OperatorError::Malformed { .. } => {
+        OperatorError::Write(WriteError::Encode { .. } | WriteError::Malformed { .. }) => {
             StatusCode::INTERNAL_SERVER_ERROR
         }
-        OperatorError::Read(_) | OperatorError::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        OperatorError::Write(WriteError::Read(_)) | OperatorError::Stopping => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
     fault(status, &err.to_string())
 }
--- a/crates/hoisthitch-entry/src/process.rs
+++ b/crates/hoisthitch-entry/src/process.rs
@@ -1,6 +1,7 @@
 //! The entry's process: starts its parts and stops them in order.
 
 use std::{
+    rc::Rc,
     sync::Arc,
     time::Duration, //
 };
@@ -25,6 +26,7 @@
 };
 use hoisthitch_core::{
     RefusalReason,
+    RosterEntry,
     WorkRefusal, //
 };
 use hoisthitch_store::{
@@ -34,6 +36,10 @@
     VmLister, //
 };
 use hoisthitch_telemetry::event;
+use hoisthitch_wire::{
+    MeshEndpoint,
+    MeshKeys, //
+};
 use tokio::signal::unix::{
     Signal,
     SignalKind,
@@ -42,6 +48,9 @@
 
 use crate::{
     control::{
+        Connect,
+        MeshHub,
+        RosterKeeper,
         TableWriter,
         ViewKeeper,
         follow_store,
@@ -80,7 +89,7 @@
     let (desk, book) = ClaimBook::new(store.clone(), retention);
     let shared = SharedState::new(settings, desk).wrap_err("metrics can't be registered")?;
     actix_web::rt::spawn(book.run());
-    let parts = start_control(&shared, store);
+    let parts = start_control(&shared, store)?;
     let operators = operator_server(&shared, &parts)?;
     let callers = caller_server(&shared)?;
     let handles = [callers.handle(), operators.handle()];
@@ -95,6 +104,9 @@
     );
     stop_on_signal(&shared, &handles).await?;
     callers.await??;
+    if let Some(roster) = parts.roster {
+        roster.unregister().await;
+    }
     event!(Info, "stopped");
     Ok(())
 }
@@ -103,19 +115,61 @@
 struct ControlParts {
     keeper: Addr<ViewKeeper>,
     writer: Addr<TableWriter>,
+    roster: Option<Rc<RosterKeeper<EtcdClient>>>,
 }
 
-fn start_control(shared: &Arc<SharedState>, store: EtcdClient) -> ControlParts {
+fn start_control(shared: &Arc<SharedState>, store: EtcdClient) -> Result<ControlParts> {
     let platform = &shared.settings.platform;
     let lister = VmLister::new(&platform.vms, platform.timeout);
     let keys = KeySpace::new(&platform.root);
     let keeper = ViewKeeper::new(shared.clone()).start();
     let writer = TableWriter::new(shared, store.clone(), keeper.clone()).start();
     let interval = platform.vms_interval;
+    let mesh = start_mesh(shared, &keeper)?;
+    keeper.do_send(Connect {
+        mesh,
+        writer: writer.clone(),
+    });
+    let roster = start_roster(shared, &store, &keeper);
     actix_web::rt::spawn(follow_store(store, keys, keeper.clone(), shared.clone()));
     actix_web::rt::spawn(follow_vms(lister, interval, keeper.clone(), shared.clone()));
     actix_web::rt::spawn(pump_lanes(shared.clone()));
-    ControlParts { keeper, writer }
+    Ok(ControlParts {
+        keeper,
+        writer,
+        roster,
+    })
+}
+
+fn start_mesh(
+    shared: &Arc<SharedState>,
+    keeper: &Addr<ViewKeeper>,
+) -> Result<Option<Addr<MeshHub>>> {
+    let Some(mesh) = &shared.settings.mesh else {
+        return Ok(None);
+    };
+    let keys = MeshKeys::load(&mesh.certificate, &mesh.key, &mesh.authority)?;
+    let endpoint = MeshEndpoint::open(&shared.settings.name, mesh.listen, &keys)?;
+    let hub = MeshHub::new(shared.clone(), endpoint, keeper.clone());
+    Ok(Some(hub.start()))
+}
+
+fn start_roster(
+    shared: &Arc<SharedState>,
+    store: &EtcdClient,
+    keeper: &Addr<ViewKeeper>,
+) -> Option<Rc<RosterKeeper<EtcdClient>>> {
+    let mesh = shared.settings.mesh.as_ref()?;
+    let entry = RosterEntry {
+        name: shared.settings.name.clone(),
+        mesh: mesh.advertise,
+    };
+    let roster = RosterKeeper::new(shared, store.clone(), entry, keeper.clone());
+    let roster = Rc::new(roster);
+    let kept = roster.clone();
+    let shared = shared.clone();
+    actix_web::rt::spawn(async move { kept.keep_registered(&shared).await });
+    Some(roster)
 }
 
 /// Grants slots that come free by themselves, such as those of runners whose
--- a/crates/hoisthitch-entry/src/settings.rs
+++ b/crates/hoisthitch-entry/src/settings.rs
@@ -9,9 +9,14 @@
         Path,
         PathBuf, //
     },
+    str::FromStr,
     time::Duration, //
 };
 
+use hoisthitch_core::{
+    RosterEntry,
+    SharePolicy, //
+};
 use hoisthitch_settings::{
     SettingsError,
     SettingsFile,
@@ -21,6 +26,9 @@
 /// Shortest token that operators' calls may be guarded by.
 const TOKEN_MIN: usize = 16;
 
+/// How seeds are written.
+const SEEDS_EXAMPLE: &str = "entry-2@10.0.0.2:7000, entry-3@10.0.0.3:7000";
+
 /// Settings of one entry process.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -36,6 +44,8 @@
     pub operators: OperatorSettings,
     /// The platform.
     pub platform: PlatformSettings,
+    /// How the entries share the runners' slots.
+    pub share: SharePolicy,
     /// The mesh of entries; none for an entry that stands alone.
     pub mesh: Option<MeshSettings>,
 }
@@ -88,6 +98,10 @@
 pub struct MeshSettings {
     /// Address that other entries connect to.
     pub listen: SocketAddr,
+    /// Address that is put on the roster; the one listened on, if not set.
+    pub advertise: SocketAddr,
+    /// Entries to ask for the table while the store is out.
+    pub seeds: Vec<RosterEntry>,
     /// Certificate of this entry.
     pub certificate: PathBuf,
     /// Key of this entry.
@@ -123,6 +137,9 @@
             callers: read_callers(&reader),
             operators: read_operators(&reader),
             platform: read_platform(&reader),
+            share: reader
+                .optional("slots", "share", "demand")
+                .unwrap_or_default(),
             mesh: read_mesh(&reader),
         };
         reader.finish()?;
@@ -197,6 +214,8 @@
 fn read_mesh(reader: &SettingsReader<'_>) -> Option<MeshSettings> {
     const SECTION: &str = "mesh";
     let listen = reader.optional(SECTION, "listen", "10.0.0.1:7000");
+    let advertise = reader.optional(SECTION, "advertise", "10.0.0.1:7000");
+    let seeds: Option<SeedList> = reader.optional(SECTION, "seeds", SEEDS_EXAMPLE);
     let certificate = reader.optional(SECTION, "certificate", "keys/entry-1.pem");
     let key = reader.optional(SECTION, "key", "keys/entry-1.key");
     let authority = reader.optional(SECTION, "authority", "keys/authority.pem");
@@ -209,6 +228,8 @@
     };
     Some(MeshSettings {
         listen,
+        advertise: advertise.unwrap_or(listen),
+        seeds: seeds.unwrap_or_default().0,
         certificate: file("certificate", certificate),
         key: file("key", key),
         authority: file("authority", authority),
@@ -224,3 +245,25 @@
         .required(section, key, example)
         .unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
 }
+
+/// Entries as written in settings: `name@ip:port`, separated by commas.
+#[derive(Default)]
+struct SeedList(Vec<RosterEntry>);
+
+impl FromStr for SeedList {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let seeds: Result<Vec<RosterEntry>, String> = text.split(',').map(read_seed).collect();
+        Ok(Self(seeds?))
+    }
+}
+
+fn read_seed(text: &str) -> Result<RosterEntry, String> {
+    let seed = text.trim().split_once('@');
+    let (name, address) = seed.ok_or("a seed is name@ip:port")?;
+    Ok(RosterEntry {
+        name: name.to_owned(),
+        mesh: address.parse().map_err(|_| "a seed's address is ip:port")?,
+    })
+}
--- a/crates/hoisthitch-entry/src/state.rs
+++ b/crates/hoisthitch-entry/src/state.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
+use hoisthitch_core::RosterEntry;
 use hoisthitch_store::ClaimDesk;
 
 use crate::{
@@ -33,6 +34,7 @@
     /// Metrics of the traffic.
     pub metrics: TrafficMetrics,
     stopping: AtomicBool,
+    registered: AtomicBool,
 }
 
 impl SharedState {
@@ -49,6 +51,7 @@
             claims,
             metrics: TrafficMetrics::new()?,
             stopping: AtomicBool::new(false),
+            registered: AtomicBool::new(false),
         }))
     }
 
@@ -62,8 +65,32 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the entry is on the roster, which one without a mesh needn't be.
+    pub fn is_registered(&self) -> bool {
+        self.settings.mesh.is_none() || self.registered.load(Ordering::Relaxed)
+    }
+
+    /// Notes the entries that are on the rosters.
+    pub fn set_registered(&self, members: &[RosterEntry]) {
+        let Some(mesh) = &self.settings.mesh else {
+            return;
+        };
+        let own = RosterEntry {
+            name: self.settings.name.clone(),
+            mesh: mesh.advertise,
+        };
+        let registered = members.contains(&own);
+        self.registered.store(registered, Ordering::Relaxed);
+    }
+
+    /// Whether work may be sent: the entry is on the roster and its view of the
+    /// fleet is fresh.
+    pub fn may_send(&self) -> bool {
+        self.is_registered() && self.gate.is_fresh()
+    }
+
     /// Whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.routes.load().revision > 0 && self.gate.is_fresh()
+        !self.is_stopping() && self.routes.load().revision > 0 && self.may_send()
     }
 }
--- a/crates/hoisthitch-entry/src/traffic/exchange.rs
+++ b/crates/hoisthitch-entry/src/traffic/exchange.rs
@@ -204,7 +204,8 @@
         request
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
-        let response = send_request(permit.address, request, self.deadline)
+        let may_send = || self.shared.may_send();
+        let response = send_request(permit.address, request, self.deadline, may_send)
             .await
             .map_err(AttemptError::Hop)?;
         permit.set_healthy(!response.status().is_server_error());
--- a/crates/hoisthitch-entry/src/traffic/hop.rs
+++ b/crates/hoisthitch-entry/src/traffic/hop.rs
@@ -47,7 +47,8 @@
     Sent(String),
 }
 
-/// Sends one request on a connection of its own.
+/// Sends one request on a connection of its own, if `may_send` still allows it
+/// once the connection is there.
 ///
 /// # Errors
 ///
@@ -56,8 +57,14 @@
     address: SocketAddr,
     request: Request<RequestBody>,
     deadline: Instant,
+    may_send: impl Fn() -> bool,
 ) -> Result<Response<Incoming>, HopError> {
     let mut sender = connect(address, deadline).await?;
+    if !may_send() {
+        return Err(HopError::Unsent(
+            "the view of the fleet is stale".to_owned(),
+        ));
+    }
     let exchange = sender.try_send_request(request);
     let answered = match tokio::time::timeout_at(deadline, exchange).await {
         Ok(answered) => answered,
--- a/crates/hoisthitch-entry/src/traffic/lane.rs
+++ b/crates/hoisthitch-entry/src/traffic/lane.rs
@@ -6,7 +6,11 @@
         Arc,
         Mutex,
         MutexGuard,
-        PoisonError, //
+        PoisonError,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        }, //
     },
     time::Duration, //
 };
@@ -45,6 +49,8 @@
 pub struct PoolLane {
     name: String,
     scheduler: Mutex<PoolScheduler<Waiter>>,
+    /// Most slots asked for at once since this was last read.
+    peak_demand: AtomicU32,
 }
 
 /// What a request asks of a lane.
@@ -87,6 +93,7 @@
         Self {
             name,
             scheduler: Mutex::new(PoolScheduler::new(row, now)),
+            peak_demand: AtomicU32::new(0),
         }
     }
 
@@ -167,6 +174,13 @@
         Some(self.permit(runner, priority))
     }
 
+    /// Most slots that were asked for at once since the last call: requests
+    /// under way and waiting.
+    pub fn take_peak_demand(&self) -> u32 {
+        let now = self.inspect(demand);
+        self.peak_demand.swap(now, Ordering::Relaxed).max(now)
+    }
+
     /// Refuses everything that waits, for a stop.
     pub fn refuse_all(&self, refusal: WorkRefusal) {
         for unit in self.lock().take_queue() {
@@ -179,6 +193,8 @@
         let now = Instant::now().into_std();
         let mut scheduler = self.lock();
         let mut admission = scheduler.admit(unit, now)?;
+        self.peak_demand
+            .fetch_max(demand(&scheduler), Ordering::Relaxed);
         if let WorkAdmission::Queued { evicted, .. } = &mut admission
             && let Some(waiter) = evicted.take()
         {
@@ -221,6 +237,12 @@
     }
 }
 
+/// Slots asked for: requests under way and waiting.
+fn demand(scheduler: &PoolScheduler<Waiter>) -> u32 {
+    let queued = u32::try_from(scheduler.queue().len()).unwrap_or(u32::MAX);
+    scheduler.ledger().in_flight().saturating_add(queued)
+}
+
 /// Grants free slots to waiting requests.
 fn pump(scheduler: &mut PoolScheduler<Waiter>) {
     let now = Instant::now().into_std();
--- a/crates/hoisthitch-entry/src/traffic/serve.rs
+++ b/crates/hoisthitch-entry/src/traffic/serve.rs
@@ -239,7 +239,7 @@
     shared.metrics.observe_wait(pool, priority, waited);
     match acquired {
         Ok((permit, hold)) => {
-            if !shared.gate.is_fresh() {
+            if !shared.may_send() {
                 return Err(Box::new(stale_view()));
             }
             event!(
@@ -280,7 +280,7 @@
             VIEW_RETRY,
         )));
     }
-    if !shared.gate.is_fresh() {
+    if !shared.may_send() {
         return Err(Box::new(stale_view()));
     }
     let path = request.path();
@@ -471,7 +471,7 @@
 fn stale_view() -> ProblemAnswer {
     ProblemAnswer::unavailable(
         "stale-view",
-        "this entry has not heard from the platform or another entry",
+        "this entry is not on the roster, or has not heard from the platform or another entry",
         VIEW_RETRY,
     )
 }
--- a/crates/hoisthitch-store/src/recognise.rs
+++ b/crates/hoisthitch-store/src/recognise.rs
@@ -11,6 +11,7 @@
 use hoisthitch_core::{
     HallRecord,
     PolicyTable,
+    RosterRecord,
     WriterStamp, //
 };
 use rand::Rng;
@@ -34,6 +35,9 @@
 /// Wait before an unclear write is looked into.
 const SETTLE_WAIT: Duration = Duration::from_millis(50);
 
+/// Times that a change is made anew on what another writer wrote.
+const UPDATE_LIMIT: usize = 20;
+
 /// A record that tells who wrote it.
 pub trait StampedRecord: Serialize + DeserializeOwned {
     /// Whether the operation's write went into this record or one before it.
@@ -52,6 +56,12 @@
     }
 }
 
+impl StampedRecord for RosterRecord {
+    fn carries(&self, stamp: &WriterStamp) -> bool {
+        self.stamp == *stamp || self.recent.contains(stamp)
+    }
+}
+
 /// Why a record was not written.
 #[derive(Debug, Error)]
 pub enum WriteError {
@@ -73,6 +83,17 @@
         /// Last error of the store.
         source: StoreError,
     },
+    /// The record in the store can't be read.
+    #[error("the record {key} can't be read: {fault}; restore it from an export")]
+    Malformed {
+        /// Key of the record.
+        key: String,
+        /// What is wrong.
+        fault: String,
+    },
+    /// The store could not be read; nothing was written.
+    #[error("the store could not be read: {0}")]
+    Read(#[from] StoreError),
     /// The record could not be encoded.
     #[error("{key} could not be encoded: {fault}")]
     Encode {
@@ -114,6 +135,40 @@
         }
     }
 
+    /// Reads a record, changes it and writes it; when another writer was first,
+    /// changes what that one wrote.
+    ///
+    /// # Errors
+    ///
+    /// Fails as `change` does, when the store fails, and when other writers are
+    /// first too many times.
+    pub async fn update<R, E, F>(&self, key: &str, change: F) -> Result<R, E>
+    where
+        R: StampedRecord,
+        E: From<WriteError>,
+        F: Fn(Option<R>, WriterStamp) -> Result<R, E>,
+    {
+        let read = self.store.read(key).await;
+        let mut stored = read.map_err(WriteError::from)?;
+        for _ in 0..UPDATE_LIMIT {
+            let revision = stored
+                .as_ref()
+                .map_or(StoreRevision::default(), |stored| stored.revision);
+            let current = stored
+                .map(|stored| decode::<R>(key, &stored.value))
+                .transpose()?;
+            let stamp = self.stamp();
+            let record = change(current, stamp.clone())?;
+            match self.write(key, revision, &record, &stamp).await {
+                Ok(_) => return Ok(record),
+                Err(WriteError::Conflict { found, .. }) => stored = found,
+                Err(err) => return Err(err.into()),
+            }
+        }
+        let key = key.to_owned();
+        Err(WriteError::Conflict { key, found: stored }.into())
+    }
+
     /// Writes a record that carries `stamp`, if its revision is `expected`.
     ///
     /// # Errors
@@ -151,6 +206,13 @@
     }
 }
 
+fn decode<R: StampedRecord>(key: &str, value: &[u8]) -> Result<R, WriteError> {
+    serde_json::from_slice(value).map_err(|err| WriteError::Malformed {
+        key: key.to_owned(),
+        fault: err.to_string(),
+    })
+}
+
 /// Tells an own write from another's after a conflict.
 ///
 /// The swap that met the conflict also read the record, so no further read is
--- a/crates/hoisthitch-tests/src/fleet.rs
+++ b/crates/hoisthitch-tests/src/fleet.rs
@@ -13,10 +13,12 @@
     sync::atomic::{
         AtomicU32,
         Ordering, //
-    }, //
+    },
+    time::Duration, //
 };
 
 use eyre::{
+    OptionExt,
     Result,
     ensure, //
 };
@@ -33,7 +35,11 @@
     TeamRow, //
 };
 use hoisthitch_store::{
+    EtcdClient,
+    KeySpace,
     ListedVm,
+    StoreClient,
+    StoreRevision,
     VmState, //
 };
 use serde::Deserialize;
@@ -57,10 +63,14 @@
 /// First port of the entries' sides.
 const CALLER_PORT: u16 = 8_000;
 const OPERATOR_PORT: u16 = 8_100;
+const MESH_PORT: u16 = 8_200;
 
 /// First port of the runners.
 const RUNNER_PORT: u16 = 9_000;
 
+/// Entries that keys are made for.
+const ENTRY_LIMIT: usize = 12;
+
 /// Fleets made by this process so far.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
@@ -88,6 +98,10 @@
     pub caller_settings: String,
     /// Least level that entries log.
     pub log_level: String,
+    /// How the entries share slots.
+    pub share: String,
+    /// Port of the proxy in front of each entry's mesh address; zero for none.
+    pub mesh_proxy_port: u16,
 }
 
 /// A run in a runner's journal.
@@ -154,6 +168,8 @@
             teams: Vec::new(),
             caller_settings: "stop_notice = 200ms".to_owned(),
             log_level: "info".to_owned(),
+            share: "demand".to_owned(),
+            mesh_proxy_port: 0,
         }
     }
 }
@@ -203,6 +219,7 @@
         .await?;
         fleet.start_runners()?;
         fleet.put_vms().await?;
+        fleet.make_keys().await?;
         for index in 0..fleet.plan.entries {
             fleet.start_entry(index)?;
         }
@@ -225,7 +242,7 @@
     ///
     /// Fails when its settings can't be written.
     pub fn start_entry_at(&mut self, index: usize, store: &str, vms: &str) -> Result<()> {
-        let name = format!("entry-{}", index + 1);
+        let name = entry_name(index);
         let path = self.folder.join(format!("{name}.ini"));
         let text = self.entry_settings(index, store, vms);
         fs::write(&path, text)?;
@@ -329,21 +346,89 @@
             .await
     }
 
+    /// Changes one cell of a pool's row through an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry does not answer or has no such cell.
+    pub async fn set_cell(
+        &self,
+        entry: usize,
+        pool: &str,
+        column: &str,
+        value: &str,
+    ) -> Result<HttpAnswer> {
+        let table = self.table(entry).await?;
+        let row = table.pool(pool).ok_or_eyre("no such pool")?;
+        let row = row.with_cell(column, value)?;
+        self.edit(entry, vec![RowEdit::PutPool(row)]).await
+    }
+
+    /// Waits until an entry routes by a revision of the table, or a later one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not.
+    pub async fn wait_for_revision(&self, entry: usize, revision: u64) -> Result<()> {
+        wait_until("a revision in force", || async {
+            let status = self.status(entry).await.ok()?;
+            (status.table_revision >= revision).then_some(())
+        })
+        .await
+    }
+
+    /// Table as the store holds it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn stored_table(&self) -> Result<PolicyTable> {
+        let store = EtcdClient::new(&self.platform_url(""), Duration::from_secs(2));
+        let stored = store.read(&KeySpace::default().table()).await?;
+        let stored = stored.ok_or_eyre("the store holds no table")?;
+        Ok(serde_json::from_slice(&stored.value)?)
+    }
+
     /// An operator's edit.
     ///
     /// # Errors
     ///
     /// Fails when the entry does not answer.
-    pub async fn edit(&self, index: usize, edits: Vec<RowEdit>) -> Result<HttpAnswer> {
-        let call = EditCall {
-            edits,
-            dry_run: false,
-        };
-        let url = self.operator_url(index, "/table/edits");
-        HttpAsk::post_json(&url, &call)?
-            .header("authorization", &format!("Bearer {TOKEN}"))
-            .send()
-            .await
+    pub async fn edit(&self, entry: usize, edits: Vec<RowEdit>) -> Result<HttpAnswer> {
+        self.edit_call(entry, edits).await
+    }
+
+    /// An operator's edit, as a call that does not borrow the fleet.
+    pub fn edit_call(
+        &self,
+        entry: usize,
+        edits: Vec<RowEdit>,
+    ) -> impl Future<Output = Result<HttpAnswer>> + use<> {
+        let url = self.operator_url(entry, "/table/edits");
+        async move {
+            let call = EditCall {
+                edits,
+                dry_run: false,
+            };
+            HttpAsk::post_json(&url, &call)?
+                .header("authorization", &format!("Bearer {TOKEN}"))
+                .send()
+                .await
+        }
+    }
+
+    /// Overwrites the table in the store, whatever it holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn overwrite_table(&self, value: &[u8]) -> Result<()> {
+        let store = EtcdClient::new(&self.platform_url(""), Duration::from_secs(2));
+        let key = KeySpace::default().table();
+        let stored = store.read(&key).await?;
+        let revision = stored.map_or(StoreRevision::default(), |stored| stored.revision);
+        store.swap(&key, revision, value, None).await?;
+        Ok(())
     }
 
     /// Runs in a runner's journal.
@@ -457,17 +542,32 @@
     ///
     /// Fails when it can't be started.
     pub async fn start_proxy(&self, port: u16, to: SocketAddr) -> Result<ChildProcess> {
+        self.spawn_proxy(port, to, &[]).await
+    }
+
+    /// Starts a proxy for datagrams.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub async fn start_udp_proxy(&self, port: u16, to: SocketAddr) -> Result<ChildProcess> {
+        self.spawn_proxy(port, to, &["--udp"]).await
+    }
+
+    async fn spawn_proxy(&self, port: u16, to: SocketAddr, more: &[&str]) -> Result<ChildProcess> {
         let listen = self.own_address(port).to_string();
         let control = self.own_address(port + 1).to_string();
-        let args = strings(&[
+        let to = to.to_string();
+        let args = [
             "proxy",
             "--listen",
             &listen,
             "--to",
-            &to.to_string(),
+            &to,
             "--control",
             &control,
-        ]);
+        ];
+        let args = strings(&[&args, more].concat());
         let log = self.folder.join(format!("proxy-{port}.log"));
         let child = ChildProcess::start("hoisthitch-standin", &args, &log)?;
         wait_until("the proxy", || async {
@@ -489,6 +589,30 @@
         Ok(())
     }
 
+    /// Mesh address that an entry listens on.
+    pub fn mesh_address(&self, entry: usize) -> SocketAddr {
+        SocketAddr::new(self.address, port(MESH_PORT, entry))
+    }
+
+    /// Mesh address that an entry puts on the roster: its proxy's, if it has one.
+    fn advertised_address(&self, entry: usize) -> SocketAddr {
+        if self.plan.mesh_proxy_port == 0 {
+            return self.mesh_address(entry);
+        }
+        self.own_address(self.plan.mesh_proxy_port + 2 * port(0, entry))
+    }
+
+    async fn make_keys(&self) -> Result<()> {
+        let keys = self.folder.join("keys").display().to_string();
+        let mut args = strings(&["keys", "--out", &keys]);
+        args.extend((0..ENTRY_LIMIT).map(entry_name));
+        let log = self.folder.join("keys.log");
+        let mut child = ChildProcess::start("hoisthitch", &args, &log)?;
+        let status = child.ended().await?;
+        ensure!(status.success(), "keys: {}", child.log()?);
+        Ok(())
+    }
+
     async fn write_table(&self) -> Result<()> {
         let pools = self.plan.pools.iter();
         let pools = pools.map(|pool| RowEdit::PutPool(pool.row.clone()));
@@ -586,15 +710,23 @@
 
     fn entry_settings(&self, index: usize, store: &str, vms: &str) -> String {
         let operators = SocketAddr::new(self.address, port(OPERATOR_PORT, index));
+        let name = entry_name(index);
+        let keys = self.folder.join("keys").display().to_string();
+        let seeds = format!("entry-1@{}", self.advertised_address(0));
         format!(
-            "[node]\nname = entry-{}\nhall = charlotte\nlog_level = {}\n\
+            "[node]\nname = {name}\nhall = charlotte\nlog_level = {}\n\
              [callers]\nlisten = {}\n{}\n\
              [operators]\nlisten = {operators}\ntoken = {TOKEN}\n\
-             [platform]\nstore = {store}\nvms = {vms}\nvms_interval = 200ms\n",
-            index + 1,
+             [platform]\nstore = {store}\nvms = {vms}\nvms_interval = 200ms\n\
+             [slots]\nshare = {}\n\
+             [mesh]\nlisten = {}\nadvertise = {}\ncertificate = {keys}/{name}.pem\n\
+             key = {keys}/{name}.key\nauthority = {keys}/authority.pem\nseeds = {seeds}\n",
             self.plan.log_level,
             self.caller_address(index),
             self.plan.caller_settings,
+            self.plan.share,
+            self.mesh_address(index),
+            self.advertised_address(index),
         )
     }
 }
@@ -621,6 +753,10 @@
     ))
 }
 
+fn entry_name(index: usize) -> String {
+    format!("entry-{}", index + 1)
+}
+
 fn port(first: u16, index: usize) -> u16 {
     // CAST: a fleet has far fewer than 100 processes of a kind.
     first + (index % 100) as u16
--- /dev/null
+++ b/crates/hoisthitch-wire/src/endpoint.rs
@@ -0,0 +1,156 @@
+//! The endpoint of an entry in the mesh.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use quinn::{
+    Connection,
+    Endpoint,
+    Incoming,
+    VarInt, //
+};
+
+use crate::{
+    error::WireError,
+    frame::MeshFrame,
+    link::{
+        FrameReader,
+        FrameWriter, //
+    },
+    tls::MeshKeys, //
+};
+
+/// Longest time that a connection and its first frames may take.
+const OPEN_LIMIT: Duration = Duration::from_secs(3);
+
+/// Accepts and opens connections to other entries.
+#[derive(Clone)]
+pub struct MeshEndpoint {
+    endpoint: Endpoint,
+    node: String,
+}
+
+/// A connection to another entry, after both have said who they are.
+pub struct PeerConnection {
+    /// Name of the other entry.
+    pub node: String,
+    /// Frames from it.
+    pub reader: FrameReader,
+    /// Frames to it.
+    pub writer: FrameWriter,
+    connection: Connection,
+}
+
+impl PeerConnection {
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.connection.close(VarInt::from_u32(0), b"");
+    }
+
+    /// Handle that closes the connection from elsewhere.
+    pub fn connection(&self) -> Connection {
+        self.connection.clone()
+    }
+}
+
+impl MeshEndpoint {
+    /// Listens as `node`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address or the keys can't be used.
+    pub fn open(node: &str, listen: SocketAddr, keys: &MeshKeys) -> Result<Self, WireError> {
+        let mut endpoint = Endpoint::server(keys.server()?, listen)?;
+        endpoint.set_default_client_config(keys.client()?);
+        Ok(Self {
+            endpoint,
+            node: node.to_owned(),
+        })
+    }
+
+    /// The next connection that someone opens; none once the endpoint is closed.
+    pub async fn incoming(&self) -> Option<Incoming> {
+        self.endpoint.accept().await
+    }
+
+    /// Completes a connection that someone opens.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a stranger, another version, and a first frame that is no hello.
+    pub async fn accept(&self, incoming: Incoming) -> Result<PeerConnection, WireError> {
+        let opening = async {
+            let connection = incoming
+                .await
+                .map_err(|err| WireError::Connection(err.to_string()))?;
+            self.greet(connection).await
+        };
+        within_limit(opening).await
+    }
+
+    /// Connects to the entry `node`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry can't be reached or is not who it should be.
+    pub async fn connect(
+        &self,
+        node: &str,
+        address: SocketAddr,
+    ) -> Result<PeerConnection, WireError> {
+        let opening = async {
+            let connection = self
+                .endpoint
+                .connect(address, node)
+                .map_err(|err| WireError::Connection(err.to_string()))?
+                .await
+                .map_err(|err| WireError::Connection(err.to_string()))?;
+            self.greet(connection).await
+        };
+        within_limit(opening).await
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"");
+    }
+
+    /// Both sides open a stream and say who they are.
+    async fn greet(&self, connection: Connection) -> Result<PeerConnection, WireError> {
+        let stream = connection
+            .open_uni()
+            .await
+            .map_err(|err| WireError::Connection(err.to_string()))?;
+        let mut writer = FrameWriter::new(stream);
+        let hello = MeshFrame::Hello {
+            node: self.node.clone(),
+        };
+        writer.write(&hello).await?;
+        let stream = connection
+            .accept_uni()
+            .await
+            .map_err(|err| WireError::Connection(err.to_string()))?;
+        let mut reader = FrameReader::new(stream);
+        match reader.read().await? {
+            MeshFrame::Hello { node } => Ok(PeerConnection {
+                node,
+                reader,
+                writer,
+                connection,
+            }),
+            _ => Err(WireError::Malformed(
+                "the first frame is no hello".to_owned(),
+            )),
+        }
+    }
+}
+
+async fn within_limit<T>(
+    opening: impl Future<Output = Result<T, WireError>>,
+) -> Result<T, WireError> {
+    tokio::time::timeout(OPEN_LIMIT, opening)
+        .await
+        .unwrap_or_else(|_| Err(WireError::Connection("it took too long".to_owned())))
+}
--- /dev/null
+++ b/crates/hoisthitch-wire/src/error.rs
@@ -0,0 +1,46 @@
+//! Errors of the inner protocol.
+
+use std::path::PathBuf;
+
+use thiserror::Error;
+
+/// Why a connection or frame was refused.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// A key or certificate can't be used.
+    #[error("{}: {fault}; 'hoisthitch keys' makes a set", file.display())]
+    Keys {
+        /// The file.
+        file: PathBuf,
+        /// What is wrong.
+        fault: String,
+    },
+    /// The endpoint could not start.
+    #[error("the mesh address can't be listened on: {0}")]
+    Listen(#[from] std::io::Error),
+    /// A connection failed.
+    #[error("connection: {0}")]
+    Connection(String),
+    /// The other side speaks another version.
+    #[error("protocol version {found}, this process speaks {wanted}")]
+    Version {
+        /// Version of the other side.
+        found: u8,
+        /// Version of this process.
+        wanted: u8,
+    },
+    /// A frame is longer than any may be.
+    #[error("a frame of {length} bytes; at most {limit} are taken")]
+    TooLong {
+        /// Length that the frame names.
+        length: usize,
+        /// Most that is taken.
+        limit: usize,
+    },
+    /// A frame can't be read.
+    #[error("a frame can't be read: {0}")]
+    Malformed(String),
+    /// The other side ended the stream.
+    #[error("the stream has ended")]
+    Ended,
+}
--- /dev/null
+++ b/crates/hoisthitch-wire/src/link.rs
@@ -0,0 +1,75 @@
+//! Frames on QUIC streams.
+
+use quinn::{
+    RecvStream,
+    SendStream, //
+};
+
+use crate::{
+    error::WireError,
+    frame::{
+        HEADER_LENGTH,
+        MeshFrame,
+        decode_frame,
+        decode_header,
+        encode_frame, //
+    }, //
+};
+
+/// Reads frames from a stream.
+pub struct FrameReader {
+    stream: RecvStream,
+}
+
+impl FrameReader {
+    /// Reads from `stream`.
+    pub fn new(stream: RecvStream) -> Self {
+        Self { stream }
+    }
+
+    /// Reads the next frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails on the end of the stream and on bytes that are no frame; the
+    /// connection is of no more use then.
+    pub async fn read(&mut self) -> Result<MeshFrame, WireError> {
+        let mut header = [0; HEADER_LENGTH];
+        self.stream
+            .read_exact(&mut header)
+            .await
+            .map_err(|_| WireError::Ended)?;
+        let mut body = vec![0; decode_header(header)?];
+        self.stream
+            .read_exact(&mut body)
+            .await
+            .map_err(|_| WireError::Ended)?;
+        decode_frame(&body)
+    }
+}
+
+/// Writes frames to a stream.
+pub struct FrameWriter {
+    stream: SendStream,
+}
+
+impl FrameWriter {
+    /// Writes to `stream`.
+    pub fn new(stream: SendStream) -> Self {
+        Self { stream }
+    }
+
+    /// Writes a frame; answers with its length on the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is gone or the frame too long.
+    pub async fn write(&mut self, frame: &MeshFrame) -> Result<usize, WireError> {
+        let bytes = encode_frame(frame)?;
+        self.stream
+            .write_all(&bytes)
+            .await
+            .map_err(|err| WireError::Connection(err.to_string()))?;
+        Ok(bytes.len())
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-wire/tests/frame.rs
@@ -0,0 +1,102 @@
+//! Frames: what is encoded comes back, and no bytes bring the decoder down.
+
+use hoisthitch_core::{
+    PaidPriority,
+    PolicyTable,
+    TeamRow, //
+};
+use hoisthitch_wire::{
+    FRAME_LIMIT,
+    HEADER_LENGTH,
+    Heartbeat,
+    MeshFrame,
+    PROTOCOL_VERSION,
+    PoolDemand,
+    TableDelta,
+    WireError,
+    decode_frame,
+    decode_header,
+    encode_frame, //
+};
+use quickcheck::quickcheck;
+
+fn heartbeat(table: u64, demands: &[(u32, u32)]) -> MeshFrame {
+    let demands = demands
+        .iter()
+        .map(|(pool, slots)| PoolDemand {
+            pool: *pool,
+            slots: *slots,
+        })
+        .collect();
+    MeshFrame::Heartbeat(Heartbeat {
+        table,
+        demands,
+        ..Heartbeat::default()
+    })
+}
+
+fn table(revision: u64, teams: &[(u8, u32)]) -> PolicyTable {
+    let mut table = PolicyTable {
+        revision,
+        ..PolicyTable::default()
+    };
+    for (name, weight) in teams {
+        let name = format!("team-{name:03}");
+        table.teams.retain(|row| row.name != name);
+        table.teams.push(TeamRow {
+            name,
+            revision: u64::from(*weight),
+            priority: PaidPriority::Urgent,
+            weight: *weight,
+            rate_limit: 1,
+            in_flight_limit: 1,
+        });
+    }
+    table.teams.sort_by(|a, b| a.name.cmp(&b.name));
+    table
+}
+
+quickcheck! {
+    fn any_bytes_are_read_or_refused(bytes: Vec<u8>) -> bool {
+        let _ = decode_frame(&bytes);
+        true
+    }
+
+    fn any_header_is_read_or_refused(version: u8, length: u32) -> bool {
+        let [a, b, c, d] = length.to_le_bytes();
+        match decode_header([version, a, b, c, d]) {
+            Ok(read) => version == PROTOCOL_VERSION && read <= FRAME_LIMIT,
+            Err(WireError::Version { found, .. }) => found != PROTOCOL_VERSION,
+            Err(WireError::TooLong { length, .. }) => length > FRAME_LIMIT,
+            Err(_) => false,
+        }
+    }
+
+    fn encoded_frame_comes_back(table: u64, demands: Vec<(u32, u32)>) -> bool {
+        let frame = heartbeat(table, &demands);
+        let bytes = encode_frame(&frame).unwrap();
+        decode_frame(&bytes[HEADER_LENGTH..]).unwrap() == frame
+    }
+
+    fn damaged_frame_is_read_or_refused(demands: Vec<(u32, u32)>, at: usize, mask: u8) -> bool {
+        let mut bytes = encode_frame(&heartbeat(7, &demands)).unwrap();
+        let body = &mut bytes[HEADER_LENGTH..];
+        let at = at % body.len();
+        body[at] ^= mask;
+        let _ = decode_frame(body);
+        true
+    }
+
+    fn delta_leads_from_one_table_to_the_other(old: Vec<(u8, u32)>, new: Vec<(u8, u32)>) -> bool {
+        let old = table(1, &old);
+        let new = table(2, &new);
+        let applied = TableDelta::between(&old, &new).applied(&old).unwrap();
+        applied.teams == new.teams && applied.revision == new.revision
+    }
+
+    fn delta_from_another_revision_is_not_applied(revision: u64) -> bool {
+        let delta = TableDelta::between(&table(1, &[]), &table(2, &[]));
+        let other = table(revision, &[]);
+        delta.applied(&other).is_some() == (revision == 1)
+    }
+}
