End an entry before its successor starts, in the test harness

The harness started the new process before it ended the old one, and the new one found its address taken.

Ruled out: a fault of the entry; its log ends with the address in use.

Change: the harness ends the old process first.

--- a/crates/hoisthitch-tests/src/fleet.rs
+++ b/crates/hoisthitch-tests/src/fleet.rs
@@ -248,6 +248,9 @@
         fs::write(&path, text)?;
         let args = strings(&["--settings", &path.display().to_string()]);
         let log = self.folder.join(format!("{name}.log"));
+        if let Some(old) = self.entries.get_mut(index) {
+            old.end();
+        }
         let child = ChildProcess::start("hoisthitch-entry", &args, &log)?;
         if index < self.entries.len() {
             self.entries[index] = child;
