--- a/crates/hoisthitch-core/src/ledger.rs
+++ b/crates/hoisthitch-core/src/ledger.rs
@@ -198,6 +198,11 @@
         self.runners.get(key)
     }
 
+    /// Keys of all runners.
+    pub fn keys(&self) -> impl Iterator<Item = RunnerKey> {
+        self.runners.keys()
+    }
+
     /// All runners.
     pub fn iter(&self) -> impl Iterator<Item = &RunnerSlots> {
         self.runners.values()
--- a/crates/hoisthitch-entry/src/control/mesh.rs
+++ b/crates/hoisthitch-entry/src/control/mesh.rs
@@ -256,15 +256,17 @@
         event!(Info, "peer_connected", peer = peer.node, dialed = dialed);
         let (frames, queue) = mpsc::channel(QUEUE_FRAMES);
         let connection = peer.connection();
+        let sender = self.shared.clone();
         actix_web::rt::spawn(async move {
-            write_frames(peer.writer, queue).await;
+            write_frames(peer.writer, queue, &sender).await;
             connection.close(0_u32.into(), b"");
         });
         let node = peer.node.clone();
         let keeper = self.keeper.clone();
+        let receiver = self.shared.clone();
         let hub = context.address();
         actix_web::rt::spawn(async move {
-            let cause = read_frames(&node, peer.reader, &keeper).await;
+            let cause = read_frames(&node, peer.reader, &keeper, &receiver).await;
             hub.do_send(LinkDown { id, cause });
         });
         let node = peer.node;
@@ -310,22 +312,35 @@
 }
 
 /// Hands frames to the keeper until the connection ends; tells the cause.
-async fn read_frames(node: &str, mut reader: FrameReader, keeper: &Addr<ViewKeeper>) -> String {
+async fn read_frames(
+    node: &str,
+    mut reader: FrameReader,
+    keeper: &Addr<ViewKeeper>,
+    shared: &SharedState,
+) -> String {
     loop {
         match reader.read().await {
-            Ok(frame) => keeper.do_send(PeerFrame {
-                node: node.to_owned(),
-                frame,
-            }),
+            Ok((frame, length)) => {
+                shared.metrics.count_mesh_received(length);
+                keeper.do_send(PeerFrame {
+                    node: node.to_owned(),
+                    frame,
+                });
+            }
             Err(err) => return err.to_string(),
         }
     }
 }
 
-async fn write_frames(mut writer: FrameWriter, mut queue: mpsc::Receiver<MeshFrame>) {
+async fn write_frames(
+    mut writer: FrameWriter,
+    mut queue: mpsc::Receiver<MeshFrame>,
+    shared: &SharedState,
+) {
     while let Some(frame) = queue.recv().await {
-        if writer.write(&frame).await.is_err() {
-            return;
+        match writer.write(&frame).await {
+            Ok(length) => shared.metrics.count_mesh_sent(length),
+            Err(_) => return,
         }
     }
 }
--- a/crates/hoisthitch-entry/src/operators/api.rs
+++ b/crates/hoisthitch-entry/src/operators/api.rs
@@ -40,6 +40,9 @@
     state::SharedState, //
 };
 
+/// Header with the revision of the table in force.
+const REVISION_HEADER: &str = "hoisthitch-revision";
+
 /// Adds the handlers.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
@@ -53,14 +56,19 @@
 }
 
 async fn get_ready(shared: web::Data<SharedState>) -> HttpResponse {
-    if shared.is_ready() {
-        HttpResponse::Ok().body("ready")
+    let revision = shared.routes.load().revision;
+    let (mut answer, text) = if shared.is_ready() {
+        (HttpResponse::Ok(), "ready")
     } else {
-        HttpResponse::ServiceUnavailable().body("not ready")
-    }
+        (HttpResponse::ServiceUnavailable(), "not ready")
+    };
+    answer
+        .insert_header((REVISION_HEADER, revision.to_string()))
+        .body(text)
 }
 
 async fn get_metrics(shared: web::Data<SharedState>) -> HttpResponse {
+    shared.metrics.set_store_calls(shared.store_calls.counts());
     match render_metrics(&shared.metrics.registry) {
         Ok(text) => HttpResponse::Ok().content_type("text/plain").body(text),
         Err(err) => fault(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
--- a/crates/hoisthitch-entry/src/process.rs
+++ b/crates/hoisthitch-entry/src/process.rs
@@ -87,7 +87,8 @@
     let store = EtcdClient::new(&platform.store, platform.timeout);
     let retention = settings.callers.claim_retention;
     let (desk, book) = ClaimBook::new(store.clone(), retention);
-    let shared = SharedState::new(settings, desk).wrap_err("metrics can't be registered")?;
+    let shared = SharedState::new(settings, desk, store.calls().clone())
+        .wrap_err("metrics can't be registered")?;
     actix_web::rt::spawn(book.run());
     let parts = start_control(&shared, store)?;
     let operators = operator_server(&shared, &parts)?;
--- a/crates/hoisthitch-entry/src/state.rs
+++ b/crates/hoisthitch-entry/src/state.rs
@@ -10,7 +10,10 @@
 
 use arc_swap::ArcSwap;
 use hoisthitch_core::RosterEntry;
-use hoisthitch_store::ClaimDesk;
+use hoisthitch_store::{
+    CallCounter,
+    ClaimDesk, //
+};
 
 use crate::{
     control::{
@@ -31,6 +34,8 @@
     pub gate: ViewGate,
     /// Claims of idempotency keys.
     pub claims: ClaimDesk,
+    /// Counts of calls to the store.
+    pub store_calls: CallCounter,
     /// Metrics of the traffic.
     pub metrics: TrafficMetrics,
     stopping: AtomicBool,
@@ -43,12 +48,17 @@
     /// # Errors
     ///
     /// Fails when the metrics can't be registered.
-    pub fn new(settings: EntrySettings, claims: ClaimDesk) -> Result<Arc<Self>, prometheus::Error> {
+    pub fn new(
+        settings: EntrySettings,
+        claims: ClaimDesk,
+        store_calls: CallCounter,
+    ) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
             settings,
             routes: ArcSwap::default(),
             gate: ViewGate::default(),
             claims,
+            store_calls,
             metrics: TrafficMetrics::new()?,
             stopping: AtomicBool::new(false),
             registered: AtomicBool::new(false),
--- a/crates/hoisthitch-entry/src/traffic/lane.rs
+++ b/crates/hoisthitch-entry/src/traffic/lane.rs
@@ -77,6 +77,8 @@
     priority: PaidPriority,
     started: Instant,
     healthy: Option<bool>,
+    /// Whether the scheduler counts the slot.
+    counted: bool,
 }
 
 /// A request's place in its team's quota; given back when dropped.
@@ -158,6 +160,23 @@
         Ok((self.permit(runner, ask.priority), hold))
     }
 
+    /// Takes any runner in turn, without limits, queue or counts: what a bare
+    /// proxy would do, to measure what the decisions cost.
+    pub fn bypass(self: &Arc<Self>, ask: SlotAsk) -> Option<(SlotPermit, TeamHold)> {
+        let turn = self.peak_demand.fetch_add(1, Ordering::Relaxed) as usize;
+        let runner = self.inspect(|scheduler| {
+            let keys: Vec<RunnerKey> = scheduler.ledger().keys().collect();
+            (!keys.is_empty()).then(|| keys[turn % keys.len()])
+        })?;
+        let mut permit = self.permit(runner, ask.priority);
+        permit.counted = false;
+        let hold = TeamHold {
+            lane: self.clone(),
+            team: ask.team,
+        };
+        Some((permit, hold))
+    }
+
     /// Takes a slot for a request whose send to `failed` came to nothing.
     ///
     /// A request that was sent spends retry budget; one that was not, none.
@@ -220,6 +239,7 @@
             priority,
             started: Instant::now(),
             healthy: None,
+            counted: true,
         }
     }
 
@@ -326,6 +346,9 @@
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
+        if !self.counted {
+            return;
+        }
         self.lane.finish(WorkResult {
             runner: self.runner,
             priority: self.priority,
--- a/crates/hoisthitch-entry/src/traffic/metrics.rs
+++ b/crates/hoisthitch-entry/src/traffic/metrics.rs
@@ -6,6 +6,7 @@
     PaidPriority,
     RequestOutcome, //
 };
+use hoisthitch_store::CallCounts;
 use prometheus::{
     HistogramOpts,
     HistogramVec,
@@ -24,6 +25,8 @@
     requests: IntCounterVec,
     retries: IntCounterVec,
     wait: HistogramVec,
+    mesh_bytes: IntCounterVec,
+    store_calls: IntCounterVec,
 }
 
 impl TrafficMetrics {
@@ -50,6 +53,19 @@
             .buckets(WAIT_BUCKETS.to_vec()),
             &["pool", "priority"],
         )?;
+        let mesh_bytes = IntCounterVec::new(
+            Opts::new("hoisthitch_mesh_bytes_total", "Bytes of mesh frames."),
+            &["direction"],
+        )?;
+        let store_calls = IntCounterVec::new(
+            Opts::new(
+                "hoisthitch_store_calls_total",
+                "Calls to the platform's store.",
+            ),
+            &["kind"],
+        )?;
+        registry.register(Box::new(mesh_bytes.clone()))?;
+        registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(retries.clone()))?;
         registry.register(Box::new(wait.clone()))?;
@@ -58,6 +74,8 @@
             requests,
             retries,
             wait,
+            mesh_bytes,
+            store_calls,
         })
     }
 
@@ -68,6 +86,33 @@
             .inc();
     }
 
+    /// Counts bytes of frames sent on the mesh.
+    pub fn count_mesh_sent(&self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.mesh_bytes.with_label_values(&["sent"]).inc_by(bytes);
+    }
+
+    /// Counts bytes of frames received on the mesh.
+    pub fn count_mesh_received(&self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.mesh_bytes
+            .with_label_values(&["received"])
+            .inc_by(bytes);
+    }
+
+    /// Brings the counts of store calls up to date.
+    pub fn set_store_calls(&self, counts: CallCounts) {
+        let kinds = [
+            ("read", counts.reads),
+            ("write", counts.writes),
+            ("watch", counts.watches),
+        ];
+        for (kind, count) in kinds {
+            let counter = self.store_calls.with_label_values(&[kind]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Counts a retry.
     pub fn count_retry(&self, pool: &str) {
         self.retries.with_label_values(&[pool]).inc();
--- a/crates/hoisthitch-entry/src/traffic/serve.rs
+++ b/crates/hoisthitch-entry/src/traffic/serve.rs
@@ -231,6 +231,10 @@
     shared: &Arc<SharedState>,
     ask: &RequestAsk,
 ) -> Result<(SlotPermit, TeamHold), Refused> {
+    if shared.settings.callers.bypass {
+        let taken = ask.lane.bypass(ask.slot);
+        return taken.ok_or_else(|| Box::new(stale_view()));
+    }
     let started = Instant::now();
     let acquired = ask.lane.acquire(ask.slot).await;
     let waited = started.elapsed();
--- /dev/null
+++ b/crates/hoisthitch-load/src/experiments/overload.rs
@@ -0,0 +1,176 @@
+//! `overload`: how long urgent requests wait beside background ones, and how
+//! much of the capacity is still used well, when more comes than can be served.
+
+use std::{
+    path::PathBuf,
+    time::Duration, //
+};
+
+use argh::FromArgs;
+use eyre::Result;
+use hoisthitch_core::{
+    PaidPriority,
+    TeamRow, //
+};
+use hoisthitch_tests::{
+    Fleet,
+    FleetPlan,
+    PoolPlan, //
+};
+use serde::Serialize;
+
+use crate::{
+    driver::{
+        LoadStream,
+        drive, //
+    },
+    report::{
+        LoadReport,
+        write_csv, //
+    }, //
+};
+
+/// Runners of the pool.
+const RUNNERS: usize = 4;
+
+/// Slots of a runner.
+const SLOTS: u32 = 8;
+
+/// Working time of a request, in microseconds.
+const WORK_US: u64 = 20_000;
+
+/// Share of the capacity that urgent requests ask for.
+const URGENT_SHARE: f64 = 0.6;
+
+/// measure urgent wait and goodput at 2 and 3 times the capacity
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "overload")]
+pub struct OverloadCommand {
+    /// time of each load, in seconds (default 8)
+    #[argh(option, default = "8")]
+    seconds: u64,
+    /// share of the slots that background work may fill, in percent; several
+    /// may be named (default 100 and 80)
+    #[argh(option)]
+    background_percent: Vec<u32>,
+    /// file that the rows are written to
+    #[argh(option)]
+    csv: Option<PathBuf>,
+}
+
+/// A row of the experiment's CSV.
+#[derive(Debug, Serialize)]
+struct OverloadRow {
+    background_percent: u32,
+    load: f64,
+    stream: String,
+    good_per_s: f64,
+    refused: u64,
+    failed: u64,
+    p50_ms: f64,
+    p99_ms: f64,
+}
+
+impl OverloadCommand {
+    /// Runs the experiment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fleet does not come up.
+    pub async fn run(self) -> Result<()> {
+        let mut rows = Vec::new();
+        let percents = match self.background_percent.as_slice() {
+            [] => vec![100, 80],
+            named => named.to_vec(),
+        };
+        for percent in percents {
+            let fleet = Fleet::start(plan(percent)).await?;
+            self.measure(&fleet, percent, &mut rows)?;
+        }
+        if let Some(path) = &self.csv {
+            write_csv(path, &rows)?;
+        }
+        Ok(())
+    }
+
+    fn measure(&self, fleet: &Fleet, percent: u32, rows: &mut Vec<OverloadRow>) -> Result<()> {
+        let capacity = f64::from(SLOTS) * RUNNERS as f64 * 1e6 / WORK_US as f64;
+        println!("background_percent {percent}, capacity {capacity:.0}/s");
+        let urgent = |load: f64| self.stream(fleet, "urgent", capacity * load);
+        let background = |load: f64| self.stream(fleet, "background", capacity * load);
+        let alone = self.load(percent, URGENT_SHARE, &[urgent(URGENT_SHARE)], rows)?;
+        let beside = [urgent(URGENT_SHARE), background(2.0 - URGENT_SHARE)];
+        let beside = self.load(percent, 2.0, &beside, rows)?;
+        let added = beside[0].quantile_ms(0.99) - alone[0].quantile_ms(0.99);
+        println!("urgent p99 beside background: {added:+.3} ms");
+        let mixed = [urgent(1.5), background(1.5)];
+        let mixed = self.load(percent, 3.0, &mixed, rows)?;
+        let good: f64 = mixed.iter().map(LoadReport::good_rate).sum();
+        println!(
+            "goodput at 3 times the capacity: {:.3} of it\n",
+            good / capacity
+        );
+        Ok(())
+    }
+
+    fn stream(&self, fleet: &Fleet, team: &str, rate: f64) -> LoadStream {
+        let time = Duration::from_secs(self.seconds);
+        let urls = vec![fleet.caller_url(0, "/quotes/1")];
+        // CAST: rates are a few thousand a second.
+        LoadStream::get(team, urls, rate as u32, time).header("hoisthitch-team", team)
+    }
+
+    fn load(
+        &self,
+        percent: u32,
+        load: f64,
+        streams: &[LoadStream],
+        rows: &mut Vec<OverloadRow>,
+    ) -> Result<Vec<LoadReport>> {
+        let reports = drive(streams)?;
+        for report in &reports {
+            println!("{load:.1}x {report}");
+            rows.push(OverloadRow {
+                background_percent: percent,
+                load,
+                stream: report.name.clone(),
+                good_per_s: report.good_rate(),
+                refused: report.refused,
+                failed: report.failed,
+                p50_ms: report.quantile_ms(0.5),
+                p99_ms: report.quantile_ms(0.99),
+            });
+        }
+        Ok(reports)
+    }
+}
+
+fn plan(percent: u32) -> FleetPlan {
+    let mut pool = PoolPlan::new("quotes", RUNNERS);
+    pool.work_us = WORK_US;
+    pool.row.slots_per_runner = SLOTS;
+    pool.row.background_percent = percent;
+    pool.row.urgent_deadline_ms = 2_800;
+    pool.row.background_deadline_ms = 5_000;
+    pool.row.queue_limit = 2_000;
+    FleetPlan {
+        entries: 1,
+        pools: vec![pool],
+        teams: vec![
+            team("urgent", PaidPriority::Urgent),
+            team("background", PaidPriority::Background),
+        ],
+        ..FleetPlan::default()
+    }
+}
+
+fn team(name: &str, priority: PaidPriority) -> TeamRow {
+    TeamRow {
+        name: name.to_owned(),
+        revision: 0,
+        priority,
+        weight: 1,
+        rate_limit: 100_000,
+        in_flight_limit: 100_000,
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-load/src/experiments/slopes.rs
@@ -0,0 +1,303 @@
+//! `slopes`: what an entry spends on control as the fleet grows: processor
+//! time, memory, bytes on the mesh and calls to the store.
+
+use std::{
+    path::PathBuf,
+    time::Duration, //
+};
+
+use argh::FromArgs;
+use eyre::{
+    Result,
+    eyre, //
+};
+use hoisthitch_core::{
+    AssignmentState,
+    HallRecord,
+    VmAssignment, //
+};
+use hoisthitch_store::{
+    EtcdClient,
+    KeySpace,
+    ListedVm,
+    StoreClient,
+    VmState, //
+};
+use hoisthitch_tests::{
+    Fleet,
+    FleetPlan,
+    HttpAsk,
+    PoolPlan,
+    wait_until, //
+};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::{
+    fit::LineFit,
+    report::write_csv, //
+};
+
+/// VMs of a data hall at the target's size: 10,000 in 14.
+const VMS_PER_HALL: usize = 715;
+
+/// VMs of the fleets that are measured.
+const SIZES: [usize; 5] = [250, 1_000, 2_500, 5_000, 10_000];
+
+/// VMs of a pool: 10,000 in 124.
+const VMS_PER_POOL: usize = 80;
+
+/// Changes of the table that are made while measuring, a second; the target is
+/// 6,800 a day, or 0.08 a second.
+const CHANGES_PER_S: f64 = 1.0;
+
+/// measure what control costs an entry as the fleet grows
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+pub struct SlopesCommand {
+    /// time of each measurement, in seconds (default 10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// entries of each fleet (default 6)
+    #[argh(option, default = "6")]
+    entries: usize,
+    /// file that the rows are written to
+    #[argh(option)]
+    csv: Option<PathBuf>,
+}
+
+/// A row of the experiment's CSV: one fleet, figures for one entry.
+#[derive(Clone, Debug, Serialize)]
+struct SlopeRow {
+    vms: usize,
+    pools: usize,
+    idle_core_percent: f64,
+    changing_core_percent: f64,
+    resident_mb: f64,
+    mesh_kb_per_s: f64,
+    store_reads_per_s: f64,
+    store_writes_per_s: f64,
+    in_force_p50_ms: f64,
+    in_force_max_ms: f64,
+}
+
+impl SlopesCommand {
+    /// Runs the experiment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a fleet does not come up.
+    pub async fn run(self) -> Result<()> {
+        let mut rows = Vec::new();
+        for vms in SIZES {
+            let row = self.measure(vms).await?;
+            println!("{row:?}");
+            rows.push(row);
+        }
+        tell_fit("idle core percent", &rows, |row| row.idle_core_percent);
+        tell_fit("changing core percent", &rows, |row| {
+            row.changing_core_percent
+        });
+        tell_fit("resident MB", &rows, |row| row.resident_mb);
+        tell_fit("mesh KB/s", &rows, |row| row.mesh_kb_per_s);
+        tell_fit("store reads/s", &rows, |row| row.store_reads_per_s);
+        tell_fit("in force max ms", &rows, |row| row.in_force_max_ms);
+        if let Some(path) = &self.csv {
+            write_csv(path, &rows)?;
+        }
+        Ok(())
+    }
+
+    async fn measure(&self, vms: usize) -> Result<SlopeRow> {
+        let pools = vms.div_ceil(VMS_PER_POOL);
+        let fleet = self.start(vms, pools).await?;
+        // The fleet settles before it is measured.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let time = Duration::from_secs(self.seconds);
+        let before = Reading::take(&fleet).await?;
+        tokio::time::sleep(time).await;
+        let idle = Reading::take(&fleet).await?;
+        let delays = self.change_table(&fleet).await?;
+        let changed = Reading::take(&fleet).await?;
+        let seconds = (idle.at - before.at).as_secs_f64();
+        let entries = self.entries as f64;
+        Ok(SlopeRow {
+            vms,
+            pools,
+            idle_core_percent: idle.core_percent_since(&before),
+            changing_core_percent: changed.core_percent_since(&idle),
+            resident_mb: changed.resident_mb,
+            mesh_kb_per_s: (idle.mesh_bytes - before.mesh_bytes) / seconds / 1_000.0,
+            store_reads_per_s: (idle.reads - before.reads) / seconds / entries,
+            store_writes_per_s: (idle.writes - before.writes) / seconds / entries,
+            in_force_p50_ms: delays[delays.len() / 2],
+            in_force_max_ms: delays.last().copied().unwrap_or(0.0),
+        })
+    }
+
+    async fn start(&self, vms: usize, pools: usize) -> Result<Fleet> {
+        let pools: Vec<PoolPlan> = (0..pools)
+            .map(|pool| PoolPlan::new(&pool_name(pool), 0))
+            .collect();
+        let plan = FleetPlan {
+            entries: self.entries,
+            pools,
+            log_level: "warn".to_owned(),
+            ..FleetPlan::default()
+        };
+        let fleet = Fleet::start(plan).await?;
+        write_halls(&fleet, vms).await?;
+        let answer = HttpAsk::put_json(&fleet.platform_url("/standin/vms"), &listing(vms))?
+            .send()
+            .await?;
+        if answer.status != 204 {
+            return Err(eyre!("list: {}", answer.text()));
+        }
+        for entry in 0..self.entries {
+            wait_until("an entry to know all VMs", || async {
+                let status = fleet.status(entry).await.ok()?;
+                let known: usize = status.pools.iter().map(|pool| pool.runners.len()).sum();
+                (known == vms).then_some(())
+            })
+            .await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Changes rows at a steady rate through the first entry; answers with the
+    /// sorted times until each change was in force everywhere, in milliseconds.
+    async fn change_table(&self, fleet: &Fleet) -> Result<Vec<f64>> {
+        let mut delays = Vec::new();
+        let interval = Duration::from_secs_f64(1.0 / CHANGES_PER_S);
+        let start = Instant::now();
+        for number in 0..self.seconds {
+            // CAST: a measurement has a few dozen changes.
+            tokio::time::sleep_until(start + interval * number as u32).await;
+            let began = Instant::now();
+            let value = (100 + number).to_string();
+            let answer = fleet
+                .set_cell(0, &pool_name(0), "queue_limit", &value)
+                .await?;
+            if answer.status != 200 {
+                return Err(eyre!("edit: {}", answer.text()));
+            }
+            let revision = fleet.ready_revision(0).await?;
+            for entry in 0..self.entries {
+                fleet.wait_for_ready_revision(entry, revision).await?;
+            }
+            delays.push(began.elapsed().as_secs_f64() * 1_000.0);
+        }
+        delays.sort_by(f64::total_cmp);
+        Ok(delays)
+    }
+}
+
+/// Counters of the last entry, and of the store for all entries.
+struct Reading {
+    at: Instant,
+    processor: Duration,
+    resident_mb: f64,
+    mesh_bytes: f64,
+    reads: f64,
+    writes: f64,
+}
+
+impl Reading {
+    async fn take(fleet: &Fleet) -> Result<Self> {
+        let last = fleet.entries.len() - 1;
+        let url = fleet.platform_url("/standin/calls");
+        let calls: serde_json::Value = HttpAsk::get(&url).send().await?.json()?;
+        let url = fleet.operator_url(last, "/metrics");
+        let metrics = HttpAsk::get(&url).send().await?.text();
+        let number = |name: &str| calls[name].as_f64().unwrap_or(0.0);
+        Ok(Self {
+            at: Instant::now(),
+            processor: fleet.entries[last].processor_time()?,
+            resident_mb: fleet.entries[last].resident_bytes()? as f64 / 1e6,
+            mesh_bytes: metric(&metrics, "hoisthitch_mesh_bytes_total"),
+            reads: number("reads"),
+            writes: number("writes"),
+        })
+    }
+
+    fn core_percent_since(&self, before: &Self) -> f64 {
+        let used = self.processor - before.processor;
+        100.0 * used.as_secs_f64() / (self.at - before.at).as_secs_f64()
+    }
+}
+
+/// Sum of a metric over its labels.
+fn metric(text: &str, name: &str) -> f64 {
+    text.lines()
+        .filter(|line| line.starts_with(name))
+        .filter_map(|line| line.rsplit_once(' '))
+        .filter_map(|(_, value)| value.parse::<f64>().ok())
+        .sum()
+}
+
+async fn write_halls(fleet: &Fleet, vms: usize) -> Result<()> {
+    let store = EtcdClient::new(&fleet.platform_url(""), Duration::from_secs(10));
+    let keys = KeySpace::default();
+    let listed = listing(vms);
+    for hall in 0..vms.div_ceil(VMS_PER_HALL) {
+        let name = hall_name(hall);
+        let mut record = HallRecord::new(&name);
+        record.version = 1;
+        let in_hall = listed.iter().enumerate();
+        let in_hall = in_hall.filter(|(_, listed)| listed.hall == name);
+        record.vms = in_hall
+            .map(|(index, listed)| assignment(index, listed))
+            .collect();
+        let value = serde_json::to_vec(&record)?;
+        store
+            .swap(&keys.hall(&name), Default::default(), &value, None)
+            .await?;
+    }
+    Ok(())
+}
+
+fn assignment(index: usize, listed: &ListedVm) -> VmAssignment {
+    VmAssignment {
+        vm: listed.vm.clone(),
+        address: listed.address,
+        rack: listed.rack.clone(),
+        pool: pool_name(index / VMS_PER_POOL),
+        state: AssignmentState::Serving,
+    }
+}
+
+fn listing(vms: usize) -> Vec<ListedVm> {
+    (0..vms)
+        .map(|index| ListedVm {
+            vm: format!("vm-{index:05}"),
+            hall: hall_name(index / VMS_PER_HALL),
+            rack: format!("rack-{:04}", index / 4),
+            // Nobody listens there: these VMs are only known, never called.
+            address: ([127, 0, 0, 1], 1).into(),
+            state: VmState::Live,
+        })
+        .collect()
+}
+
+fn pool_name(pool: usize) -> String {
+    format!("pool-{pool:03}")
+}
+
+fn hall_name(hall: usize) -> String {
+    format!("hall-{hall:02}")
+}
+
+fn tell_fit(name: &str, rows: &[SlopeRow], value: fn(&SlopeRow) -> f64) {
+    let points: Vec<(f64, f64)> = rows
+        .iter()
+        .map(|row| (row.vms as f64, value(row)))
+        .collect();
+    let fit = LineFit::through(&points);
+    println!(
+        "{name}: {:.4} + {:.4} for each 1,000 VMs, r2 {:.3}; at 10,000 VMs {:.3}",
+        fit.base,
+        fit.slope * 1_000.0,
+        fit.r_squared,
+        fit.at(10_000.0)
+    );
+}
--- a/crates/hoisthitch-load/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- a/crates/hoisthitch-tests/src/fleet.rs
+++ b/crates/hoisthitch-tests/src/fleet.rs
@@ -380,6 +380,33 @@
         .await
     }
 
+    /// Revision of the table in force in an entry, read at little cost.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry is not ready.
+    pub async fn ready_revision(&self, entry: usize) -> Result<u64> {
+        let url = self.operator_url(entry, "/ready");
+        let answer = HttpAsk::get(&url).send().await?;
+        let revision = answer
+            .header("hoisthitch-revision")
+            .ok_or_eyre("no revision")?;
+        Ok(revision.parse()?)
+    }
+
+    /// Waits as [`Fleet::wait_for_revision`] does, at little cost.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the revision does not come into force.
+    pub async fn wait_for_ready_revision(&self, entry: usize, revision: u64) -> Result<()> {
+        wait_until("a revision in force", || async {
+            let found = self.ready_revision(entry).await.ok()?;
+            (found >= revision).then_some(())
+        })
+        .await
+    }
+
     /// Table as the store holds it.
     ///
     /// # Errors
--- a/crates/hoisthitch-wire/src/endpoint.rs
+++ b/crates/hoisthitch-wire/src/endpoint.rs
@@ -134,7 +134,7 @@
             .map_err(|err| WireError::Connection(err.to_string()))?;
         let mut reader = FrameReader::new(stream);
         match reader.read().await? {
-            MeshFrame::Hello { node } => Ok(PeerConnection {
+            (MeshFrame::Hello { node }, _) => Ok(PeerConnection {
                 node,
                 reader,
                 writer,
--- a/crates/hoisthitch-wire/src/link.rs
+++ b/crates/hoisthitch-wire/src/link.rs
@@ -27,13 +27,13 @@
         Self { stream }
     }
 
-    /// Reads the next frame.
+    /// Reads the next frame; answers also with its length on the stream.
     ///
     /// # Errors
     ///
     /// Fails on the end of the stream and on bytes that are no frame; the
     /// connection is of no more use then.
-    pub async fn read(&mut self) -> Result<MeshFrame, WireError> {
+    pub async fn read(&mut self) -> Result<(MeshFrame, usize), WireError> {
         let mut header = [0; HEADER_LENGTH];
         self.stream
             .read_exact(&mut header)
@@ -44,7 +44,7 @@
             .read_exact(&mut body)
             .await
             .map_err(|_| WireError::Ended)?;
-        decode_frame(&body)
+        Ok((decode_frame(&body)?, HEADER_LENGTH + body.len()))
     }
 }
 
