--- a/crates/hoisthitch-api/src/lib.rs
+++ b/crates/hoisthitch-api/src/lib.rs
@@ -3,7 +3,11 @@
 //! The calls are JSON over HTTP. The table and the hall records travel as they
 //! stand in the store.
 
-use hoisthitch_core::RowEdit;
+use hoisthitch_core::{
+    RowEdit,
+    WaveProgress,
+    WaveState, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -24,6 +28,57 @@
 /// Path of an entry's status.
 pub const STATUS_PATH: &str = "/status";
 
+/// Path of moves.
+pub const MOVE_PATH: &str = "/vms/move";
+
+/// Path of waves.
+pub const WAVES_PATH: &str = "/waves";
+
+/// Path of changes of a wave's state.
+pub const WAVE_STATE_PATH: &str = "/waves/state";
+
+/// Moves a VM to another pool.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct MoveCall {
+    /// Name of the VM.
+    pub vm: String,
+    /// Pool that gets it.
+    pub to: String,
+}
+
+/// Starts a wave.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WaveCall {
+    /// Name of the wave.
+    pub name: String,
+    /// Pools that the wave goes through; all where none is named.
+    pub pools: Vec<String>,
+}
+
+/// Changes a wave's state.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WaveStateCall {
+    /// Name of the wave.
+    pub name: String,
+    /// Its new state.
+    pub state: WaveState,
+}
+
+/// A wave and its progress.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WaveAnswer {
+    /// Name of the wave.
+    pub name: String,
+    /// State of the wave.
+    pub state: WaveState,
+    /// Why the wave is paused.
+    pub reason: String,
+    /// Progress of the wave.
+    pub progress: WaveProgress,
+    /// VMs that are absent for the wave.
+    pub absent: Vec<String>,
+}
+
 /// Edits of the table, applied together or not at all.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EditCall {
--- a/crates/hoisthitch-cli/src/commands/mod.rs
+++ b/crates/hoisthitch-cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod status;
 mod table;
 mod vms;
+mod wave;
 
 use std::path::PathBuf;
 
@@ -49,6 +50,8 @@
     Table(table::TableCommand),
     /// Shows and assigns VMs.
     Vms(vms::VmsCommand),
+    /// Starts and steers maintenance waves.
+    Wave(wave::WaveCommand),
 }
 
 impl OperatorCommand {
@@ -64,6 +67,7 @@
             Self::Status(command) => command.run(context).await,
             Self::Table(command) => command.run(context).await,
             Self::Vms(command) => command.run(context).await,
+            Self::Wave(command) => command.run(context).await,
         }
     }
 }
--- a/crates/hoisthitch-cli/src/commands/vms.rs
+++ b/crates/hoisthitch-cli/src/commands/vms.rs
@@ -5,7 +5,9 @@
 use hoisthitch_api::{
     ASSIGN_PATH,
     AssignCall,
-    HALLS_PATH, //
+    HALLS_PATH,
+    MOVE_PATH,
+    MoveCall, //
 };
 use hoisthitch_core::{
     HallRecord,
@@ -33,6 +35,7 @@
 enum VmsAction {
     Show(ShowVms),
     Assign(AssignVms),
+    Move(MoveVms),
 }
 
 /// show which pool holds which VM
@@ -56,12 +59,30 @@
     vms: Vec<String>,
 }
 
+/// move VMs to another pool, once their requests have ended
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "move",
+    example = "hoisthitch vms move --to picking vm-1",
+    note = "The move waits for a permit of the pool's availability budget and for every entry."
+)]
+struct MoveVms {
+    /// pool that gets the VMs
+    #[argh(option)]
+    to: String,
+    /// names of the VMs
+    #[argh(positional)]
+    vms: Vec<String>,
+}
+
 impl VmsCommand {
     /// Carries the command out.
     pub async fn run(self, context: &CommandContext) -> Result<()> {
         match self.action {
             VmsAction::Show(_) => show(context).await,
             VmsAction::Assign(args) => assign(context, args).await,
+            VmsAction::Move(args) => move_vms(context, args).await,
         }
     }
 }
@@ -85,3 +106,14 @@
     }
     Ok(())
 }
+
+async fn move_vms(context: &CommandContext, args: MoveVms) -> Result<()> {
+    let client = context.client()?;
+    for vm in args.vms {
+        let to = args.to.clone();
+        let call = MoveCall { vm, to };
+        let _: HallRecord = client.post(MOVE_PATH, &call).await?;
+        println!("{} is to go to pool {}", call.vm, call.to);
+    }
+    Ok(())
+}
--- a/crates/hoisthitch-core/src/hall.rs
+++ b/crates/hoisthitch-core/src/hall.rs
@@ -46,6 +46,59 @@
     pub pool: String,
     /// Whether the VM takes new work.
     pub state: AssignmentState,
+    /// What the VM leaves for; none while it serves.
+    #[serde(default)]
+    pub task: Option<VmTask>,
+    /// Counts the times that the VM began to leave or was kept from it; an
+    /// action that was planned before is dropped.
+    #[serde(default)]
+    pub fence: u64,
+    /// Last wave that the VM went through; empty for none.
+    #[serde(default)]
+    pub last_wave: String,
+}
+
+/// What a VM leaves for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmTask {
+    /// It goes to another pool.
+    Move {
+        /// Pool that it goes to.
+        to: String,
+    },
+    /// It is rebooted.
+    Maintain {
+        /// Name of the wave.
+        wave: String,
+        /// How far it is.
+        step: MaintainStep,
+    },
+}
+
+/// How far the maintenance of a VM is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MaintainStep {
+    /// Its requests end.
+    Drain,
+    /// It is told to reboot, and was started so often before.
+    Reboot {
+        /// Boots before the reboot, as the platform counts them.
+        boots: u64,
+    },
+}
+
+impl VmAssignment {
+    /// Whether the VM went through a wave.
+    pub fn went_through(&self, wave: &str) -> bool {
+        self.last_wave == wave
+    }
+
+    /// Whether the VM is absent for a wave.
+    pub fn is_maintained_by(&self, name: &str) -> bool {
+        matches!(&self.task, Some(VmTask::Maintain { wave, .. }) if wave == name)
+    }
 }
 
 /// Whether a VM takes new work.
@@ -110,19 +163,16 @@
         }
     }
 
-    /// Sets whether a VM takes new work.
+    /// Finds the assignment of a VM, to change it.
     ///
     /// # Errors
     ///
     /// Fails when the VM belongs to no pool.
-    pub fn set_state(&mut self, vm: &str, state: AssignmentState) -> Result<(), HallError> {
-        let assignment = self
-            .vms
+    pub fn find_mut(&mut self, vm: &str) -> Result<&mut VmAssignment, HallError> {
+        self.vms
             .iter_mut()
             .find(|assignment| assignment.vm == vm)
-            .ok_or_else(|| HallError::Unassigned(vm.to_owned()))?;
-        assignment.state = state;
-        Ok(())
+            .ok_or_else(|| HallError::Unassigned(vm.to_owned()))
     }
 
     /// Finds the assignment of a VM.
--- a/crates/hoisthitch-core/src/lib.rs
+++ b/crates/hoisthitch-core/src/lib.rs
@@ -6,28 +6,41 @@
 
 mod budget;
 mod edit;
+mod fleet;
 mod hall;
 mod keys;
 mod ledger;
 mod limit;
 mod outcome;
+mod permit;
 mod queue;
 mod rank;
 mod roster;
 mod scheduler;
 mod share;
 mod table;
+mod wave;
 
 pub use budget::RetryBudget;
 pub use edit::{
     EditError,
     RowEdit, //
 };
+pub use fleet::{
+    FleetAction,
+    FleetSnapshot,
+    VmSighting,
+    VmTarget,
+    lost_vms,
+    plan_pool, //
+};
 pub use hall::{
     AssignmentState,
     HallError,
     HallRecord,
-    VmAssignment, //
+    MaintainStep,
+    VmAssignment,
+    VmTask, //
 };
 pub use keys::{
     PoolKey,
@@ -44,6 +57,11 @@
     OUTCOME_HEADER,
     RequestOutcome, //
 };
+pub use permit::{
+    AbsencePermit,
+    PermitError,
+    PermitLedger, //
+};
 pub use queue::{
     QueueLimits,
     QueueRefusal,
@@ -65,6 +83,7 @@
     PoolScheduler,
     RefusalReason,
     WorkAdmission,
+    WorkGrant,
     WorkRefusal,
     WorkResult, //
 };
@@ -81,3 +100,10 @@
     TeamRow,
     WriterStamp, //
 };
+pub use wave::{
+    WaveCandidate,
+    WaveProgress,
+    WaveRecord,
+    WaveState,
+    wave_candidates, //
+};
--- a/crates/hoisthitch-core/src/queue.rs
+++ b/crates/hoisthitch-core/src/queue.rs
@@ -144,9 +144,12 @@
 
     /// Takes the unit that goes next.
     ///
-    /// Background work is passed over when `background_allowed` is false.
+    /// Where `background_allowed` is false, background work is passed over, but
+    /// for promoted work that competes with waiting urgent work: then the slots
+    /// that are kept free for urgent work are taken in any case.
     pub fn pop(&mut self, now: Instant, background_allowed: bool) -> Option<WorkUnit<T>> {
-        if background_allowed && self.promoted_turn(now) {
+        let waits_for_urgent = self.urgent_len > 0;
+        if (background_allowed || waits_for_urgent) && self.promoted_turn(now) {
             self.since_promoted = 0;
             return self.pop_background();
         }
@@ -160,6 +163,11 @@
         None
     }
 
+    /// Whether [`WorkQueue::pop`] would find a unit.
+    pub fn has_next(&self, background_allowed: bool) -> bool {
+        self.urgent_len > 0 || (background_allowed && !self.background.is_empty())
+    }
+
     /// Removes a unit that no longer waits.
     pub fn remove(
         &mut self,
--- a/crates/hoisthitch-core/src/scheduler.rs
+++ b/crates/hoisthitch-core/src/scheduler.rs
@@ -41,6 +41,9 @@
 /// Longest time that a refused caller is told to wait.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(60);
 
+/// Part of the mean service time that a request is taken to need at least.
+const LEAST_SERVICE_PART: f64 = 0.5;
+
 /// Background work is promoted this many service times before its deadline.
 const PROMOTE_SERVICES: f64 = 4.0;
 
@@ -58,6 +61,15 @@
     },
 }
 
+/// What became of the unit that goes next.
+#[derive(Debug)]
+pub enum WorkGrant<T> {
+    /// It has a slot.
+    Granted(WorkUnit<T>, RunnerKey),
+    /// It is refused.
+    Refused(WorkUnit<T>, WorkRefusal),
+}
+
 /// Why a request was refused at once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WorkRefusal {
@@ -115,7 +127,6 @@
     limiter: RateLimiter,
     retries: RetryBudget,
     quotas: SecondaryMap<TeamKey, TeamQuota>,
-    background_in_flight: u32,
     service_seconds: f64,
 }
 
@@ -138,7 +149,6 @@
             limiter: RateLimiter::new(row.rate_limit, now),
             retries: RetryBudget::new(row.retry_percent),
             quotas: SecondaryMap::new(),
-            background_in_flight: 0,
             service_seconds: SERVICE_GUESS,
             row,
         }
@@ -227,7 +237,6 @@
             return None;
         }
         let runner = self.ledger.take(now, Some(failed))?;
-        self.count_start(priority);
         Some(runner)
     }
 
@@ -243,15 +252,11 @@
             return None;
         }
         let runner = self.ledger.take(now, Some(failed))?;
-        self.count_start(priority);
         Some(runner)
     }
 
     /// Gives a slot back.
     pub fn finish(&mut self, result: WorkResult, now: Instant) {
-        if result.priority == PaidPriority::Background {
-            self.background_in_flight = self.background_in_flight.saturating_sub(1);
-        }
         self.ledger.give_back(result.runner, result.healthy, now);
         if result.healthy == Some(true) {
             let sample = result.service.as_secs_f64();
@@ -260,13 +265,14 @@
         }
     }
 
-    /// Grants a free slot to the unit that goes next.
-    pub fn grant_next(&mut self, now: Instant) -> Option<(WorkUnit<T>, RunnerKey)> {
-        if self.queue.is_empty() || !self.has_room(PaidPriority::Urgent) {
+    /// Grants a free slot to the unit that goes next, or refuses that unit since
+    /// it could not be done by its deadline any more.
+    pub fn grant_next(&mut self, now: Instant) -> Option<WorkGrant<T>> {
+        if !self.has_room(PaidPriority::Urgent) {
             return None;
         }
         let background_allowed = self.has_room(PaidPriority::Background);
-        if !background_allowed && self.queue.len_of(PaidPriority::Urgent) == 0 {
+        if !self.queue.has_next(background_allowed) {
             return None;
         }
         let runner = self.ledger.take(now, None)?;
@@ -274,8 +280,12 @@
             self.ledger.give_back(runner, None, now);
             return None;
         };
-        self.count_start(unit.priority);
-        Some((unit, runner))
+        if unit.deadline < now + self.least_service() {
+            self.ledger.give_back(runner, None, now);
+            let refusal = self.refusal(RefusalReason::Deadline, unit.priority);
+            return Some(WorkGrant::Refused(unit, refusal));
+        }
+        Some(WorkGrant::Granted(unit, runner))
     }
 
     /// Removes a unit that gave up waiting.
@@ -302,10 +312,16 @@
             PaidPriority::Urgent => self.queue.len_of(PaidPriority::Urgent),
             PaidPriority::Background => self.queue.len(),
         };
-        let slots = f64::from(self.slots_for(priority).max(1));
+        let slots = f64::from(self.slots().max(1));
         Duration::from_secs_f64(ahead as f64 * self.service_seconds / slots)
     }
 
+    /// Time that a request surely takes: a part of the mean, since some requests
+    /// are shorter than others.
+    fn least_service(&self) -> Duration {
+        Duration::from_secs_f64(self.service_seconds * LEAST_SERVICE_PART)
+    }
+
     fn grant_or_queue(
         &mut self,
         unit: WorkUnit<T>,
@@ -315,7 +331,6 @@
             && self.has_room(unit.priority)
             && let Some(runner) = self.ledger.take(now, None)
         {
-            self.count_start(unit.priority);
             return Ok(WorkAdmission::Granted(runner));
         }
         if self.ledger.iter().all(|runner| runner.leaving) {
@@ -331,7 +346,7 @@
     fn check_deadline(&self, unit: &WorkUnit<T>, now: Instant) -> Result<(), WorkRefusal> {
         let left = unit.deadline.saturating_duration_since(now);
         let wait = self.expected_wait(unit.priority);
-        if left > wait {
+        if left > wait + self.least_service() {
             return Ok(());
         }
         Err(self.refusal(RefusalReason::Deadline, unit.priority))
@@ -364,26 +379,23 @@
         }
     }
 
+    /// Whether another request of the priority may go to a runner.
+    ///
+    /// Background work pauses while its share of the slots is in use by anyone,
+    /// so that urgent requests find the rest free. (An upper limit on
+    /// utilisation, from "Approaches for maximizing PTU utilization"; see
+    /// `docs/design/queue.md`.)
     fn has_room(&self, priority: PaidPriority) -> bool {
-        if self.ledger.in_flight() >= self.row.in_flight_limit {
-            return false;
-        }
-        priority == PaidPriority::Urgent
-            || self.background_in_flight < self.slots_for(PaidPriority::Background)
-    }
-
-    fn slots_for(&self, priority: PaidPriority) -> u32 {
-        let slots = self.ledger.usable().min(self.row.in_flight_limit);
-        match priority {
-            PaidPriority::Urgent => slots,
-            PaidPriority::Background => (slots * self.row.background_percent / 100).max(1),
-        }
+        let limit = match priority {
+            PaidPriority::Urgent => self.row.in_flight_limit,
+            PaidPriority::Background => self.slots() * self.row.background_percent / 100,
+        };
+        self.ledger.in_flight() < limit.max(1)
     }
 
-    fn count_start(&mut self, priority: PaidPriority) {
-        if priority == PaidPriority::Background {
-            self.background_in_flight += 1;
-        }
+    /// Slots that the pool's requests may fill.
+    fn slots(&self) -> u32 {
+        self.ledger.usable().min(self.row.in_flight_limit)
     }
 
     fn refresh_limits(&mut self) {
--- a/crates/hoisthitch-core/tests/queue.rs
+++ b/crates/hoisthitch-core/tests/queue.rs
@@ -100,10 +100,11 @@
         let first = background
             .min_by_key(|unit| (unit.deadline, unit.number))
             .copied();
-        let first = first.filter(|_| background_allowed);
         let promoted = first.filter(|unit| {
             let left = unit.deadline.saturating_duration_since(now);
-            left <= self.limits.promote_within && self.since_promoted >= PROMOTED_TURN
+            let competes = background_allowed || self.units.iter().any(|unit| unit.urgent);
+            let due = left <= self.limits.promote_within;
+            due && competes && self.since_promoted >= PROMOTED_TURN
         });
         let chosen = if let Some(unit) = promoted {
             self.since_promoted = 0;
@@ -114,7 +115,7 @@
             self.passes[unit.team] += (1 << 20) / u64::from(WEIGHTS[unit.team]);
             unit
         } else {
-            first?
+            first.filter(|_| background_allowed)?
         };
         self.units.retain(|unit| unit.number != chosen.number);
         Some(chosen.number)
@@ -190,8 +191,9 @@
                 }
             }
             Step::Pop { background_allowed } => {
+                let announced = queue.has_next(background_allowed);
                 let popped = queue.pop(now, background_allowed).map(|unit| unit.item);
-                popped == naive.pop(now, background_allowed)
+                announced == popped.is_some() && popped == naive.pop(now, background_allowed)
             }
             Step::Remove(index) if !tickets.is_empty() => {
                 let (number, ticket, priority, team, deadline) = tickets[index % tickets.len()];
--- a/crates/hoisthitch-entry/src/control/follow.rs
+++ b/crates/hoisthitch-entry/src/control/follow.rs
@@ -9,6 +9,7 @@
 use hoisthitch_core::{
     HallRecord,
     PolicyTable,
+    RosterEntry,
     RosterRecord, //
 };
 use hoisthitch_store::{
@@ -107,10 +108,12 @@
         let mut watch = self.store.watch(&self.keys.records(), from).await?;
         let mut check = Instant::now() + CHECK_INTERVAL;
         loop {
-            match tokio::time::timeout_at(check, watch.next()).await {
-                Ok(Some(change)) => self.apply_change(change?),
-                Ok(None) => return Ok(()),
-                Err(_) => {
+            tokio::select! {
+                change = watch.next() => match change {
+                    Some(change) => self.apply_change(change?),
+                    None => return Ok(()),
+                },
+                () = self.reading_due(check) => {
                     self.read_all().await?;
                     check = Instant::now() + CHECK_INTERVAL;
                 }
@@ -118,6 +121,12 @@
         }
     }
 
+    /// Waits until a reading is due, in turn or out of it.
+    async fn reading_due(&self, check: Instant) {
+        // Either end of the wait asks for the same reading.
+        let _ = tokio::time::timeout_at(check, self.shared.reread.notified()).await;
+    }
+
     /// Reads all records, applies them, and has the store compared with what is
     /// in force; answers with the highest revision read.
     async fn read_all(&self) -> Result<StoreRevision, StoreError> {
@@ -125,17 +134,20 @@
         let mut highest = StoreRevision::default();
         let mut table = 0;
         let mut halls = Vec::new();
+        let mut members = Vec::new();
         for stored in self.store.read_prefix(&self.keys.records()).await? {
             highest = highest.max(stored.revision);
             match self.apply(&stored) {
                 Some(FollowedRecord::Table(revision)) => table = revision,
                 Some(FollowedRecord::Hall(version)) => halls.push(version),
+                Some(FollowedRecord::Roster(entries)) => members.extend(entries),
                 None => {}
             }
         }
         self.keeper.do_send(CompareStore {
             table,
             halls,
+            registered: self.shared.is_member(&members),
             asked,
         });
         Ok(highest)
@@ -166,16 +178,22 @@
         }
         if stored.key.starts_with(&self.keys.rosters()) {
             let record: RosterRecord = decode(stored)?;
+            let entries = record.entries.clone();
             self.keeper.do_send(ApplyRoster { record });
+            return Some(FollowedRecord::Roster(entries));
         }
         None
     }
 }
 
-/// A record that the store must not hold an older version of.
+/// What a reading of the store is compared by.
 enum FollowedRecord {
+    /// Revision of the table.
     Table(u64),
+    /// Version of a hall record.
     Hall(HallVersion),
+    /// Entries of a roster.
+    Roster(Vec<RosterEntry>),
 }
 
 fn decode<R: DeserializeOwned>(stored: &StoredValue) -> Option<R> {
--- a/crates/hoisthitch-entry/src/control/keeper.rs
+++ b/crates/hoisthitch-entry/src/control/keeper.rs
@@ -31,6 +31,7 @@
 };
 use hoisthitch_telemetry::event;
 use hoisthitch_wire::{
+    DrainReport,
     HallVersion,
     Heartbeat,
     HeartbeatEcho,
@@ -144,6 +145,8 @@
     pub table: u64,
     /// Versions of the hall records in the store.
     pub halls: Vec<HallVersion>,
+    /// Whether this entry was on the roster.
+    pub registered: bool,
     /// When it was read.
     pub asked: GateTime,
 }
@@ -361,7 +364,9 @@
             .values()
             .flat_map(|roster| roster.entries.iter().cloned())
             .collect();
-        self.shared.set_registered(&members);
+        if !self.shared.is_member(&members) {
+            self.shared.set_registered(false);
+        }
         if let Some(mesh) = &self.mesh {
             mesh.do_send(SetMembers { members });
         }
@@ -377,6 +382,16 @@
         self.rebuild();
     }
 
+    fn drain_report(&self, vm: String, hall: &str) -> DrainReport {
+        let routes = self.shared.routes.load();
+        let in_flight = routes.lanes().map(|lane| lane.in_flight_at(&vm)).sum();
+        DrainReport {
+            version: self.hall_version(hall),
+            in_flight,
+            vm,
+        }
+    }
+
     fn hear(&mut self, node: &str, frame: MeshFrame) {
         match frame {
             MeshFrame::Hello { .. } => {}
@@ -405,6 +420,12 @@
             }
             MeshFrame::Roster(record) => self.put_roster(*record),
             MeshFrame::Leaving(notice) => self.put_leaving(notice, "peer"),
+            MeshFrame::AskDrained { vm, hall } => {
+                let report = self.drain_report(vm, &hall);
+                self.send_to(node, MeshFrame::Drained(report));
+            }
+            // Reports go to stewards, who ask for them.
+            MeshFrame::Drained(_) => {}
         }
     }
 }
@@ -457,11 +478,23 @@
         if self.listed != message.vms {
             self.put_listing(message.vms);
         }
-        self.shared.gate.confirm(message.asked);
+        if self.lists_self() {
+            self.shared.gate.confirm(message.asked);
+        }
     }
 }
 
 impl ViewKeeper {
+    /// Whether the list shows this entry's VM.
+    ///
+    /// Only then does the list alone keep the view fresh: an entry that is not
+    /// listed may have been taken off the roster without knowing.
+    fn lists_self(&self) -> bool {
+        let own = &self.shared.settings.name;
+        let listed = self.listed.iter().any(|listed| listed.vm == *own);
+        listed || self.shared.settings.mesh.is_none()
+    }
+
     fn put_listing(&mut self, vms: Vec<ListedVm>) {
         let old: BTreeSet<&str> = leaving_names(&self.listed).collect();
         let new = leaving_names(&vms);
@@ -498,6 +531,9 @@
             let table = self.table.clone();
             writer.do_send(Reinstall { table, halls });
         }
+        if message.registered {
+            self.shared.set_registered(true);
+        }
         self.shared.gate.confirm(message.asked);
     }
 }
--- a/crates/hoisthitch-entry/src/control/mod.rs
+++ b/crates/hoisthitch-entry/src/control/mod.rs
@@ -21,7 +21,8 @@
 pub use keeper::{
     Connect,
     ReadView,
-    ViewKeeper, //
+    ViewKeeper,
+    ViewSummary, //
 };
 pub use mesh::MeshHub;
 pub use register::RosterKeeper;
@@ -31,7 +32,10 @@
 };
 pub use writer::{
     AssignVm,
+    ChangeWave,
     EditTable,
+    MoveVm,
     OperatorError,
+    ReadWaves,
     TableWriter, //
 };
--- a/crates/hoisthitch-entry/src/control/register.rs
+++ b/crates/hoisthitch-entry/src/control/register.rs
@@ -60,10 +60,11 @@
     /// Keeps the entry on the roster until a planned stop begins.
     pub async fn keep_registered(&self, shared: &Arc<SharedState>) {
         while !shared.is_stopping() {
-            if !shared.is_registered()
-                && let Err(err) = self.write(true).await
-            {
-                event!(Warn, "not_registered", error = err);
+            if !shared.is_registered() {
+                match self.write(true).await {
+                    Ok(()) => shared.reread.notify_one(),
+                    Err(err) => event!(Warn, "not_registered", error = err),
+                }
             }
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
@@ -80,15 +81,35 @@
         let change = |stored: Option<RosterRecord>, stamp| {
             let mut record = stored.unwrap_or_else(|| RosterRecord::new(&self.hall));
             if present {
+                if record.holds(&self.entry) {
+                    return Err(RosterError::Unchanged);
+                }
                 record.put(self.entry.clone());
             } else {
                 record.remove(&self.entry.name);
             }
             record.sign(stamp);
-            Ok::<_, WriteError>(record)
+            Ok(record)
         };
-        let record = self.records.update(&self.key, change).await?;
-        self.keeper.do_send(ApplyRoster { record });
+        match self.records.update(&self.key, change).await {
+            Ok(record) => self.keeper.do_send(ApplyRoster { record }),
+            Err(RosterError::Unchanged) => {}
+            Err(RosterError::Write(err)) => return Err(err),
+        }
         Ok(())
     }
 }
+
+/// Why the roster was not written.
+enum RosterError {
+    /// It holds the entry already.
+    Unchanged,
+    /// The store failed.
+    Write(WriteError),
+}
+
+impl From<WriteError> for RosterError {
+    fn from(err: WriteError) -> Self {
+        Self::Write(err)
+    }
+}
--- a/crates/hoisthitch-entry/src/control/writer.rs
+++ b/crates/hoisthitch-entry/src/control/writer.rs
@@ -21,6 +21,9 @@
     PolicyTable,
     RowEdit,
     VmAssignment,
+    VmTask,
+    WaveRecord,
+    WaveState,
     WriterStamp, //
 };
 use hoisthitch_store::{
@@ -28,6 +31,7 @@
     KeySpace,
     RecordWriter,
     StampedRecord,
+    StoreClient,
     WriteError, //
 };
 use hoisthitch_telemetry::event;
@@ -63,6 +67,41 @@
     pub edits: Vec<RowEdit>,
 }
 
+/// Asks for a VM to be moved to another pool.
+#[derive(Message)]
+#[rtype(result = "Result<HallRecord, OperatorError>")]
+pub struct MoveVm {
+    /// Name of the VM.
+    pub vm: String,
+    /// Pool that gets it.
+    pub to: String,
+}
+
+/// Starts a wave, or changes the state of one.
+#[derive(Message)]
+#[rtype(result = "Result<WaveRecord, OperatorError>")]
+pub enum ChangeWave {
+    /// Starts a wave.
+    Start {
+        /// Name of the wave.
+        name: String,
+        /// Pools that it goes through.
+        pools: Vec<String>,
+    },
+    /// Changes the state.
+    State {
+        /// Name of the wave.
+        name: String,
+        /// Its new state.
+        state: WaveState,
+    },
+}
+
+/// Reads all waves.
+#[derive(Message)]
+#[rtype(result = "Result<Vec<WaveRecord>, OperatorError>")]
+pub struct ReadWaves;
+
 /// Writes what is in force to a store that came back older.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -106,6 +145,21 @@
     /// The hall record does not take the change.
     #[error(transparent)]
     Hall(#[from] HallError),
+    /// There is a wave of that name.
+    #[error("wave {0} exists; give the new wave another name")]
+    WaveExists(String),
+    /// There is no wave of that name.
+    #[error("wave {0} does not exist; 'hoisthitch wave status' lists the waves")]
+    UnknownWave(String),
+    /// The wave was cancelled.
+    #[error("wave {0} was cancelled; start another one")]
+    WaveCancelled(String),
+    /// The VM is not in a state to be moved.
+    #[error("VM {vm} leaves for something else already; wait until it serves")]
+    Busy {
+        /// Name of the VM.
+        vm: String,
+    },
     /// The platform does not list the VM.
     #[error("VM {0} is not in the platform's list; check its name")]
     UnknownVm(String),
@@ -148,6 +202,38 @@
     }
 }
 
+impl Handler<MoveVm> for TableWriter {
+    type Result = ResponseFuture<Result<HallRecord, OperatorError>>;
+
+    fn handle(&mut self, message: MoveVm, _: &mut Context<Self>) -> Self::Result {
+        let parts = self.inner.clone();
+        Box::pin(async move { parts.ask_move(&message.vm, &message.to).await })
+    }
+}
+
+impl Handler<ChangeWave> for TableWriter {
+    type Result = ResponseFuture<Result<WaveRecord, OperatorError>>;
+
+    fn handle(&mut self, message: ChangeWave, _: &mut Context<Self>) -> Self::Result {
+        let parts = self.inner.clone();
+        Box::pin(async move {
+            match message {
+                ChangeWave::Start { name, pools } => parts.start_wave(&name, &pools).await,
+                ChangeWave::State { name, state } => parts.set_wave(&name, state).await,
+            }
+        })
+    }
+}
+
+impl Handler<ReadWaves> for TableWriter {
+    type Result = ResponseFuture<Result<Vec<WaveRecord>, OperatorError>>;
+
+    fn handle(&mut self, _: ReadWaves, _: &mut Context<Self>) -> Self::Result {
+        let parts = self.inner.clone();
+        Box::pin(async move { parts.read_waves().await })
+    }
+}
+
 impl Handler<Reinstall> for TableWriter {
     type Result = ResponseFuture<()>;
 
@@ -197,6 +283,81 @@
         Ok(table)
     }
 
+    /// Notes in the hall record that a VM is to be moved; a steward does it.
+    async fn ask_move(&self, vm: &str, to: &str) -> Result<HallRecord, OperatorError> {
+        let view = self.view().await?;
+        if view.table.pool(to).is_none() {
+            return Err(OperatorError::UnknownPool(to.to_owned()));
+        }
+        let mut halls = view.halls.values();
+        let hall = halls.find(|hall| hall.find(vm).is_some());
+        let hall = hall.ok_or_else(|| HallError::Unassigned(vm.to_owned()))?;
+        let change = |stored: Option<HallRecord>, stamp| {
+            let unassigned = || HallError::Unassigned(vm.to_owned());
+            let mut record = stored.ok_or_else(unassigned)?;
+            let assignment = record.find_mut(vm)?;
+            if assignment.state != AssignmentState::Serving {
+                return Err(OperatorError::Busy { vm: vm.to_owned() });
+            }
+            let elsewhere = assignment.pool != to;
+            assignment.task = elsewhere.then(|| VmTask::Move { to: to.to_owned() });
+            record.sign(stamp);
+            Ok(record)
+        };
+        let key = self.keys.hall(&hall.hall);
+        let record = self.records.update(&key, change).await?;
+        event!(Info, "move_asked", vm = vm, to = to);
+        Ok(record)
+    }
+
+    async fn start_wave(&self, name: &str, pools: &[String]) -> Result<WaveRecord, OperatorError> {
+        let table = self.view().await?.table;
+        if let Some(unknown) = pools.iter().find(|pool| table.pool(pool).is_none()) {
+            return Err(OperatorError::UnknownPool(unknown.clone()));
+        }
+        let change = |stored: Option<WaveRecord>, stamp| {
+            if stored.is_some() {
+                return Err(OperatorError::WaveExists(name.to_owned()));
+            }
+            let mut record = WaveRecord::new(name, pools.to_vec());
+            record.sign(stamp);
+            Ok(record)
+        };
+        let record = self.records.update(&self.keys.wave(name), change).await?;
+        event!(Info, "wave_started", wave = name, pools = pools.join(","));
+        Ok(record)
+    }
+
+    async fn set_wave(&self, name: &str, state: WaveState) -> Result<WaveRecord, OperatorError> {
+        let change = |stored: Option<WaveRecord>, stamp| {
+            let unknown = || OperatorError::UnknownWave(name.to_owned());
+            let mut record = stored.ok_or_else(unknown)?;
+            if record.state == WaveState::Cancelled {
+                return Err(OperatorError::WaveCancelled(name.to_owned()));
+            }
+            record.state = state;
+            record.reason.clear();
+            record.sign(stamp);
+            Ok(record)
+        };
+        let record = self.records.update(&self.keys.wave(name), change).await?;
+        event!(
+            Info,
+            "wave_changed",
+            wave = name,
+            state = format!("{state:?}")
+        );
+        Ok(record)
+    }
+
+    async fn read_waves(&self) -> Result<Vec<WaveRecord>, OperatorError> {
+        let read = self.records.store().read_prefix(&self.keys.waves()).await;
+        let stored = read.map_err(WriteError::from)?;
+        let waves = stored.iter();
+        let waves = waves.filter_map(|stored| serde_json::from_slice(&stored.value).ok());
+        Ok(waves.collect())
+    }
+
     /// Writes what is in force where the store holds something older.
     async fn reinstall(&self, message: Reinstall) {
         let table = message.table;
@@ -268,6 +429,9 @@
                 rack: listed.rack.clone(),
                 pool: pool.to_owned(),
                 state: AssignmentState::Serving,
+                task: None,
+                fence: 0,
+                last_wave: String::new(),
             })?;
             record.sign(stamp);
             Ok::<_, OperatorError>(record)
--- a/crates/hoisthitch-entry/src/operators/api.rs
+++ b/crates/hoisthitch-entry/src/operators/api.rs
@@ -13,17 +13,25 @@
     EditCall,
     FaultAnswer,
     HALLS_PATH,
+    MOVE_PATH,
+    MoveCall,
     PoolStatus,
     RunnerStatus,
     STATUS_PATH,
     StatusAnswer,
-    TABLE_PATH, //
+    TABLE_PATH,
+    WAVE_STATE_PATH,
+    WAVES_PATH,
+    WaveAnswer,
+    WaveCall,
+    WaveStateCall, //
 };
 use hoisthitch_core::{
     EditError,
     PolicyTable,
     RowEdit,
-    RunnerSlots, //
+    RunnerSlots,
+    WaveRecord, //
 };
 use hoisthitch_store::WriteError;
 use hoisthitch_telemetry::render_metrics;
@@ -31,11 +39,15 @@
 use crate::{
     control::{
         AssignVm,
+        ChangeWave,
         EditTable,
+        MoveVm,
         OperatorError,
         ReadView,
+        ReadWaves,
         TableWriter,
-        ViewKeeper, //
+        ViewKeeper,
+        ViewSummary, //
     },
     state::SharedState, //
 };
@@ -52,7 +64,11 @@
         .route(TABLE_PATH, web::get().to(get_table))
         .route(EDITS_PATH, web::post().to(post_edits))
         .route(HALLS_PATH, web::get().to(get_halls))
-        .route(ASSIGN_PATH, web::post().to(post_assign));
+        .route(ASSIGN_PATH, web::post().to(post_assign))
+        .route(MOVE_PATH, web::post().to(post_move))
+        .route(WAVES_PATH, web::get().to(get_waves))
+        .route(WAVES_PATH, web::post().to(post_wave))
+        .route(WAVE_STATE_PATH, web::post().to(post_wave_state));
 }
 
 async fn get_ready(shared: web::Data<SharedState>) -> HttpResponse {
@@ -162,13 +178,84 @@
     }
 }
 
+async fn post_move(
+    writer: web::Data<Addr<TableWriter>>,
+    call: web::Json<MoveCall>,
+) -> HttpResponse {
+    let MoveCall { vm, to } = call.into_inner();
+    let sent = writer.send(MoveVm { vm, to }).await;
+    match sent.unwrap_or(Err(OperatorError::Stopping)) {
+        Ok(record) => HttpResponse::Ok().json(record),
+        Err(err) => failed(&err),
+    }
+}
+
+async fn post_wave(
+    writer: web::Data<Addr<TableWriter>>,
+    call: web::Json<WaveCall>,
+) -> HttpResponse {
+    let WaveCall { name, pools } = call.into_inner();
+    let sent = writer.send(ChangeWave::Start { name, pools }).await;
+    match sent.unwrap_or(Err(OperatorError::Stopping)) {
+        Ok(record) => HttpResponse::Ok().json(record),
+        Err(err) => failed(&err),
+    }
+}
+
+async fn post_wave_state(
+    writer: web::Data<Addr<TableWriter>>,
+    call: web::Json<WaveStateCall>,
+) -> HttpResponse {
+    let WaveStateCall { name, state } = call.into_inner();
+    let sent = writer.send(ChangeWave::State { name, state }).await;
+    match sent.unwrap_or(Err(OperatorError::Stopping)) {
+        Ok(record) => HttpResponse::Ok().json(record),
+        Err(err) => failed(&err),
+    }
+}
+
+async fn get_waves(
+    keeper: web::Data<Addr<ViewKeeper>>,
+    writer: web::Data<Addr<TableWriter>>,
+) -> HttpResponse {
+    let Ok(view) = keeper.send(ReadView).await else {
+        return failed(&OperatorError::Stopping);
+    };
+    let sent = writer.send(ReadWaves).await;
+    match sent.unwrap_or(Err(OperatorError::Stopping)) {
+        Ok(waves) => {
+            let answers = waves.into_iter().map(|wave| wave_answer(wave, &view));
+            let answers: Vec<WaveAnswer> = answers.collect();
+            HttpResponse::Ok().json(answers)
+        }
+        Err(err) => failed(&err),
+    }
+}
+
+fn wave_answer(wave: WaveRecord, view: &ViewSummary) -> WaveAnswer {
+    let assignments = view.halls.values().flat_map(|hall| &hall.vms);
+    let absent = assignments.filter(|assignment| assignment.is_maintained_by(&wave.name));
+    WaveAnswer {
+        progress: wave.progress(view.halls.values()),
+        absent: absent.map(|assignment| assignment.vm.clone()).collect(),
+        name: wave.name,
+        state: wave.state,
+        reason: wave.reason,
+    }
+}
+
 fn failed(err: &OperatorError) -> HttpResponse {
     let status = match err {
         OperatorError::Edit(EditError::Conflict { .. })
         | OperatorError::Hall(_)
+        | OperatorError::WaveExists(_)
+        | OperatorError::WaveCancelled(_)
+        | OperatorError::Busy { .. }
         | OperatorError::Write(WriteError::Conflict { .. }) => StatusCode::CONFLICT,
         OperatorError::Edit(_) => StatusCode::UNPROCESSABLE_ENTITY,
-        OperatorError::UnknownVm(_) | OperatorError::UnknownPool(_) => StatusCode::NOT_FOUND,
+        OperatorError::UnknownVm(_)
+        | OperatorError::UnknownPool(_)
+        | OperatorError::UnknownWave(_) => StatusCode::NOT_FOUND,
         OperatorError::Write(WriteError::Unclear { .. }) => StatusCode::GATEWAY_TIMEOUT,
         OperatorError::Write(WriteError::Encode { .. } | WriteError::Malformed { .. }) => {
             StatusCode::INTERNAL_SERVER_ERROR
--- a/crates/hoisthitch-entry/src/state.rs
+++ b/crates/hoisthitch-entry/src/state.rs
@@ -14,6 +14,7 @@
     CallCounter,
     ClaimDesk, //
 };
+use tokio::sync::Notify;
 
 use crate::{
     control::{
@@ -40,6 +41,8 @@
     pub metrics: TrafficMetrics,
     stopping: AtomicBool,
     registered: AtomicBool,
+    /// Wakes the follower of the store for a reading out of turn.
+    pub reread: Notify,
 }
 
 impl SharedState {
@@ -62,6 +65,7 @@
             metrics: TrafficMetrics::new()?,
             stopping: AtomicBool::new(false),
             registered: AtomicBool::new(false),
+            reread: Notify::new(),
         }))
     }
 
@@ -80,16 +84,22 @@
         self.settings.mesh.is_none() || self.registered.load(Ordering::Relaxed)
     }
 
-    /// Notes the entries that are on the rosters.
-    pub fn set_registered(&self, members: &[RosterEntry]) {
-        let Some(mesh) = &self.settings.mesh else {
-            return;
-        };
-        let own = RosterEntry {
+    /// Whether this entry is among the members of the rosters.
+    pub fn is_member(&self, members: &[RosterEntry]) -> bool {
+        let own = self.settings.mesh.as_ref().map(|mesh| RosterEntry {
             name: self.settings.name.clone(),
             mesh: mesh.advertise,
-        };
-        let registered = members.contains(&own);
+        });
+        own.is_none_or(|own| members.contains(&own))
+    }
+
+    /// Notes whether the entry is on the roster.
+    ///
+    /// It counts as registered only by a reading of the store that shows it on
+    /// the roster, once the hall records of the same reading are in force: a
+    /// steward that does not know of the entry has then made no move that the
+    /// entry does not know of.
+    pub fn set_registered(&self, registered: bool) {
         self.registered.store(registered, Ordering::Relaxed);
     }
 
--- a/crates/hoisthitch-entry/src/traffic/exchange.rs
+++ b/crates/hoisthitch-entry/src/traffic/exchange.rs
@@ -4,7 +4,10 @@
 //! The exchange runs in a task of its own. A send that may not be repeated goes
 //! on to its end whatever the caller does.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use bytes::{
     Bytes,
@@ -70,6 +73,9 @@
 /// Pieces of a long answer that may wait for the caller.
 const STREAM_PIECES: usize = 4;
 
+/// Longest time after its deadline that a request's answer is waited for.
+const ABANDON_LIMIT: Duration = Duration::from_secs(60);
+
 /// Times that a request which was not sent is given to another runner.
 const REASSIGN_LIMIT: usize = 3;
 
@@ -157,12 +163,17 @@
 
 impl RequestExchange {
     /// Runs to the end and reports through `reply`.
+    ///
+    /// At the deadline the caller gets its answer; the exchange goes on, since
+    /// the runner's slot stays taken, until the runner answers or the longest
+    /// time for that is over.
     pub async fn run(mut self, permit: SlotPermit, reply: oneshot::Sender<ExchangeResult>) {
+        let mut reply = ReplySlot(Some(reply));
         let mut permit = permit;
         let mut reassigned = 0;
         loop {
             let again = self.body.again();
-            let err = match self.attempt(&mut permit).await {
+            let err = match self.attempt_until_late(&mut permit, &mut reply).await {
                 Ok(answer) => return self.pass_on(answer, permit, reply).await,
                 Err(err) => err,
             };
@@ -183,8 +194,7 @@
             };
             let Some(next) = next else {
                 self.end_unanswered(&err);
-                // A caller that hung up needs no answer.
-                let _ = reply.send(ExchangeResult::Failure(err.into_failure()));
+                reply.send(ExchangeResult::Failure(err.into_failure()));
                 return;
             };
             self.log_retry(&permit, &next, was_sent);
@@ -192,6 +202,24 @@
         }
     }
 
+    /// Attempts to send; tells the caller when the deadline passes meanwhile.
+    async fn attempt_until_late(
+        &mut self,
+        permit: &mut SlotPermit,
+        reply: &mut ReplySlot,
+    ) -> Result<(Parts, Received), AttemptError> {
+        let deadline = self.deadline;
+        let limit = deadline.max(Instant::now()) + ABANDON_LIMIT;
+        let mut attempt = std::pin::pin!(self.attempt(permit));
+        if let Ok(result) = tokio::time::timeout_at(deadline, &mut attempt).await {
+            return result;
+        }
+        let late = || AttemptError::Hop(HopError::Sent("the deadline passed".to_owned()));
+        reply.send(ExchangeResult::Failure(late().into_failure()));
+        let rest = tokio::time::timeout_at(limit, attempt).await;
+        rest.unwrap_or_else(|_| Err(late()))
+    }
+
     async fn attempt(
         &mut self,
         permit: &mut SlotPermit,
@@ -233,10 +261,7 @@
         }
         let mut whole = BytesMut::new();
         while whole.len() <= WHOLE_LIMIT {
-            let frame = tokio::time::timeout_at(self.deadline, body.frame())
-                .await
-                .map_err(|_| cut(&head, "the deadline passed"))?;
-            match frame {
+            match body.frame().await {
                 None => return Ok((head, Received::Whole(whole.freeze()))),
                 Some(Err(err)) => return Err(cut(&head, &err.to_string())),
                 Some(Ok(frame)) => {
@@ -258,7 +283,7 @@
         mut self,
         (head, received): (Parts, Received),
         permit: SlotPermit,
-        reply: oneshot::Sender<ExchangeResult>,
+        mut reply: ReplySlot,
     ) {
         self.end_answered(&head, &received);
         let (body, rest) = match received {
@@ -277,8 +302,8 @@
             }
         };
         let answer = RunnerAnswer { head, body };
-        let sent = reply.send(ExchangeResult::Answer(Box::new(answer)));
-        if let (Ok(()), Some((first, rest, sender))) = (sent, rest) {
+        let taken = reply.send(ExchangeResult::Answer(Box::new(answer)));
+        if let (true, Some((first, rest, sender))) = (taken, rest) {
             stream_body(first, rest, sender).await;
         }
         drop(permit);
@@ -337,6 +362,18 @@
     }
 }
 
+/// Where the caller's one answer goes.
+struct ReplySlot(Option<oneshot::Sender<ExchangeResult>>);
+
+impl ReplySlot {
+    /// Gives the caller its answer; answers whether it was taken. A caller that
+    /// has its answer, or hung up, gets none.
+    fn send(&mut self, result: ExchangeResult) -> bool {
+        let reply = self.0.take();
+        reply.is_some_and(|reply| reply.send(result).is_ok())
+    }
+}
+
 /// What was read of an answer.
 enum Received {
     Whole(Bytes),
--- a/crates/hoisthitch-entry/src/traffic/hop.rs
+++ b/crates/hoisthitch-entry/src/traffic/hop.rs
@@ -57,7 +57,8 @@
     Sent(String),
 }
 
-/// Sends one request on a connection of its own, if `may_send` still allows it
+/// Sends one request on a connection of its own and waits for the answer's
+/// head, however long that takes; `deadline` is for connecting only. It sends if `may_send` still allows it
 /// once the connection is there.
 ///
 /// # Errors
@@ -79,11 +80,7 @@
             "the view of the fleet is stale".to_owned(),
         ));
     }
-    let exchange = sender.try_send_request(request);
-    let answered = match tokio::time::timeout_at(deadline, exchange).await {
-        Ok(answered) => answered,
-        Err(_) => return Err(HopError::Sent("the deadline passed".to_owned())),
-    };
+    let answered = sender.try_send_request(request).await;
     answered.map_err(|mut err| {
         let unsent = err.take_message().is_some();
         let fault = err.into_error().to_string();
--- a/crates/hoisthitch-entry/src/traffic/lane.rs
+++ b/crates/hoisthitch-entry/src/traffic/lane.rs
@@ -21,8 +21,10 @@
     PoolScheduler,
     RefusalReason,
     RunnerKey,
+    RunnerSlots,
     TeamKey,
     WorkAdmission,
+    WorkGrant,
     WorkRefusal,
     WorkResult,
     WorkTicket,
@@ -200,6 +202,12 @@
         self.peak_demand.swap(now, Ordering::Relaxed).max(now)
     }
 
+    /// Requests that this entry has at a VM.
+    pub fn in_flight_at(&self, vm: &str) -> u32 {
+        let count = |runner: &RunnerSlots| u32::from(*runner.vm == *vm) * runner.in_flight;
+        self.inspect(|scheduler| scheduler.ledger().iter().map(count).sum())
+    }
+
     /// Refuses everything that waits, for a stop.
     pub fn refuse_all(&self, refusal: WorkRefusal) {
         for unit in self.lock().take_queue() {
@@ -266,20 +274,32 @@
 /// Grants free slots to waiting requests.
 fn pump(scheduler: &mut PoolScheduler<Waiter>) {
     let now = Instant::now().into_std();
-    while let Some((unit, runner)) = scheduler.grant_next(now) {
-        let priority = unit.priority;
-        if unit.item.send(WorkNotice::Granted(runner)).is_err() {
-            let result = WorkResult {
-                runner,
-                priority,
-                healthy: None,
-                service: Duration::ZERO,
-            };
-            scheduler.finish(result, now);
+    while let Some(grant) = scheduler.grant_next(now) {
+        match grant {
+            WorkGrant::Granted(unit, runner) => {
+                let priority = unit.priority;
+                if unit.item.send(WorkNotice::Granted(runner)).is_err() {
+                    scheduler.finish(unused(runner, priority), now);
+                }
+            }
+            WorkGrant::Refused(unit, refusal) => {
+                // A waiter that is gone needs no notice.
+                let _ = unit.item.send(WorkNotice::Refused(refusal));
+            }
         }
     }
 }
 
+/// Result of a slot that was granted and not used.
+fn unused(runner: RunnerKey, priority: PaidPriority) -> WorkResult {
+    WorkResult {
+        runner,
+        priority,
+        healthy: None,
+        service: Duration::ZERO,
+    }
+}
+
 /// A place in the queue, given up when dropped.
 struct QueuePlace<'a> {
     lane: &'a Arc<PoolLane>,
@@ -327,12 +347,7 @@
             .cancel(self.ticket, ask.priority, ask.team, deadline);
         // A grant that crossed with the cancellation goes back.
         if let Ok(WorkNotice::Granted(runner)) = self.receiver.try_recv() {
-            self.lane.finish(WorkResult {
-                runner,
-                priority: ask.priority,
-                healthy: None,
-                service: Duration::ZERO,
-            });
+            self.lane.finish(unused(runner, ask.priority));
         }
     }
 }
--- a/crates/hoisthitch-load/src/driver.rs
+++ b/crates/hoisthitch-load/src/driver.rs
@@ -117,7 +117,7 @@
             break;
         }
         tokio::time::sleep_until(start + due).await;
-        let send = send_one(client.clone(), stream.clone(), number, start + due);
+        let send = send_one(client.clone(), stream.clone(), number, start, start + due);
         sends.push(actix_rt::spawn(send));
         number += THREADS;
     }
@@ -138,6 +138,8 @@
     pub latency: Duration,
     /// Time from when it was sent to the end of its answer.
     pub service: Duration,
+    /// Time from the start of the load to the end of the answer.
+    pub ended: Duration,
     /// Status; zero where there was no answer.
     pub status: u16,
 }
@@ -147,12 +149,19 @@
         Self {
             latency: ANSWER_LIMIT,
             service: ANSWER_LIMIT,
+            ended: Duration::ZERO,
             status: 0,
         }
     }
 }
 
-async fn send_one(client: Client, stream: Rc<LoadStream>, number: u32, due: Instant) -> LoadSample {
+async fn send_one(
+    client: Client,
+    stream: Rc<LoadStream>,
+    number: u32,
+    start: Instant,
+    due: Instant,
+) -> LoadSample {
     let sent = Instant::now();
     let url = &stream.urls[number as usize % stream.urls.len()];
     let mut request = client.request(stream.method.clone(), url);
@@ -169,6 +178,7 @@
     LoadSample {
         latency: due.elapsed(),
         service: sent.elapsed(),
+        ended: start.elapsed(),
         status,
     }
 }
--- a/crates/hoisthitch-load/src/experiments/overload.rs
+++ b/crates/hoisthitch-load/src/experiments/overload.rs
@@ -50,7 +50,7 @@
     #[argh(option, default = "8")]
     seconds: u64,
     /// share of the slots that background work may fill, in percent; several
-    /// may be named (default 100 and 80)
+    /// may be named (default 100, 90 and 80)
     #[argh(option)]
     background_percent: Vec<u32>,
     /// file that the rows are written to
@@ -80,7 +80,7 @@
     pub async fn run(self) -> Result<()> {
         let mut rows = Vec::new();
         let percents = match self.background_percent.as_slice() {
-            [] => vec![100, 80],
+            [] => vec![100, 90, 80],
             named => named.to_vec(),
         };
         for percent in percents {
--- a/crates/hoisthitch-load/src/experiments/slopes.rs
+++ b/crates/hoisthitch-load/src/experiments/slopes.rs
@@ -263,6 +263,9 @@
         rack: listed.rack.clone(),
         pool: pool_name(index / VMS_PER_POOL),
         state: AssignmentState::Serving,
+        task: None,
+        fence: 0,
+        last_wave: String::new(),
     }
 }
 
@@ -275,6 +278,7 @@
             // Nobody listens there: these VMs are only known, never called.
             address: ([127, 0, 0, 1], 1).into(),
             state: VmState::Live,
+            boots: 1,
         })
         .collect()
 }
--- a/crates/hoisthitch-load/src/report.rs
+++ b/crates/hoisthitch-load/src/report.rs
@@ -32,6 +32,7 @@
     pub refused: u64,
     /// Requests with another status or no answer.
     pub failed: u64,
+    /// Time until the last good answer, and no less than that of the load.
     time: Duration,
     latencies: Option<Histogram<u64>>,
     services: Option<Histogram<u64>>,
@@ -61,6 +62,7 @@
         if sample.status == 200 {
             record(&mut self.latencies, sample.latency);
             record(&mut self.services, sample.service);
+            self.time = self.time.max(sample.ended);
         }
     }
 
@@ -71,6 +73,7 @@
             whole.good += part.good;
             whole.refused += part.refused;
             whole.failed += part.failed;
+            whole.time = whole.time.max(part.time);
             add(&mut whole.latencies, &part.latencies);
             add(&mut whole.services, &part.services);
         }
--- a/crates/hoisthitch-standin/src/platform/list.rs
+++ b/crates/hoisthitch-standin/src/platform/list.rs
@@ -14,7 +14,11 @@
     HttpResponse,
     web, //
 };
-use hoisthitch_store::ListedVm;
+use hoisthitch_store::{
+    ListedVm,
+    RebootCall,
+    VmState, //
+};
 use serde::Deserialize;
 use tokio::time::Instant;
 
@@ -33,6 +37,8 @@
 struct BoardState {
     lag: Duration,
     outage: bool,
+    reboot: Duration,
+    lost: Vec<String>,
     versions: VecDeque<BoardVersion>,
 }
 
@@ -50,12 +56,17 @@
     lag_ms: u64,
     /// Whether every call fails.
     outage: bool,
+    /// Time that a reboot takes, in milliseconds.
+    reboot_ms: u64,
+    /// VMs that don't come back from a reboot.
+    lost: Vec<String>,
 }
 
 /// Adds the handlers.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
         .route("/vms", web::get().to(get_vms))
+        .route("/vms/reboot", web::post().to(reboot))
         .route("/standin/vms", web::put().to(put_vms))
         .route("/standin/list", web::put().to(put_plan));
 }
@@ -88,15 +99,74 @@
     HttpResponse::NoContent().finish()
 }
 
+async fn reboot(state: web::Data<PlatformState>, call: web::Json<RebootCall>) -> HttpResponse {
+    let RebootCall { vm, boots } = call.into_inner();
+    let Some(time) = state.board.begin_reboot(&vm, boots) else {
+        return HttpResponse::Ok().finish();
+    };
+    actix_web::rt::spawn(async move {
+        tokio::time::sleep(time).await;
+        state.board.end_reboot(&vm);
+    });
+    HttpResponse::Ok().finish()
+}
+
 async fn put_plan(state: web::Data<PlatformState>, plan: web::Json<BoardPlan>) -> HttpResponse {
     let mut board = state.board.lock();
     board.lag = Duration::from_millis(plan.lag_ms);
     board.outage = plan.outage;
+    board.reboot = Duration::from_millis(plan.reboot_ms);
+    board.lost.clone_from(&plan.lost);
     HttpResponse::NoContent().finish()
 }
 
 impl VmBoard {
+    /// Begins a reboot; none where the VM was started since or is not known.
+    fn begin_reboot(&self, vm: &str, boots: u64) -> Option<Duration> {
+        let mut board = self.lock();
+        let time = board.reboot;
+        let changed = board.change(vm, |listed| {
+            let fits = listed.boots == boots && listed.state != VmState::Rebooting;
+            if fits {
+                listed.state = VmState::Rebooting;
+            }
+            fits
+        });
+        changed.then_some(time)
+    }
+
+    fn end_reboot(&self, vm: &str) {
+        let mut board = self.lock();
+        if board.lost.iter().any(|lost| lost == vm) {
+            return;
+        }
+        board.change(vm, |listed| {
+            listed.state = VmState::Live;
+            listed.boots += 1;
+            true
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, BoardState> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl BoardState {
+    /// Changes a VM in a new version of the list.
+    fn change(&mut self, vm: &str, change: impl FnOnce(&mut ListedVm) -> bool) -> bool {
+        let mut vms = self
+            .versions
+            .back()
+            .map_or_else(Vec::new, |version| version.vms.clone());
+        let Some(listed) = vms.iter_mut().find(|listed| listed.vm == vm) else {
+            return false;
+        };
+        if !change(listed) {
+            return false;
+        }
+        let since = Instant::now();
+        self.versions.push_back(BoardVersion { since, vms });
+        true
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-steward/src/act.rs
@@ -0,0 +1,470 @@
+//! Carrying out of planned actions, each by compare-and-swap on what it was
+//! planned on.
+//!
+//! The order of writes is what keeps a crash harmless: a permit is taken before
+//! the VM leaves and returned after the VM is back. A permit that its taker lost
+//! sight of is only returned after the VM's fence was raised, so that a taker
+//! which wakes up later finds its plan void.
+
+use std::{
+    collections::BTreeSet,
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
+};
+
+use hoisthitch_core::{
+    AbsencePermit,
+    AssignmentState,
+    FleetAction,
+    HallError,
+    HallRecord,
+    MaintainStep,
+    PermitError,
+    PermitLedger,
+    RosterRecord,
+    VmAssignment,
+    VmTarget,
+    VmTask,
+    WaveRecord,
+    WaveState,
+    WriterStamp,
+    lost_vms, //
+};
+use hoisthitch_store::{
+    KeySpace,
+    RebootCall,
+    RecordWriter,
+    StoreClient,
+    StoreError,
+    VmLister,
+    WriteError, //
+};
+use hoisthitch_telemetry::event;
+use thiserror::Error;
+use tokio::{
+    net::TcpStream,
+    time::Instant, //
+};
+
+use crate::{
+    barrier::{
+        BarrierOutcome,
+        DrainBarrier, //
+    },
+    view::{
+        FleetView,
+        RosteredEntry, //
+    }, //
+};
+
+/// Age at which a view is no longer acted on.
+pub const VIEW_LIMIT: Duration = Duration::from_secs(3);
+
+/// Longest time that a VM's service may take to accept a connection.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Carries out actions.
+pub struct FleetActor<S> {
+    records: RecordWriter<S>,
+    lister: VmLister,
+    barrier: DrainBarrier,
+    keys: KeySpace,
+}
+
+/// What a permit is asked for on.
+struct PermitAsk<'a> {
+    /// VMs of the pool that are absent without being planned.
+    lost: &'a BTreeSet<String>,
+    /// Most that may be absent.
+    budget: usize,
+    /// When the fleet was read.
+    read: Instant,
+}
+
+/// Why an action was not carried out.
+#[derive(Debug, Error)]
+pub enum ActionError {
+    /// Someone else acted first.
+    #[error("the plan is void: {0}")]
+    Void(&'static str),
+    /// The budget does not allow it.
+    #[error(transparent)]
+    Permit(#[from] PermitError),
+    /// The VM is not where it was.
+    #[error(transparent)]
+    Hall(#[from] HallError),
+    /// The store failed.
+    #[error(transparent)]
+    Write(#[from] WriteError),
+    /// The platform failed.
+    #[error(transparent)]
+    Platform(#[from] StoreError),
+}
+
+impl<S: StoreClient> FleetActor<S> {
+    /// Acts by these means.
+    pub fn new(
+        records: RecordWriter<S>,
+        lister: VmLister,
+        barrier: DrainBarrier,
+        keys: KeySpace,
+    ) -> Self {
+        Self {
+            records,
+            lister,
+            barrier,
+            keys,
+        }
+    }
+
+    /// Carries out one action.
+    ///
+    /// # Errors
+    ///
+    /// An action that fails is planned anew.
+    pub async fn act(&self, view: &FleetView, action: FleetAction) -> Result<(), ActionError> {
+        match action {
+            FleetAction::WithdrawPermit { pool, target } => {
+                self.withdraw(view, &pool, &target).await
+            }
+            FleetAction::BeginLeave { pool, target, task } => {
+                self.begin_leave(view, &pool, &target, task).await
+            }
+            FleetAction::FinishMove { pool, target, to } => {
+                self.finish_move(view, &pool, &target, &to).await
+            }
+            FleetAction::BeginReboot {
+                target,
+                wave,
+                boots,
+            } => self.begin_reboot(view, &target, &wave, boots).await,
+            FleetAction::RepeatReboot { target, boots } => self.reboot(&target, boots).await,
+            FleetAction::EndMaintenance { pool, target, wave } => {
+                self.end_maintenance(view, &pool, &target, &wave).await
+            }
+            FleetAction::PauseWave { wave, reason } => self.pause(&wave, &reason).await,
+        }
+    }
+
+    /// Returns a permit without use: first the fence, then the permit.
+    async fn withdraw(
+        &self,
+        view: &FleetView,
+        pool: &str,
+        target: &VmTarget,
+    ) -> Result<(), ActionError> {
+        let raised = self.change_vm(target, |assignment| {
+            if assignment.pool == pool && assignment.state == AssignmentState::Leaving {
+                return Err(ActionError::Void("the VM leaves"));
+            }
+            assignment.fence += 1;
+            Ok(())
+        });
+        match raised.await {
+            Ok(()) | Err(ActionError::Hall(HallError::Unassigned(_))) => {}
+            Err(err) => return Err(err),
+        }
+        self.give_back(view, pool, &target.vm).await?;
+        event!(Info, "permit_withdrawn", pool = pool, vm = target.vm);
+        Ok(())
+    }
+
+    /// Takes a permit, then has the VM's requests end.
+    async fn begin_leave(
+        &self,
+        view: &FleetView,
+        pool: &str,
+        target: &VmTarget,
+        task: VmTask,
+    ) -> Result<(), ActionError> {
+        let lost = lost_vms(&view.snapshot(), pool);
+        let budget = view.table.pool(pool).map_or(0, |row| row.max_absent);
+        let ask = PermitAsk {
+            lost: &lost,
+            budget: budget as usize,
+            read: view.read,
+        };
+        self.take_permit(pool, target, &ask).await?;
+        let kind = task_name(&task);
+        let left = self.change_vm(target, |assignment| {
+            if assignment.pool != pool || assignment.state != AssignmentState::Serving {
+                return Err(ActionError::Void("the VM does not serve the pool"));
+            }
+            assignment.state = AssignmentState::Leaving;
+            assignment.task = Some(task.clone());
+            assignment.fence += 1;
+            Ok(())
+        });
+        left.await?;
+        event!(
+            Info,
+            "drain_begun",
+            pool = pool,
+            vm = target.vm,
+            hall = target.hall,
+            task = kind,
+            lost = lost.len(),
+            budget = budget,
+        );
+        Ok(())
+    }
+
+    async fn finish_move(
+        &self,
+        view: &FleetView,
+        pool: &str,
+        target: &VmTarget,
+        to: &str,
+    ) -> Result<(), ActionError> {
+        if view.table.pool(to).is_none() {
+            return self.end_leave(view, pool, target, "the pool is gone").await;
+        }
+        self.pass_barrier(view, target).await?;
+        let moved = self.change_vm(target, |assignment| {
+            let fits = matches!(&assignment.task, Some(VmTask::Move { to: other }) if other == to);
+            ensure_leaving(assignment, fits)?;
+            to.clone_into(&mut assignment.pool);
+            assignment.state = AssignmentState::Serving;
+            assignment.task = None;
+            assignment.fence += 1;
+            Ok(())
+        });
+        moved.await?;
+        event!(Info, "vm_moved", vm = target.vm, from = pool, to = to);
+        self.give_back(view, pool, &target.vm).await
+    }
+
+    async fn begin_reboot(
+        &self,
+        view: &FleetView,
+        target: &VmTarget,
+        wave: &str,
+        boots: u64,
+    ) -> Result<(), ActionError> {
+        self.pass_barrier(view, target).await?;
+        let intended = self.change_vm(target, |assignment| {
+            let drain = VmTask::Maintain {
+                wave: wave.to_owned(),
+                step: MaintainStep::Drain,
+            };
+            ensure_leaving(assignment, assignment.task.as_ref() == Some(&drain))?;
+            assignment.task = Some(VmTask::Maintain {
+                wave: wave.to_owned(),
+                step: MaintainStep::Reboot { boots },
+            });
+            Ok(())
+        });
+        intended.await?;
+        self.reboot(target, boots).await
+    }
+
+    async fn reboot(&self, target: &VmTarget, boots: u64) -> Result<(), ActionError> {
+        let vm = target.vm.clone();
+        self.lister.reboot(&RebootCall { vm, boots }).await?;
+        event!(Info, "reboot_asked", vm = target.vm, boots = boots);
+        Ok(())
+    }
+
+    /// Returns a VM to its pool once its service accepts connections.
+    async fn end_maintenance(
+        &self,
+        view: &FleetView,
+        pool: &str,
+        target: &VmTarget,
+        wave: &str,
+    ) -> Result<(), ActionError> {
+        let key = self.keys.hall(&target.hall);
+        let stored = self.records.store().read(&key).await?;
+        let record: Option<HallRecord> =
+            stored.and_then(|stored| serde_json::from_slice(&stored.value).ok());
+        let address = record
+            .as_ref()
+            .and_then(|record| record.find(&target.vm))
+            .map(|assignment| assignment.address)
+            .ok_or_else(|| HallError::Unassigned(target.vm.clone()))?;
+        let connecting = tokio::time::timeout(PROBE_LIMIT, TcpStream::connect(address));
+        if !matches!(connecting.await, Ok(Ok(_))) {
+            return Err(ActionError::Void("the VM's service does not answer yet"));
+        }
+        let returned = self.change_vm(target, |assignment| {
+            ensure_leaving(assignment, assignment.is_maintained_by(wave))?;
+            assignment.state = AssignmentState::Serving;
+            assignment.task = None;
+            wave.clone_into(&mut assignment.last_wave);
+            Ok(())
+        });
+        returned.await?;
+        event!(Info, "vm_back", vm = target.vm, pool = pool, wave = wave);
+        self.give_back(view, pool, &target.vm).await
+    }
+
+    /// Has a VM serve its pool again without having gone anywhere.
+    async fn end_leave(
+        &self,
+        view: &FleetView,
+        pool: &str,
+        target: &VmTarget,
+        reason: &str,
+    ) -> Result<(), ActionError> {
+        let returned = self.change_vm(target, |assignment| {
+            ensure_leaving(assignment, true)?;
+            assignment.state = AssignmentState::Serving;
+            assignment.task = None;
+            Ok(())
+        });
+        returned.await?;
+        event!(
+            Info,
+            "vm_kept",
+            vm = target.vm,
+            pool = pool,
+            reason = reason
+        );
+        self.give_back(view, pool, &target.vm).await
+    }
+
+    /// Passes when no entry has requests at the VM or will send any.
+    async fn pass_barrier(&self, view: &FleetView, target: &VmTarget) -> Result<(), ActionError> {
+        let version = view
+            .halls
+            .get(&target.hall)
+            .map_or(0, |record| record.version);
+        let asked = self
+            .barrier
+            .ask(view, &target.hall, &target.vm, version)
+            .await;
+        match asked {
+            BarrierOutcome::Passed => Ok(()),
+            BarrierOutcome::Waits => Err(ActionError::Void("an entry is not done with the VM")),
+            BarrierOutcome::Gone(rostered) => {
+                self.strike(&rostered).await?;
+                Err(ActionError::Void("an entry was taken off the roster"))
+            }
+        }
+    }
+
+    /// Takes an entry off the roster whose VM is gone.
+    async fn strike(&self, rostered: &RosteredEntry) -> Result<(), ActionError> {
+        let key = self.keys.roster(&rostered.hall);
+        let change = |stored: Option<RosterRecord>, stamp| {
+            let mut record = stored.ok_or(ActionError::Void("the roster is gone"))?;
+            if !record.holds(&rostered.entry) {
+                return Err(ActionError::Void("the entry is off the roster"));
+            }
+            record.remove(&rostered.entry.name);
+            record.sign(stamp);
+            Ok(record)
+        };
+        self.records.update(&key, change).await?;
+        event!(Warn, "entry_struck", entry = rostered.entry.name);
+        Ok(())
+    }
+
+    async fn pause(&self, wave: &str, reason: &str) -> Result<(), ActionError> {
+        let change = |stored: Option<WaveRecord>, stamp| {
+            let mut record = stored.ok_or(ActionError::Void("the wave is gone"))?;
+            if record.state != WaveState::Running {
+                return Err(ActionError::Void("the wave does not run"));
+            }
+            record.state = WaveState::Paused;
+            reason.clone_into(&mut record.reason);
+            record.sign(stamp);
+            Ok(record)
+        };
+        self.records.update(&self.keys.wave(wave), change).await?;
+        event!(Warn, "wave_paused", wave = wave, reason = reason);
+        Ok(())
+    }
+
+    async fn take_permit(
+        &self,
+        pool: &str,
+        target: &VmTarget,
+        ask: &PermitAsk<'_>,
+    ) -> Result<(), ActionError> {
+        let change = |stored: Option<PermitLedger>, stamp: WriterStamp| {
+            if ask.read.elapsed() > VIEW_LIMIT {
+                return Err(ActionError::Void("the view is too old"));
+            }
+            let mut ledger = stored.unwrap_or_else(|| PermitLedger::new(pool));
+            let permit = AbsencePermit {
+                vm: target.vm.clone(),
+                hall: target.hall.clone(),
+                operation: stamp.operation,
+                since_ms: wall_ms(),
+            };
+            ledger.take(permit, ask.lost, ask.budget)?;
+            ledger.sign(stamp);
+            Ok::<_, ActionError>(ledger)
+        };
+        self.records
+            .update(&self.keys.permits(pool), change)
+            .await?;
+        Ok(())
+    }
+
+    /// Returns the permit that the plan was based on, and no later one.
+    async fn give_back(&self, view: &FleetView, pool: &str, vm: &str) -> Result<(), ActionError> {
+        let ledger = view.ledgers.get(pool);
+        let Some(permit) = ledger.and_then(|ledger| ledger.find(vm)) else {
+            return Ok(());
+        };
+        let change = |stored: Option<PermitLedger>, stamp| {
+            let mut ledger = stored.unwrap_or_else(|| PermitLedger::new(pool));
+            if !ledger.give_back(permit.operation) {
+                return Err(ActionError::Void("the permit is gone"));
+            }
+            ledger.sign(stamp);
+            Ok(ledger)
+        };
+        match self.records.update(&self.keys.permits(pool), change).await {
+            Ok(_) | Err(ActionError::Void(_)) => Ok(()),
+            Err(err) => Err(err),
+        }
+    }
+
+    /// Changes one VM's assignment, if its fence is still the planned one.
+    async fn change_vm(
+        &self,
+        target: &VmTarget,
+        change: impl Fn(&mut VmAssignment) -> Result<(), ActionError>,
+    ) -> Result<(), ActionError> {
+        let change_record = |stored: Option<HallRecord>, stamp| {
+            let unassigned = || HallError::Unassigned(target.vm.clone());
+            let mut record = stored.ok_or_else(unassigned)?;
+            let assignment = record.find_mut(&target.vm)?;
+            if assignment.fence != target.fence {
+                return Err(ActionError::Void("the VM's fence was raised"));
+            }
+            change(assignment)?;
+            record.sign(stamp);
+            Ok(record)
+        };
+        let key = self.keys.hall(&target.hall);
+        self.records.update(&key, change_record).await?;
+        Ok(())
+    }
+}
+
+fn ensure_leaving(assignment: &VmAssignment, fits: bool) -> Result<(), ActionError> {
+    if fits && assignment.state == AssignmentState::Leaving {
+        return Ok(());
+    }
+    Err(ActionError::Void("the VM does not leave for this"))
+}
+
+fn task_name(task: &VmTask) -> &'static str {
+    match task {
+        VmTask::Move { .. } => "move",
+        VmTask::Maintain { .. } => "maintain",
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hoisthitch-steward/src/barrier.rs
@@ -0,0 +1,116 @@
+//! The barrier: no entry has requests at a VM, and none will send any.
+//!
+//! Every entry on the rosters is asked. An entry that is silent delays the move;
+//! only one whose VM the platform no longer lists is taken off the roster, after
+//! which it may not route before it has registered again.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hoisthitch_core::RosterEntry;
+use hoisthitch_telemetry::event;
+use hoisthitch_wire::{
+    DrainReport,
+    MeshEndpoint,
+    MeshFrame,
+    WireError, //
+};
+
+use crate::view::{
+    FleetView,
+    RosteredEntry, //
+};
+
+/// Longest time that an entry may take to answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Asks entries whether they are done with a VM.
+pub struct DrainBarrier {
+    endpoint: MeshEndpoint,
+}
+
+/// What the entries said.
+pub enum BarrierOutcome {
+    /// All entries are done with the VM.
+    Passed,
+    /// An entry is not, or does not answer.
+    Waits,
+    /// An entry does not answer and its VM is no longer listed.
+    Gone(RosteredEntry),
+}
+
+impl DrainBarrier {
+    /// Asks through `endpoint`.
+    pub fn new(endpoint: MeshEndpoint) -> Self {
+        Self { endpoint }
+    }
+
+    /// Asks all entries whether they route by `version` of the hall's record or
+    /// a later one, and have nothing at the VM.
+    pub async fn ask(
+        &self,
+        view: &FleetView,
+        hall: &str,
+        vm: &str,
+        version: u64,
+    ) -> BarrierOutcome {
+        let asks = view.entries.iter().map(|rostered| async move {
+            let report = self.ask_entry(&rostered.entry, hall, vm).await;
+            (rostered, report)
+        });
+        let mut outcome = BarrierOutcome::Passed;
+        for (rostered, report) in join_all(asks).await {
+            let name = &rostered.entry.name;
+            match report {
+                Ok(report) if report.version >= version && report.in_flight == 0 => {}
+                Ok(report) => {
+                    event!(
+                        Info,
+                        "drain_waits",
+                        vm = vm,
+                        entry = name,
+                        version = report.version,
+                        wanted = version,
+                        in_flight = report.in_flight,
+                    );
+                    outcome = BarrierOutcome::Waits;
+                }
+                Err(err) => {
+                    event!(Warn, "drain_unanswered", vm = vm, entry = name, error = err);
+                    if !view.listed.contains_key(name) {
+                        return BarrierOutcome::Gone(rostered.clone());
+                    }
+                    outcome = BarrierOutcome::Waits;
+                }
+            }
+        }
+        outcome
+    }
+
+    async fn ask_entry(
+        &self,
+        entry: &RosterEntry,
+        hall: &str,
+        vm: &str,
+    ) -> Result<DrainReport, WireError> {
+        let asking = async {
+            let mut peer = self.endpoint.connect(&entry.name, entry.mesh).await?;
+            let ask = MeshFrame::AskDrained {
+                vm: vm.to_owned(),
+                hall: hall.to_owned(),
+            };
+            peer.writer.write(&ask).await?;
+            loop {
+                if let (MeshFrame::Drained(report), _) = peer.reader.read().await?
+                    && report.vm == vm
+                {
+                    peer.close();
+                    return Ok(report);
+                }
+            }
+        };
+        tokio::time::timeout(ANSWER_LIMIT, asking)
+            .await
+            .unwrap_or_else(|_| Err(WireError::Connection("no answer in time".to_owned())))
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-steward/src/main.rs
@@ -0,0 +1,27 @@
+//! Binary of the steward.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use eyre::Result;
+use hoisthitch_steward::{
+    StewardSettings,
+    run_steward, //
+};
+use hoisthitch_telemetry::start_log;
+
+/// Moves VMs between pools and takes them through maintenance waves.
+#[derive(Debug, FromArgs)]
+#[argh(example = "hoisthitch-steward --settings /etc/hoisthitch/steward.ini")]
+struct StewardArgs {
+    /// settings file, in INI
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> Result<()> {
+    let args: StewardArgs = argh::from_env();
+    let settings = StewardSettings::load(&args.settings)?;
+    start_log(&settings.name, &settings.log_level)?;
+    actix::System::new().block_on(run_steward(settings))
+}
--- /dev/null
+++ b/crates/hoisthitch-steward/src/process.rs
@@ -0,0 +1,184 @@
+//! The steward's process: looks at the fleet at intervals and acts for the
+//! pools that are its own by rank.
+
+use std::time::Duration;
+
+use eyre::Result;
+use hoisthitch_core::{
+    plan_pool,
+    rendezvous_order, //
+};
+use hoisthitch_store::{
+    EtcdClient,
+    KeySpace,
+    LeaseId,
+    RecordWriter,
+    StoreClient,
+    StoreError,
+    StoreRevision,
+    VmLister, //
+};
+use hoisthitch_telemetry::event;
+use hoisthitch_wire::{
+    MeshEndpoint,
+    MeshKeys, //
+};
+use tokio::{
+    signal::unix::{
+        SignalKind,
+        signal, //
+    },
+    time::Instant, //
+};
+
+use crate::{
+    act::{
+        ActionError,
+        FleetActor,
+        VIEW_LIMIT, //
+    },
+    barrier::DrainBarrier,
+    settings::StewardSettings,
+    view::FleetView, //
+};
+
+/// Time that a steward counts as alive without a sign.
+const LEASE_TTL: Duration = Duration::from_secs(6);
+
+/// Time between two signs of life.
+const LEASE_RENEWAL: Duration = Duration::from_secs(2);
+
+/// Runs a steward until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when the mesh address or the keys can't be used.
+pub async fn run_steward(settings: StewardSettings) -> Result<()> {
+    let mut steward = FleetSteward::new(settings)?;
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    event!(Info, "started", name = steward.settings.name);
+    tokio::select! {
+        () = steward.run() => {}
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    event!(Info, "stopped");
+    Ok(())
+}
+
+/// A steward.
+struct FleetSteward {
+    settings: StewardSettings,
+    store: EtcdClient,
+    lister: VmLister,
+    keys: KeySpace,
+    actor: FleetActor<EtcdClient>,
+    lease: Option<StewardLease>,
+}
+
+/// The lease that shows that this steward is alive.
+struct StewardLease {
+    id: LeaseId,
+    renewed: Instant,
+}
+
+impl FleetSteward {
+    fn new(settings: StewardSettings) -> Result<Self> {
+        let store = EtcdClient::new(&settings.store, settings.timeout);
+        let lister = VmLister::new(&settings.vms, settings.timeout);
+        let keys = KeySpace::new(&settings.root);
+        let mesh_keys = MeshKeys::load(&settings.certificate, &settings.key, &settings.authority)?;
+        let endpoint = MeshEndpoint::open(&settings.name, settings.mesh_listen, &mesh_keys)?;
+        let patience = settings.timeout * 3;
+        let records = RecordWriter::new(store.clone(), &settings.name, patience);
+        let barrier = DrainBarrier::new(endpoint);
+        Ok(Self {
+            actor: FleetActor::new(records, lister.clone(), barrier, keys.clone()),
+            settings,
+            store,
+            lister,
+            keys,
+            lease: None,
+        })
+    }
+
+    async fn run(&mut self) {
+        loop {
+            if let Err(err) = self.look_and_act().await {
+                event!(Warn, "platform_fails", error = err);
+            }
+            tokio::time::sleep(self.settings.interval).await;
+        }
+    }
+
+    async fn look_and_act(&mut self) -> Result<(), StoreError> {
+        self.keep_lease().await?;
+        let view = FleetView::read(&self.store, &self.lister, &self.keys).await?;
+        for action in self.plan(&view) {
+            if view.read.elapsed() > VIEW_LIMIT {
+                event!(
+                    Info,
+                    "view_too_old",
+                    age_ms = view.read.elapsed().as_millis()
+                );
+                return Ok(());
+            }
+            match self.actor.act(&view, action.clone()).await {
+                Ok(()) => {}
+                Err(err @ (ActionError::Write(_) | ActionError::Platform(_))) => {
+                    event!(
+                        Warn,
+                        "action_failed",
+                        action = format!("{action:?}"),
+                        error = err
+                    );
+                }
+                Err(err) => {
+                    event!(
+                        Debug,
+                        "action_void",
+                        action = format!("{action:?}"),
+                        error = err
+                    );
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Actions for the pools that are this steward's own.
+    fn plan(&self, view: &FleetView) -> Vec<hoisthitch_core::FleetAction> {
+        let stewards: Vec<&str> = view.stewards.iter().map(String::as_str).collect();
+        let snapshot = view.snapshot();
+        let rows = view.table.pools.iter();
+        let own = rows.filter(|row| {
+            let order = rendezvous_order(&row.name, &stewards);
+            order.first() == Some(&self.settings.name.as_str())
+        });
+        own.flat_map(|row| plan_pool(&snapshot, row)).collect()
+    }
+
+    /// Shows that this steward is alive.
+    async fn keep_lease(&mut self) -> Result<(), StoreError> {
+        if let Some(lease) = &mut self.lease {
+            if lease.renewed.elapsed() < LEASE_RENEWAL {
+                return Ok(());
+            }
+            let renewed = Instant::now();
+            if self.store.keep_alive(lease.id).await? {
+                lease.renewed = renewed;
+                return Ok(());
+            }
+            self.lease = None;
+        }
+        let renewed = Instant::now();
+        let id = self.store.grant_lease(LEASE_TTL).await?;
+        let key = self.keys.steward(&self.settings.name);
+        let stored = self.store.read(&key).await?;
+        let revision = stored.map_or(StoreRevision::default(), |stored| stored.revision);
+        self.store.swap(&key, revision, b"", Some(id)).await?;
+        self.lease = Some(StewardLease { id, renewed });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-steward/src/view.rs
@@ -0,0 +1,154 @@
+//! The steward's view of the fleet: the store's records and the list of VMs.
+
+use std::collections::BTreeMap;
+
+use hoisthitch_core::{
+    FleetSnapshot,
+    HallRecord,
+    PermitLedger,
+    PolicyTable,
+    RosterEntry,
+    RosterRecord,
+    VmSighting,
+    WaveRecord, //
+};
+use hoisthitch_store::{
+    KeySpace,
+    ListedVm,
+    StoreClient,
+    StoreError,
+    StoredValue,
+    VmLister,
+    VmState, //
+};
+use hoisthitch_telemetry::event;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+/// The fleet, as read at one moment.
+///
+/// The records were read after the list, so that a VM that is listed as back is
+/// not set against an older record of it.
+#[derive(Debug)]
+pub struct FleetView {
+    /// When the reading began.
+    pub read: Instant,
+    /// The operators' table.
+    pub table: PolicyTable,
+    /// Hall records by data hall.
+    pub halls: BTreeMap<String, HallRecord>,
+    /// Permit ledgers by pool.
+    pub ledgers: BTreeMap<String, PermitLedger>,
+    /// Waves.
+    pub waves: Vec<WaveRecord>,
+    /// Entries on the rosters, with the data hall of the roster.
+    pub entries: Vec<RosteredEntry>,
+    /// Names of the stewards that are alive.
+    pub stewards: Vec<String>,
+    /// VMs that the platform lists.
+    pub listed: BTreeMap<String, VmSighting>,
+}
+
+/// An entry and the roster that it is on.
+#[derive(Clone, Debug)]
+pub struct RosteredEntry {
+    /// Data hall of the roster.
+    pub hall: String,
+    /// The entry.
+    pub entry: RosterEntry,
+}
+
+impl FleetView {
+    /// Reads the fleet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does.
+    pub async fn read<S: StoreClient>(
+        store: &S,
+        lister: &VmLister,
+        keys: &KeySpace,
+    ) -> Result<Self, StoreError> {
+        let mut view = Self::empty();
+        view.listed = lister.list().await?.iter().map(sighting).collect();
+        for stored in store.read_prefix(&keys.fleet()).await? {
+            view.apply(keys, &stored);
+        }
+        for stored in store.read_prefix(&keys.records()).await? {
+            view.apply(keys, &stored);
+        }
+        Ok(view)
+    }
+
+    fn empty() -> Self {
+        Self {
+            read: Instant::now(),
+            table: PolicyTable::default(),
+            halls: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
+            waves: Vec::new(),
+            entries: Vec::new(),
+            stewards: Vec::new(),
+            listed: BTreeMap::new(),
+        }
+    }
+
+    /// The view as the planner takes it.
+    pub fn snapshot(&self) -> FleetSnapshot<'_> {
+        FleetSnapshot {
+            table: &self.table,
+            halls: &self.halls,
+            ledgers: &self.ledgers,
+            waves: &self.waves,
+            listed: &self.listed,
+        }
+    }
+
+    fn apply(&mut self, keys: &KeySpace, stored: &StoredValue) {
+        let key = &stored.key;
+        if *key == keys.table() {
+            self.table = decode(stored).unwrap_or_default();
+        } else if key.starts_with(&keys.halls()) {
+            let record: Option<HallRecord> = decode(stored);
+            let named = record.map(|record| (record.hall.clone(), record));
+            self.halls.extend(named);
+        } else if key.starts_with(&keys.rosters()) {
+            let record: Option<RosterRecord> = decode(stored);
+            self.entries.extend(record.into_iter().flat_map(rostered));
+        } else if key.starts_with(&keys.all_permits()) {
+            let record: Option<PermitLedger> = decode(stored);
+            let named = record.map(|record| (record.pool.clone(), record));
+            self.ledgers.extend(named);
+        } else if key.starts_with(&keys.waves()) {
+            self.waves.extend(decode::<WaveRecord>(stored));
+        } else if let Some(name) = key.strip_prefix(&keys.stewards()) {
+            self.stewards.push(name.to_owned());
+        }
+    }
+}
+
+fn sighting(listed: &ListedVm) -> (String, VmSighting) {
+    let sighting = VmSighting {
+        live: listed.state == VmState::Live,
+        boots: listed.boots,
+    };
+    (listed.vm.clone(), sighting)
+}
+
+fn rostered(record: RosterRecord) -> impl Iterator<Item = RosteredEntry> {
+    let hall = record.hall;
+    record.entries.into_iter().map(move |entry| RosteredEntry {
+        hall: hall.clone(),
+        entry,
+    })
+}
+
+fn decode<R: DeserializeOwned>(stored: &StoredValue) -> Option<R> {
+    match serde_json::from_slice(&stored.value) {
+        Ok(record) => Some(record),
+        Err(err) => {
+            event!(Error, "record_malformed", key = stored.key, error = err);
+            None
+        }
+    }
+}
--- a/crates/hoisthitch-store/src/keyspace.rs
+++ b/crates/hoisthitch-store/src/keyspace.rs
@@ -44,6 +44,41 @@
         format!("{}/roster/{hall}", self.root)
     }
 
+    /// Records that stewards follow: permits, waves, stewards alive.
+    pub fn fleet(&self) -> String {
+        format!("{}-fleet/", self.root)
+    }
+
+    /// Permits of all pools.
+    pub fn all_permits(&self) -> String {
+        format!("{}-fleet/permits/", self.root)
+    }
+
+    /// Permits of a pool; stewards alone follow them.
+    pub fn permits(&self, pool: &str) -> String {
+        format!("{}-fleet/permits/{pool}", self.root)
+    }
+
+    /// All waves.
+    pub fn waves(&self) -> String {
+        format!("{}-fleet/wave/", self.root)
+    }
+
+    /// A wave.
+    pub fn wave(&self, name: &str) -> String {
+        format!("{}-fleet/wave/{name}", self.root)
+    }
+
+    /// Stewards that are alive.
+    pub fn stewards(&self) -> String {
+        format!("{}-fleet/steward/", self.root)
+    }
+
+    /// A steward.
+    pub fn steward(&self, name: &str) -> String {
+        format!("{}-fleet/steward/{name}", self.root)
+    }
+
     /// Claim of an idempotency key; outside the records that every entry
     /// follows, since claims change with each keyed request.
     pub fn claim(&self, pool: &str, team: &str, key: &str) -> String {
--- a/crates/hoisthitch-store/src/lib.rs
+++ b/crates/hoisthitch-store/src/lib.rs
@@ -49,6 +49,7 @@
 };
 pub use vms::{
     ListedVm,
+    RebootCall,
     VmLister,
     VmState, //
 };
--- a/crates/hoisthitch-store/src/recognise.rs
+++ b/crates/hoisthitch-store/src/recognise.rs
@@ -10,8 +10,10 @@
 
 use hoisthitch_core::{
     HallRecord,
+    PermitLedger,
     PolicyTable,
     RosterRecord,
+    WaveRecord,
     WriterStamp, //
 };
 use rand::Rng;
@@ -44,23 +46,24 @@
     fn carries(&self, stamp: &WriterStamp) -> bool;
 }
 
-impl StampedRecord for PolicyTable {
-    fn carries(&self, stamp: &WriterStamp) -> bool {
-        self.stamp == *stamp || self.recent.contains(stamp)
-    }
-}
-
-impl StampedRecord for HallRecord {
-    fn carries(&self, stamp: &WriterStamp) -> bool {
-        self.stamp == *stamp || self.recent.contains(stamp)
-    }
+/// Records that carry their writer's stamp and those of the writers before.
+macro_rules! stamped_records {
+    ($($record:ident),+ $(,)?) => {
+        $(impl StampedRecord for $record {
+            fn carries(&self, stamp: &WriterStamp) -> bool {
+                self.stamp == *stamp || self.recent.contains(stamp)
+            }
+        })+
+    };
 }
 
-impl StampedRecord for RosterRecord {
-    fn carries(&self, stamp: &WriterStamp) -> bool {
-        self.stamp == *stamp || self.recent.contains(stamp)
-    }
-}
+stamped_records!(
+    HallRecord,
+    PermitLedger,
+    PolicyTable,
+    RosterRecord,
+    WaveRecord
+);
 
 /// Why a record was not written.
 #[derive(Debug, Error)]
--- a/crates/hoisthitch-store/src/vms.rs
+++ b/crates/hoisthitch-store/src/vms.rs
@@ -5,7 +5,11 @@
     time::Duration, //
 };
 
-use awc::Client;
+use awc::{
+    Client,
+    SendClientRequest, //
+};
+use bytes::Bytes;
 use serde::{
     Deserialize,
     Serialize, //
@@ -24,6 +28,8 @@
     Live,
     /// The VM is about to go.
     Leaving,
+    /// The VM is being started again.
+    Rebooting,
 }
 
 /// A VM, as the platform lists it.
@@ -39,13 +45,26 @@
     pub address: SocketAddr,
     /// State of the VM.
     pub state: VmState,
+    /// Times that the VM was started.
+    #[serde(default)]
+    pub boots: u64,
+}
+
+/// Asks for a VM to be started again.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RebootCall {
+    /// Name of the VM.
+    pub vm: String,
+    /// Boots that the caller knows of; a VM that was started since is left alone,
+    /// so that a call that is repeated does no harm.
+    pub boots: u64,
 }
 
 /// Client of the list.
 #[derive(Clone)]
 pub struct VmLister {
     http: Client,
-    url: String,
+    endpoint: String,
     timeout: Duration,
 }
 
@@ -54,7 +73,7 @@
     pub fn new(endpoint: &str, timeout: Duration) -> Self {
         Self {
             http: Client::builder().timeout(timeout).finish(),
-            url: format!("{}/vms", endpoint.trim_end_matches('/')),
+            endpoint: endpoint.trim_end_matches('/').to_owned(),
             timeout,
         }
     }
@@ -66,31 +85,47 @@
     /// Fails when the platform can't be reached or its answer can't be read.
     pub async fn list(&self) -> Result<Vec<ListedVm>, StoreError> {
         const CALL: &str = "/vms";
+        let request = self.http.get(format!("{}{CALL}", self.endpoint));
+        let body = self.exchange(CALL, request.send()).await?;
+        serde_json::from_slice(&body).map_err(|err| StoreError::Malformed {
+            call: CALL,
+            fault: err.to_string(),
+        })
+    }
+
+    /// Has a VM started again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform can't be reached or refuses.
+    pub async fn reboot(&self, call: &RebootCall) -> Result<(), StoreError> {
+        const CALL: &str = "/vms/reboot";
+        let request = self.http.post(format!("{}{CALL}", self.endpoint));
+        self.exchange(CALL, request.send_json(call)).await?;
+        Ok(())
+    }
+
+    async fn exchange(
+        &self,
+        call: &'static str,
+        request: SendClientRequest,
+    ) -> Result<Bytes, StoreError> {
+        let transport = |fault: String| StoreError::Transport { call, fault };
         let exchange = async {
-            let transport = |fault: String| StoreError::Transport { call: CALL, fault };
-            let mut response = self
-                .http
-                .get(&self.url)
-                .send()
-                .await
-                .map_err(|err| transport(err.to_string()))?;
+            let mut response = request.await.map_err(|err| transport(err.to_string()))?;
             let status = response.status().as_u16();
             if status != 200 {
-                return Err(StoreError::Status { call: CALL, status });
+                return Err(StoreError::Status { call, status });
             }
-            let body = response
+            response
                 .body()
                 .limit(LIST_LIMIT)
                 .await
-                .map_err(|err| transport(err.to_string()))?;
-            serde_json::from_slice(&body).map_err(|err| StoreError::Malformed {
-                call: CALL,
-                fault: err.to_string(),
-            })
+                .map_err(|err| transport(err.to_string()))
         };
         let limit = self.timeout;
         tokio::time::timeout(limit, exchange)
             .await
-            .unwrap_or(Err(StoreError::Timeout { call: CALL, limit }))
+            .unwrap_or(Err(StoreError::Timeout { call, limit }))
     }
 }
--- a/crates/hoisthitch-tests/src/fleet.rs
+++ b/crates/hoisthitch-tests/src/fleet.rs
@@ -28,11 +28,14 @@
     StatusAnswer, //
 };
 use hoisthitch_core::{
+    HallRecord,
+    PermitLedger,
     PolicyTable,
     PoolRow,
     RepeatRule,
     RowEdit,
-    TeamRow, //
+    TeamRow,
+    VmAssignment, //
 };
 use hoisthitch_store::{
     EtcdClient,
@@ -42,7 +45,10 @@
     StoreRevision,
     VmState, //
 };
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_json::json;
 
 use crate::{
@@ -64,10 +70,14 @@
 const CALLER_PORT: u16 = 8_000;
 const OPERATOR_PORT: u16 = 8_100;
 const MESH_PORT: u16 = 8_200;
+const STEWARD_PORT: u16 = 8_300;
 
 /// First port of the runners.
 const RUNNER_PORT: u16 = 9_000;
 
+/// Stewards that keys are made for.
+const STEWARD_LIMIT: usize = 3;
+
 /// Entries that keys are made for.
 const ENTRY_LIMIT: usize = 12;
 
@@ -90,6 +100,8 @@
 pub struct FleetPlan {
     /// Number of entries.
     pub entries: usize,
+    /// Number of stewards.
+    pub stewards: usize,
     /// Pools.
     pub pools: Vec<PoolPlan>,
     /// Teams.
@@ -125,12 +137,15 @@
     pub platform: ChildProcess,
     /// Entries.
     pub entries: Vec<ChildProcess>,
+    /// Stewards.
+    pub stewards: Vec<ChildProcess>,
     /// Runners, in the order of the pools.
     pub runners: Vec<ChildProcess>,
     address: IpAddr,
     folder: PathBuf,
     plan: FleetPlan,
     vms: Vec<ListedVm>,
+    own_vms: Vec<ListedVm>,
 }
 
 impl PoolPlan {
@@ -164,6 +179,7 @@
     fn default() -> Self {
         Self {
             entries: 2,
+            stewards: 0,
             pools: vec![PoolPlan::new("quotes", 2)],
             teams: Vec::new(),
             caller_settings: "stop_notice = 200ms".to_owned(),
@@ -206,11 +222,13 @@
         let mut fleet = Self {
             platform,
             entries: Vec::new(),
+            stewards: Vec::new(),
             runners: Vec::new(),
             address,
             folder,
             plan,
             vms: Vec::new(),
+            own_vms: Vec::new(),
         };
         wait_until("the platform", || async {
             let url = fleet.platform_url("/vms");
@@ -218,11 +236,15 @@
         })
         .await?;
         fleet.start_runners()?;
+        fleet.list_entries();
         fleet.put_vms().await?;
         fleet.make_keys().await?;
         for index in 0..fleet.plan.entries {
             fleet.start_entry(index)?;
         }
+        for index in 0..fleet.plan.stewards {
+            fleet.start_steward(index)?;
+        }
         Ok(fleet)
     }
 
@@ -260,6 +282,149 @@
         Ok(())
     }
 
+    /// Starts a steward, or starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its settings can't be written.
+    pub fn start_steward(&mut self, index: usize) -> Result<()> {
+        let name = steward_name(index);
+        let path = self.folder.join(format!("{name}.ini"));
+        let keys = self.folder.join("keys").display().to_string();
+        let platform = self.platform_url("");
+        let listen = SocketAddr::new(self.address, port(STEWARD_PORT, index));
+        let text = format!(
+            "[node]\nname = {name}\nlog_level = debug\n\
+             [platform]\nstore = {platform}\nvms = {platform}\n\
+             [steward]\ninterval = 100ms\n\
+             [mesh]\nlisten = {listen}\ncertificate = {keys}/{name}.pem\n\
+             key = {keys}/{name}.key\nauthority = {keys}/authority.pem\n",
+        );
+        fs::write(&path, text)?;
+        let args = strings(&["--settings", &path.display().to_string()]);
+        let log = self.folder.join(format!("{name}.log"));
+        if let Some(old) = self.stewards.get_mut(index) {
+            old.end();
+        }
+        let child = ChildProcess::start("hoisthitch-steward", &args, &log)?;
+        if index < self.stewards.len() {
+            self.stewards[index] = child;
+        } else {
+            self.stewards.push(child);
+        }
+        Ok(())
+    }
+
+    /// An operator's call with JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry does not answer.
+    pub async fn operator_post<Q: Serialize>(
+        &self,
+        entry: usize,
+        path: &str,
+        call: &Q,
+    ) -> Result<HttpAnswer> {
+        HttpAsk::post_json(&self.operator_url(entry, path), call)?
+            .header("authorization", &format!("Bearer {TOKEN}"))
+            .send()
+            .await
+    }
+
+    /// Hall records as an entry has them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry does not answer.
+    pub async fn assignments(&self, entry: usize) -> Result<Vec<VmAssignment>> {
+        let halls: Vec<HallRecord> = self.operator_get(entry, "/halls").await?.json()?;
+        Ok(halls.into_iter().flat_map(|hall| hall.vms).collect())
+    }
+
+    /// Permits of a pool, as the store holds them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn permits(&self, pool: &str) -> Result<PermitLedger> {
+        let store = EtcdClient::new(&self.platform_url(""), Duration::from_secs(2));
+        let stored = store.read(&KeySpace::default().permits(pool)).await?;
+        Ok(match stored {
+            Some(stored) => serde_json::from_slice(&stored.value)?,
+            None => PermitLedger::new(pool),
+        })
+    }
+
+    /// Takes an entry's VM off the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn unlist_entry(&self, index: usize) -> Result<()> {
+        let name = entry_name(index);
+        self.edit_list(|listed| listed.retain(|other| other.vm != name))
+            .await
+    }
+
+    /// Takes a runner's VM off the platform's list, as if it had failed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn unlist_runner(&self, runner: usize) -> Result<()> {
+        let vm = &self.vms[runner].vm;
+        self.edit_list(|listed| listed.retain(|other| other.vm != *vm))
+            .await
+    }
+
+    /// Puts a runner's VM back on the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn relist_runner(&self, runner: usize) -> Result<()> {
+        let vm = self.vms[runner].clone();
+        self.edit_list(|listed| listed.push(vm)).await
+    }
+
+    /// VMs as the platform lists them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn listed(&self) -> Result<Vec<ListedVm>> {
+        HttpAsk::get(&self.platform_url("/vms"))
+            .send()
+            .await?
+            .json()
+    }
+
+    async fn edit_list(&self, edit: impl FnOnce(&mut Vec<ListedVm>)) -> Result<()> {
+        let mut listed = self.listed().await?;
+        edit(&mut listed);
+        let url = self.platform_url("/standin/vms");
+        let answer = HttpAsk::put_json(&url, &listed)?.send().await?;
+        ensure!(answer.status == 204, "list: {}", answer.text());
+        Ok(())
+    }
+
+    /// Assignments as the store holds them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn stored_assignments(&self) -> Result<Vec<VmAssignment>> {
+        let store = EtcdClient::new(&self.platform_url(""), Duration::from_secs(2));
+        let stored = store.read_prefix(&KeySpace::default().halls()).await?;
+        let mut assignments = Vec::new();
+        for stored in stored {
+            let record: HallRecord = serde_json::from_slice(&stored.value)?;
+            assignments.extend(record.vms);
+        }
+        Ok(assignments)
+    }
+
     /// Ends a runner's process and starts it anew, with an empty journal.
     ///
     /// # Errors
@@ -286,6 +451,7 @@
             rack: "rack-own".to_owned(),
             address,
             state: VmState::Live,
+            boots: 1,
         });
         self.put_vms().await?;
         self.assign(&vm, pool).await?;
@@ -636,6 +802,7 @@
         let keys = self.folder.join("keys").display().to_string();
         let mut args = strings(&["keys", "--out", &keys]);
         args.extend((0..ENTRY_LIMIT).map(entry_name));
+        args.extend((0..STEWARD_LIMIT).map(steward_name));
         let log = self.folder.join("keys.log");
         let mut child = ChildProcess::start("hoisthitch", &args, &log)?;
         let status = child.ended().await?;
@@ -691,11 +858,26 @@
                 rack: format!("rack-{}", index / 4),
                 address: SocketAddr::new(self.address, port(RUNNER_PORT, index)),
                 state: VmState::Live,
+                boots: 1,
             });
         }
         Ok(())
     }
 
+    /// Lists the entries' own VMs, as the platform does.
+    fn list_entries(&mut self) {
+        for index in 0..self.plan.entries {
+            self.own_vms.push(ListedVm {
+                vm: entry_name(index),
+                hall: "charlotte".to_owned(),
+                rack: format!("rack-own-{index}"),
+                address: self.caller_address(index),
+                state: VmState::Live,
+                boots: 1,
+            });
+        }
+    }
+
     fn spawn_runner(&self, index: usize, vm: &str, work_us: u64) -> Result<ChildProcess> {
         let listen = SocketAddr::new(self.address, port(RUNNER_PORT, index)).to_string();
         let work_us = work_us.to_string();
@@ -726,7 +908,8 @@
 
     async fn put_vms(&self) -> Result<()> {
         let url = self.platform_url("/standin/vms");
-        let answer = HttpAsk::put_json(&url, &self.vms)?.send().await?;
+        let listed: Vec<&ListedVm> = self.vms.iter().chain(&self.own_vms).collect();
+        let answer = HttpAsk::put_json(&url, &listed)?.send().await?;
         ensure!(answer.status == 204, "list: {}", answer.text());
         Ok(())
     }
@@ -783,6 +966,10 @@
     ))
 }
 
+fn steward_name(index: usize) -> String {
+    format!("steward-{}", index + 1)
+}
+
 fn entry_name(index: usize) -> String {
     format!("entry-{}", index + 1)
 }
--- a/crates/hoisthitch-tests/src/lib.rs
+++ b/crates/hoisthitch-tests/src/lib.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod fleet;
 mod http;
+mod load;
 mod process;
 mod scripted;
 mod wait;
@@ -21,6 +22,7 @@
     HttpAnswer,
     HttpAsk, //
 };
+pub use load::SteadyLoad;
 pub use process::ChildProcess;
 pub use scripted::{
     RawAnswer,
--- a/crates/hoisthitch-wire/src/frame.rs
+++ b/crates/hoisthitch-wire/src/frame.rs
@@ -53,6 +53,26 @@
     Roster(Box<RosterRecord>),
     /// A VM takes no new work.
     Leaving(LeavingNotice),
+    /// Asks whether an entry is done with a VM that leaves.
+    AskDrained {
+        /// Name of the VM.
+        vm: String,
+        /// Data hall of the VM.
+        hall: String,
+    },
+    /// How far an entry is with a VM that leaves.
+    Drained(DrainReport),
+}
+
+/// How far an entry is with a VM that leaves.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DrainReport {
+    /// Name of the VM.
+    pub vm: String,
+    /// Version of the hall's record that the entry routes by.
+    pub version: u64,
+    /// Requests that the entry has at the VM.
+    pub in_flight: u32,
 }
 
 /// Versions that an entry holds and slots that it asks for.
--- a/crates/hoisthitch-wire/src/lib.rs
+++ b/crates/hoisthitch-wire/src/lib.rs
@@ -16,6 +16,7 @@
 };
 pub use error::WireError;
 pub use frame::{
+    DrainReport,
     FRAME_LIMIT,
     HEADER_LENGTH,
     HallVersion,
