--- a/crates/hoisthitch-core/src/ledger.rs
+++ b/crates/hoisthitch-core/src/ledger.rs
@@ -74,6 +74,8 @@
     /// Whether the runner takes work as far as its answers tell.
     pub health: RunnerHealth,
     failures: u32,
+    /// Whether the pool no longer holds the runner; it goes once it is empty.
+    removed: bool,
     /// Turn at which a slot was last taken.
     last_turn: u64,
 }
@@ -102,6 +104,7 @@
         if let Some(runner) = found {
             runner.limit = limit;
             runner.leaving = leaving;
+            runner.removed = false;
             return;
         }
         self.runners.insert(RunnerSlots {
@@ -112,6 +115,7 @@
             leaving,
             health: RunnerHealth::Healthy,
             failures: 0,
+            removed: false,
             last_turn: 0,
         });
     }
@@ -121,12 +125,18 @@
     pub fn retain(&mut self, kept: impl Fn(&RunnerSlots) -> bool) {
         for runner in self.runners.values_mut() {
             if !kept(runner) {
-                runner.leaving = true;
-                runner.limit = 0;
+                runner.removed = true;
             }
         }
         self.runners
-            .retain(|_, runner| runner.in_flight > 0 || kept(runner));
+            .retain(|_, runner| runner.in_flight > 0 || !runner.removed);
+    }
+
+    /// Sets the slots that this entry may use of each runner.
+    pub fn set_limits(&mut self, limit: impl Fn(&RunnerSlots) -> u32) {
+        for runner in self.runners.values_mut() {
+            runner.limit = limit(runner);
+        }
     }
 
     /// Marks a VM's runner as leaving or back.
@@ -174,7 +184,7 @@
             Some(false) => runner.note_failure(ejected < cap, now),
             None => runner.note_nothing(now),
         }
-        if runner.in_flight == 0 && runner.leaving && runner.limit == 0 {
+        if runner.in_flight == 0 && runner.removed {
             self.runners.remove(key);
         }
     }
@@ -188,11 +198,20 @@
     pub fn usable(&self) -> u32 {
         self.runners
             .values()
-            .filter(|runner| !runner.leaving && runner.health == RunnerHealth::Healthy)
+            .filter(|runner| {
+                !runner.leaving && !runner.removed && runner.health == RunnerHealth::Healthy
+            })
             .map(|runner| runner.limit)
             .sum()
     }
 
+    /// Whether any runner may take work, now or when a slot comes free.
+    pub fn takes_work(&self) -> bool {
+        self.runners
+            .values()
+            .any(|runner| !runner.leaving && !runner.removed)
+    }
+
     /// Looks a runner up.
     pub fn get(&self, key: RunnerKey) -> Option<&RunnerSlots> {
         self.runners.get(key)
@@ -241,7 +260,7 @@
 
 impl RunnerSlots {
     fn has_free_slot(&self, now: Instant) -> bool {
-        if self.leaving || self.in_flight >= self.limit {
+        if self.leaving || self.removed || self.in_flight >= self.limit {
             return false;
         }
         match self.health {
--- a/crates/hoisthitch-core/src/lib.rs
+++ b/crates/hoisthitch-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod scheduler;
 mod share;
 mod table;
+mod transition;
 mod wave;
 
 pub use budget::RetryBudget;
@@ -100,6 +101,7 @@
     TeamRow,
     WriterStamp, //
 };
+pub use transition::TransitionError;
 pub use wave::{
     WaveCandidate,
     WaveProgress,
--- a/crates/hoisthitch-core/src/scheduler.rs
+++ b/crates/hoisthitch-core/src/scheduler.rs
@@ -333,7 +333,7 @@
         {
             return Ok(WorkAdmission::Granted(runner));
         }
-        if self.ledger.iter().all(|runner| runner.leaving) {
+        if !self.ledger.takes_work() {
             return Err(self.refusal(RefusalReason::NoRunner, unit.priority));
         }
         let priority = unit.priority;
--- a/crates/hoisthitch-entry/src/control/follow.rs
+++ b/crates/hoisthitch-entry/src/control/follow.rs
@@ -1,6 +1,7 @@
 //! Following the platform: the store's records and the list of VMs.
 
 use std::{
+    cell::RefCell,
     sync::Arc,
     time::Duration, //
 };
@@ -9,7 +10,6 @@
 use hoisthitch_core::{
     HallRecord,
     PolicyTable,
-    RosterEntry,
     RosterRecord, //
 };
 use hoisthitch_store::{
@@ -19,6 +19,7 @@
     StoreRevision,
     StoredValue,
     VmLister,
+    VmListing,
     WatchEvent,
     WatchStream, //
 };
@@ -28,13 +29,19 @@
 use tokio::time::Instant;
 
 use crate::{
-    control::keeper::{
-        ApplyHall,
-        ApplyListing,
-        ApplyRoster,
-        ApplyTable,
-        CompareStore,
-        ViewKeeper, //
+    control::{
+        followed::{
+            FollowedContent,
+            FollowedRecords, //
+        },
+        keeper::{
+            ApplyHall,
+            ApplyListing,
+            ApplyRoster,
+            ApplyTable,
+            CompareStore,
+            ViewKeeper, //
+        }, //
     },
     state::SharedState, //
 };
@@ -57,6 +64,7 @@
     shared: Arc<SharedState>,
 ) {
     let follower = StoreFollower {
+        known: RefCell::default(),
         store,
         keys,
         keeper,
@@ -83,10 +91,16 @@
     keeper: Addr<ViewKeeper>,
     shared: Arc<SharedState>,
 ) {
+    let mut known = String::new();
     loop {
         let asked = shared.gate.now();
-        match lister.list().await {
-            Ok(vms) => keeper.do_send(ApplyListing { vms, asked }),
+        match lister.list_changes(&known).await {
+            Ok(VmListing::Unchanged) => keeper.do_send(ApplyListing { vms: None, asked }),
+            Ok(VmListing::Changed { vms, tag }) => {
+                known = tag;
+                let vms = Some(vms);
+                keeper.do_send(ApplyListing { vms, asked });
+            }
             Err(err) => event!(Warn, "vms_not_listed", error = err),
         }
         tokio::time::sleep(interval).await;
@@ -94,6 +108,8 @@
 }
 
 struct StoreFollower<S> {
+    /// Records as last read or heard of.
+    known: RefCell<FollowedRecords>,
     store: S,
     keys: KeySpace,
     keeper: Addr<ViewKeeper>,
@@ -127,30 +143,27 @@
         let _ = tokio::time::timeout_at(check, self.shared.reread.notified()).await;
     }
 
-    /// Reads all records, applies them, and has the store compared with what is
-    /// in force; answers with the highest revision read.
+    /// Reads the records that changed, applies them, and has the store compared
+    /// with what is in force; answers with the highest revision read.
     async fn read_all(&self) -> Result<StoreRevision, StoreError> {
         let asked = self.shared.gate.now();
-        let mut highest = StoreRevision::default();
-        let mut table = 0;
-        let mut halls = Vec::new();
-        let mut members = Vec::new();
-        for stored in self.store.read_prefix(&self.keys.records()).await? {
-            highest = highest.max(stored.revision);
-            match self.apply(&stored) {
-                Some(FollowedRecord::Table(revision)) => table = revision,
-                Some(FollowedRecord::Hall(version)) => halls.push(version),
-                Some(FollowedRecord::Roster(entries)) => members.extend(entries),
-                None => {}
+        let root = self.keys.records();
+        let revisions = self.store.read_revisions(&root).await?;
+        if !self.known.borrow().holds(&revisions) {
+            let stored = self.store.read_prefix(&root).await?;
+            self.known.borrow_mut().clear();
+            for stored in &stored {
+                self.apply(stored);
             }
         }
+        let known = self.known.borrow();
         self.keeper.do_send(CompareStore {
-            table,
-            halls,
-            registered: self.shared.is_member(&members),
+            table: known.table(),
+            halls: known.halls(),
+            registered: self.shared.is_member(&known.entries()),
             asked,
         });
-        Ok(highest)
+        Ok(known.highest())
     }
 
     fn apply_change(&self, change: WatchEvent) {
@@ -159,43 +172,40 @@
         }
     }
 
-    fn apply(&self, stored: &StoredValue) -> Option<FollowedRecord> {
+    /// Applies a record and notes what it holds.
+    fn apply(&self, stored: &StoredValue) {
+        let content = self.apply_content(stored);
+        self.known.borrow_mut().put(stored, content);
+    }
+
+    fn apply_content(&self, stored: &StoredValue) -> FollowedContent {
         if stored.key == self.keys.table() {
-            let table: PolicyTable = decode(stored)?;
-            let revision = table.revision;
-            let source = "store";
-            self.keeper.do_send(ApplyTable { table, source });
-            return Some(FollowedRecord::Table(revision));
-        }
-        if stored.key.starts_with(&self.keys.halls()) {
-            let record: HallRecord = decode(stored)?;
-            let version = HallVersion {
-                hall: record.hall.clone(),
-                version: record.version,
-            };
-            self.keeper.do_send(ApplyHall { record });
-            return Some(FollowedRecord::Hall(version));
-        }
-        if stored.key.starts_with(&self.keys.rosters()) {
-            let record: RosterRecord = decode(stored)?;
+            if let Some(table) = decode::<PolicyTable>(stored) {
+                let revision = table.revision;
+                let source = "store";
+                self.keeper.do_send(ApplyTable { table, source });
+                return FollowedContent::Table(revision);
+            }
+        } else if stored.key.starts_with(&self.keys.halls()) {
+            if let Some(record) = decode::<HallRecord>(stored) {
+                let version = HallVersion {
+                    hall: record.hall.clone(),
+                    version: record.version,
+                };
+                self.keeper.do_send(ApplyHall { record });
+                return FollowedContent::Hall(version);
+            }
+        } else if stored.key.starts_with(&self.keys.rosters())
+            && let Some(record) = decode::<RosterRecord>(stored)
+        {
             let entries = record.entries.clone();
             self.keeper.do_send(ApplyRoster { record });
-            return Some(FollowedRecord::Roster(entries));
+            return FollowedContent::Roster(entries);
         }
-        None
+        FollowedContent::Other
     }
 }
 
-/// What a reading of the store is compared by.
-enum FollowedRecord {
-    /// Revision of the table.
-    Table(u64),
-    /// Version of a hall record.
-    Hall(HallVersion),
-    /// Entries of a roster.
-    Roster(Vec<RosterEntry>),
-}
-
 fn decode<R: DeserializeOwned>(stored: &StoredValue) -> Option<R> {
     match serde_json::from_slice(&stored.value) {
         Ok(record) => Some(record),
--- a/crates/hoisthitch-entry/src/control/keeper.rs
+++ b/crates/hoisthitch-entry/src/control/keeper.rs
@@ -57,7 +57,8 @@
         },
         shares::{
             SlotShares,
-            pool_key, //
+            pool_key,
+            rose, //
         },
         writer::{
             Reinstall,
@@ -70,6 +71,9 @@
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two heartbeats while what this entry asks for rises.
+const RISING_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time that another entry's word on a leaving VM holds against a list that
 /// still shows the VM as live.
 const TOLD_LIMIT: Duration = Duration::from_secs(300);
@@ -87,6 +91,7 @@
     /// Moment on their clock of the last heartbeat of each other entry.
     heard: BTreeMap<String, u64>,
     shares: SlotShares,
+    last_beat: Instant,
     mesh: Option<Addr<MeshHub>>,
     writer: Option<Addr<TableWriter>>,
 }
@@ -131,8 +136,8 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct ApplyListing {
-    /// The list.
-    pub vms: Vec<ListedVm>,
+    /// The list; none where it is as it was.
+    pub vms: Option<Vec<ListedVm>>,
     /// When it was asked for.
     pub asked: GateTime,
 }
@@ -190,6 +195,7 @@
             told: BTreeMap::new(),
             heard: BTreeMap::new(),
             shares: SlotShares::new(&settings.name, settings.share),
+            last_beat: Instant::now(),
             mesh: None,
             writer: None,
             shared,
@@ -230,12 +236,23 @@
         }
     }
 
-    fn beat(&mut self) {
+    /// Sends a heartbeat if one is due.
+    fn beat_if_due(&mut self) {
+        let since = self.last_beat.elapsed();
         let demands = self.demands();
+        let rises = rose(self.shares.own(), &demands);
+        if since >= HEARTBEAT_INTERVAL || (rises && since >= RISING_INTERVAL) {
+            self.last_beat = Instant::now();
+            self.beat(demands);
+        }
+    }
+
+    fn beat(&mut self, demands: Vec<PoolDemand>) {
         self.shares.set_own(demands.clone());
+        self.shares.forget_silent();
         self.heard.retain(|node, _| self.shares.hears(node));
-        self.told.retain(|_, since| since.elapsed() < TOLD_LIMIT);
-        self.rebuild();
+        self.forget_told();
+        self.builder.apply_shares(&self.shares);
         let halls = self.halls.values();
         let rosters = self.rosters.values();
         self.send_all(MeshFrame::Heartbeat(Heartbeat {
@@ -252,6 +269,15 @@
         }));
     }
 
+    /// Lets the list of VMs overrule old words of other entries.
+    fn forget_told(&mut self) {
+        let before = self.told.len();
+        self.told.retain(|_, since| since.elapsed() < TOLD_LIMIT);
+        if self.told.len() < before {
+            self.rebuild();
+        }
+    }
+
     /// Slots that this entry asks for.
     fn demands(&self) -> Vec<PoolDemand> {
         let routes = self.shared.routes.load();
@@ -284,7 +310,9 @@
                 self.send_to(node, MeshFrame::AskRoster(theirs.hall));
             }
         }
-        self.shares.hear(node, heartbeat.demands);
+        if self.shares.hear(node, heartbeat.demands) {
+            self.builder.apply_shares(&self.shares);
+        }
         self.heard.insert(node.to_owned(), heartbeat.sent_ms);
         let own = hash_node(&self.shared.settings.name);
         let echo = heartbeat.echoes.iter().find(|echo| echo.node == own);
@@ -434,7 +462,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Context<Self>) {
-        context.run_interval(HEARTBEAT_INTERVAL, |keeper, _| keeper.beat());
+        context.run_interval(RISING_INTERVAL, |keeper, _| keeper.beat_if_due());
     }
 }
 
@@ -475,8 +503,8 @@
     type Result = ();
 
     fn handle(&mut self, message: ApplyListing, _: &mut Context<Self>) {
-        if self.listed != message.vms {
-            self.put_listing(message.vms);
+        if let Some(vms) = message.vms {
+            self.put_listing(vms);
         }
         if self.lists_self() {
             self.shared.gate.confirm(message.asked);
--- a/crates/hoisthitch-entry/src/control/mod.rs
+++ b/crates/hoisthitch-entry/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! platform, [`TableWriter`] writes operators' edits.
 
 mod follow;
+mod followed;
 mod gate;
 mod keeper;
 mod mesh;
--- a/crates/hoisthitch-entry/src/control/routes.rs
+++ b/crates/hoisthitch-entry/src/control/routes.rs
@@ -16,16 +16,21 @@
 
 use hoisthitch_core::{
     AssignmentState,
+    EntryShare,
     HallRecord,
     PaidPriority,
     PolicyTable,
     PoolKey,
     PoolRow,
+    RunnerSlots,
     TeamKey,
     TeamRow,
     VmAssignment, //
 };
-use slotmap::SlotMap;
+use slotmap::{
+    SecondaryMap,
+    SlotMap, //
+};
 use tokio::time::Instant;
 
 use crate::{
@@ -86,6 +91,8 @@
 pub struct RouteBuilder {
     lanes: SlotMap<PoolKey, Arc<PoolLane>>,
     teams: SlotMap<TeamKey, TeamRow>,
+    /// Shares that the lanes' limits were set by.
+    shares: SecondaryMap<PoolKey, EntryShare>,
 }
 
 /// What a route table is built from.
@@ -106,6 +113,23 @@
         Self {
             lanes: SlotMap::with_key(),
             teams: SlotMap::with_key(),
+            shares: SecondaryMap::new(),
+        }
+    }
+
+    /// Puts changed shares in force, without building anew.
+    pub fn apply_shares(&mut self, shares: &SlotShares) {
+        for (key, lane) in &self.lanes {
+            let share = shares.of(lane.name());
+            if self.shares.get(key) == Some(&share) {
+                continue;
+            }
+            self.shares.insert(key, share);
+            lane.update(|scheduler| {
+                let slots = scheduler.row().slots_per_runner;
+                let limit = |runner: &RunnerSlots| share.slots_of(&runner.vm, slots);
+                scheduler.ledger_mut().set_limits(limit);
+            });
         }
     }
 
@@ -113,6 +137,7 @@
     pub fn build(&mut self, inputs: &RouteInputs<'_>) -> RouteTable {
         self.update_teams(inputs.table);
         self.update_lanes(inputs);
+        self.apply_shares(inputs.shares);
         RouteTable {
             revision: inputs.table.revision,
             lanes: self.lanes.clone(),
--- a/crates/hoisthitch-entry/src/control/shares.rs
+++ b/crates/hoisthitch-entry/src/control/shares.rs
@@ -40,16 +40,28 @@
         }
     }
 
-    /// Notes what another entry asks for.
-    pub fn hear(&mut self, node: &str, demands: Vec<PoolDemand>) {
+    /// Notes what another entry asks for; answers whether that changed.
+    pub fn hear(&mut self, node: &str, demands: Vec<PoolDemand>) -> bool {
         let heard = Instant::now();
+        let known = self.peers.get(node);
+        let changed = known.is_none_or(|known| known.demands != demands);
         self.peers
             .insert(node.to_owned(), PeerDemands { heard, demands });
+        changed
     }
 
-    /// Notes what this entry asks for, and forgets silent entries.
+    /// Notes what this entry asks for.
     pub fn set_own(&mut self, demands: Vec<PoolDemand>) {
         self.own_demands = demands;
+    }
+
+    /// What this entry asked for when it last told the others.
+    pub fn own(&self) -> &[PoolDemand] {
+        &self.own_demands
+    }
+
+    /// Forgets silent entries.
+    pub fn forget_silent(&mut self) {
         self.peers
             .retain(|_, peer| peer.heard.elapsed() < SILENCE_LIMIT);
     }
@@ -92,3 +104,9 @@
     let found = demands.iter().find(|demand| demand.pool == pool);
     found.map_or(0, |demand| demand.slots)
 }
+
+/// Whether demands rose so much that the others should know at once.
+pub fn rose(old: &[PoolDemand], new: &[PoolDemand]) -> bool {
+    new.iter()
+        .any(|demand| demand.slots > demand_of(old, demand.pool) * 5 / 4 + 1)
+}
--- a/crates/hoisthitch-standin/src/platform/gateway.rs
+++ b/crates/hoisthitch-standin/src/platform/gateway.rs
@@ -138,6 +138,7 @@
         range: RangeRequest {
             key: request.key,
             range_end: request.range_end,
+            keys_only: false,
         },
         next: if request.start_revision > 0 {
             request.start_revision
--- a/crates/hoisthitch-standin/src/platform/list.rs
+++ b/crates/hoisthitch-standin/src/platform/list.rs
@@ -11,7 +11,9 @@
 };
 
 use actix_web::{
+    HttpRequest,
     HttpResponse,
+    http::header,
     web, //
 };
 use hoisthitch_store::{
@@ -40,11 +42,15 @@
     reboot: Duration,
     lost: Vec<String>,
     versions: VecDeque<BoardVersion>,
+    /// Versions so far.
+    count: u64,
 }
 
 #[derive(Clone)]
 struct BoardVersion {
     since: Instant,
+    /// Entity tag.
+    tag: String,
     vms: Vec<ListedVm>,
 }
 
@@ -71,28 +77,27 @@
         .route("/standin/list", web::put().to(put_plan));
 }
 
-async fn get_vms(state: web::Data<PlatformState>) -> HttpResponse {
+async fn get_vms(state: web::Data<PlatformState>, request: HttpRequest) -> HttpResponse {
     let board = state.board.lock();
     if board.outage {
         return HttpResponse::ServiceUnavailable().finish();
     }
     let now = Instant::now();
-    let shown = board
-        .versions
-        .iter()
-        .rev()
-        .find(|version| version.since + board.lag <= now)
-        .or(board.versions.front());
-    let vms = shown.map_or_else(Vec::new, |version| version.vms.clone());
-    HttpResponse::Ok().json(vms)
+    let Some(shown) = board.shown(now) else {
+        return HttpResponse::Ok().json(Vec::<ListedVm>::new());
+    };
+    let known = request.headers().get(header::IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == shown.tag.as_bytes()) {
+        return HttpResponse::NotModified().finish();
+    }
+    HttpResponse::Ok()
+        .insert_header((header::ETAG, shown.tag.as_str()))
+        .json(&shown.vms)
 }
 
 async fn put_vms(state: web::Data<PlatformState>, vms: web::Json<Vec<ListedVm>>) -> HttpResponse {
     let mut board = state.board.lock();
-    board.versions.push_back(BoardVersion {
-        since: Instant::now(),
-        vms: vms.into_inner(),
-    });
+    board.add(vms.into_inner());
     if board.versions.len() > VERSION_LIMIT {
         board.versions.pop_front();
     }
@@ -165,8 +170,25 @@
         if !change(listed) {
             return false;
         }
-        let since = Instant::now();
-        self.versions.push_back(BoardVersion { since, vms });
+        self.add(vms);
         true
     }
+
+    /// Adds a version.
+    fn add(&mut self, vms: Vec<ListedVm>) {
+        self.count += 1;
+        self.versions.push_back(BoardVersion {
+            since: Instant::now(),
+            tag: format!("\"{}\"", self.count),
+            vms,
+        });
+    }
+
+    /// The version that shows, with the lag.
+    fn shown(&self, now: Instant) -> Option<&BoardVersion> {
+        let mut versions = self.versions.iter().rev();
+        versions
+            .find(|version| version.since + self.lag <= now)
+            .or(self.versions.front())
+    }
 }
--- a/crates/hoisthitch-standin/src/platform/values.rs
+++ b/crates/hoisthitch-standin/src/platform/values.rs
@@ -205,7 +205,13 @@
             .values
             .range(request.key.clone()..)
             .take_while(|(key, _)| in_range(request, key))
-            .map(|(_, kv)| kv.clone())
+            .map(|(_, kv)| {
+                if request.keys_only {
+                    without_value(kv)
+                } else {
+                    kv.clone()
+                }
+            })
             .collect();
         RangeResponse {
             header: ResponseHeader {
@@ -294,6 +300,14 @@
     }
 }
 
+fn without_value(kv: &KeyValue) -> KeyValue {
+    KeyValue {
+        key: kv.key.clone(),
+        value: Vec::new(),
+        ..*kv
+    }
+}
+
 fn in_range(range: &RangeRequest, key: &[u8]) -> bool {
     if range.range_end.is_empty() {
         return key == range.key;
--- a/crates/hoisthitch-steward/src/act.rs
+++ b/crates/hoisthitch-steward/src/act.rs
@@ -17,14 +17,13 @@
 
 use hoisthitch_core::{
     AbsencePermit,
-    AssignmentState,
     FleetAction,
     HallError,
     HallRecord,
-    MaintainStep,
     PermitError,
     PermitLedger,
     RosterRecord,
+    TransitionError,
     VmAssignment,
     VmTarget,
     VmTask,
@@ -90,6 +89,9 @@
     /// Someone else acted first.
     #[error("the plan is void: {0}")]
     Void(&'static str),
+    /// The VM is not as planned.
+    #[error(transparent)]
+    Transition(#[from] TransitionError),
     /// The budget does not allow it.
     #[error(transparent)]
     Permit(#[from] PermitError),
@@ -157,11 +159,7 @@
         target: &VmTarget,
     ) -> Result<(), ActionError> {
         let raised = self.change_vm(target, |assignment| {
-            if assignment.pool == pool && assignment.state == AssignmentState::Leaving {
-                return Err(ActionError::Void("the VM leaves"));
-            }
-            assignment.fence += 1;
-            Ok(())
+            assignment.void_plans(target.fence, pool)
         });
         match raised.await {
             Ok(()) | Err(ActionError::Hall(HallError::Unassigned(_))) => {}
@@ -190,13 +188,7 @@
         self.take_permit(pool, target, &ask).await?;
         let kind = task_name(&task);
         let left = self.change_vm(target, |assignment| {
-            if assignment.pool != pool || assignment.state != AssignmentState::Serving {
-                return Err(ActionError::Void("the VM does not serve the pool"));
-            }
-            assignment.state = AssignmentState::Leaving;
-            assignment.task = Some(task.clone());
-            assignment.fence += 1;
-            Ok(())
+            assignment.begin_leave(target.fence, pool, task.clone())
         });
         left.await?;
         event!(
@@ -224,13 +216,7 @@
         }
         self.pass_barrier(view, target).await?;
         let moved = self.change_vm(target, |assignment| {
-            let fits = matches!(&assignment.task, Some(VmTask::Move { to: other }) if other == to);
-            ensure_leaving(assignment, fits)?;
-            to.clone_into(&mut assignment.pool);
-            assignment.state = AssignmentState::Serving;
-            assignment.task = None;
-            assignment.fence += 1;
-            Ok(())
+            assignment.finish_move(target.fence, to)
         });
         moved.await?;
         event!(Info, "vm_moved", vm = target.vm, from = pool, to = to);
@@ -246,16 +232,7 @@
     ) -> Result<(), ActionError> {
         self.pass_barrier(view, target).await?;
         let intended = self.change_vm(target, |assignment| {
-            let drain = VmTask::Maintain {
-                wave: wave.to_owned(),
-                step: MaintainStep::Drain,
-            };
-            ensure_leaving(assignment, assignment.task.as_ref() == Some(&drain))?;
-            assignment.task = Some(VmTask::Maintain {
-                wave: wave.to_owned(),
-                step: MaintainStep::Reboot { boots },
-            });
-            Ok(())
+            assignment.begin_reboot(target.fence, wave, boots)
         });
         intended.await?;
         self.reboot(target, boots).await
@@ -290,11 +267,7 @@
             return Err(ActionError::Void("the VM's service does not answer yet"));
         }
         let returned = self.change_vm(target, |assignment| {
-            ensure_leaving(assignment, assignment.is_maintained_by(wave))?;
-            assignment.state = AssignmentState::Serving;
-            assignment.task = None;
-            wave.clone_into(&mut assignment.last_wave);
-            Ok(())
+            assignment.end_maintenance(target.fence, wave)
         });
         returned.await?;
         event!(Info, "vm_back", vm = target.vm, pool = pool, wave = wave);
@@ -309,12 +282,7 @@
         target: &VmTarget,
         reason: &str,
     ) -> Result<(), ActionError> {
-        let returned = self.change_vm(target, |assignment| {
-            ensure_leaving(assignment, true)?;
-            assignment.state = AssignmentState::Serving;
-            assignment.task = None;
-            Ok(())
-        });
+        let returned = self.change_vm(target, |assignment| assignment.end_leave(target.fence));
         returned.await?;
         event!(
             Info,
@@ -426,22 +394,18 @@
         }
     }
 
-    /// Changes one VM's assignment, if its fence is still the planned one.
+    /// Changes one VM's assignment by a transition.
     async fn change_vm(
         &self,
         target: &VmTarget,
-        change: impl Fn(&mut VmAssignment) -> Result<(), ActionError>,
+        change: impl Fn(&mut VmAssignment) -> Result<(), TransitionError>,
     ) -> Result<(), ActionError> {
         let change_record = |stored: Option<HallRecord>, stamp| {
             let unassigned = || HallError::Unassigned(target.vm.clone());
             let mut record = stored.ok_or_else(unassigned)?;
-            let assignment = record.find_mut(&target.vm)?;
-            if assignment.fence != target.fence {
-                return Err(ActionError::Void("the VM's fence was raised"));
-            }
-            change(assignment)?;
+            change(record.find_mut(&target.vm)?)?;
             record.sign(stamp);
-            Ok(record)
+            Ok::<_, ActionError>(record)
         };
         let key = self.keys.hall(&target.hall);
         self.records.update(&key, change_record).await?;
@@ -449,13 +413,6 @@
     }
 }
 
-fn ensure_leaving(assignment: &VmAssignment, fits: bool) -> Result<(), ActionError> {
-    if fits && assignment.state == AssignmentState::Leaving {
-        return Ok(());
-    }
-    Err(ActionError::Void("the VM does not leave for this"))
-}
-
 fn task_name(task: &VmTask) -> &'static str {
     match task {
         VmTask::Move { .. } => "move",
--- a/crates/hoisthitch-store/src/client.rs
+++ b/crates/hoisthitch-store/src/client.rs
@@ -28,6 +28,15 @@
     pub revision: StoreRevision,
 }
 
+/// A key and the revision that wrote its value.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyRevision {
+    /// The key.
+    pub key: String,
+    /// Revision that wrote the value.
+    pub revision: StoreRevision,
+}
+
 /// What became of a compare-and-swap.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SwapOutcome {
@@ -99,6 +108,13 @@
         prefix: &str,
     ) -> impl Future<Output = Result<Vec<StoredValue>, StoreError>>;
 
+    /// Reads the revisions, without the values, of the keys that start with
+    /// `prefix`.
+    fn read_revisions(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<Vec<KeyRevision>, StoreError>>;
+
     /// Writes a value if its revision is still `expected`.
     fn swap(
         &self,
--- a/crates/hoisthitch-store/src/etcd.rs
+++ b/crates/hoisthitch-store/src/etcd.rs
@@ -27,6 +27,7 @@
     calls::CallCounter,
     client::{
         BatchOutcome,
+        KeyRevision,
         LeaseId,
         StoreClient,
         StoreRevision,
@@ -140,6 +141,7 @@
         let request = message::RangeRequest {
             key: key.as_bytes().to_vec(),
             range_end: Vec::new(),
+            keys_only: false,
         };
         let response: message::RangeResponse = self.call(CALL, &request).await?;
         response
@@ -156,6 +158,7 @@
         let request = message::RangeRequest {
             key: prefix.as_bytes().to_vec(),
             range_end: message::prefix_end(prefix.as_bytes()),
+            keys_only: false,
         };
         let response: message::RangeResponse = self.call(CALL, &request).await?;
         response
@@ -165,6 +168,25 @@
             .collect()
     }
 
+    async fn read_revisions(&self, prefix: &str) -> Result<Vec<KeyRevision>, StoreError> {
+        const CALL: &str = "/v3/kv/range";
+        self.calls.count_read();
+        let request = message::RangeRequest {
+            key: prefix.as_bytes().to_vec(),
+            range_end: message::prefix_end(prefix.as_bytes()),
+            keys_only: true,
+        };
+        let response: message::RangeResponse = self.call(CALL, &request).await?;
+        let revision = |kv| {
+            let stored = to_stored(CALL, kv)?;
+            Ok(KeyRevision {
+                key: stored.key,
+                revision: stored.revision,
+            })
+        };
+        response.kvs.into_iter().map(revision).collect()
+    }
+
     async fn swap(
         &self,
         key: &str,
@@ -352,6 +374,7 @@
     let read = message::RangeRequest {
         key: key.clone(),
         range_end: Vec::new(),
+        keys_only: false,
     };
     message::TxnRequest {
         compare: vec![message::Compare {
--- a/crates/hoisthitch-store/src/lib.rs
+++ b/crates/hoisthitch-store/src/lib.rs
@@ -30,6 +30,7 @@
 };
 pub use client::{
     BatchOutcome,
+    KeyRevision,
     LeaseId,
     StoreClient,
     StoreRevision,
@@ -51,5 +52,6 @@
     ListedVm,
     RebootCall,
     VmLister,
+    VmListing,
     VmState, //
 };
--- a/crates/hoisthitch-store/src/message.rs
+++ b/crates/hoisthitch-store/src/message.rs
@@ -110,6 +110,9 @@
     /// End of the range; empty for one key.
     #[serde(with = "base64_bytes")]
     pub range_end: Vec<u8>,
+    /// Whether values are left out of the answer.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub keys_only: bool,
 }
 
 /// Answer to a [`RangeRequest`].
--- a/crates/hoisthitch-store/src/vms.rs
+++ b/crates/hoisthitch-store/src/vms.rs
@@ -7,12 +7,14 @@
 
 use awc::{
     Client,
-    SendClientRequest, //
+    SendClientRequest,
+    http::header, //
 };
 use bytes::Bytes;
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    de::DeserializeOwned, //
 };
 
 use crate::error::StoreError;
@@ -20,6 +22,9 @@
 /// Longest list: 10,000 VMs at about 200 bytes, with room to spare.
 const LIST_LIMIT: usize = 8 << 20;
 
+/// Status of an answer that repeats the one before.
+const NOT_MODIFIED: u16 = 304;
+
 /// State of a VM, as the platform lists it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -50,6 +55,20 @@
     pub boots: u64,
 }
 
+/// A reading of the list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VmListing {
+    /// The list is as it was.
+    Unchanged,
+    /// The list changed.
+    Changed {
+        /// The VMs.
+        vms: Vec<ListedVm>,
+        /// Tag of this version of the list.
+        tag: String,
+    },
+}
+
 /// Asks for a VM to be started again.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RebootCall {
@@ -78,6 +97,25 @@
         }
     }
 
+    /// Reads the list, if it changed since the reading with the tag.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform can't be reached or its answer can't be read.
+    pub async fn list_changes(&self, tag: &str) -> Result<VmListing, StoreError> {
+        const CALL: &str = "/vms";
+        let request = self.http.get(format!("{}{CALL}", self.endpoint));
+        let request = request.insert_header((header::IF_NONE_MATCH, tag));
+        let answer = self.exchange(CALL, request.send()).await?;
+        if answer.status == NOT_MODIFIED {
+            return Ok(VmListing::Unchanged);
+        }
+        Ok(VmListing::Changed {
+            vms: decode(CALL, &answer.body)?,
+            tag: answer.tag,
+        })
+    }
+
     /// Reads the list.
     ///
     /// # Errors
@@ -86,11 +124,8 @@
     pub async fn list(&self) -> Result<Vec<ListedVm>, StoreError> {
         const CALL: &str = "/vms";
         let request = self.http.get(format!("{}{CALL}", self.endpoint));
-        let body = self.exchange(CALL, request.send()).await?;
-        serde_json::from_slice(&body).map_err(|err| StoreError::Malformed {
-            call: CALL,
-            fault: err.to_string(),
-        })
+        let answer = self.exchange(CALL, request.send()).await?;
+        decode(CALL, &answer.body)
     }
 
     /// Has a VM started again.
@@ -109,19 +144,23 @@
         &self,
         call: &'static str,
         request: SendClientRequest,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<PlatformAnswer, StoreError> {
         let transport = |fault: String| StoreError::Transport { call, fault };
         let exchange = async {
             let mut response = request.await.map_err(|err| transport(err.to_string()))?;
             let status = response.status().as_u16();
-            if status != 200 {
+            if status != 200 && status != NOT_MODIFIED {
                 return Err(StoreError::Status { call, status });
             }
-            response
+            let tag = response.headers().get(header::ETAG);
+            let tag = tag.and_then(|tag| tag.to_str().ok()).unwrap_or_default();
+            let tag = tag.to_owned();
+            let body = response
                 .body()
                 .limit(LIST_LIMIT)
                 .await
-                .map_err(|err| transport(err.to_string()))
+                .map_err(|err| transport(err.to_string()))?;
+            Ok(PlatformAnswer { status, tag, body })
         };
         let limit = self.timeout;
         tokio::time::timeout(limit, exchange)
@@ -129,3 +168,17 @@
             .unwrap_or(Err(StoreError::Timeout { call, limit }))
     }
 }
+
+/// An answer of the platform.
+struct PlatformAnswer {
+    status: u16,
+    tag: String,
+    body: Bytes,
+}
+
+fn decode<A: DeserializeOwned>(call: &'static str, body: &[u8]) -> Result<A, StoreError> {
+    serde_json::from_slice(body).map_err(|err| StoreError::Malformed {
+        call,
+        fault: err.to_string(),
+    })
+}
--- a/crates/hoisthitch-tests/tests/moves.rs
+++ b/crates/hoisthitch-tests/tests/moves.rs
@@ -26,7 +26,7 @@
 const PROXY_PORT: u16 = 9_600;
 
 /// Working time of the load's requests, in microseconds.
-const WORK_US: u64 = 30_000;
+const WORK_US: u64 = 150_000;
 
 /// Runners of the pool that VMs are taken from.
 const RUNNERS: usize = 4;
@@ -129,14 +129,15 @@
     for vm in ["quotes-1", "quotes-2"] {
         wait_moved(&fleet, vm).await?;
     }
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    wait_until("work on a moved runner, and 50 requests in all", || async {
+        let moved = fleet.journal(0).await.ok()?;
+        let works = moved.iter().any(|run| run.path.starts_with("/picking"));
+        let total = fleet.all_runs().await.ok()?.len();
+        (works && total > 50).then_some(())
+    })
+    .await?;
     ensure!(load.stop().await? > 50);
     wait_no_permits(&fleet).await?;
-    let moved = fleet.journal(0).await?;
-    ensure!(
-        moved.iter().any(|run| run.path.starts_with("/picking")),
-        "no work after"
-    );
     ensure_unmixed(&fleet).await
 }
 
