Let the log rest between writes; send changed assignments only

Cause: each routed request woke the log's thread; the last lines of a process were lost, since nothing waited for them; a change of one VM sent its hall's whole record (99 KB at the target's size) to each neighbour.

Ruled out: logging fewer decisions; the users want a line for each.

Change: the log's thread rests 5 ms after writing, and the end of a process waits for its last lines (a test looks for event=stopped). Neighbours are sent the assignments that changed.

--- a/crates/hoisthitch-core/src/hall.rs
+++ b/crates/hoisthitch-core/src/hall.rs
@@ -138,7 +138,12 @@
 
     /// Signs the next version.
     pub fn sign(&mut self, stamp: WriterStamp) {
-        self.version += 1;
+        self.sign_as(self.version + 1, stamp);
+    }
+
+    /// Signs a version.
+    pub fn sign_as(&mut self, version: u64, stamp: WriterStamp) {
+        self.version = version;
         sign(&mut self.stamp, &mut self.recent, stamp);
     }
 
@@ -177,6 +182,9 @@
 
     /// Finds the assignment of a VM.
     pub fn find(&self, vm: &str) -> Option<&VmAssignment> {
-        self.vms.iter().find(|assignment| assignment.vm == vm)
+        let found = self
+            .vms
+            .binary_search_by(|assignment| assignment.vm.as_str().cmp(vm));
+        found.ok().map(|index| &self.vms[index])
     }
 }
--- a/crates/hoisthitch-entry/src/control/keeper.rs
+++ b/crates/hoisthitch-entry/src/control/keeper.rs
@@ -31,6 +31,7 @@
 use hoisthitch_telemetry::event;
 use hoisthitch_wire::{
     DrainReport,
+    HallDelta,
     HallVersion,
     Heartbeat,
     HeartbeatEcho,
@@ -292,9 +293,11 @@
             hall = record.hall,
             version = record.version
         );
-        let hall = record.hall.clone();
-        self.send_all(MeshFrame::Hall(Box::new(record.clone())));
-        self.halls.insert(hall, record);
+        self.send_all(match self.halls.get(&record.hall) {
+            Some(old) => MeshFrame::HallDelta(Box::new(HallDelta::between(old, &record))),
+            None => MeshFrame::Hall(Box::new(record.clone())),
+        });
+        self.halls.insert(record.hall.clone(), record);
         self.rebuild();
     }
 
@@ -364,6 +367,16 @@
                     self.send_to(node, MeshFrame::Hall(Box::new(record.clone())));
                 }
             }
+            MeshFrame::HallDelta(delta) => {
+                let known = self.halls.get(&delta.hall);
+                match known.and_then(|known| delta.applied(known)) {
+                    Some(record) => self.put_hall(record),
+                    None if delta.version > self.hall_version(&delta.hall) => {
+                        self.send_to(node, MeshFrame::AskHall(delta.hall));
+                    }
+                    None => {}
+                }
+            }
             MeshFrame::Hall(record) => self.put_hall(*record),
             MeshFrame::AskRoster(hall) => {
                 if let Some(record) = self.rosters.get(&hall) {
--- a/crates/hoisthitch-entry/src/main.rs
+++ b/crates/hoisthitch-entry/src/main.rs
@@ -8,7 +8,10 @@
     EntrySettings,
     run_entry, //
 };
-use hoisthitch_telemetry::start_log;
+use hoisthitch_telemetry::{
+    flush_log,
+    start_log, //
+};
 
 /// Takes callers' requests and routes them to runners of their pools.
 #[derive(Debug, FromArgs)]
@@ -26,5 +29,7 @@
     let args: EntryArgs = argh::from_env();
     let settings = EntrySettings::load(&args.settings)?;
     start_log(&settings.name, &settings.log_level)?;
-    actix::System::new().block_on(run_entry(settings))
+    let ended = actix::System::new().block_on(run_entry(settings));
+    flush_log();
+    ended
 }
--- a/crates/hoisthitch-load/src/experiments/overhead.rs
+++ b/crates/hoisthitch-load/src/experiments/overhead.rs
@@ -38,6 +38,9 @@
     /// requests a second of the processor loads (default 6000)
     #[argh(option, default = "6000")]
     high_rate: u32,
+    /// least level that the entries log (default info)
+    #[argh(option, default = "\"info\".to_owned()")]
+    log_level: String,
 }
 
 /// What one round showed.
@@ -55,8 +58,8 @@
     ///
     /// Fails when the fleet does not come up.
     pub async fn run(self) -> Result<()> {
-        let decided = Fleet::start(plan("")).await?;
-        let bypassed = Fleet::start(plan("bypass = true")).await?;
+        let decided = Fleet::start(plan("", &self.log_level)).await?;
+        let bypassed = Fleet::start(plan("bypass = true", &self.log_level)).await?;
         let mut rounds = Vec::new();
         for _ in 0..self.rounds {
             rounds.push(self.round(&decided, &bypassed)?);
@@ -115,13 +118,14 @@
     }
 }
 
-fn plan(settings: &str) -> FleetPlan {
+fn plan(settings: &str, log_level: &str) -> FleetPlan {
     let mut pool = PoolPlan::new("quotes", RUNNERS);
     pool.work_us = WORK_US;
     FleetPlan {
         entries: 1,
         pools: vec![pool],
         caller_settings: settings.to_owned(),
+        log_level: log_level.to_owned(),
         ..FleetPlan::default()
     }
 }
--- a/crates/hoisthitch-load/src/experiments/sharing.rs
+++ b/crates/hoisthitch-load/src/experiments/sharing.rs
@@ -38,7 +38,7 @@
 const WORK_US: u64 = 50_000;
 
 /// Ways of sharing.
-const POLICIES: [&str; 3] = ["local", "even", "demand"];
+const POLICIES: &str = "local,even,demand";
 
 /// compare ways of sharing slots among 6 entries
 #[derive(Debug, FromArgs)]
@@ -50,6 +50,9 @@
     /// load, as a share of the capacity (default 0.8)
     #[argh(option, default = "0.8")]
     load: f64,
+    /// ways of sharing to measure, separated by commas (default all)
+    #[argh(option, default = "POLICIES.to_owned()")]
+    ways: String,
     /// file that the rows are written to
     #[argh(option)]
     csv: Option<PathBuf>,
@@ -76,7 +79,7 @@
     /// Fails when the fleet does not come up.
     pub async fn run(self) -> Result<()> {
         let mut rows = Vec::new();
-        for policy in POLICIES {
+        for policy in self.ways.split(',') {
             for skewed in [false, true] {
                 rows.push(self.measure(policy, skewed).await?);
             }
--- a/crates/hoisthitch-steward/src/main.rs
+++ b/crates/hoisthitch-steward/src/main.rs
@@ -8,7 +8,10 @@
     StewardSettings,
     run_steward, //
 };
-use hoisthitch_telemetry::start_log;
+use hoisthitch_telemetry::{
+    flush_log,
+    start_log, //
+};
 
 /// Moves VMs between pools and takes them through maintenance waves.
 #[derive(Debug, FromArgs)]
@@ -23,5 +26,7 @@
     let args: StewardArgs = argh::from_env();
     let settings = StewardSettings::load(&args.settings)?;
     start_log(&settings.name, &settings.log_level)?;
-    actix::System::new().block_on(run_steward(settings))
+    let ended = actix::System::new().block_on(run_steward(settings));
+    flush_log();
+    ended
 }
--- a/crates/hoisthitch-telemetry/src/lib.rs
+++ b/crates/hoisthitch-telemetry/src/lib.rs
@@ -14,6 +14,7 @@
 pub use logger::{
     LogError,
     dropped_lines,
+    flush_log,
     start_log, //
 };
 pub use metrics::{
--- a/crates/hoisthitch-telemetry/src/logger.rs
+++ b/crates/hoisthitch-telemetry/src/logger.rs
@@ -7,6 +7,7 @@
         Write, //
     },
     sync::{
+        OnceLock,
         atomic::{
             AtomicU64,
             Ordering, //
@@ -18,7 +19,10 @@
         }, //
     },
     thread,
-    time::SystemTime, //
+    time::{
+        Duration,
+        SystemTime, //
+    }, //
 };
 
 use fern::{
@@ -31,8 +35,25 @@
 /// Lines that may wait for the writing thread.
 const QUEUE_LINES: usize = 65_536;
 
+/// Time that the writing thread rests after writing, so that lines which come
+/// meanwhile cost their senders no wake-up.
+const REST: Duration = Duration::from_millis(5);
+
+/// Longest time that the end of a process waits for its last lines.
+const FLUSH_LIMIT: Duration = Duration::from_secs(1);
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
+static QUEUE: OnceLock<SyncSender<LogItem>> = OnceLock::new();
+
+/// What the writing thread is given.
+enum LogItem {
+    /// A line to write.
+    Line(String),
+    /// Asks for a word once everything before it is written.
+    Flush(SyncSender<()>),
+}
+
 /// Why the log could not start.
 #[derive(Debug, Error)]
 pub enum LogError {
@@ -60,16 +81,30 @@
     thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || write_lines(&receiver))?;
-    dispatch(process.to_owned(), level, sender).apply()?;
+    dispatch(process.to_owned(), level, sender.clone()).apply()?;
+    // The log is started once, or the line above fails.
+    let _ = QUEUE.set(sender);
     Ok(())
 }
 
+/// Waits until all lines are written; for the end of a process.
+pub fn flush_log() {
+    let Some(queue) = QUEUE.get() else {
+        return;
+    };
+    let (sender, written) = sync_channel(1);
+    if queue.send(LogItem::Flush(sender)).is_ok() {
+        // A log whose reader hangs must not keep the process from ending.
+        let _ = written.recv_timeout(FLUSH_LIMIT);
+    }
+}
+
 /// Lines that were dropped because the log's reader was too slow.
 pub fn dropped_lines() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
 
-fn dispatch(process: String, level: LevelFilter, sender: SyncSender<String>) -> Dispatch {
+fn dispatch(process: String, level: LevelFilter, sender: SyncSender<LogItem>) -> Dispatch {
     let library_level = level.min(LevelFilter::Warn);
     Dispatch::new()
         .format(move |out, message, record| {
@@ -88,20 +123,31 @@
         .level_for("hoisthitch_wire", level)
         .chain(Output::call(move |record| {
             let line = record.args().to_string();
-            if sender.try_send(line).is_err() {
+            if sender.try_send(LogItem::Line(line)).is_err() {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }))
 }
 
-fn write_lines(receiver: &Receiver<String>) {
+fn write_lines(receiver: &Receiver<LogItem>) {
     let mut out = BufWriter::new(io::stdout());
-    while let Ok(line) = receiver.recv() {
-        // An error of the log's reader has nowhere to be reported.
-        let _ = writeln!(out, "{line}");
-        while let Ok(line) = receiver.try_recv() {
-            let _ = writeln!(out, "{line}");
+    while let Ok(item) = receiver.recv() {
+        write_item(&mut out, item);
+        while let Ok(item) = receiver.try_recv() {
+            write_item(&mut out, item);
         }
         let _ = out.flush();
+        thread::sleep(REST);
+    }
+}
+
+fn write_item(out: &mut impl Write, item: LogItem) {
+    match item {
+        // An error of the log's reader has nowhere to be reported.
+        LogItem::Line(line) => drop(writeln!(out, "{line}")),
+        LogItem::Flush(written) => {
+            let _ = out.flush();
+            let _ = written.send(());
+        }
     }
 }
--- a/crates/hoisthitch-tests/tests/planned_stop.rs
+++ b/crates/hoisthitch-tests/tests/planned_stop.rs
@@ -69,6 +69,9 @@
     let status = fleet.entries[0].ended().await?;
     ensure!(status.success(), "{status}");
     ensure!(fleet.all_runs().await?.len() == 16);
+    let log = fleet.entries[0].log()?;
+    let last = log.lines().last().unwrap_or_default();
+    ensure!(last.contains("event=stopped"), "the log ends with: {last}");
     Ok(())
 }
 
--- a/crates/hoisthitch-wire/src/frame.rs
+++ b/crates/hoisthitch-wire/src/frame.rs
@@ -9,6 +9,7 @@
     PoolRow,
     RosterRecord,
     TeamRow,
+    VmAssignment,
     WriterStamp, //
 };
 use serde::{
@@ -43,6 +44,8 @@
     AskTable,
     /// The whole table.
     Table(Box<PolicyTable>),
+    /// Assignments that a change of a hall's record touched.
+    HallDelta(Box<HallDelta>),
     /// Asks for a hall's record.
     AskHall(String),
     /// A hall's record.
@@ -146,6 +149,59 @@
     pub vm: String,
 }
 
+/// Assignments that a change of a hall's record touched.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HallDelta {
+    /// Data hall.
+    pub hall: String,
+    /// Version that the delta starts from.
+    pub base: u64,
+    /// Version that it leads to.
+    pub version: u64,
+    /// Who wrote the version.
+    pub stamp: WriterStamp,
+    /// Assignments that were written.
+    pub written: Vec<VmAssignment>,
+    /// VMs that were removed.
+    pub removed: Vec<String>,
+}
+
+impl HallDelta {
+    /// What leads from `old` to `new`.
+    pub fn between(old: &HallRecord, new: &HallRecord) -> Self {
+        let written = new.vms.iter();
+        let written = written.filter(|vm| old.find(&vm.vm) != Some(vm));
+        let removed = old.vms.iter();
+        let removed = removed.filter(|vm| new.find(&vm.vm).is_none());
+        Self {
+            hall: new.hall.clone(),
+            base: old.version,
+            version: new.version,
+            stamp: new.stamp.clone(),
+            written: written.cloned().collect(),
+            removed: removed.map(|vm| vm.vm.clone()).collect(),
+        }
+    }
+
+    /// The record that the delta leads to; none where it does not start from
+    /// `record`.
+    pub fn applied(&self, record: &HallRecord) -> Option<HallRecord> {
+        let fits = record.hall == self.hall && record.version == self.base;
+        if !fits || self.version <= self.base {
+            return None;
+        }
+        let mut record = record.clone();
+        let replaced = |vm: &VmAssignment| self.written.iter().any(|new| new.vm == vm.vm);
+        record
+            .vms
+            .retain(|vm| !replaced(vm) && !self.removed.contains(&vm.vm));
+        record.vms.extend(self.written.iter().cloned());
+        record.vms.sort_by(|a, b| a.vm.cmp(&b.vm));
+        record.sign_as(self.version, self.stamp.clone());
+        Some(record)
+    }
+}
+
 impl TableDelta {
     /// What leads from `old` to `new`.
     pub fn between(old: &PolicyTable, new: &PolicyTable) -> Self {
--- a/crates/hoisthitch-wire/src/lib.rs
+++ b/crates/hoisthitch-wire/src/lib.rs
@@ -19,6 +19,7 @@
     DrainReport,
     FRAME_LIMIT,
     HEADER_LENGTH,
+    HallDelta,
     HallVersion,
     Heartbeat,
     HeartbeatEcho,
--- a/crates/hoisthitch-wire/tests/frame.rs
+++ b/crates/hoisthitch-wire/tests/frame.rs
@@ -1,13 +1,19 @@
 //! Frames: what is encoded comes back, and no bytes bring the decoder down.
 
+use std::net::SocketAddr;
+
 use hoisthitch_core::{
+    AssignmentState,
+    HallRecord,
     PaidPriority,
     PolicyTable,
-    TeamRow, //
+    TeamRow,
+    VmAssignment, //
 };
 use hoisthitch_wire::{
     FRAME_LIMIT,
     HEADER_LENGTH,
+    HallDelta,
     Heartbeat,
     MeshFrame,
     PROTOCOL_VERSION,
@@ -56,6 +62,25 @@
     table
 }
 
+fn hall(version: u64, vms: &[(u8, u8)]) -> HallRecord {
+    let mut record = HallRecord::new("athens");
+    record.version = version;
+    for (vm, pool) in vms {
+        // A VM that stands in the list twice is refused the second time.
+        let _ = record.assign(VmAssignment {
+            vm: format!("vm-{vm:03}"),
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+            rack: "rack-0".to_owned(),
+            pool: format!("pool-{pool:03}"),
+            state: AssignmentState::Serving,
+            task: None,
+            fence: 0,
+            last_wave: String::new(),
+        });
+    }
+    record
+}
+
 quickcheck! {
     fn any_bytes_are_read_or_refused(bytes: Vec<u8>) -> bool {
         let _ = decode_frame(&bytes);
@@ -94,6 +119,15 @@
         applied.teams == new.teams && applied.revision == new.revision
     }
 
+    fn delta_leads_from_one_hall_record_to_the_other(old: Vec<(u8, u8)>, new: Vec<(u8, u8)>) -> bool {
+        let old = hall(1, &old);
+        let new = hall(3, &new);
+        let applied = HallDelta::between(&old, &new).applied(&old).unwrap();
+        let other = hall(2, &[]);
+        let void = HallDelta::between(&old, &new).applied(&other).is_none();
+        applied.vms == new.vms && applied.version == new.version && void
+    }
+
     fn delta_from_another_revision_is_not_applied(revision: u64) -> bool {
         let delta = TableDelta::between(&table(1, &[]), &table(2, &[]));
         let other = table(revision, &[]);
