--- a/crates/hoisthitch-cli/src/commands/wave.rs
+++ b/crates/hoisthitch-cli/src/commands/wave.rs
@@ -170,7 +170,11 @@
     let mut line = format!(
         "{}: {}, {} of {} VMs done, {} under way",
         wave.name,
-        state_name(wave.state),
+        if progress.done == progress.total {
+            "done"
+        } else {
+            state_name(wave.state)
+        },
         progress.done,
         progress.total,
         progress.under_way
--- a/crates/hoisthitch-entry/src/control/follow.rs
+++ b/crates/hoisthitch-entry/src/control/follow.rs
@@ -93,7 +93,7 @@
 ) {
     let mut known = String::new();
     loop {
-        let asked = shared.gate.now();
+        let asked = shared.freshness.now();
         match lister.list_changes(&known).await {
             Ok(VmListing::Unchanged) => keeper.do_send(ApplyListing { vms: None, asked }),
             Ok(VmListing::Changed { vms, tag }) => {
@@ -146,7 +146,7 @@
     /// Reads the records that changed, applies them, and has the store compared
     /// with what is in force; answers with the highest revision read.
     async fn read_all(&self) -> Result<StoreRevision, StoreError> {
-        let asked = self.shared.gate.now();
+        let asked = self.shared.freshness.now();
         let root = self.keys.records();
         let revisions = self.store.read_revisions(&root).await?;
         if !self.known.borrow().holds(&revisions) {
--- a/crates/hoisthitch-entry/src/control/gate.rs
+++ b/crates/hoisthitch-entry/src/control/freshness.rs
@@ -21,18 +21,18 @@
 /// Age beyond which a view is no longer used.
 pub const VIEW_LIMIT: Duration = Duration::from_millis(2_500);
 
-/// A moment on the gate's clock, in milliseconds since the process started.
+/// A moment on the freshness's clock, in milliseconds since the process started.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct GateTime(pub u64);
+pub struct ViewTime(pub u64);
 
 /// When the view was last confirmed.
-pub struct ViewGate {
+pub struct ViewFreshness {
     origin: Instant,
     /// Moment of the latest question that was answered; zero for none.
     confirmed: AtomicU64,
 }
 
-impl Default for ViewGate {
+impl Default for ViewFreshness {
     fn default() -> Self {
         Self {
             origin: Instant::now(),
@@ -41,17 +41,17 @@
     }
 }
 
-impl ViewGate {
+impl ViewFreshness {
     /// The present moment.
-    pub fn now(&self) -> GateTime {
+    pub fn now(&self) -> ViewTime {
         let elapsed = self.origin.elapsed().as_millis();
         // A moment is never zero, which stands for none.
-        GateTime(u64::try_from(elapsed).unwrap_or(u64::MAX).max(1))
+        ViewTime(u64::try_from(elapsed).unwrap_or(u64::MAX).max(1))
     }
 
     /// Notes that a question asked at `asked` was answered and the answer is in
     /// force.
-    pub fn confirm(&self, asked: GateTime) {
+    pub fn confirm(&self, asked: ViewTime) {
         self.confirmed.fetch_max(asked.0, Ordering::Relaxed);
     }
 
--- a/crates/hoisthitch-entry/src/control/keeper.rs
+++ b/crates/hoisthitch-entry/src/control/keeper.rs
@@ -44,7 +44,7 @@
 
 use crate::{
     control::{
-        gate::GateTime,
+        freshness::ViewTime,
         mesh::{
             MeshHub,
             SendAll,
@@ -189,7 +189,7 @@
                 .map(|roster| hall_version(&roster.hall, roster.version))
                 .collect(),
             demands,
-            sent_ms: self.shared.gate.now().0,
+            sent_ms: self.shared.freshness.now().0,
             echoes: self.heard.iter().map(to_echo).collect(),
         }));
     }
@@ -206,11 +206,11 @@
     /// Slots that this entry asks for.
     fn demands(&self) -> Vec<PoolDemand> {
         let routes = self.shared.routes.load();
-        let demand = |lane: &Arc<crate::traffic::PoolLane>| PoolDemand {
-            pool: pool_key(lane.name()),
-            slots: lane.take_peak_demand(),
+        let demand = |dispatcher: &Arc<crate::traffic::PoolDispatcher>| PoolDemand {
+            pool: pool_key(dispatcher.name()),
+            slots: dispatcher.take_peak_demand(),
         };
-        let demands = routes.lanes().map(demand);
+        let demands = routes.dispatchers().map(demand);
         demands.filter(|demand| demand.slots > 0).collect()
     }
 
@@ -244,7 +244,7 @@
         if let Some(echo) = echo
             && !newer
         {
-            self.shared.gate.confirm(GateTime(echo.sent_ms));
+            self.shared.freshness.confirm(ViewTime(echo.sent_ms));
         }
     }
 
@@ -339,7 +339,10 @@
 
     fn drain_report(&self, vm: String, hall: &str) -> DrainReport {
         let routes = self.shared.routes.load();
-        let in_flight = routes.lanes().map(|lane| lane.in_flight_at(&vm)).sum();
+        let in_flight = routes
+            .dispatchers()
+            .map(|dispatcher| dispatcher.in_flight_at(&vm))
+            .sum();
         DrainReport {
             version: self.hall_version(hall),
             in_flight,
@@ -444,7 +447,7 @@
             self.put_listing(vms);
         }
         if self.lists_self() {
-            self.shared.gate.confirm(message.asked);
+            self.shared.freshness.confirm(message.asked);
         }
     }
 }
@@ -499,7 +502,7 @@
         if message.registered {
             self.shared.set_registered(true);
         }
-        self.shared.gate.confirm(message.asked);
+        self.shared.freshness.confirm(message.asked);
     }
 }
 
--- a/crates/hoisthitch-entry/src/control/messages.rs
+++ b/crates/hoisthitch-entry/src/control/messages.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::control::{
-    gate::GateTime,
+    freshness::ViewTime,
     mesh::MeshHub,
     writer::TableWriter, //
 };
@@ -66,7 +66,7 @@
     /// The list; none where it is as it was.
     pub vms: Option<Vec<ListedVm>>,
     /// When it was asked for.
-    pub asked: GateTime,
+    pub asked: ViewTime,
 }
 
 /// The store was read: what it holds, to be compared with what is in force.
@@ -80,7 +80,7 @@
     /// Whether this entry was on the roster.
     pub registered: bool,
     /// When it was read.
-    pub asked: GateTime,
+    pub asked: ViewTime,
 }
 
 /// A frame came from another entry.
--- a/crates/hoisthitch-entry/src/control/mod.rs
+++ b/crates/hoisthitch-entry/src/control/mod.rs
@@ -6,7 +6,7 @@
 
 mod follow;
 mod followed;
-mod gate;
+mod freshness;
 mod keeper;
 mod mesh;
 mod messages;
@@ -19,7 +19,7 @@
     follow_store,
     follow_vms, //
 };
-pub use gate::ViewGate;
+pub use freshness::ViewFreshness;
 pub use keeper::ViewKeeper;
 pub use mesh::MeshHub;
 pub use messages::{
--- a/crates/hoisthitch-entry/src/control/routes.rs
+++ b/crates/hoisthitch-entry/src/control/routes.rs
@@ -1,6 +1,6 @@
 //! The route table: what the traffic threads route by.
 //!
-//! The table is built whole, then put in force whole. The lanes in it outlive
+//! The table is built whole, then put in force whole. The dispatchers in it outlive
 //! it, so that requests keep their slots and places in the queue while the
 //! table changes around them.
 
@@ -36,7 +36,7 @@
 
 use crate::{
     control::shares::SlotShares,
-    traffic::PoolLane, //
+    traffic::PoolDispatcher, //
 };
 
 /// Name of the team that requests without a team belong to.
@@ -53,7 +53,7 @@
 pub struct RouteTable {
     /// Revision of the operators' table; zero before the first.
     pub revision: u64,
-    lanes: SlotMap<PoolKey, Arc<PoolLane>>,
+    dispatchers: SlotMap<PoolKey, Arc<PoolDispatcher>>,
     paths: HashMap<String, PoolKey>,
     teams: HashMap<String, TeamRoute>,
 }
@@ -70,11 +70,11 @@
 }
 
 impl RouteTable {
-    /// Lane of the pool that serves a path.
-    pub fn lane(&self, path: &str) -> Option<&Arc<PoolLane>> {
+    /// Dispatcher of the pool that serves a path.
+    pub fn dispatcher(&self, path: &str) -> Option<&Arc<PoolDispatcher>> {
         let segment = path.trim_start_matches('/').split('/').next()?;
         let key = self.paths.get(segment)?;
-        self.lanes.get(*key)
+        self.dispatchers.get(*key)
     }
 
     /// Finds a team.
@@ -82,17 +82,17 @@
         self.teams.get(name).copied()
     }
 
-    /// All lanes.
-    pub fn lanes(&self) -> impl Iterator<Item = &Arc<PoolLane>> {
-        self.lanes.values()
+    /// All dispatchers.
+    pub fn dispatchers(&self) -> impl Iterator<Item = &Arc<PoolDispatcher>> {
+        self.dispatchers.values()
     }
 }
 
 /// Builds route tables and keeps the arenas they share.
 pub struct RouteBuilder {
-    lanes: SlotMap<PoolKey, Arc<PoolLane>>,
+    dispatchers: SlotMap<PoolKey, Arc<PoolDispatcher>>,
     teams: SlotMap<TeamKey, TeamRow>,
-    /// Shares that the lanes' limits were set by.
+    /// Shares that the dispatchers' limits were set by.
     shares: SecondaryMap<PoolKey, EntryShare>,
 }
 
@@ -112,7 +112,7 @@
     /// Starts with empty arenas.
     pub fn new() -> Self {
         Self {
-            lanes: SlotMap::with_key(),
+            dispatchers: SlotMap::with_key(),
             teams: SlotMap::with_key(),
             shares: SecondaryMap::new(),
         }
@@ -120,14 +120,14 @@
 
     /// Puts changed shares in force, without building anew.
     pub fn apply_shares(&mut self, shares: &SlotShares) {
-        for (key, lane) in &self.lanes {
-            let slots = lane.inspect(pool_slots);
-            let share = shares.of(lane.name(), slots);
+        for (key, dispatcher) in &self.dispatchers {
+            let slots = dispatcher.inspect(pool_slots);
+            let share = shares.of(dispatcher.name(), slots);
             if self.shares.get(key) == Some(&share) {
                 continue;
             }
             self.shares.insert(key, share);
-            lane.update(|scheduler| {
+            dispatcher.update(|scheduler| {
                 let slots = scheduler.row().slots_per_runner;
                 let limit = |runner: &RunnerSlots| share.slots_of(&runner.vm, slots);
                 scheduler.ledger_mut().set_limits(limit);
@@ -138,11 +138,11 @@
     /// Builds the route table for the inputs.
     pub fn build(&mut self, inputs: &RouteInputs<'_>) -> RouteTable {
         self.update_teams(inputs.table);
-        self.update_lanes(inputs);
+        self.update_dispatchers(inputs);
         self.apply_shares(inputs.shares);
         RouteTable {
             revision: inputs.table.revision,
-            lanes: self.lanes.clone(),
+            dispatchers: self.dispatchers.clone(),
             paths: self.paths(inputs.table),
             teams: self.team_routes(),
         }
@@ -168,25 +168,34 @@
         }
     }
 
-    fn update_lanes(&mut self, inputs: &RouteInputs<'_>) {
-        self.lanes
-            .retain(|_, lane| inputs.table.pool(lane.name()).is_some());
+    fn update_dispatchers(&mut self, inputs: &RouteInputs<'_>) {
+        self.dispatchers
+            .retain(|_, dispatcher| inputs.table.pool(dispatcher.name()).is_some());
         for row in &inputs.table.pools {
-            let lane = self.lane(row);
-            self.update_lane(&lane, row, inputs);
+            let dispatcher = self.dispatcher(row);
+            self.update_dispatcher(&dispatcher, row, inputs);
         }
     }
 
-    fn lane(&mut self, row: &PoolRow) -> Arc<PoolLane> {
-        if let Some(lane) = self.lanes.values().find(|lane| lane.name() == row.name) {
-            return lane.clone();
+    fn dispatcher(&mut self, row: &PoolRow) -> Arc<PoolDispatcher> {
+        if let Some(dispatcher) = self
+            .dispatchers
+            .values()
+            .find(|dispatcher| dispatcher.name() == row.name)
+        {
+            return dispatcher.clone();
         }
-        let lane = Arc::new(PoolLane::new(row.clone()));
-        self.lanes.insert(lane.clone());
-        lane
+        let dispatcher = Arc::new(PoolDispatcher::new(row.clone()));
+        self.dispatchers.insert(dispatcher.clone());
+        dispatcher
     }
 
-    fn update_lane(&self, lane: &Arc<PoolLane>, row: &PoolRow, inputs: &RouteInputs<'_>) {
+    fn update_dispatcher(
+        &self,
+        dispatcher: &Arc<PoolDispatcher>,
+        row: &PoolRow,
+        inputs: &RouteInputs<'_>,
+    ) {
         let now = Instant::now().into_std();
         let held: Vec<&VmAssignment> = inputs
             .halls
@@ -198,7 +207,7 @@
             .iter()
             .map(|assignment| (assignment.vm.as_str(), assignment.address))
             .collect();
-        lane.update(|scheduler| {
+        dispatcher.update(|scheduler| {
             scheduler.set_row(row.clone(), now);
             for (key, team) in &self.teams {
                 scheduler.set_team(key, team, now);
@@ -219,8 +228,8 @@
 
     fn paths(&self, table: &PolicyTable) -> HashMap<String, PoolKey> {
         let mut paths = HashMap::new();
-        for (key, lane) in &self.lanes {
-            if let Some(row) = table.pool(lane.name()) {
+        for (key, dispatcher) in &self.dispatchers {
+            if let Some(row) = table.pool(dispatcher.name()) {
                 paths.insert(row.path.clone(), key);
             }
         }
--- a/crates/hoisthitch-entry/src/lib.rs
+++ b/crates/hoisthitch-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! route table in it, which is replaced whole.
 
 mod control;
+mod metrics;
 mod operators;
 mod process;
 mod settings;
--- a/crates/hoisthitch-entry/src/traffic/metrics.rs
+++ b/crates/hoisthitch-entry/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of the traffic.
+//! Metrics of an entry.
 
 use std::time::Duration;
 
@@ -19,8 +19,8 @@
 /// Bounds of the wait histogram, in seconds.
 const WAIT_BUCKETS: [f64; 10] = [0.0005, 0.002, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.8, 10.0];
 
-/// Metrics of the traffic threads.
-pub struct TrafficMetrics {
+/// Metrics of an entry, counted by all its threads.
+pub struct EntryMetrics {
     /// Registry that holds them.
     pub registry: Registry,
     requests: IntCounterVec,
@@ -31,7 +31,7 @@
     store_calls: IntCounterVec,
 }
 
-impl TrafficMetrics {
+impl EntryMetrics {
     /// Registers the metrics.
     ///
     /// # Errors
--- a/crates/hoisthitch-entry/src/operators/api.rs
+++ b/crates/hoisthitch-entry/src/operators/api.rs
@@ -93,9 +93,9 @@
 
 async fn get_status(shared: web::Data<SharedState>) -> HttpResponse {
     let routes = shared.routes.load();
-    let pools = routes.lanes().map(|lane| {
-        lane.inspect(|scheduler| PoolStatus {
-            pool: lane.name().to_owned(),
+    let pools = routes.dispatchers().map(|dispatcher| {
+        dispatcher.inspect(|scheduler| PoolStatus {
+            pool: dispatcher.name().to_owned(),
             queued: scheduler.queue().len(),
             in_flight: scheduler.ledger().in_flight(),
             in_flight_limit: scheduler.row().in_flight_limit,
--- a/crates/hoisthitch-entry/src/process.rs
+++ b/crates/hoisthitch-entry/src/process.rs
@@ -30,7 +30,7 @@
     WorkRefusal, //
 };
 use hoisthitch_store::{
-    ClaimBook,
+    ClaimWriter,
     EtcdClient,
     KeySpace,
     VmLister, //
@@ -63,7 +63,7 @@
 };
 
 /// Time between two looks for slots that have come free by themselves.
-const PUMP_INTERVAL: Duration = Duration::from_millis(100);
+const GRANT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// When a caller that a stopping entry refuses may come back.
 const STOP_RETRY: Duration = Duration::from_secs(1);
@@ -86,10 +86,10 @@
     let platform = &settings.platform;
     let store = EtcdClient::new(&platform.store, platform.timeout);
     let retention = settings.callers.claim_retention;
-    let (desk, book) = ClaimBook::new(store.clone(), retention);
-    let shared = SharedState::new(settings, desk, store.calls().clone())
+    let (client, writer) = ClaimWriter::new(store.clone(), retention);
+    let shared = SharedState::new(settings, client, store.calls().clone())
         .wrap_err("metrics can't be registered")?;
-    actix_web::rt::spawn(book.run());
+    actix_web::rt::spawn(writer.run());
     let parts = start_control(&shared, store)?;
     let operators = operator_server(&shared, &parts)?;
     let callers = caller_server(&shared)?;
@@ -134,7 +134,7 @@
     let roster = start_roster(shared, &store, &keeper);
     actix_web::rt::spawn(follow_store(store, keys, keeper.clone(), shared.clone()));
     actix_web::rt::spawn(follow_vms(lister, interval, keeper.clone(), shared.clone()));
-    actix_web::rt::spawn(pump_lanes(shared.clone()));
+    actix_web::rt::spawn(grant_free_slots(shared.clone()));
     Ok(ControlParts {
         keeper,
         writer,
@@ -175,11 +175,11 @@
 
 /// Grants slots that come free by themselves, such as those of runners whose
 /// ejection has lapsed.
-async fn pump_lanes(shared: Arc<SharedState>) {
+async fn grant_free_slots(shared: Arc<SharedState>) {
     loop {
-        tokio::time::sleep(PUMP_INTERVAL).await;
-        for lane in shared.routes.load().lanes() {
-            lane.update(|_| {});
+        tokio::time::sleep(GRANT_INTERVAL).await;
+        for dispatcher in shared.routes.load().dispatchers() {
+            dispatcher.update(|_| {});
         }
     }
 }
@@ -262,8 +262,8 @@
 
 fn refuse_queued(shared: &SharedState) {
     event!(Info, "queues_refused");
-    for lane in shared.routes.load().lanes() {
-        lane.refuse_all(WorkRefusal {
+    for dispatcher in shared.routes.load().dispatchers() {
+        dispatcher.refuse_all(WorkRefusal {
             reason: RefusalReason::Stopping,
             retry_after: STOP_RETRY,
         });
--- a/crates/hoisthitch-entry/src/state.rs
+++ b/crates/hoisthitch-entry/src/state.rs
@@ -12,17 +12,17 @@
 use hoisthitch_core::RosterEntry;
 use hoisthitch_store::{
     CallCounter,
-    ClaimDesk, //
+    ClaimClient, //
 };
 use tokio::sync::Notify;
 
 use crate::{
     control::{
         RouteTable,
-        ViewGate, //
+        ViewFreshness, //
     },
-    settings::EntrySettings,
-    traffic::TrafficMetrics, //
+    metrics::EntryMetrics,
+    settings::EntrySettings, //
 };
 
 /// State that all threads of an entry share.
@@ -32,13 +32,13 @@
     /// Routes in force; replaced whole by the control thread.
     pub routes: ArcSwap<RouteTable>,
     /// Whether the view of the fleet is fresh enough to send work by.
-    pub gate: ViewGate,
+    pub freshness: ViewFreshness,
     /// Claims of idempotency keys.
-    pub claims: ClaimDesk,
+    pub claims: ClaimClient,
     /// Counts of calls to the store.
     pub store_calls: CallCounter,
     /// Metrics of the traffic.
-    pub metrics: TrafficMetrics,
+    pub metrics: EntryMetrics,
     stopping: AtomicBool,
     registered: AtomicBool,
     /// Wakes the follower of the store for a reading out of turn.
@@ -53,16 +53,16 @@
     /// Fails when the metrics can't be registered.
     pub fn new(
         settings: EntrySettings,
-        claims: ClaimDesk,
+        claims: ClaimClient,
         store_calls: CallCounter,
     ) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
             settings,
             routes: ArcSwap::default(),
-            gate: ViewGate::default(),
+            freshness: ViewFreshness::default(),
             claims,
             store_calls,
-            metrics: TrafficMetrics::new()?,
+            metrics: EntryMetrics::new()?,
             stopping: AtomicBool::new(false),
             registered: AtomicBool::new(false),
             reread: Notify::new(),
@@ -106,7 +106,7 @@
     /// Whether work may be sent: the entry is on the roster and its view of the
     /// fleet is fresh.
     pub fn may_send(&self) -> bool {
-        self.is_registered() && self.gate.is_fresh()
+        self.is_registered() && self.freshness.is_fresh()
     }
 
     /// Whether the balancer should send requests here.
--- a/crates/hoisthitch-entry/src/traffic/ask.rs
+++ b/crates/hoisthitch-entry/src/traffic/ask.rs
@@ -35,8 +35,8 @@
             Refused,
             VIEW_RETRY, //
         },
-        lane::{
-            PoolLane,
+        dispatcher::{
+            PoolDispatcher,
             SlotAsk, //
         }, //
     }, //
@@ -59,11 +59,11 @@
 
 /// What a request asks for.
 pub struct RequestAsk {
-    /// Lane of the pool that serves the path.
-    pub lane: Arc<PoolLane>,
+    /// Dispatcher of the pool that serves the path.
+    pub dispatcher: Arc<PoolDispatcher>,
     /// Name of the team.
     pub team_name: String,
-    /// What is asked of the lane.
+    /// What is asked of the dispatcher.
     pub slot: SlotAsk,
     /// Whether the request may be sent a second time.
     pub repeatable: bool,
@@ -87,7 +87,7 @@
         return Err(Box::new(ProblemAnswer::stale_view()));
     }
     let path = request.path();
-    let lane = routes.lane(path).ok_or_else(|| {
+    let dispatcher = routes.dispatcher(path).ok_or_else(|| {
         Box::new(ProblemAnswer::new(
             StatusCode::NOT_FOUND,
             RequestOutcome::NotRun,
@@ -98,14 +98,14 @@
     let headers = request.headers();
     let (team_name, team) = read_team(&routes, headers)?;
     let priority = read_priority(headers)?.map_or(team.priority, |asked| asked.max(team.priority));
-    let row = lane.row();
+    let row = dispatcher.row();
     let default_ms = match priority {
         PaidPriority::Urgent => row.urgent_deadline_ms,
         PaidPriority::Background => row.background_deadline_ms,
     };
     let allowed = read_deadline(headers)?.unwrap_or(Duration::from_millis(u64::from(default_ms)));
     Ok(RequestAsk {
-        lane: lane.clone(),
+        dispatcher: dispatcher.clone(),
         team_name,
         repeatable: row.repeat.allows(request.method().as_str()),
         slot: SlotAsk {
--- a/crates/hoisthitch-entry/src/traffic/lane.rs
+++ b/crates/hoisthitch-entry/src/traffic/dispatcher.rs
@@ -1,4 +1,4 @@
-//! The lane of one pool: its scheduler, shared by the traffic threads.
+//! The dispatcher of one pool: its scheduler, shared by the traffic threads.
 
 use std::{
     net::SocketAddr,
@@ -47,15 +47,15 @@
 /// Handle of a waiting request in the queue.
 pub type Waiter = oneshot::Sender<WorkNotice>;
 
-/// Lane of one pool.
-pub struct PoolLane {
+/// Dispatcher of one pool.
+pub struct PoolDispatcher {
     name: String,
     scheduler: Mutex<PoolScheduler<Waiter>>,
     /// Most slots asked for at once since this was last read.
     peak_demand: AtomicU32,
 }
 
-/// What a request asks of a lane.
+/// What a request asks of a dispatcher.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotAsk {
     /// Priority that the request is served at.
@@ -70,7 +70,7 @@
 
 /// A slot on a runner; given back when dropped.
 pub struct SlotPermit {
-    lane: Arc<PoolLane>,
+    dispatcher: Arc<PoolDispatcher>,
     runner: RunnerKey,
     /// VM that the runner is on.
     pub vm: Arc<str>,
@@ -85,11 +85,11 @@
 
 /// A request's place in its team's quota; given back when dropped.
 pub struct TeamHold {
-    lane: Arc<PoolLane>,
+    dispatcher: Arc<PoolDispatcher>,
     team: TeamKey,
 }
 
-impl PoolLane {
+impl PoolDispatcher {
     /// Starts without runners.
     pub fn new(row: PoolRow) -> Self {
         let name = row.name.clone();
@@ -115,7 +115,7 @@
     pub fn update(self: &Arc<Self>, change: impl FnOnce(&mut PoolScheduler<Waiter>)) {
         let mut scheduler = self.lock();
         change(&mut scheduler);
-        pump(&mut scheduler);
+        grant_waiting(&mut scheduler);
     }
 
     /// Looks at the scheduler.
@@ -143,14 +143,14 @@
         };
         let admission = self.admit(unit)?;
         let hold = TeamHold {
-            lane: self.clone(),
+            dispatcher: self.clone(),
             team: ask.team,
         };
         let runner = match admission {
             WorkAdmission::Granted(runner) => runner,
             WorkAdmission::Queued { ticket, .. } => {
                 let mut place = QueuePlace {
-                    lane: self,
+                    dispatcher: self,
                     ask,
                     ticket,
                     receiver,
@@ -173,7 +173,7 @@
         let mut permit = self.permit(runner, ask.priority);
         permit.counted = false;
         let hold = TeamHold {
-            lane: self.clone(),
+            dispatcher: self.clone(),
             team: ask.team,
         };
         Some((permit, hold))
@@ -240,7 +240,7 @@
             None => (Arc::from(""), SocketAddr::from(([127, 0, 0, 1], 0))),
         });
         SlotPermit {
-            lane: self.clone(),
+            dispatcher: self.clone(),
             runner,
             vm,
             address,
@@ -255,7 +255,7 @@
         let now = Instant::now().into_std();
         let mut scheduler = self.lock();
         scheduler.finish(result, now);
-        pump(&mut scheduler);
+        grant_waiting(&mut scheduler);
     }
 
     fn lock(&self) -> MutexGuard<'_, PoolScheduler<Waiter>> {
@@ -272,7 +272,7 @@
 }
 
 /// Grants free slots to waiting requests.
-fn pump(scheduler: &mut PoolScheduler<Waiter>) {
+fn grant_waiting(scheduler: &mut PoolScheduler<Waiter>) {
     let now = Instant::now().into_std();
     while let Some(grant) = scheduler.grant_next(now) {
         match grant {
@@ -302,7 +302,7 @@
 
 /// A place in the queue, given up when dropped.
 struct QueuePlace<'a> {
-    lane: &'a Arc<PoolLane>,
+    dispatcher: &'a Arc<PoolDispatcher>,
     ask: SlotAsk,
     ticket: WorkTicket,
     receiver: oneshot::Receiver<WorkNotice>,
@@ -330,7 +330,7 @@
 
     fn expected_wait(&self) -> Duration {
         let priority = self.ask.priority;
-        self.lane
+        self.dispatcher
             .inspect(|scheduler| scheduler.expected_wait(priority))
     }
 }
@@ -342,12 +342,12 @@
         }
         let ask = self.ask;
         let deadline = ask.deadline.into_std();
-        self.lane
+        self.dispatcher
             .lock()
             .cancel(self.ticket, ask.priority, ask.team, deadline);
         // A grant that crossed with the cancellation goes back.
         if let Ok(WorkNotice::Granted(runner)) = self.receiver.try_recv() {
-            self.lane.finish(unused(runner, ask.priority));
+            self.dispatcher.finish(unused(runner, ask.priority));
         }
     }
 }
@@ -364,7 +364,7 @@
         if !self.counted {
             return;
         }
-        self.lane.finish(WorkResult {
+        self.dispatcher.finish(WorkResult {
             runner: self.runner,
             priority: self.priority,
             healthy: self.healthy,
@@ -375,6 +375,6 @@
 
 impl Drop for TeamHold {
     fn drop(&mut self) {
-        self.lane.lock().leave(self.team);
+        self.dispatcher.lock().leave(self.team);
     }
 }
--- a/crates/hoisthitch-entry/src/traffic/exchange.rs
+++ b/crates/hoisthitch-entry/src/traffic/exchange.rs
@@ -52,15 +52,15 @@
     state::SharedState,
     traffic::{
         body::RequestBody,
+        dispatcher::{
+            PoolDispatcher,
+            SlotPermit,
+            TeamHold, //
+        },
         hop::{
             HopError,
             send_request, //
         },
-        lane::{
-            PoolLane,
-            SlotPermit,
-            TeamHold, //
-        },
         result::{
             AnswerBody,
             AnswerCut,
@@ -90,8 +90,8 @@
 pub struct RequestExchange {
     /// State of the process.
     pub shared: Arc<SharedState>,
-    /// Lane of the request's pool.
-    pub lane: Arc<PoolLane>,
+    /// Dispatcher of the request's pool.
+    pub dispatcher: Arc<PoolDispatcher>,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -147,7 +147,7 @@
             let next = match again {
                 Some(body) if allowed && Instant::now() < self.deadline => {
                     self.body = body;
-                    self.lane.another(&permit, was_sent)
+                    self.dispatcher.another(&permit, was_sent)
                 }
                 _ => None,
             };
@@ -309,11 +309,11 @@
     }
 
     fn log_retry(&self, failed: &SlotPermit, next: &SlotPermit, was_sent: bool) {
-        self.shared.metrics.count_retry(self.lane.name());
+        self.shared.metrics.count_retry(self.dispatcher.name());
         event!(
             Info,
             "retry",
-            pool = self.lane.name(),
+            pool = self.dispatcher.name(),
             failed = failed.vm,
             vm = next.vm,
             was_sent = was_sent,
--- a/crates/hoisthitch-entry/src/traffic/serve.rs
+++ b/crates/hoisthitch-entry/src/traffic/serve.rs
@@ -36,13 +36,13 @@
             ClaimScope,
             claim_key, //
         },
-        download::pass_answer,
-        exchange::RequestExchange,
-        headers::request_headers,
-        lane::{
+        dispatcher::{
             SlotPermit,
             TeamHold, //
         },
+        download::pass_answer,
+        exchange::RequestExchange,
+        headers::request_headers,
         result::{
             ExchangeFailure,
             ExchangeResult, //
@@ -96,7 +96,7 @@
     let (reply, result) = oneshot::channel();
     let exchange = RequestExchange {
         shared: shared.clone(),
-        lane: ask.lane.clone(),
+        dispatcher: ask.dispatcher.clone(),
         method,
         uri,
         headers: request_headers(request.headers()),
@@ -111,7 +111,7 @@
     let count = |outcome| {
         shared
             .metrics
-            .count_request(ask.lane.name(), priority, outcome);
+            .count_request(ask.dispatcher.name(), priority, outcome);
     };
     match result.await {
         Ok(ExchangeResult::Answer(answer)) => {
@@ -145,7 +145,7 @@
         return Ok(ClaimResult::Send(None));
     }
     let scope = ClaimScope {
-        pool: ask.lane.name(),
+        pool: ask.dispatcher.name(),
         team: &ask.team_name,
         deadline: ask.slot.deadline,
     };
@@ -158,13 +158,13 @@
     ask: &RequestAsk,
 ) -> Result<(SlotPermit, TeamHold), Refused> {
     if shared.settings.callers.bypass {
-        let taken = ask.lane.bypass(ask.slot);
+        let taken = ask.dispatcher.bypass(ask.slot);
         return taken.ok_or_else(|| Box::new(ProblemAnswer::stale_view()));
     }
     let started = Instant::now();
-    let acquired = ask.lane.acquire(ask.slot).await;
+    let acquired = ask.dispatcher.acquire(ask.slot).await;
     let waited = started.elapsed();
-    let pool = ask.lane.name();
+    let pool = ask.dispatcher.name();
     let priority = ask.slot.priority;
     shared.metrics.observe_wait(pool, priority, waited);
     match acquired {
--- a/crates/hoisthitch-standin/src/platform/list.rs
+++ b/crates/hoisthitch-standin/src/platform/list.rs
@@ -31,23 +31,23 @@
 
 /// The list, with the versions that a lag still shows.
 #[derive(Default)]
-pub struct VmBoard {
-    inner: Mutex<BoardState>,
+pub struct VmList {
+    inner: Mutex<ListState>,
 }
 
 #[derive(Default)]
-struct BoardState {
+struct ListState {
     lag: Duration,
     outage: bool,
     reboot: Duration,
     lost: Vec<String>,
-    versions: VecDeque<BoardVersion>,
+    versions: VecDeque<ListVersion>,
     /// Versions so far.
     count: u64,
 }
 
 #[derive(Clone)]
-struct BoardVersion {
+struct ListVersion {
     since: Instant,
     /// Entity tag.
     tag: String,
@@ -57,7 +57,7 @@
 /// How the list behaves.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct BoardPlan {
+pub struct ListPlan {
     /// Time until a change shows, in milliseconds.
     lag_ms: u64,
     /// Whether every call fails.
@@ -78,12 +78,12 @@
 }
 
 async fn get_vms(state: web::Data<PlatformState>, request: HttpRequest) -> HttpResponse {
-    let board = state.board.lock();
-    if board.outage {
+    let list = state.list.lock();
+    if list.outage {
         return HttpResponse::ServiceUnavailable().finish();
     }
     let now = Instant::now();
-    let Some(shown) = board.shown(now) else {
+    let Some(shown) = list.shown(now) else {
         return HttpResponse::Ok().json(Vec::<ListedVm>::new());
     };
     let known = request.headers().get(header::IF_NONE_MATCH);
@@ -96,41 +96,41 @@
 }
 
 async fn put_vms(state: web::Data<PlatformState>, vms: web::Json<Vec<ListedVm>>) -> HttpResponse {
-    let mut board = state.board.lock();
-    board.add(vms.into_inner());
-    if board.versions.len() > VERSION_LIMIT {
-        board.versions.pop_front();
+    let mut list = state.list.lock();
+    list.add(vms.into_inner());
+    if list.versions.len() > VERSION_LIMIT {
+        list.versions.pop_front();
     }
     HttpResponse::NoContent().finish()
 }
 
 async fn reboot(state: web::Data<PlatformState>, call: web::Json<RebootCall>) -> HttpResponse {
     let RebootCall { vm, boots } = call.into_inner();
-    let Some(time) = state.board.begin_reboot(&vm, boots) else {
+    let Some(time) = state.list.begin_reboot(&vm, boots) else {
         return HttpResponse::Ok().finish();
     };
     actix_web::rt::spawn(async move {
         tokio::time::sleep(time).await;
-        state.board.end_reboot(&vm);
+        state.list.end_reboot(&vm);
     });
     HttpResponse::Ok().finish()
 }
 
-async fn put_plan(state: web::Data<PlatformState>, plan: web::Json<BoardPlan>) -> HttpResponse {
-    let mut board = state.board.lock();
-    board.lag = Duration::from_millis(plan.lag_ms);
-    board.outage = plan.outage;
-    board.reboot = Duration::from_millis(plan.reboot_ms);
-    board.lost.clone_from(&plan.lost);
+async fn put_plan(state: web::Data<PlatformState>, plan: web::Json<ListPlan>) -> HttpResponse {
+    let mut list = state.list.lock();
+    list.lag = Duration::from_millis(plan.lag_ms);
+    list.outage = plan.outage;
+    list.reboot = Duration::from_millis(plan.reboot_ms);
+    list.lost.clone_from(&plan.lost);
     HttpResponse::NoContent().finish()
 }
 
-impl VmBoard {
+impl VmList {
     /// Begins a reboot; none where the VM was started since or is not known.
     fn begin_reboot(&self, vm: &str, boots: u64) -> Option<Duration> {
-        let mut board = self.lock();
-        let time = board.reboot;
-        let changed = board.change(vm, |listed| {
+        let mut list = self.lock();
+        let time = list.reboot;
+        let changed = list.change(vm, |listed| {
             let fits = listed.boots == boots && listed.state != VmState::Rebooting;
             if fits {
                 listed.state = VmState::Rebooting;
@@ -141,23 +141,23 @@
     }
 
     fn end_reboot(&self, vm: &str) {
-        let mut board = self.lock();
-        if board.lost.iter().any(|lost| lost == vm) {
+        let mut list = self.lock();
+        if list.lost.iter().any(|lost| lost == vm) {
             return;
         }
-        board.change(vm, |listed| {
+        list.change(vm, |listed| {
             listed.state = VmState::Live;
             listed.boots += 1;
             true
         });
     }
 
-    fn lock(&self) -> MutexGuard<'_, BoardState> {
+    fn lock(&self) -> MutexGuard<'_, ListState> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl BoardState {
+impl ListState {
     /// Changes a VM in a new version of the list.
     fn change(&mut self, vm: &str, change: impl FnOnce(&mut ListedVm) -> bool) -> bool {
         let mut vms = self
@@ -177,7 +177,7 @@
     /// Adds a version.
     fn add(&mut self, vms: Vec<ListedVm>) {
         self.count += 1;
-        self.versions.push_back(BoardVersion {
+        self.versions.push_back(ListVersion {
             since: Instant::now(),
             tag: format!("\"{}\"", self.count),
             vms,
@@ -185,7 +185,7 @@
     }
 
     /// The version that shows, with the lag.
-    fn shown(&self, now: Instant) -> Option<&BoardVersion> {
+    fn shown(&self, now: Instant) -> Option<&ListVersion> {
         let mut versions = self.versions.iter().rev();
         versions
             .find(|version| version.since + self.lag <= now)
--- a/crates/hoisthitch-standin/src/platform/mod.rs
+++ b/crates/hoisthitch-standin/src/platform/mod.rs
@@ -25,7 +25,7 @@
 pub use faults::StoreFaults;
 
 use crate::platform::{
-    list::VmBoard,
+    list::VmList,
     values::ValueStore, //
 };
 
@@ -44,7 +44,7 @@
 /// What the handlers share.
 pub struct PlatformState {
     values: ValueStore,
-    board: VmBoard,
+    list: VmList,
     faults: StoreFaults,
 }
 
@@ -56,7 +56,7 @@
 pub async fn run(args: PlatformArgs) -> Result<()> {
     let state = Arc::new(PlatformState {
         values: ValueStore::default(),
-        board: VmBoard::default(),
+        list: VmList::default(),
         faults: StoreFaults::default(),
     });
     println!("standin=platform listen={}", args.listen);
--- a/crates/hoisthitch-standin/src/runner.rs
+++ b/crates/hoisthitch-standin/src/runner.rs
@@ -130,7 +130,7 @@
         RunnerMode::Hanging => return hang().await,
     }
     // The work goes on when the client hangs up, as in a real service.
-    let work = actix_web::rt::spawn(work(state.clone(), Errand::of(&state, &request)));
+    let work = actix_web::rt::spawn(work(state.clone(), WorkOrder::of(&state, &request)));
     if work.await.is_err() {
         return HttpResponse::InternalServerError().finish();
     }
@@ -140,13 +140,13 @@
 }
 
 /// What one request asks for.
-struct Errand {
+struct WorkOrder {
     name: String,
     path: String,
     time: Duration,
 }
 
-impl Errand {
+impl WorkOrder {
     fn of(state: &RunnerState, request: &HttpRequest) -> Self {
         let header = |name: &str| {
             let value = request.headers().get(name)?;
@@ -163,7 +163,7 @@
     }
 }
 
-async fn work(state: web::Data<RunnerState>, errand: Errand) {
+async fn work(state: web::Data<RunnerState>, errand: WorkOrder) {
     let asked = now_us();
     let Ok(_permit) = state.slots.acquire().await else {
         return;
--- a/crates/hoisthitch-steward/src/act.rs
+++ b/crates/hoisthitch-steward/src/act.rs
@@ -308,14 +308,14 @@
             BarrierOutcome::Passed => Ok(()),
             BarrierOutcome::Waits => Err(ActionError::Void("an entry is not done with the VM")),
             BarrierOutcome::Gone(rostered) => {
-                self.strike(&rostered).await?;
+                self.deregister(&rostered).await?;
                 Err(ActionError::Void("an entry was taken off the roster"))
             }
         }
     }
 
     /// Takes an entry off the roster whose VM is gone.
-    async fn strike(&self, rostered: &RosteredEntry) -> Result<(), ActionError> {
+    async fn deregister(&self, rostered: &RosteredEntry) -> Result<(), ActionError> {
         let key = self.keys.roster(&rostered.hall);
         let change = |stored: Option<RosterRecord>, stamp| {
             let mut record = stored.ok_or(ActionError::Void("the roster is gone"))?;
@@ -327,7 +327,7 @@
             Ok(record)
         };
         self.records.update(&key, change).await?;
-        event!(Warn, "entry_struck", entry = rostered.entry.name);
+        event!(Warn, "entry_deregistered", entry = rostered.entry.name);
         Ok(())
     }
 
--- a/crates/hoisthitch-store/src/claim.rs
+++ b/crates/hoisthitch-store/src/claim.rs
@@ -119,7 +119,7 @@
 
 /// Asks for claims, from any thread.
 #[derive(Clone, Debug)]
-pub struct ClaimDesk {
+pub struct ClaimClient {
     jobs: mpsc::Sender<ClaimJob>,
 }
 
@@ -144,7 +144,7 @@
     give_up: Instant,
 }
 
-impl ClaimDesk {
+impl ClaimClient {
     /// Claims a key for a request; the answer comes by `give_up`.
     pub async fn claim(&self, key: String, record: ClaimRecord, give_up: Instant) -> ClaimVerdict {
         let (reply, verdict) = oneshot::channel();
@@ -178,7 +178,7 @@
 }
 
 /// Writes claims in batches.
-pub struct ClaimBook<S> {
+pub struct ClaimWriter<S> {
     store: S,
     retention: Duration,
     jobs: mpsc::Receiver<ClaimJob>,
@@ -195,11 +195,11 @@
     renew: Instant,
 }
 
-impl<S: StoreClient> ClaimBook<S> {
+impl<S: StoreClient> ClaimWriter<S> {
     /// Keeps claims for `retention` after their creation.
-    pub fn new(store: S, retention: Duration) -> (ClaimDesk, Self) {
+    pub fn new(store: S, retention: Duration) -> (ClaimClient, Self) {
         let (sender, jobs) = mpsc::channel(QUEUE_LIMIT);
-        let book = Self {
+        let writer = Self {
             store,
             retention,
             jobs,
@@ -207,10 +207,10 @@
             lease: None,
             failed: None,
         };
-        (ClaimDesk { jobs: sender }, book)
+        (ClaimClient { jobs: sender }, writer)
     }
 
-    /// Runs until all desks are gone.
+    /// Runs until all clients are gone.
     pub async fn run(mut self) {
         while self.gather().await {
             let started = Instant::now();
--- a/crates/hoisthitch-store/src/lib.rs
+++ b/crates/hoisthitch-store/src/lib.rs
@@ -21,12 +21,12 @@
 pub use claim::{
     ClaimAnswer,
     ClaimBody,
-    ClaimBook,
-    ClaimDesk,
+    ClaimClient,
     ClaimEnd,
     ClaimRecord,
     ClaimTicket,
-    ClaimVerdict, //
+    ClaimVerdict,
+    ClaimWriter, //
 };
 pub use client::{
     BatchOutcome,
