--- a/crates/hoisthitch-cli/src/error.rs
+++ b/crates/hoisthitch-cli/src/error.rs
@@ -6,7 +6,7 @@
 const FAILED: u8 = 1;
 
 /// Exit code of a command whose words are off.
-const USAGE: u8 = 2;
+pub const USAGE: u8 = 2;
 
 /// Exit code of a command that met another operator's change.
 const CONFLICT: u8 = 3;
--- a/crates/hoisthitch-cli/src/main.rs
+++ b/crates/hoisthitch-cli/src/main.rs
@@ -45,7 +45,10 @@
 
 #[actix_rt::main]
 async fn main() -> ExitCode {
-    let args: OperatorArgs = argh::from_env();
+    let args = match read_args() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     let context = CommandContext {
         settings: args.settings,
         json: args.json,
@@ -58,3 +61,19 @@
         }
     }
 }
+
+/// Reads the command's words; where there is nothing to carry out, the code to
+/// end with is returned.
+fn read_args() -> Result<OperatorArgs, ExitCode> {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (name, rest) = words.split_first().unwrap_or((&"hoisthitch", &[]));
+    OperatorArgs::from_args(&[name], rest).map_err(|exit| {
+        if exit.status.is_ok() {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        eprintln!("{}\nRun 'hoisthitch --help' for more.", exit.output);
+        ExitCode::from(error::USAGE)
+    })
+}
--- a/crates/hoisthitch-entry/src/traffic/claim.rs
+++ b/crates/hoisthitch-entry/src/traffic/claim.rs
@@ -14,6 +14,8 @@
 };
 use hoisthitch_store::{
     ClaimAnswer,
+    ClaimClient,
+    ClaimEnd,
     ClaimRecord,
     ClaimTicket,
     ClaimVerdict,
@@ -56,10 +58,40 @@
     pub deadline: Instant,
 }
 
+/// The claim of a request that was not handed to a runner's exchange yet; the key
+/// is freed when it is dropped, be it because the caller hung up.
+pub struct ClaimGuard {
+    client: ClaimClient,
+    ticket: Option<ClaimTicket>,
+}
+
+impl ClaimGuard {
+    /// Guards a claim, or none.
+    pub fn new(client: &ClaimClient, ticket: Option<ClaimTicket>) -> Self {
+        Self {
+            client: client.clone(),
+            ticket,
+        }
+    }
+
+    /// Hands the claim on.
+    pub fn into_ticket(mut self) -> Option<ClaimTicket> {
+        self.ticket.take()
+    }
+}
+
+impl Drop for ClaimGuard {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.client.end(ticket, ClaimEnd::NotRun);
+        }
+    }
+}
+
 /// What a keyed request is to do.
 pub enum ClaimResult {
     /// Go on, with the claim if the request carries a key.
-    Send(Option<ClaimTicket>),
+    Send(ClaimGuard),
     /// Pass this answer on.
     Answer(HttpResponse),
 }
@@ -76,7 +108,7 @@
     scope: ClaimScope<'_>,
 ) -> Result<ClaimResult, Box<ProblemAnswer>> {
     let Some(key) = read_key(request)? else {
-        return Ok(ClaimResult::Send(None));
+        return Ok(ClaimResult::Send(ClaimGuard::new(&shared.claims, None)));
     };
     let keys = KeySpace::new(&shared.settings.platform.root);
     let record = ClaimRecord {
@@ -89,12 +121,14 @@
     let key = keys.claim(scope.pool, scope.team, &key);
     let verdict = shared.claims.claim(key, record, give_up).await;
     log_verdict(&scope, &verdict);
-    judge(verdict)
+    judge(&shared.claims, verdict)
 }
 
-fn judge(verdict: ClaimVerdict) -> Result<ClaimResult, Box<ProblemAnswer>> {
+fn judge(client: &ClaimClient, verdict: ClaimVerdict) -> Result<ClaimResult, Box<ProblemAnswer>> {
     let problem = match verdict {
-        ClaimVerdict::Granted(ticket) => return Ok(ClaimResult::Send(Some(ticket))),
+        ClaimVerdict::Granted(ticket) => {
+            return Ok(ClaimResult::Send(ClaimGuard::new(client, Some(ticket))));
+        }
         ClaimVerdict::Answered(answer) => return Ok(ClaimResult::Answer(replay(answer))),
         ClaimVerdict::InProgress => ProblemAnswer::new(
             StatusCode::CONFLICT,
--- a/crates/hoisthitch-entry/src/traffic/serve.rs
+++ b/crates/hoisthitch-entry/src/traffic/serve.rs
@@ -9,7 +9,6 @@
     web, //
 };
 use hoisthitch_core::RequestOutcome;
-use hoisthitch_store::ClaimEnd;
 use hoisthitch_telemetry::event;
 use tokio::{
     sync::oneshot,
@@ -32,6 +31,7 @@
         },
         body::RequestBody,
         claim::{
+            ClaimGuard,
             ClaimResult,
             ClaimScope,
             claim_key, //
@@ -84,15 +84,7 @@
         ClaimResult::Send(claim) => claim,
         ClaimResult::Answer(response) => return Ok(response),
     };
-    let (permit, hold) = match acquire(shared, &ask).await {
-        Ok(acquired) => acquired,
-        Err(problem) => {
-            if let Some(ticket) = claim {
-                shared.claims.end(ticket, ClaimEnd::NotRun);
-            }
-            return Err(problem);
-        }
-    };
+    let (permit, hold) = acquire(shared, &ask).await?;
     let (reply, result) = oneshot::channel();
     let exchange = RequestExchange {
         shared: shared.clone(),
@@ -104,7 +96,7 @@
         repeatable: ask.repeatable,
         deadline: ask.slot.deadline,
         hold,
-        claim,
+        claim: claim.into_ticket(),
     };
     actix_web::rt::spawn(exchange.run(permit, reply));
     let priority = ask.slot.priority;
@@ -142,7 +134,7 @@
     ask: &RequestAsk,
 ) -> Result<ClaimResult, Refused> {
     if ask.repeatable {
-        return Ok(ClaimResult::Send(None));
+        return Ok(ClaimResult::Send(ClaimGuard::new(&shared.claims, None)));
     }
     let scope = ClaimScope {
         pool: ask.dispatcher.name(),
--- a/crates/hoisthitch-tests/tests/at_most_once.rs
+++ b/crates/hoisthitch-tests/tests/at_most_once.rs
@@ -14,6 +14,7 @@
     HttpAsk,
     PoolPlan,
     cases,
+    raw_exchange,
     wait_until, //
 };
 use serde_json::json;
@@ -38,6 +39,7 @@
     malformed_key_is_refused => bad_key();
     many_claims_share_few_calls => group_commit();
     lost_answer_of_the_end_keeps_the_answer => lost_end_answer();
+    caller_that_hangs_up_while_queued_frees_its_key => queued_hang_up();
 }
 
 async fn fleet_of_two() -> Result<Fleet> {
@@ -231,3 +233,34 @@
     ensure!(runs_of(&fleet, "b-8").await? == 1);
     Ok(())
 }
+
+/// All slots are taken, so that the booking waits in the queue when its caller
+/// hangs up. It may run all the same; what must not be is that it neither ran
+/// nor can run.
+async fn queued_hang_up() -> Result<()> {
+    let fleet = Fleet::start(FleetPlan {
+        entries: 1,
+        pools: vec![PoolPlan::new("quotes", 1)],
+        ..FleetPlan::default()
+    })
+    .await?;
+    let slow = |_| HttpAsk::get(&fleet.caller_url(0, "/quotes/1")).header("x-work-us", SLOW_US);
+    let slow: Vec<_> = (0..8)
+        .map(slow)
+        .map(|ask| actix_rt::spawn(ask.send()))
+        .collect();
+    wait_until("all slots to be taken", || async {
+        let pool = fleet.status(0).await.ok()?.pools.pop()?;
+        (pool.in_flight == 8).then_some(())
+    })
+    .await?;
+    let request = b"POST /quotes/book HTTP/1.1\r\nhost: x\r\nidempotency-key: b-9\r\n\
+        x-request-name: b-9\r\ncontent-length: 6\r\n\r\nhall 3";
+    raw_exchange(fleet.caller_address(0), request, Duration::from_millis(150)).await?;
+    for answer in slow {
+        ensure!(answer.await??.status == 200);
+    }
+    replayed(&fleet, 0, "b-9").await?;
+    ensure!(runs_of(&fleet, "b-9").await? == 1);
+    Ok(())
+}
--- a/crates/hoisthitch-tests/tests/command_line.rs
+++ b/crates/hoisthitch-tests/tests/command_line.rs
@@ -45,7 +45,7 @@
     text: String,
 }
 
-async fn run(args: &[&str]) -> Result<CommandRun> {
+async fn run_command(args: &[&str]) -> Result<CommandRun> {
     let number = RUNS.fetch_add(1, Ordering::Relaxed);
     let name = format!("hoisthitch-cli-{}-{number}.log", std::process::id());
     let log = std::env::temp_dir().join(name);
@@ -84,7 +84,7 @@
 async fn examples_check() -> Result<()> {
     for file in example_files("ini")? {
         let path = file.display().to_string();
-        let run = run(&["check", &path]).await?;
+        let run = run_command(&["check", &path]).await?;
         ensure!(run.code == Some(0), "{}", run.text);
     }
     Ok(())
@@ -114,7 +114,7 @@
             &path,
             "--dry-run",
         ];
-        let run = run(&args).await?;
+        let run = run_command(&args).await?;
         ensure!(run.code == Some(0), "{path}: {}", run.text);
     }
     Ok(())
@@ -133,7 +133,7 @@
     let text = "[node]\nname = entry-1\nhall = athens\n\n[callers]\nlisten = nowhere\nthreads = 900\nspeed = 3\n";
     let path = std::env::temp_dir().join(format!("hoisthitch-faults-{}.ini", std::process::id()));
     fs::write(&path, text)?;
-    let run = run(&["check", &path.display().to_string()]).await?;
+    let run = run_command(&["check", &path.display().to_string()]).await?;
     fs::remove_file(&path)?;
     ensure!(run.code == Some(1));
     for wanted in [
@@ -151,7 +151,7 @@
 async fn wrong_words() -> Result<()> {
     let fleet = Fleet::start(FleetPlan::default()).await?;
     let settings = operator_settings(&fleet)?;
-    let run = run(&[
+    let run = run_command(&[
         "--settings",
         &settings,
         "table",
@@ -163,6 +163,19 @@
     .await?;
     ensure!(run.code == Some(2), "{:?} {}", run.code, run.text);
     ensure!(run.text.contains("table show"), "no remedy: {}", run.text);
+    let unknown = run_command(&["nonsense"]).await?;
+    ensure!(
+        unknown.code == Some(2),
+        "{:?} {}",
+        unknown.code,
+        unknown.text
+    );
+    let help = run_command(&["--help"]).await?;
+    ensure!(
+        help.code == Some(0) && help.text.contains("Examples:"),
+        "{}",
+        help.text
+    );
     Ok(())
 }
 
@@ -170,9 +183,9 @@
     let fleet = Fleet::start(FleetPlan::default()).await?;
     let settings = operator_settings(&fleet)?;
     let args = ["--settings", &settings, "table", "set", "pool", "quotes"];
-    let first = run(&[&args[..], &["queue_limit=10", "--revision", "1"]].concat()).await?;
+    let first = run_command(&[&args[..], &["queue_limit=10", "--revision", "1"]].concat()).await?;
     ensure!(first.code == Some(0), "{}", first.text);
-    let second = run(&[&args[..], &["queue_limit=20", "--revision", "1"]].concat()).await?;
+    let second = run_command(&[&args[..], &["queue_limit=20", "--revision", "1"]].concat()).await?;
     ensure!(second.code == Some(3), "{:?} {}", second.code, second.text);
     Ok(())
 }
@@ -183,7 +196,7 @@
         &path,
         "[operator]\nentry = http://127.0.0.1:1\ntoken = test-token-of-operators\n",
     )?;
-    let run = run(&["--settings", &path.display().to_string(), "status"]).await?;
+    let run = run_command(&["--settings", &path.display().to_string(), "status"]).await?;
     fs::remove_file(&path)?;
     ensure!(
         run.code == Some(1) && run.text.contains("127.0.0.1:1"),
@@ -196,7 +209,7 @@
 async fn csv_round_trip() -> Result<()> {
     let fleet = Fleet::start(FleetPlan::default()).await?;
     let settings = operator_settings(&fleet)?;
-    let exported = run(&["--settings", &settings, "table", "export", "pool"]).await?;
+    let exported = run_command(&["--settings", &settings, "table", "export", "pool"]).await?;
     ensure!(exported.code == Some(0), "{}", exported.text);
     let changed = exported
         .text
@@ -205,7 +218,8 @@
     let path = fleet.folder().join("pools.csv");
     fs::write(&path, changed)?;
     let path = path.display().to_string();
-    let imported = run(&["--settings", &settings, "table", "import", "pool", &path]).await?;
+    let imported =
+        run_command(&["--settings", &settings, "table", "import", "pool", &path]).await?;
     ensure!(imported.code == Some(0), "{}", imported.text);
     let table = fleet.table(0).await?;
     ensure!(table.pool("quotes").ok_or_eyre("row")?.slots_per_runner == 6);
