Measure the steward; read and plan only when something changed

Cause: the steward's cost was not measured. Each look read all records and planned for every pool.

Ruled out: longer intervals; they are roll-out time.

--- a/crates/hoisthitch-load/src/experiments/slopes.rs
+++ b/crates/hoisthitch-load/src/experiments/slopes.rs
@@ -1,4 +1,4 @@
-//! `slopes`: what an entry spends on control as the fleet grows: processor
+//! `slopes`: what an entry and a steward spend on control as the fleet grows: processor
 //! time, memory, bytes on the mesh and calls to the store.
 
 use std::{
@@ -47,6 +47,12 @@
 /// VMs of a pool: 10,000 in 124.
 const VMS_PER_POOL: usize = 80;
 
+/// Stewards of the fleets that are measured.
+const STEWARDS: usize = 2;
+
+/// Time between two looks of a steward: its default.
+const STEWARD_INTERVAL: &str = "500ms";
+
 /// Changes of the table that are made while measuring, a second; the target is
 /// 6,800 a day, or 0.08 a second.
 const CHANGES_PER_S: f64 = 1.0;
@@ -66,7 +72,8 @@
     csv: Option<PathBuf>,
 }
 
-/// A row of the experiment's CSV: one fleet, figures for one entry.
+/// A row of the experiment's CSV: one fleet; figures for one entry and one
+/// steward, but the store's, which are for all of them together.
 #[derive(Clone, Debug, Serialize)]
 struct SlopeRow {
     vms: usize,
@@ -74,6 +81,8 @@
     idle_core_percent: f64,
     changing_core_percent: f64,
     resident_mb: f64,
+    steward_core_percent: f64,
+    steward_mb: f64,
     mesh_kb_per_s: f64,
     store_reads_per_s: f64,
     store_writes_per_s: f64,
@@ -99,6 +108,10 @@
             row.changing_core_percent
         });
         tell_fit("resident MB", &rows, |row| row.resident_mb);
+        tell_fit("steward core percent", &rows, |row| {
+            row.steward_core_percent
+        });
+        tell_fit("steward MB", &rows, |row| row.steward_mb);
         tell_fit("mesh KB/s", &rows, |row| row.mesh_kb_per_s);
         tell_fit("store reads/s", &rows, |row| row.store_reads_per_s);
         tell_fit("in force max ms", &rows, |row| row.in_force_max_ms);
@@ -120,16 +133,17 @@
         let delays = self.change_table(&fleet).await?;
         let changed = Reading::take(&fleet).await?;
         let seconds = (idle.at - before.at).as_secs_f64();
-        let entries = self.entries as f64;
         Ok(SlopeRow {
             vms,
             pools,
             idle_core_percent: idle.core_percent_since(&before),
             changing_core_percent: changed.core_percent_since(&idle),
             resident_mb: changed.resident_mb,
+            steward_core_percent: percent(idle.steward - before.steward, seconds),
+            steward_mb: changed.steward_mb,
             mesh_kb_per_s: (idle.mesh_bytes - before.mesh_bytes) / seconds / 1_000.0,
-            store_reads_per_s: (idle.reads - before.reads) / seconds / entries,
-            store_writes_per_s: (idle.writes - before.writes) / seconds / entries,
+            store_reads_per_s: (idle.reads - before.reads) / seconds,
+            store_writes_per_s: (idle.writes - before.writes) / seconds,
             in_force_p50_ms: delays[delays.len() / 2],
             in_force_max_ms: delays.last().copied().unwrap_or(0.0),
         })
@@ -141,6 +155,8 @@
             .collect();
         let plan = FleetPlan {
             entries: self.entries,
+            stewards: STEWARDS,
+            steward_interval: STEWARD_INTERVAL.to_owned(),
             pools,
             log_level: "warn".to_owned(),
             ..FleetPlan::default()
@@ -197,6 +213,8 @@
     at: Instant,
     processor: Duration,
     resident_mb: f64,
+    steward: Duration,
+    steward_mb: f64,
     mesh_bytes: f64,
     reads: f64,
     writes: f64,
@@ -214,6 +232,8 @@
             at: Instant::now(),
             processor: fleet.entries[last].processor_time()?,
             resident_mb: fleet.entries[last].resident_bytes()? as f64 / 1e6,
+            steward: fleet.stewards[0].processor_time()?,
+            steward_mb: fleet.stewards[0].resident_bytes()? as f64 / 1e6,
             mesh_bytes: metric(&metrics, "hoisthitch_mesh_bytes_total"),
             reads: number("reads"),
             writes: number("writes"),
@@ -221,11 +241,16 @@
     }
 
     fn core_percent_since(&self, before: &Self) -> f64 {
-        let used = self.processor - before.processor;
-        100.0 * used.as_secs_f64() / (self.at - before.at).as_secs_f64()
+        let seconds = (self.at - before.at).as_secs_f64();
+        percent(self.processor - before.processor, seconds)
     }
 }
 
+/// Processor time as a share of a time, in percent.
+fn percent(used: Duration, seconds: f64) -> f64 {
+    100.0 * used.as_secs_f64() / seconds
+}
+
 /// Sum of a metric over its labels.
 fn metric(text: &str, name: &str) -> f64 {
     text.lines()
--- a/crates/hoisthitch-steward/src/process.rs
+++ b/crates/hoisthitch-steward/src/process.rs
@@ -5,6 +5,7 @@
 
 use eyre::Result;
 use hoisthitch_core::{
+    FleetAction,
     plan_pool,
     rendezvous_order, //
 };
@@ -39,7 +40,10 @@
     },
     barrier::DrainBarrier,
     settings::StewardSettings,
-    view::FleetView, //
+    view::{
+        FleetView,
+        ViewReader, //
+    }, //
 };
 
 /// Time that a steward counts as alive without a sign.
@@ -71,10 +75,12 @@
 struct FleetSteward {
     settings: StewardSettings,
     store: EtcdClient,
-    lister: VmLister,
+    reader: ViewReader<EtcdClient>,
     keys: KeySpace,
     actor: FleetActor<EtcdClient>,
     lease: Option<StewardLease>,
+    /// Version of the view for which there was nothing to do.
+    settled: Option<u64>,
 }
 
 /// The lease that shows that this steward is alive.
@@ -94,12 +100,13 @@
         let records = RecordWriter::new(store.clone(), &settings.name, patience);
         let barrier = DrainBarrier::new(endpoint);
         Ok(Self {
-            actor: FleetActor::new(records, lister.clone(), barrier, keys.clone()),
+            reader: ViewReader::new(store.clone(), lister.clone(), keys.clone()),
+            actor: FleetActor::new(records, lister, barrier, keys.clone()),
             settings,
             store,
-            lister,
             keys,
             lease: None,
+            settled: None,
         })
     }
 
@@ -114,8 +121,15 @@
 
     async fn look_and_act(&mut self) -> Result<(), StoreError> {
         self.keep_lease().await?;
-        let view = FleetView::read(&self.store, &self.lister, &self.keys).await?;
-        for action in self.plan(&view) {
+        let view = self.reader.read().await?;
+        if self.settled == Some(view.version) {
+            return Ok(());
+        }
+        let actions = plan(&self.settings.name, view);
+        if actions.is_empty() {
+            self.settled = Some(view.version);
+        }
+        for action in actions {
             if view.read.elapsed() > VIEW_LIMIT {
                 event!(
                     Info,
@@ -124,7 +138,7 @@
                 );
                 return Ok(());
             }
-            match self.actor.act(&view, action.clone()).await {
+            match self.actor.act(view, action.clone()).await {
                 Ok(()) => {}
                 Err(err @ (ActionError::Write(_) | ActionError::Platform(_))) => {
                     event!(
@@ -147,18 +161,6 @@
         Ok(())
     }
 
-    /// Actions for the pools that are this steward's own.
-    fn plan(&self, view: &FleetView) -> Vec<hoisthitch_core::FleetAction> {
-        let stewards: Vec<&str> = view.stewards.iter().map(String::as_str).collect();
-        let snapshot = view.snapshot();
-        let rows = view.table.pools.iter();
-        let own = rows.filter(|row| {
-            let order = rendezvous_order(&row.name, &stewards);
-            order.first() == Some(&self.settings.name.as_str())
-        });
-        own.flat_map(|row| plan_pool(&snapshot, row)).collect()
-    }
-
     /// Shows that this steward is alive.
     async fn keep_lease(&mut self) -> Result<(), StoreError> {
         if let Some(lease) = &mut self.lease {
@@ -182,3 +184,15 @@
         Ok(())
     }
 }
+
+/// Actions for the pools that are the steward's own.
+fn plan(steward: &str, view: &FleetView) -> Vec<FleetAction> {
+    let stewards: Vec<&str> = view.stewards.iter().map(String::as_str).collect();
+    let snapshot = view.snapshot();
+    let rows = view.table.pools.iter();
+    let own = rows.filter(|row| {
+        let order = rendezvous_order(&row.name, &stewards);
+        order.first() == Some(&steward)
+    });
+    own.flat_map(|row| plan_pool(&snapshot, row)).collect()
+}
--- a/crates/hoisthitch-steward/src/view.rs
+++ b/crates/hoisthitch-steward/src/view.rs
@@ -13,12 +13,14 @@
     WaveRecord, //
 };
 use hoisthitch_store::{
+    KeyRevision,
     KeySpace,
     ListedVm,
     StoreClient,
     StoreError,
     StoredValue,
     VmLister,
+    VmListing,
     VmState, //
 };
 use hoisthitch_telemetry::event;
@@ -33,6 +35,8 @@
 pub struct FleetView {
     /// When the reading began.
     pub read: Instant,
+    /// Counts the readings that found a change.
+    pub version: u64,
     /// The operators' table.
     pub table: PolicyTable,
     /// Hall records by data hall.
@@ -58,31 +62,83 @@
     pub entry: RosterEntry,
 }
 
-impl FleetView {
+/// Reads the fleet, and only what changed of it.
+pub struct ViewReader<S> {
+    store: S,
+    lister: VmLister,
+    keys: KeySpace,
+    view: FleetView,
+    /// Tag of the list of VMs as last read.
+    tag: String,
+    /// Revisions of the records as last read.
+    fleet: Vec<KeyRevision>,
+    records: Vec<KeyRevision>,
+}
+
+impl<S: StoreClient> ViewReader<S> {
+    /// Starts with nothing read.
+    pub fn new(store: S, lister: VmLister, keys: KeySpace) -> Self {
+        Self {
+            store,
+            lister,
+            keys,
+            view: FleetView::empty(),
+            tag: String::new(),
+            fleet: Vec::new(),
+            records: Vec::new(),
+        }
+    }
+
     /// Reads the fleet.
     ///
     /// # Errors
     ///
     /// Fails when the platform does.
-    pub async fn read<S: StoreClient>(
-        store: &S,
-        lister: &VmLister,
-        keys: &KeySpace,
-    ) -> Result<Self, StoreError> {
-        let mut view = Self::empty();
-        view.listed = lister.list().await?.iter().map(sighting).collect();
-        for stored in store.read_prefix(&keys.fleet()).await? {
-            view.apply(keys, &stored);
+    pub async fn read(&mut self) -> Result<&FleetView, StoreError> {
+        let read = Instant::now();
+        self.read_list().await?;
+        let fleet = self.store.read_revisions(&self.keys.fleet()).await?;
+        let records = self.store.read_revisions(&self.keys.records()).await?;
+        if fleet != self.fleet || records != self.records {
+            self.read_records().await?;
+            // Records that changed since the revisions were read are read again.
+            self.fleet = fleet;
+            self.records = records;
         }
-        for stored in store.read_prefix(&keys.records()).await? {
-            view.apply(keys, &stored);
+        self.view.read = read;
+        Ok(&self.view)
+    }
+
+    async fn read_list(&mut self) -> Result<(), StoreError> {
+        if let VmListing::Changed { vms, tag } = self.lister.list_changes(&self.tag).await? {
+            self.view.listed = vms.iter().map(sighting).collect();
+            self.view.version += 1;
+            self.tag = tag;
         }
-        Ok(view)
+        Ok(())
     }
 
+    /// Reads all records: permits first, so that none is taken for unused whose
+    /// VM began to leave meanwhile.
+    async fn read_records(&mut self) -> Result<(), StoreError> {
+        let mut view = FleetView::empty();
+        for prefix in [self.keys.fleet(), self.keys.records()] {
+            for stored in self.store.read_prefix(&prefix).await? {
+                view.apply(&self.keys, &stored);
+            }
+        }
+        view.listed = std::mem::take(&mut self.view.listed);
+        view.version = self.view.version + 1;
+        self.view = view;
+        Ok(())
+    }
+}
+
+impl FleetView {
     fn empty() -> Self {
         Self {
             read: Instant::now(),
+            version: 0,
             table: PolicyTable::default(),
             halls: BTreeMap::new(),
             ledgers: BTreeMap::new(),
--- a/crates/hoisthitch-tests/src/fleet.rs
+++ b/crates/hoisthitch-tests/src/fleet.rs
@@ -179,10 +179,11 @@
         let keys = self.folder.join("keys").display().to_string();
         let platform = self.platform_url("");
         let listen = SocketAddr::new(self.address, port(STEWARD_PORT, index));
+        let interval = &self.plan.steward_interval;
         let text = format!(
             "[node]\nname = {name}\nlog_level = debug\n\
              [platform]\nstore = {platform}\nvms = {platform}\n\
-             [steward]\ninterval = 100ms\n\
+             [steward]\ninterval = {interval}\n\
              [mesh]\nlisten = {listen}\ncertificate = {keys}/{name}.pem\n\
              key = {keys}/{name}.key\nauthority = {keys}/authority.pem\n",
         );
--- a/crates/hoisthitch-tests/src/plan.rs
+++ b/crates/hoisthitch-tests/src/plan.rs
@@ -24,6 +24,8 @@
     pub entries: usize,
     /// Number of stewards.
     pub stewards: usize,
+    /// Time between two looks of a steward, with its unit.
+    pub steward_interval: String,
     /// Pools.
     pub pools: Vec<PoolPlan>,
     /// Teams.
@@ -70,6 +72,7 @@
         Self {
             entries: 2,
             stewards: 0,
+            steward_interval: "100ms".to_owned(),
             pools: vec![PoolPlan::new("quotes", 2)],
             teams: Vec::new(),
             caller_settings: "stop_notice = 200ms".to_owned(),
