Grant a claim once when two tries of a key meet in one batch

Cause: the claim writer put two creations of one key into one transaction. Both expected the key absent, so both were granted; the stand-in took a transaction that writes a key twice, which etcd refuses, and hid it. Ruled out: two entries at once (the compare-and-swap settles those; each double run was answered by a single entry). Change: a batch holds at most one job for each key, later ones wait for the next call; the stand-in refuses doubled keys. The claim writer is the only user of swap_all, so no other grouped writer is concerned.

--- a/crates/hoisthitch-standin/src/platform/values.rs
+++ b/crates/hoisthitch-standin/src/platform/values.rs
@@ -1,7 +1,10 @@
 //! Values of the store, with revisions, leases and watches.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        HashSet, //
+    },
     sync::{
         Mutex,
         MutexGuard,
@@ -61,6 +64,21 @@
 #[derive(Debug)]
 pub struct ValueTooLarge;
 
+/// Why a transaction is refused.
+#[derive(Debug)]
+pub enum TxnRefusal {
+    /// A value is larger than the store takes.
+    ValueTooLarge,
+    /// One key is written twice.
+    KeyTwice,
+}
+
+impl From<ValueTooLarge> for TxnRefusal {
+    fn from(_: ValueTooLarge) -> Self {
+        Self::ValueTooLarge
+    }
+}
+
 impl Default for ValueStore {
     fn default() -> Self {
         let (changed, _) = watch::channel(0);
@@ -89,7 +107,12 @@
     }
 
     /// Runs a transaction.
-    pub fn txn(&self, request: TxnRequest) -> Result<TxnResponse, ValueTooLarge> {
+    ///
+    /// Like etcd, refuses one that writes a key twice.
+    pub fn txn(&self, request: TxnRequest) -> Result<TxnResponse, TxnRefusal> {
+        if writes_twice(&request.success) || writes_twice(&request.failure) {
+            return Err(TxnRefusal::KeyTwice);
+        }
         for operation in &request.success {
             if let Some(put) = &operation.request_put {
                 check_size(put)?;
@@ -315,6 +338,16 @@
     key >= range.key.as_slice() && key < range.range_end.as_slice()
 }
 
+fn writes_twice(operations: &[RequestOp]) -> bool {
+    let mut keys = HashSet::new();
+    operations.iter().any(|operation| {
+        let put = operation.request_put.as_ref().map(|put| &put.key);
+        let delete = operation.request_delete_range.as_ref();
+        let written = put.or(delete.map(|delete| &delete.key));
+        written.is_some_and(|key| !keys.insert(key))
+    })
+}
+
 fn check_size(request: &PutRequest) -> Result<(), ValueTooLarge> {
     if request.value.len() > VALUE_LIMIT {
         return Err(ValueTooLarge);
--- a/crates/hoisthitch-store/src/claim.rs
+++ b/crates/hoisthitch-store/src/claim.rs
@@ -5,7 +5,11 @@
 //! lease. Many claims travel in one call, so that the store's calls grow with
 //! time and not with requests. See `docs/design/claims.md`.
 
-use std::time::Duration;
+use std::{
+    collections::HashSet,
+    mem,
+    time::Duration, //
+};
 
 use serde::{
     Deserialize,
@@ -260,8 +264,7 @@
 
     async fn commit(&mut self) {
         self.drop_late();
-        let count = self.pending.len().min(BATCH_LIMIT);
-        let batch: Vec<ClaimJob> = self.pending.drain(..count).collect();
+        let batch = self.take_batch();
         if batch.is_empty() {
             return;
         }
@@ -285,6 +288,17 @@
         }
     }
 
+    /// Takes the jobs of the next call, at most one for each key: two
+    /// creations of a key in one transaction would both find it absent.
+    fn take_batch(&mut self) -> Vec<ClaimJob> {
+        let mut keys = HashSet::new();
+        let (batch, later) = mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|job| keys.len() < BATCH_LIMIT && keys.insert(job.key().to_owned()));
+        self.pending = later;
+        batch
+    }
+
     async fn swap(&mut self, batch: &[ClaimJob]) -> Result<BatchOutcome, StoreError> {
         let lease = self.lease().await?;
         let items: Vec<SwapItem> = batch.iter().map(|job| job.item(lease)).collect();
@@ -338,6 +352,14 @@
         }
     }
 
+    /// Key that the job writes.
+    fn key(&self) -> &str {
+        match self {
+            Self::Create(create) => &create.key,
+            Self::End(end) => &end.ticket.key,
+        }
+    }
+
     fn item(&self, lease: LeaseId) -> SwapItem {
         match self {
             Self::Create(create) => SwapItem {
--- a/crates/hoisthitch-tests/tests/at_most_once.rs
+++ b/crates/hoisthitch-tests/tests/at_most_once.rs
@@ -40,8 +40,12 @@
     many_claims_share_few_calls => group_commit();
     lost_answer_of_the_end_keeps_the_answer => lost_end_answer();
     caller_that_hangs_up_while_queued_frees_its_key => queued_hang_up();
+    four_tries_at_once_run_once => tries_at_once();
 }
 
+/// Rounds of tries that come at once.
+const ROUNDS: usize = 40;
+
 async fn fleet_of_two() -> Result<Fleet> {
     Fleet::start(FleetPlan::default()).await
 }
@@ -264,3 +268,25 @@
     ensure!(runs_of(&fleet, "b-9").await? == 1);
     Ok(())
 }
+
+/// Two tries at each entry, so that both of an entry meet in one batch.
+async fn tries_at_once() -> Result<()> {
+    let fleet = fleet_of_two().await?;
+    for round in 0..ROUNDS {
+        let key = format!("at-once-{round}");
+        let tries: Vec<_> = [0, 0, 1, 1]
+            .into_iter()
+            .map(|entry| booking(&fleet, entry, &key).header("x-work-us", "50000"))
+            .map(|ask| actix_rt::spawn(ask.send()))
+            .collect();
+        let mut ran = 0;
+        for answer in tries {
+            let answer = answer.await??;
+            let fresh = answer.header("hoisthitch-replayed").is_none();
+            ran += usize::from(answer.status == 200 && fresh);
+        }
+        ensure!(ran == 1, "round {round}: {ran} tries were answered as run");
+        ensure!(runs_of(&fleet, &key).await? == 1, "round {round}");
+    }
+    Ok(())
+}
