--- /dev/null
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -0,0 +1,214 @@
+//! Jobs of a pool in the owner's memory.
+
+use slotmap::new_key_type;
+
+use crate::{
+    Millis,
+    record::{
+        JobPhase,
+        JobProgress,
+        QueuePolicy,
+        TaskPhase,
+        TaskProgress, //
+    },
+    spec::{
+        JobSpec,
+        StepSpec, //
+    },
+    task::{
+        TaskEntry,
+        TaskName,
+        TaskPlace, //
+    }, //
+};
+
+new_key_type! {
+    /// Key of a job in a pool's state.
+    pub struct JobKey;
+}
+
+/// A job and its tasks.
+#[derive(Clone, Debug)]
+pub struct JobEntry {
+    /// Identifier that its caller chose.
+    pub id: String,
+    /// Queue that took it.
+    pub queue: String,
+    /// Policy of the queue.
+    pub policy: QueuePolicy,
+    /// What is to be run.
+    pub spec: JobSpec,
+    /// When it was accepted.
+    pub accepted_at: Millis,
+    /// State.
+    pub phase: JobPhase,
+    /// Whether the record is behind.
+    pub dirty: bool,
+    /// When it ended.
+    pub ended_at: Option<Millis>,
+    /// Tasks of the rounds that have begun.
+    pub tasks: Vec<TaskEntry>,
+    /// Tasks that are not done, by round and step.
+    open: Vec<u32>,
+}
+
+impl JobEntry {
+    /// A job of which nothing has run.
+    pub fn new(
+        id: String,
+        queue: String,
+        policy: QueuePolicy,
+        spec: JobSpec,
+        accepted_at: Millis,
+    ) -> Self {
+        Self {
+            id,
+            queue,
+            policy,
+            spec,
+            accepted_at,
+            phase: JobPhase::Queued,
+            dirty: false,
+            ended_at: None,
+            tasks: Vec::new(),
+            open: Vec::new(),
+        }
+    }
+
+    /// Rounds that have begun.
+    pub fn rounds_begun(&self) -> u32 {
+        let steps = self.spec.steps.len().max(1);
+        u32::try_from(self.open.len() / steps).unwrap_or(u32::MAX)
+    }
+
+    /// Begins the next round.
+    pub fn begin_round(&mut self, now: Millis) {
+        let round = self.rounds_begun();
+        for (step, spec) in (0..).zip(&self.spec.steps) {
+            self.open.push(spec.count);
+            let tasks = (0..spec.count).map(|index| TaskEntry::new(round, step, index, now));
+            self.tasks.extend(tasks);
+        }
+    }
+
+    /// The step of a task.
+    pub fn step_of(&self, slot: usize) -> Option<&StepSpec> {
+        let task = self.tasks.get(slot)?;
+        self.spec.steps.get(usize::try_from(task.step).ok()?)
+    }
+
+    /// Number of a task in the list.
+    pub fn slot_of(&self, name: &TaskName) -> Option<usize> {
+        let before: u32 = self
+            .spec
+            .steps
+            .iter()
+            .take(usize::try_from(name.step).ok()?)
+            .map(|step| step.count)
+            .sum();
+        let step = self.spec.steps.get(usize::try_from(name.step).ok()?)?;
+        if name.index >= step.count {
+            return None;
+        }
+        let slot = name.round.checked_mul(self.spec.tasks_a_round())? + before + name.index;
+        let slot = usize::try_from(slot).ok()?;
+        (slot < self.tasks.len()).then_some(slot)
+    }
+
+    /// Name of a task.
+    pub fn name_of(&self, slot: usize) -> Option<TaskName> {
+        let task = self.tasks.get(slot)?;
+        Some(TaskName {
+            job: self.id.clone(),
+            round: task.round,
+            step: task.step,
+            index: task.index,
+        })
+    }
+
+    /// Whether all tasks that must come before the task are done.
+    pub fn is_ready(&self, slot: usize) -> bool {
+        let Some(task) = self.tasks.get(slot) else {
+            return false;
+        };
+        let Some(step) = self.step_of(slot) else {
+            return false;
+        };
+        step.after
+            .iter()
+            .all(|after| self.open_tasks(task.round, *after) == 0)
+    }
+
+    /// Tasks of a step that are not done.
+    pub fn open_tasks(&self, round: u32, step: u32) -> u32 {
+        self.open_index(round, step)
+            .and_then(|index| self.open.get(index))
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Takes in that a task is done.
+    pub fn note_done(&mut self, round: u32, step: u32) {
+        if let Some(index) = self.open_index(round, step)
+            && let Some(open) = self.open.get_mut(index)
+        {
+            *open = open.saturating_sub(1);
+        }
+    }
+
+    /// Whether every task of every round is done.
+    pub fn is_done(&self) -> bool {
+        self.rounds_begun() >= self.spec.rounds() && self.open.iter().all(|open| *open == 0)
+    }
+
+    /// Whether a task was ever ordered.
+    pub fn has_begun(&self) -> bool {
+        self.tasks.iter().any(|task| task.run > 0)
+    }
+
+    /// When the job stops earning its full worth.
+    pub fn due_at(&self) -> Millis {
+        self.accepted_at + self.policy.aim_ms + scale(self.spec.chain_ms(), self.policy.stretch)
+    }
+
+    /// The job's record; `names` tells a runner's name.
+    pub fn progress(&self, names: impl Fn(&TaskEntry) -> String) -> JobProgress {
+        let tasks = self.tasks.iter().map(|task| TaskProgress {
+            phase: match task.place {
+                TaskPlace::Waiting => TaskPhase::Waiting,
+                TaskPlace::Done => TaskPhase::Done,
+                _ => TaskPhase::Ordered,
+            },
+            run: task.run,
+            failed: task.failed,
+            runner: names(task),
+            checkpoint: task.checkpoint.clone(),
+        });
+        // An ended job needs no tasks any more, unless some may still run.
+        let settled = self.phase.is_final() && self.tasks.iter().all(|task| task.runner().is_none());
+        JobProgress {
+            phase: self.phase,
+            tasks: if settled {
+                Vec::new()
+            } else {
+                tasks.collect()
+            },
+        }
+    }
+
+    fn open_index(&self, round: u32, step: u32) -> Option<usize> {
+        let steps = u32::try_from(self.spec.steps.len()).ok()?;
+        usize::try_from(round.checked_mul(steps)? + step).ok()
+    }
+}
+
+/// A time scaled by a factor of the table.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "times of jobs are far below 2^52 ms, and the factor is not negative"
+)]
+fn scale(time: Millis, factor: f64) -> Millis {
+    (time as f64 * factor.max(0.0)) as Millis
+}
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -0,0 +1,71 @@
+//! Decisions about jobs: which task runs where, and what is known of it.
+//!
+//! A job is a set of steps, a step a set of tasks. One process owns a pool and
+//! keeps its [`PoolState`]: it plans starts, takes in what runners report, and
+//! tells which records have to be written before anything is ordered or
+//! acknowledged. Nothing here does input or output; times are milliseconds of
+//! the owner's steady clock.
+
+mod job;
+mod observe;
+mod pace;
+mod place;
+mod plan;
+mod pool;
+mod record;
+mod report;
+mod runner;
+mod spec;
+mod task;
+mod upkeep;
+
+pub use job::{
+    JobEntry,
+    JobKey, //
+};
+pub use pace::PaceOrder;
+pub use plan::FlushPlan;
+pub use pool::{
+    NewJob,
+    PoolState, //
+};
+pub use record::{
+    JobPhase,
+    JobProgress,
+    JobSubmission,
+    QueuePolicy,
+    TaskPhase,
+    TaskProgress, //
+};
+pub use report::{
+    EndKind,
+    EndedTask,
+    HoldReport,
+    RunningTask,
+    StartOutcome, //
+};
+pub use runner::{
+    RunnerEntry,
+    RunnerFacts,
+    RunnerKey, //
+};
+pub use spec::{
+    JobSchedule,
+    JobSpec,
+    SPEC_LIMIT,
+    SpecError,
+    StepSpec,
+    TaskNeed, //
+};
+pub use task::{
+    StartOrder,
+    StopOrder,
+    TaskEntry,
+    TaskName,
+    TaskPlace,
+    TaskRef, //
+};
+pub use upkeep::UpkeepView;
+
+/// Milliseconds of the owner's steady clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -0,0 +1,331 @@
+//! Takes in what runners report and answer.
+
+use std::collections::HashSet;
+
+use crate::{
+    Millis,
+    job::JobKey,
+    pool::PoolState,
+    record::JobPhase,
+    report::{
+        EndKind,
+        EndedTask,
+        HoldReport,
+        RunningTask,
+        StartOutcome, //
+    },
+    runner::RunnerKey,
+    task::{
+        StartOrder,
+        StopOrder,
+        TaskName,
+        TaskPlace,
+        TaskRef, //
+    }, //
+};
+
+/// Time for which a runner that refused a start gets no tasks, in
+/// milliseconds; about the time of a short task, after which room is free.
+const REFUSED_SHUN_MS: Millis = 300;
+
+/// Time for which a runner that did not answer a start gets no tasks, in
+/// milliseconds; two holds are answered meanwhile if it is well.
+const UNCLEAR_SHUN_MS: Millis = 1_500;
+
+/// Time after a stop was sent when a hold that does not show the run proves
+/// that it ended, in milliseconds: the longest wait for the stop's answer.
+const STOPPED_MS: Millis = 1_500;
+
+impl PoolState {
+    /// Takes in a runner's answer to a hold that was sent at `asked_at`;
+    /// answers with the starts to send again.
+    pub fn take_hold(
+        &mut self,
+        key: RunnerKey,
+        report: &HoldReport,
+        asked_at: Millis,
+        now: Millis,
+    ) -> Vec<StartOrder> {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return Vec::new();
+        };
+        if !runner.open {
+            runner.open = true;
+            self.plan_needed = true;
+        }
+        let seen = runner.seen;
+        let mut present = HashSet::new();
+        for row in &report.running {
+            present.extend(self.take_running(key, row, now));
+        }
+        for row in report.ended.iter().filter(|row| row.number > seen) {
+            present.extend(self.take_ended(key, row, now));
+        }
+        if let Some(last) = report.ended.iter().map(|row| row.number).max()
+            && let Some(runner) = self.runners.get_mut(key)
+        {
+            runner.seen = runner.seen.max(last);
+        }
+        self.settle_located(key, now);
+        self.take_absent(key, &present, asked_at, now)
+    }
+
+    /// Takes in that a hold got no answer.
+    pub fn miss_hold(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.open = false;
+        }
+    }
+
+    /// Notes until when the runner may run what it was told to.
+    pub fn extend_lease(&mut self, key: RunnerKey, until: Millis) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.lease_until = runner.lease_until.max(until);
+        }
+    }
+
+    fn locate(&self, name: &str) -> Option<TaskRef> {
+        let name = TaskName::parse(name)?;
+        let job = *self.job_ids.get(&name.job)?;
+        let slot = self.jobs.get(job)?.slot_of(&name)?;
+        Some(TaskRef { job, slot })
+    }
+
+    /// Takes in a run that goes on; answers with its task if it is the one
+    /// that the owner wants there.
+    fn take_running(&mut self, key: RunnerKey, row: &RunningTask, now: Millis) -> Option<TaskRef> {
+        let Some(task) = self.locate(&row.name) else {
+            self.stop_stray(key, &row.name, row.run);
+            return None;
+        };
+        let job_ended = self.jobs.get(task.job)?.phase.is_final();
+        let name = self.runners.get(key)?.facts.name.clone();
+        let entry = self.task(task)?;
+        let expected = match &entry.place {
+            TaskPlace::Ordered(at) | TaskPlace::Running(at) | TaskPlace::Stopping(at) => *at == key,
+            TaskPlace::Unlocated { runner, .. } => *runner == name,
+            TaskPlace::Waiting | TaskPlace::Planned(_) | TaskPlace::Done => false,
+        };
+        if !expected || entry.run != row.run {
+            self.stop_stray(key, &row.name, row.run);
+            return None;
+        }
+        let found = matches!(entry.place, TaskPlace::Unlocated { .. });
+        let moved = row.percent != entry.percent;
+        let starts = matches!(entry.place, TaskPlace::Ordered(_));
+        let entry = self.task_mut(task)?;
+        entry.load = row.load;
+        entry.unclear = false;
+        entry.checkpoint.clone_from(&row.checkpoint);
+        let moved_at = if moved { now } else { entry.moved_at };
+        entry.percent = row.percent;
+        if found || starts {
+            self.set_place(task, TaskPlace::Running(key), now);
+            self.begin_job(task.job);
+        }
+        let entry = self.task_mut(task)?;
+        entry.moved_at = entry.moved_at.max(moved_at);
+        if row.percent >= 100 && matches!(entry.place, TaskPlace::Running(_)) {
+            entry.away_since = None;
+        }
+        if job_ended {
+            self.stop_task(task, now);
+        }
+        Some(task)
+    }
+
+    pub(crate) fn begin_job(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key)
+            && job.phase == JobPhase::Queued
+        {
+            job.phase = JobPhase::Running;
+            job.dirty = true;
+        }
+    }
+
+    fn stop_stray(&mut self, runner: RunnerKey, name: &str, run: u32) {
+        if let Some(name) = TaskName::parse(name) {
+            self.stops.push(StopOrder { runner, name, run });
+        }
+    }
+
+    fn take_ended(&mut self, key: RunnerKey, row: &EndedTask, now: Millis) -> Option<TaskRef> {
+        let task = self.locate(&row.name)?;
+        let name = self.runners.get(key)?.facts.name.clone();
+        let entry = self.task(task)?;
+        if entry.is_done() {
+            return None;
+        }
+        let here = match &entry.place {
+            TaskPlace::Unlocated { runner, .. } => *runner == name,
+            _ => entry.runner() == Some(key),
+        };
+        let current = here && entry.run == row.run;
+        match row.kind {
+            EndKind::Done => {
+                self.note_runner_done(key);
+                self.finish_task(task, now);
+            }
+            EndKind::Failed if current => {
+                self.note_runner_failed(key, now);
+                self.fail_task(task, key, &row.checkpoint, now);
+            }
+            _ if current => {
+                self.keep_checkpoint(task, &row.checkpoint);
+                self.set_place(task, TaskPlace::Waiting, now);
+                self.mark_dirty(task.job);
+            }
+            _ => return None,
+        }
+        Some(task)
+    }
+
+    fn keep_checkpoint(&mut self, task: TaskRef, checkpoint: &str) {
+        if let Some(entry) = self.task_mut(task)
+            && !checkpoint.is_empty()
+        {
+            checkpoint.clone_into(&mut entry.checkpoint);
+        }
+    }
+
+    fn note_runner_done(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.note_done();
+        }
+    }
+
+    fn note_runner_failed(&mut self, key: RunnerKey, now: Millis) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.note_failed(now);
+        }
+    }
+
+    fn finish_task(&mut self, task: TaskRef, now: Millis) {
+        self.set_place(task, TaskPlace::Done, now);
+        self.begin_job(task.job);
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        job.dirty = true;
+        if let Some(entry) = job.tasks.get(task.slot) {
+            let (round, step) = (entry.round, entry.step);
+            job.note_done(round, step);
+        }
+        if job.is_done() && !job.phase.is_final() {
+            job.phase = JobPhase::Completed;
+            job.ended_at = Some(now);
+        }
+        self.plan_needed = true;
+    }
+
+    fn fail_task(&mut self, task: TaskRef, key: RunnerKey, checkpoint: &str, now: Millis) {
+        self.keep_checkpoint(task, checkpoint);
+        self.set_place(task, TaskPlace::Waiting, now);
+        self.begin_job(task.job);
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        job.dirty = true;
+        let limit = job.policy.max_attempts.max(1);
+        let lasting = job.step_of(task.slot).is_some_and(|step| step.lasting);
+        let Some(entry) = job.tasks.get_mut(task.slot) else {
+            return;
+        };
+        entry.failed += 1;
+        entry.failed_on = Some(key);
+        let spent = entry.failed >= limit && !lasting;
+        if spent {
+            self.end_job(task.job, JobPhase::Failed, now);
+        }
+        self.plan_needed = true;
+    }
+
+    /// Lets go of runs that an earlier owner ordered on this runner, which has
+    /// answered and does not know them: it takes no orders of that owner now.
+    fn settle_located(&mut self, key: RunnerKey, now: Millis) {
+        let Some(name) = self.runners.get(key).map(|runner| runner.facts.name.clone()) else {
+            return;
+        };
+        self.settle_unlocated(|runner, _| runner == name, now);
+    }
+
+    /// Looks at tasks that should be on the runner and are not: starts that
+    /// got no answer are sent again, with the same run, which is safe.
+    fn take_absent(
+        &mut self,
+        key: RunnerKey,
+        present: &HashSet<TaskRef>,
+        asked_at: Millis,
+        now: Millis,
+    ) -> Vec<StartOrder> {
+        let Some(runner) = self.runners.get(key) else {
+            return Vec::new();
+        };
+        let absent: Vec<TaskRef> = runner
+            .tasks
+            .iter()
+            .filter(|task| !present.contains(task))
+            .copied()
+            .collect();
+        let mut again = Vec::new();
+        for task in absent {
+            let Some(entry) = self.task(task) else {
+                continue;
+            };
+            match entry.place {
+                TaskPlace::Ordered(_) if entry.unclear && entry.ordered_at < asked_at => {
+                    again.extend(self.start_order(task, key));
+                    if let Some(entry) = self.task_mut(task) {
+                        entry.unclear = false;
+                    }
+                }
+                TaskPlace::Running(_) if entry.ordered_at < asked_at => {
+                    self.set_place(task, TaskPlace::Waiting, now);
+                    self.mark_dirty(task.job);
+                }
+                // A stop was answered before the hold was sent, so that the
+                // run can't begin any more.
+                TaskPlace::Stopping(_) if entry.ordered_at + STOPPED_MS < asked_at => {
+                    self.set_place(task, TaskPlace::Waiting, now);
+                    self.mark_dirty(task.job);
+                }
+                _ => {}
+            }
+        }
+        again
+    }
+
+    /// Takes in what became of an order to start a task.
+    pub fn take_start(&mut self, order: &StartOrder, outcome: StartOutcome, now: Millis) {
+        let task = order.task;
+        let Some(entry) = self.task_mut(task) else {
+            return;
+        };
+        if entry.run != order.run || entry.runner() != Some(order.runner) {
+            return;
+        }
+        entry.ordered_at = now;
+        let ordered = entry.place == TaskPlace::Ordered(order.runner);
+        match outcome {
+            StartOutcome::Started if ordered => {
+                self.set_place(task, TaskPlace::Running(order.runner), now);
+                self.begin_job(task.job);
+            }
+            StartOutcome::NoRoom | StartOutcome::Refused if ordered => {
+                self.set_place(task, TaskPlace::Waiting, now);
+                self.shun(order.runner, now, REFUSED_SHUN_MS);
+            }
+            StartOutcome::Unclear | StartOutcome::Old if ordered => {
+                entry.unclear = true;
+                self.shun(order.runner, now, UNCLEAR_SHUN_MS);
+            }
+            _ => {}
+        }
+    }
+
+    fn shun(&mut self, key: RunnerKey, now: Millis, time: Millis) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.shun(now, time);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -0,0 +1,98 @@
+//! Chooses the runner of a task.
+
+use crate::{
+    Millis,
+    pool::PoolState,
+    runner::{
+        RunnerEntry,
+        RunnerKey, //
+    },
+    spec::StepSpec,
+    task::TaskRef, //
+};
+
+/// What a runner on another rack than the data costs, in shares of a runner's
+/// load: work there takes twice as long, which even an empty runner can't make
+/// up for.
+const FAR_COST: f64 = 2.0;
+
+/// What each filler beside a serving task costs, in shares of a runner's load:
+/// enough to spread the two kinds over runners while there are any.
+const MIXED_COST: f64 = 0.5;
+
+impl PoolState {
+    /// The runner for a task; none while none has room.
+    pub(crate) fn choose_runner(&self, task: TaskRef, now: Millis) -> Option<RunnerKey> {
+        let job = self.jobs.get(task.job)?;
+        let step = job.step_of(task.slot)?;
+        let failed_on = job.tasks.get(task.slot)?.failed_on;
+        let fitting = || {
+            self.runners
+                .iter()
+                .filter(|(_, runner)| runner.takes_tasks(now) && runner.fits(step))
+                .filter(|(_, runner)| !runner.is_on_trial() || runner.tasks.is_empty())
+                .filter(|(_, runner)| has_label(runner, step))
+                .filter(|(_, runner)| self.keeps_spread(task, runner, step))
+        };
+        let best = |avoid: Option<RunnerKey>| {
+            fitting()
+                .filter(|(key, _)| Some(*key) != avoid)
+                .map(|(key, runner)| (self.cost(runner, step), key))
+                .min_by(|left, right| left.0.total_cmp(&right.0))
+                .map(|(_, key)| key)
+        };
+        best(failed_on).or_else(|| best(None))
+    }
+
+    /// Whether the runner may hold one more task of the step.
+    fn keeps_spread(&self, task: TaskRef, runner: &RunnerEntry, step: &StepSpec) -> bool {
+        if step.spread == 0 {
+            return true;
+        }
+        let Some(entry) = self.task(task) else {
+            return false;
+        };
+        let alike = runner
+            .tasks
+            .iter()
+            .filter(|other| other.job == task.job)
+            .filter_map(|other| self.task(*other))
+            .filter(|other| other.step == entry.step && other.round == entry.round)
+            .count();
+        u32::try_from(alike).is_ok_and(|alike| alike < step.spread)
+    }
+
+    fn cost(&self, runner: &RunnerEntry, step: &StepSpec) -> f64 {
+        let far = step
+            .data_rack
+            .as_ref()
+            .is_some_and(|rack| *rack != runner.facts.rack);
+        let mixed = self.mixed_neighbours(runner, step);
+        let mut cost = runner.load_with(step);
+        if far {
+            cost += FAR_COST;
+        }
+        cost + MIXED_COST * f64::from(mixed)
+    }
+
+    /// Tasks on the runner that would disturb the step's, or be disturbed.
+    fn mixed_neighbours(&self, runner: &RunnerEntry, step: &StepSpec) -> u32 {
+        let serves = step.target_ms > 0;
+        if !serves && !step.filler {
+            return 0;
+        }
+        let count = runner
+            .tasks
+            .iter()
+            .filter_map(|task| self.jobs.get(task.job)?.step_of(task.slot))
+            .filter(|other| (serves && other.filler) || (step.filler && other.target_ms > 0))
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+}
+
+fn has_label(runner: &RunnerEntry, step: &StepSpec) -> bool {
+    step.label
+        .as_ref()
+        .is_none_or(|label| runner.facts.labels.contains(label))
+}
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -0,0 +1,227 @@
+//! Plans starts, and gathers what has to be recorded before they are ordered.
+
+use crate::{
+    Millis,
+    job::JobKey,
+    pool::PoolState,
+    record::JobProgress,
+    runner::RunnerKey,
+    task::{
+        StartOrder,
+        TaskPlace,
+        TaskRef, //
+    }, //
+};
+
+/// Records that are written together, and what may be done once they are.
+#[derive(Clone, Debug, Default)]
+pub struct FlushPlan {
+    /// Records by identifier of the job.
+    pub records: Vec<(String, JobProgress)>,
+    /// Ends that runners may forget, by number.
+    pub seen: Vec<(RunnerKey, u64)>,
+    starts: Vec<(TaskRef, u32)>,
+}
+
+impl FlushPlan {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+impl PoolState {
+    /// Begins rounds that are due by the time of day `today_ms`.
+    pub fn begin_rounds(&mut self, now: Millis, today_ms: u64) {
+        for key in &self.active {
+            let Some(job) = self.jobs.get_mut(*key) else {
+                continue;
+            };
+            if job.phase.is_final() {
+                continue;
+            }
+            while job.rounds_begun() < job.spec.rounds() {
+                let round = u64::from(job.rounds_begun());
+                let due = job
+                    .spec
+                    .schedule
+                    .map_or(0, |times| times.first_ms + round * times.interval_ms);
+                if due > today_ms {
+                    break;
+                }
+                job.begin_round(now);
+                self.plan_needed = true;
+            }
+        }
+    }
+
+    /// Whether planning may change anything.
+    pub fn needs_plan(&self) -> bool {
+        self.plan_needed
+    }
+
+    /// Places tasks that are ready; answers how many.
+    pub fn plan(&mut self, now: Millis) -> usize {
+        self.plan_needed = false;
+        let mut planned = 0;
+        for key in self.plan_order(now) {
+            planned += self.plan_job(key, now);
+        }
+        planned
+    }
+
+    /// Jobs with work, the one to serve first in front: by paid priority, then
+    /// lasting work, then what can still be in time, then by due time.
+    fn plan_order(&self, now: Millis) -> Vec<JobKey> {
+        let mut order: Vec<_> = self
+            .active
+            .iter()
+            .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
+            .filter(|(_, job)| !job.phase.is_final())
+            .map(|(key, job)| {
+                let lasts = job.spec.lasts();
+                let late = !lasts && job.due_at() < now;
+                (
+                    (job.policy.priority, !lasts, late, job.due_at()),
+                    key,
+                )
+            })
+            .collect();
+        order.sort_by_key(|(rank, _)| *rank);
+        order.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn plan_job(&mut self, key: JobKey, now: Millis) -> usize {
+        let Some(job) = self.jobs.get(key) else {
+            return 0;
+        };
+        let ready: Vec<TaskRef> = job
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(slot, task)| task.place == TaskPlace::Waiting && job.is_ready(*slot))
+            .map(|(slot, _)| TaskRef { job: key, slot })
+            .collect();
+        let mut planned = 0;
+        for task in ready {
+            let Some(runner) = self.choose_runner(task, now) else {
+                continue;
+            };
+            self.set_place(task, TaskPlace::Planned(runner), now);
+            if let Some(entry) = self.task_mut(task) {
+                entry.run += 1;
+            }
+            self.mark_dirty(key);
+            planned += 1;
+        }
+        planned
+    }
+
+    /// Whether anything has to be written.
+    pub fn needs_flush(&self) -> bool {
+        self.active
+            .iter()
+            .any(|key| self.jobs.get(*key).is_some_and(|job| job.dirty))
+    }
+
+    /// Gathers records to write, at most `limit`.
+    pub fn begin_flush(&mut self, limit: usize) -> FlushPlan {
+        let dirty: Vec<JobKey> = self
+            .active
+            .iter()
+            .filter(|key| self.jobs.get(**key).is_some_and(|job| job.dirty))
+            .copied()
+            .collect();
+        let mut plan = FlushPlan::default();
+        for key in dirty.iter().take(limit) {
+            self.add_record(&mut plan, *key);
+        }
+        // Ends count as recorded once no record is behind any more.
+        if dirty.len() <= limit {
+            plan.seen = self
+                .runners
+                .iter()
+                .map(|(key, runner)| (key, runner.seen))
+                .collect();
+        }
+        plan
+    }
+
+    fn add_record(&mut self, plan: &mut FlushPlan, key: JobKey) {
+        let runners = &self.runners;
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.dirty = false;
+        let progress = job.progress(|task| match &task.place {
+            TaskPlace::Unlocated { runner, .. } => runner.clone(),
+            _ => task
+                .runner()
+                .and_then(|key| runners.get(key))
+                .map(|runner| runner.facts.name.clone())
+                .unwrap_or_default(),
+        });
+        plan.records.push((job.id.clone(), progress));
+        let starts = job.tasks.iter().enumerate();
+        plan.starts.extend(starts.filter_map(|(slot, task)| {
+            let planned = matches!(task.place, TaskPlace::Planned(_));
+            planned.then_some((TaskRef { job: key, slot }, task.run))
+        }));
+    }
+
+    /// Takes in that the records are written; answers with the starts that may
+    /// be ordered now.
+    pub fn finish_flush(&mut self, plan: &FlushPlan, now: Millis) -> Vec<StartOrder> {
+        let mut orders = Vec::new();
+        for (task, run) in &plan.starts {
+            let Some(entry) = self.task(*task) else {
+                continue;
+            };
+            let TaskPlace::Planned(runner) = entry.place else {
+                continue;
+            };
+            if entry.run != *run {
+                continue;
+            }
+            let usable = self
+                .runners
+                .get(runner)
+                .is_some_and(|entry| entry.open && !entry.facts.draining && !entry.leaving);
+            if !usable {
+                self.set_place(*task, TaskPlace::Waiting, now);
+                continue;
+            }
+            self.set_place(*task, TaskPlace::Ordered(runner), now);
+            orders.extend(self.start_order(*task, runner));
+        }
+        self.drop_settled();
+        orders
+    }
+
+    /// Takes in that the records were not written.
+    pub fn fail_flush(&mut self, plan: &FlushPlan) {
+        for (id, _) in &plan.records {
+            if let Some(key) = self.job_ids.get(id).copied() {
+                self.mark_dirty(key);
+            }
+        }
+    }
+
+    pub(crate) fn start_order(&self, task: TaskRef, runner: RunnerKey) -> Option<StartOrder> {
+        let job = self.jobs.get(task.job)?;
+        let entry = job.tasks.get(task.slot)?;
+        let saves = job.step_of(task.slot).is_some_and(|step| step.checkpoints);
+        Some(StartOrder {
+            task,
+            runner,
+            name: job.name_of(task.slot)?,
+            run: entry.run,
+            payload: job.spec.payload.clone(),
+            checkpoint: if saves {
+                entry.checkpoint.clone()
+            } else {
+                String::new()
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -0,0 +1,449 @@
+//! State of a pool: its jobs, its runners, and what runs where.
+
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+
+use crate::{
+    Millis,
+    job::{
+        JobEntry,
+        JobKey, //
+    },
+    record::{
+        JobPhase,
+        JobProgress,
+        JobSubmission,
+        QueuePolicy,
+        TaskPhase, //
+    },
+    runner::{
+        RunnerEntry,
+        RunnerFacts,
+        RunnerKey, //
+    },
+    task::{
+        StopOrder,
+        TaskEntry,
+        TaskPlace,
+        TaskRef, //
+    }, //
+};
+
+/// Time after which a stop without an end is sent again, in milliseconds.
+const STOP_AGAIN_MS: Millis = 700;
+
+/// A job that the owner takes over from the records.
+#[derive(Clone, Debug)]
+pub struct NewJob {
+    /// Identifier.
+    pub id: String,
+    /// The submission.
+    pub submission: JobSubmission,
+    /// Progress, where any is recorded.
+    pub progress: Option<JobProgress>,
+    /// When it was accepted.
+    pub accepted_at: Millis,
+}
+
+/// What the owner of a pool knows.
+#[derive(Debug, Default)]
+pub struct PoolState {
+    pub(crate) jobs: SlotMap<JobKey, JobEntry>,
+    pub(crate) job_ids: HashMap<String, JobKey>,
+    pub(crate) runners: SlotMap<RunnerKey, RunnerEntry>,
+    pub(crate) runner_names: HashMap<String, RunnerKey>,
+    /// Jobs that have not ended, or of which something may still run.
+    pub(crate) active: Vec<JobKey>,
+    pub(crate) stops: Vec<StopOrder>,
+    /// Whether a job without records was taken in, or a task became free.
+    pub(crate) plan_needed: bool,
+}
+
+impl PoolState {
+    /// Takes a job in; answers whether it is new.
+    ///
+    /// `unlocated_until` is when runs that an earlier owner ordered have ended
+    /// for certain on runners that can't be asked.
+    pub fn add_job(&mut self, new: NewJob, now: Millis, unlocated_until: Millis) -> bool {
+        if self.job_ids.contains_key(&new.id) {
+            return false;
+        }
+        let NewJob {
+            id,
+            submission,
+            progress,
+            accepted_at,
+        } = new;
+        let mut job = JobEntry::new(
+            id.clone(),
+            submission.queue,
+            submission.policy,
+            submission.spec,
+            accepted_at,
+        );
+        if let Some(progress) = progress {
+            self.restore(&mut job, progress, now, unlocated_until);
+        }
+        let settled = job.phase.is_final() && job.tasks.iter().all(|task| is_settled(&task.place));
+        if settled {
+            job.ended_at = Some(now);
+        }
+        let key = self.jobs.insert(job);
+        self.job_ids.insert(id, key);
+        if !settled {
+            self.active.push(key);
+            self.plan_needed = true;
+        }
+        true
+    }
+
+    fn restore(
+        &self,
+        job: &mut JobEntry,
+        progress: JobProgress,
+        now: Millis,
+        unlocated_until: Millis,
+    ) {
+        job.phase = progress.phase;
+        while job.tasks.len() < progress.tasks.len() && job.rounds_begun() < job.spec.rounds() {
+            job.begin_round(now);
+        }
+        for (slot, recorded) in progress.tasks.into_iter().enumerate() {
+            let Some(task) = job.tasks.get_mut(slot) else {
+                break;
+            };
+            task.run = recorded.run;
+            task.failed = recorded.failed;
+            task.checkpoint = recorded.checkpoint;
+            let (round, step) = (task.round, task.step);
+            match recorded.phase {
+                TaskPhase::Waiting => {}
+                TaskPhase::Ordered => {
+                    task.place = TaskPlace::Unlocated {
+                        runner: recorded.runner,
+                        until: unlocated_until,
+                    };
+                }
+                TaskPhase::Done => {
+                    task.place = TaskPlace::Done;
+                    task.away_since = None;
+                    job.note_done(round, step);
+                }
+            }
+        }
+    }
+
+    /// Takes in a cancel; answers whether the job is known.
+    pub fn cancel(&mut self, id: &str, now: Millis) -> bool {
+        let Some(key) = self.job_ids.get(id).copied() else {
+            return false;
+        };
+        self.end_job(key, JobPhase::Cancelled, now);
+        true
+    }
+
+    /// Ends a job and stops what runs of it.
+    pub(crate) fn end_job(&mut self, key: JobKey, phase: JobPhase, now: Millis) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.phase.is_final() {
+            return;
+        }
+        job.phase = phase;
+        job.dirty = true;
+        job.ended_at = Some(now);
+        for slot in 0..job.tasks.len() {
+            self.stop_task(TaskRef { job: key, slot }, now);
+        }
+    }
+
+    /// Stops a task wherever it is.
+    pub(crate) fn stop_task(&mut self, task: TaskRef, now: Millis) {
+        let Some(entry) = self.task(task) else {
+            return;
+        };
+        match entry.place {
+            TaskPlace::Planned(_) => self.set_place(task, TaskPlace::Waiting, now),
+            TaskPlace::Ordered(runner) | TaskPlace::Running(runner) => {
+                self.set_place(task, TaskPlace::Stopping(runner), now);
+                self.order_stop(task, runner, now);
+            }
+            TaskPlace::Waiting
+            | TaskPlace::Stopping(_)
+            | TaskPlace::Unlocated { .. }
+            | TaskPlace::Done => {}
+        }
+    }
+
+    pub(crate) fn order_stop(&mut self, task: TaskRef, runner: RunnerKey, now: Millis) {
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        let Some(name) = job.name_of(task.slot) else {
+            return;
+        };
+        let Some(entry) = job.tasks.get_mut(task.slot) else {
+            return;
+        };
+        entry.ordered_at = now;
+        let run = entry.run;
+        self.stops.push(StopOrder { runner, name, run });
+    }
+
+    /// Stops that are to be sent.
+    pub fn take_stops(&mut self, now: Millis) -> Vec<StopOrder> {
+        let overdue: Vec<(TaskRef, RunnerKey)> = self
+            .active
+            .iter()
+            .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
+            .filter(|(_, job)| job.phase.is_final() || job.spec.lasts())
+            .flat_map(|(key, job)| {
+                let tasks = job.tasks.iter().enumerate();
+                tasks.filter_map(move |(slot, task)| match task.place {
+                    TaskPlace::Stopping(runner) if task.ordered_at + STOP_AGAIN_MS <= now => {
+                        Some((TaskRef { job: key, slot }, runner))
+                    }
+                    _ => None,
+                })
+            })
+            .collect();
+        for (task, runner) in overdue {
+            self.order_stop(task, runner, now);
+        }
+        std::mem::take(&mut self.stops)
+    }
+
+    /// Takes a runner in, or what changed of it.
+    pub fn set_runner(&mut self, facts: RunnerFacts) -> RunnerKey {
+        self.plan_needed = true;
+        if let Some(key) = self.runner_names.get(&facts.name).copied()
+            && let Some(runner) = self.runners.get_mut(key)
+        {
+            runner.facts = facts;
+            return key;
+        }
+        let name = facts.name.clone();
+        let key = self.runners.insert(RunnerEntry::new(facts));
+        self.runner_names.insert(name, key);
+        key
+    }
+
+    /// Gives a runner no more tasks; it is listed no more.
+    pub fn retire_runner(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.facts.draining = true;
+        }
+    }
+
+    /// Whether any job has work left.
+    pub fn runs_tasks(&self) -> bool {
+        !self.active.is_empty()
+    }
+
+    /// Forgets a runner whose runs have all ended.
+    pub fn remove_runner(&mut self, key: RunnerKey, now: Millis) {
+        self.release_runner(key, now);
+        if let Some(runner) = self.runners.remove(key) {
+            self.runner_names.remove(&runner.facts.name);
+        }
+    }
+
+    /// Takes in that everything on the runner has ended.
+    pub fn release_runner(&mut self, key: RunnerKey, now: Millis) {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return;
+        };
+        let tasks: Vec<TaskRef> = runner.tasks.iter().copied().collect();
+        for task in tasks {
+            self.set_place(task, TaskPlace::Waiting, now);
+            self.mark_dirty(task.job);
+        }
+        let name = self.runners.get(key).map(|runner| runner.facts.name.clone());
+        if let Some(name) = name {
+            self.settle_unlocated(|runner, _| runner == name, now);
+        }
+    }
+
+    /// Takes in that a life of a runner that is not in the list has ended.
+    pub fn forget_life(&mut self, name: &str, now: Millis) {
+        self.settle_unlocated(|runner, _| runner == name, now);
+    }
+
+    /// Whether the runner may hold an answer to where some task is.
+    pub fn awaits_runner(&self, name: &str) -> bool {
+        self.active_tasks().any(|(_, task)| {
+            matches!(&task.place, TaskPlace::Unlocated { runner, .. } if runner == name)
+        })
+    }
+
+    /// Lets go of runs that have ended for certain by now.
+    pub fn expire(&mut self, now: Millis) -> Vec<RunnerKey> {
+        self.settle_unlocated(|_, until| until <= now, now);
+        let lapsed: Vec<RunnerKey> = self
+            .runners
+            .iter()
+            .filter(|(_, runner)| {
+                !runner.open && runner.lease_until <= now && !runner.tasks.is_empty()
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in &lapsed {
+            self.release_runner(*key, now);
+        }
+        lapsed
+    }
+
+    pub(crate) fn settle_unlocated(
+        &mut self,
+        ended: impl Fn(&str, Millis) -> bool,
+        now: Millis,
+    ) {
+        let settled: Vec<TaskRef> = self
+            .active_tasks()
+            .filter(|(_, task)| match &task.place {
+                TaskPlace::Unlocated { runner, until } => ended(runner, *until),
+                _ => false,
+            })
+            .map(|(task, _)| task)
+            .collect();
+        for task in settled {
+            self.set_place(task, TaskPlace::Waiting, now);
+            self.mark_dirty(task.job);
+        }
+    }
+
+    pub(crate) fn active_tasks(&self) -> impl Iterator<Item = (TaskRef, &TaskEntry)> {
+        self.active
+            .iter()
+            .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
+            .flat_map(|(key, job)| {
+                let tasks = job.tasks.iter().enumerate();
+                tasks.map(move |(slot, task)| (TaskRef { job: key, slot }, task))
+            })
+    }
+
+    pub(crate) fn mark_dirty(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.dirty = true;
+        }
+    }
+
+    /// A task.
+    pub fn task(&self, task: TaskRef) -> Option<&TaskEntry> {
+        self.jobs.get(task.job)?.tasks.get(task.slot)
+    }
+
+    pub(crate) fn task_mut(&mut self, task: TaskRef) -> Option<&mut TaskEntry> {
+        self.jobs.get_mut(task.job)?.tasks.get_mut(task.slot)
+    }
+
+    /// Moves a task, with the room that it takes.
+    pub(crate) fn set_place(&mut self, task: TaskRef, place: TaskPlace, now: Millis) {
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        let Some(step) = job.step_of(task.slot).cloned() else {
+            return;
+        };
+        let Some(entry) = job.tasks.get_mut(task.slot) else {
+            return;
+        };
+        let before = entry.runner();
+        entry.place = place;
+        entry.moved_at = now;
+        let after = entry.runner();
+        if after.is_none() {
+            entry.unclear = false;
+            entry.percent = 0;
+            entry.pace = 100;
+        }
+        match entry.place {
+            TaskPlace::Running(_) if entry.percent >= 100 => entry.away_since = None,
+            TaskPlace::Done => entry.away_since = None,
+            _ => entry.away_since = entry.away_since.or(Some(now)),
+        }
+        if before != after {
+            if let Some(runner) = before.and_then(|key| self.runners.get_mut(key)) {
+                runner.remove(task, &step);
+                self.plan_needed = true;
+            }
+            if let Some(runner) = after.and_then(|key| self.runners.get_mut(key)) {
+                runner.add(task, &step);
+            }
+        }
+    }
+
+    /// A job by its identifier.
+    pub fn job(&self, id: &str) -> Option<&JobEntry> {
+        self.jobs.get(*self.job_ids.get(id)?)
+    }
+
+    /// A runner.
+    pub fn runner(&self, key: RunnerKey) -> Option<&RunnerEntry> {
+        self.runners.get(key)
+    }
+
+    /// A runner by its name.
+    pub fn runner_key(&self, name: &str) -> Option<RunnerKey> {
+        self.runner_names.get(name).copied()
+    }
+
+    /// All runners.
+    pub fn runners(&self) -> impl Iterator<Item = (RunnerKey, &RunnerEntry)> {
+        self.runners.iter()
+    }
+
+    /// Jobs of which nothing has begun, by queue.
+    pub fn waiting_jobs(&self) -> HashMap<String, u32> {
+        let mut counts = HashMap::new();
+        for job in self.active.iter().filter_map(|key| self.jobs.get(*key)) {
+            if job.phase == JobPhase::Queued && !job.has_begun() {
+                *counts.entry(job.queue.clone()).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    /// Puts the policies in force on the jobs of their queues.
+    pub fn set_policies(&mut self, policies: &HashMap<String, QueuePolicy>) {
+        for job in self.jobs.values_mut() {
+            if let Some(policy) = policies.get(&job.queue) {
+                job.policy = *policy;
+            }
+        }
+    }
+
+    /// Drops jobs from the active ones that have ended everywhere.
+    pub(crate) fn drop_settled(&mut self) {
+        let jobs = &self.jobs;
+        self.active.retain(|key| {
+            jobs.get(*key).is_some_and(|job| {
+                let settled = job.tasks.iter().all(|task| is_settled(&task.place));
+                job.dirty || !job.phase.is_final() || !settled
+            })
+        });
+    }
+
+    /// Jobs that ended before `time`, to be forgotten.
+    pub fn ended_before(&self, time: Millis) -> Vec<String> {
+        self.jobs
+            .values()
+            .filter(|job| !job.dirty && job.ended_at.is_some_and(|ended| ended < time))
+            .map(|job| job.id.clone())
+            .collect()
+    }
+
+    /// Forgets a job.
+    pub fn forget_job(&mut self, id: &str) {
+        if let Some(key) = self.job_ids.remove(id) {
+            self.jobs.remove(key);
+            self.active.retain(|active| *active != key);
+        }
+    }
+}
+
+fn is_settled(place: &TaskPlace) -> bool {
+    matches!(place, TaskPlace::Waiting | TaskPlace::Done)
+}
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -0,0 +1,159 @@
+//! Runners of a pool and the room that is taken on them.
+
+use std::collections::HashSet;
+
+use slotmap::new_key_type;
+
+use crate::{
+    Millis,
+    spec::{
+        StepSpec,
+        TaskNeed, //
+    },
+    task::TaskRef, //
+};
+
+/// Failed runs in a row, of several jobs, after which a runner is shunned.
+///
+/// Tasks fail by their own fault in a few of a hundred runs, so that three in
+/// a row mean a broken runner in all but one of ten thousand cases.
+const FAILURE_STREAK: u32 = 3;
+
+/// Time for which a runner that fails everything gets no tasks, before it is
+/// tried again with one; troubles of runners last five seconds and more.
+const SHUN_MS: Millis = 4_000;
+
+new_key_type! {
+    /// Key of a runner in a pool's state.
+    pub struct RunnerKey;
+}
+
+/// What the platform tells of a runner.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RunnerFacts {
+    /// Name of this life of the runner.
+    pub name: String,
+    /// VM that it runs on.
+    pub vm: String,
+    /// Room for tasks.
+    pub capacity: TaskNeed,
+    /// Labels.
+    pub labels: Vec<String>,
+    /// Rack.
+    pub rack: String,
+    /// Whether it is about to leave.
+    pub draining: bool,
+}
+
+/// A runner as its pool's owner knows it.
+#[derive(Clone, Debug)]
+pub struct RunnerEntry {
+    /// What the platform tells.
+    pub facts: RunnerFacts,
+    /// Whether it answers, and knows this owner.
+    pub open: bool,
+    /// Whether it is to be emptied for an upkeep or a move.
+    pub leaving: bool,
+    /// When everything on it has ended if no hold is answered any more.
+    pub lease_until: Millis,
+    /// Room taken.
+    pub used: TaskNeed,
+    /// Tasks that take room.
+    pub tasks: HashSet<TaskRef>,
+    /// Number of the last end that was taken in.
+    pub seen: u64,
+    /// Runs in a row that failed.
+    failures: u32,
+    /// Until when it gets no tasks.
+    shunned_until: Millis,
+}
+
+impl RunnerEntry {
+    /// A runner that has not answered yet.
+    pub fn new(facts: RunnerFacts) -> Self {
+        Self {
+            facts,
+            open: false,
+            leaving: false,
+            lease_until: 0,
+            used: TaskNeed::default(),
+            tasks: HashSet::new(),
+            seen: 0,
+            failures: 0,
+            shunned_until: 0,
+        }
+    }
+
+    /// Whether it may get tasks.
+    pub fn takes_tasks(&self, now: Millis) -> bool {
+        self.open && !self.facts.draining && !self.leaving && self.shunned_until <= now
+    }
+
+    /// Whether it was shunned and is tried with one task.
+    pub fn is_on_trial(&self) -> bool {
+        self.failures >= FAILURE_STREAK
+    }
+
+    /// Whether a task of the step fits beside what it runs.
+    pub fn fits(&self, step: &StepSpec) -> bool {
+        let capacity = self.facts.capacity;
+        let cpu = if step.filler { 0 } else { step.need.cpu_milli };
+        self.used.cpu_milli + cpu <= capacity.cpu_milli
+            && self.used.memory_mb + step.need.memory_mb <= capacity.memory_mb
+            && self.used.gpus + step.need.gpus <= capacity.gpus
+    }
+
+    /// Share of the processors taken once a task of the step is added.
+    pub fn load_with(&self, step: &StepSpec) -> f64 {
+        let cpu = if step.filler { 0 } else { step.need.cpu_milli };
+        let taken = as_f64(self.used.cpu_milli + cpu);
+        taken / as_f64(self.facts.capacity.cpu_milli.max(1))
+    }
+
+    /// Takes room for a task.
+    pub fn add(&mut self, task: TaskRef, step: &StepSpec) {
+        if self.tasks.insert(task) {
+            self.used.cpu_milli += if step.filler { 0 } else { step.need.cpu_milli };
+            self.used.memory_mb += step.need.memory_mb;
+            self.used.gpus += step.need.gpus;
+        }
+    }
+
+    /// Gives room back.
+    pub fn remove(&mut self, task: TaskRef, step: &StepSpec) {
+        if self.tasks.remove(&task) {
+            let cpu = if step.filler { 0 } else { step.need.cpu_milli };
+            self.used.cpu_milli = self.used.cpu_milli.saturating_sub(cpu);
+            self.used.memory_mb = self.used.memory_mb.saturating_sub(step.need.memory_mb);
+            self.used.gpus = self.used.gpus.saturating_sub(step.need.gpus);
+        }
+    }
+
+    /// Takes in that a run is done.
+    pub fn note_done(&mut self) {
+        self.failures = 0;
+        self.shunned_until = 0;
+    }
+
+    /// Takes in that a run failed; answers whether the runner is shunned now.
+    pub fn note_failed(&mut self, now: Millis) -> bool {
+        self.failures += 1;
+        if self.failures >= FAILURE_STREAK {
+            self.shunned_until = now + SHUN_MS;
+        }
+        self.failures >= FAILURE_STREAK
+    }
+
+    /// Gives the runner no tasks for a while.
+    pub fn shun(&mut self, now: Millis, time: Millis) {
+        self.shunned_until = self.shunned_until.max(now + time);
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "capacities are far below 2^52 thousandths of a core"
+)]
+fn as_f64(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -0,0 +1,100 @@
+//! Says when a runner's VM may go down for upkeep or a move.
+
+use std::collections::HashMap;
+
+use crate::{
+    Millis,
+    job::JobKey,
+    pool::PoolState,
+    runner::RunnerKey,
+    task::{
+        TaskPlace,
+        TaskRef, //
+    }, //
+};
+
+/// Whether a VM may go down.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpkeepView {
+    /// Nothing that may not be interrupted runs on it.
+    Free,
+    /// This many short tasks still run on it.
+    Busy(usize),
+    /// A lasting step has too many tasks away already.
+    Held,
+}
+
+impl PoolState {
+    /// Says whether a runner is to be emptied.
+    pub fn set_leaving(&mut self, key: RunnerKey, leaving: bool) {
+        if let Some(runner) = self.runners.get_mut(key)
+            && runner.leaving != leaving
+        {
+            runner.leaving = leaving;
+            self.plan_needed = true;
+        }
+    }
+
+    /// Whether the runner's VM may go down now.
+    pub fn upkeep_view(&self, key: RunnerKey) -> UpkeepView {
+        let Some(runner) = self.runners.get(key) else {
+            return UpkeepView::Free;
+        };
+        let lasting = |task: &&TaskRef| {
+            let job = self.jobs.get(task.job);
+            job.and_then(|job| job.step_of(task.slot))
+                .is_some_and(|step| step.lasting)
+        };
+        let short = runner.tasks.iter().filter(|task| !lasting(task)).count();
+        if !self.may_miss(&runner.tasks.iter().copied().collect::<Vec<_>>()) {
+            return UpkeepView::Held;
+        }
+        match short {
+            0 => UpkeepView::Free,
+            count => UpkeepView::Busy(count),
+        }
+    }
+
+    /// Whether these tasks may be away together, beside those that are.
+    fn may_miss(&self, tasks: &[TaskRef]) -> bool {
+        let mut ending: HashMap<(JobKey, u32, u32), u32> = HashMap::new();
+        for task in tasks {
+            let Some(entry) = self.task(*task) else {
+                continue;
+            };
+            let at_work = entry.away_since.is_none() && matches!(entry.place, TaskPlace::Running(_));
+            if at_work {
+                *ending
+                    .entry((task.job, entry.round, entry.step))
+                    .or_insert(0) += 1;
+            }
+        }
+        ending.into_iter().all(|((key, round, step), count)| {
+            let Some(job) = self.jobs.get(key) else {
+                return true;
+            };
+            let spec = usize::try_from(step)
+                .ok()
+                .and_then(|step| job.spec.steps.get(step));
+            let Some(spec) = spec.filter(|spec| spec.lasting) else {
+                return true;
+            };
+            let away = job
+                .tasks
+                .iter()
+                .filter(|task| task.round == round && task.step == step)
+                .filter(|task| task.away_since.is_some())
+                .count();
+            job.phase.is_final()
+                || u32::try_from(away).is_ok_and(|away| away + count <= spec.may_miss)
+        })
+    }
+
+    /// Takes the lasting tasks of a runner as away: its VM goes down now.
+    pub fn note_down(&mut self, key: RunnerKey, now: Millis) {
+        self.release_runner(key, now);
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.open = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/clock.rs
@@ -0,0 +1,39 @@
+//! The steady clock of a node, in milliseconds since the process started.
+
+use std::time::{
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+use hoisthitch_jobs::Millis;
+use tokio::time::Instant;
+
+/// Milliseconds since the process started, by the runtime's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeClock {
+    start: Instant,
+}
+
+/// Offset of the clock, so that no time before the start is negative.
+const START_MS: Millis = 1_000_000;
+
+impl NodeClock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Millis {
+        START_MS + self.start.elapsed().as_millis() as Millis
+    }
+
+    /// The time of day, in milliseconds since 1970.
+    pub fn today_ms(&self) -> u64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |time| time.as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -0,0 +1,298 @@
+//! Which nodes are alive, and which of them owns which pool.
+//!
+//! A node is alive while its leased record is there. A pool whose owner is not
+//! alive goes to the node that owns the fewest pools; the others step in one
+//! after the other if that one does not. No safety rests on any of this: an
+//! election is a compare-and-swap, and its revision fences all orders.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use hoisthitch_core::hash_name;
+use hoisthitch_jobs::Millis;
+use hoisthitch_store::{
+    BatchOutcome,
+    LeaseId,
+    StoreClient,
+    StoreError,
+    StoreRevision,
+    StoredValue,
+    SwapItem, //
+};
+use hoisthitch_telemetry::event;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    follow::FollowEvent,
+    journal::encode,
+    keys::JobKeys,
+    node::NodeIdentity,
+    shared::NodeShared,
+    takeover::OwnerRecord, //
+};
+
+/// Time without renewal after which a node counts as gone. It bounds the time
+/// that a lost owner's pools stand still; the platform takes a second or more.
+const MEMBER_TTL: Duration = Duration::from_millis(1_600);
+
+/// Time between two renewals.
+const RENEW_TIME: Duration = Duration::from_millis(400);
+
+/// Wait after a renewal that failed.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
+
+/// Time that the next node in order waits for the one before it, in
+/// milliseconds: the time of a takeover with slow answers.
+const STEP_MS: Millis = 1_200;
+
+/// Time after trouble with the store, or after the start, in which lapsed
+/// records of living nodes come back, in milliseconds.
+const SETTLE_MS: Millis = 700;
+
+/// Record of a node that is alive.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct MemberRecord {
+    /// Life of the node.
+    pub(crate) life: u64,
+    /// Data hall of the node.
+    pub(crate) hall: String,
+}
+
+/// An owner, and the revision of its election.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct OwnerEntry {
+    pub(crate) record: OwnerRecord,
+    pub(crate) revision: StoreRevision,
+}
+
+/// The group as the store shows it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct GroupView {
+    /// Lives of the nodes that are alive, by node.
+    pub(crate) members: BTreeMap<String, u64>,
+    /// Owners by pool.
+    pub(crate) owners: BTreeMap<String, OwnerEntry>,
+    /// When a pool was first seen without a living owner.
+    vacant_since: BTreeMap<String, Millis>,
+}
+
+impl GroupView {
+    /// Takes in a change.
+    pub(crate) fn take(&mut self, keys: &JobKeys, change: FollowEvent) {
+        match change {
+            FollowEvent::All(values) => {
+                self.members.clear();
+                self.owners.clear();
+                for value in values {
+                    self.put(keys, &value);
+                }
+            }
+            FollowEvent::Put(value) => self.put(keys, &value),
+            FollowEvent::Gone(key) => {
+                if let Some(node) = keys.member_of(&key) {
+                    event!(Warn, "node_gone", node = node);
+                    self.members.remove(node);
+                }
+                if let Some(pool) = keys.owner_of(&key) {
+                    self.owners.remove(pool);
+                }
+            }
+        }
+    }
+
+    fn put(&mut self, keys: &JobKeys, value: &StoredValue) {
+        if let Some(node) = keys.member_of(&value.key) {
+            match serde_json::from_slice::<MemberRecord>(&value.value) {
+                Ok(record) => drop(self.members.insert(node.to_owned(), record.life)),
+                Err(err) => event!(Error, "member_unreadable", node = node, error = err),
+            }
+        } else if let Some(pool) = keys.owner_of(&value.key) {
+            match serde_json::from_slice(&value.value) {
+                Ok(record) => {
+                    let revision = value.revision;
+                    let entry = OwnerEntry { record, revision };
+                    self.owners.insert(pool.to_owned(), entry);
+                }
+                Err(err) => event!(Error, "owner_unreadable", pool = pool, error = err),
+            }
+        }
+    }
+
+    fn is_owned(&self, pool: &str) -> bool {
+        self.owners.get(pool).is_some_and(|entry| {
+            let life = self.members.get(&entry.record.node);
+            life == Some(&entry.record.life)
+        })
+    }
+
+    /// Pools that this node should try to own now, with the revision of their
+    /// last election.
+    pub(crate) fn wanted(
+        &mut self,
+        pools: &[String],
+        identity: &NodeIdentity,
+        running: &BTreeSet<String>,
+        quiet_since: Millis,
+        now: Millis,
+    ) -> Vec<(String, StoreRevision)> {
+        let vacant: Vec<&String> = pools
+            .iter()
+            .filter(|pool| !running.contains(*pool))
+            .filter(|pool| !self.is_owned(pool) || self.is_own(pool, identity))
+            .collect();
+        self.vacant_since
+            .retain(|pool, _| vacant.iter().any(|vacant| *vacant == pool));
+        for pool in &vacant {
+            self.vacant_since.entry((*pool).clone()).or_insert(now);
+        }
+        let mut loads = self.loads(pools);
+        let mut wanted = Vec::new();
+        for pool in vacant {
+            let order = self.order(pool, &loads);
+            if let Some(first) = order.first() {
+                *loads.entry(first.clone()).or_insert(0) += 1;
+            }
+            let place = order.iter().position(|node| *node == identity.node);
+            let Some(place) = place.and_then(|place| Millis::try_from(place).ok()) else {
+                continue;
+            };
+            let since = self.vacant_since.get(pool).copied().unwrap_or(now);
+            let due = (since + place * STEP_MS).max(quiet_since + SETTLE_MS);
+            if now >= due {
+                let revision = self
+                    .owners
+                    .get(pool)
+                    .map_or(StoreRevision::default(), |entry| entry.revision);
+                wanted.push((pool.clone(), revision));
+            }
+        }
+        wanted
+    }
+
+    /// Whether the records name this node. When it does not run the pool, the
+    /// answer to its election was lost.
+    fn is_own(&self, pool: &str, identity: &NodeIdentity) -> bool {
+        self.owners.get(pool).is_some_and(|entry| {
+            entry.record.node == identity.node && entry.record.life == identity.life
+        })
+    }
+
+    /// Pools owned, by living node.
+    fn loads(&self, pools: &[String]) -> BTreeMap<String, usize> {
+        let mut loads: BTreeMap<String, usize> = self
+            .members
+            .keys()
+            .map(|node| (node.clone(), 0))
+            .collect();
+        for pool in pools.iter().filter(|pool| self.is_owned(pool)) {
+            if let Some(entry) = self.owners.get(pool)
+                && let Some(load) = loads.get_mut(&entry.record.node)
+            {
+                *load += 1;
+            }
+        }
+        loads
+    }
+
+    /// Living nodes in the order in which they should step in for a pool.
+    fn order(&self, pool: &str, loads: &BTreeMap<String, usize>) -> Vec<String> {
+        let mut order: Vec<String> = self.members.keys().cloned().collect();
+        order.sort_by_key(|node| {
+            let load = loads.get(node).copied().unwrap_or(0);
+            (load, hash_name(&format!("{pool}/{node}")))
+        });
+        order
+    }
+}
+
+/// Keeps the node's record alive until the node stops, then removes it.
+pub(crate) async fn keep_member<S: StoreClient>(
+    store: S,
+    shared: Arc<NodeShared>,
+    keys: JobKeys,
+    identity: NodeIdentity,
+) {
+    let mut lease = None;
+    let mut lost = false;
+    while !shared.is_stopping() {
+        let sent = shared.clock.now();
+        match renew(&store, &keys, &identity, lease).await {
+            Ok(renewed) => {
+                shared.store.note_success(sent);
+                if lost || lease != renewed {
+                    event!(Info, "member_recorded", node = identity.node, life = identity.life);
+                }
+                lost = false;
+                lease = renewed;
+                tokio::time::sleep(RENEW_TIME).await;
+            }
+            Err(err) => {
+                shared.store.note_failure(shared.clock.now());
+                if !lost {
+                    event!(Warn, "member_not_renewed", node = identity.node, error = err);
+                }
+                lost = true;
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+        }
+    }
+}
+
+/// Renews the lease, or makes a new one; none where it has just lapsed.
+async fn renew<S: StoreClient>(
+    store: &S,
+    keys: &JobKeys,
+    identity: &NodeIdentity,
+    lease: Option<LeaseId>,
+) -> Result<Option<LeaseId>, StoreError> {
+    if let Some(lease) = lease
+        && store.keep_alive(lease).await?
+    {
+        return Ok(Some(lease));
+    }
+    let lease = store.grant_lease(MEMBER_TTL).await?;
+    let record = MemberRecord {
+        life: identity.life,
+        hall: identity.hall.clone(),
+    };
+    let item = SwapItem {
+        key: keys.member(&identity.node),
+        expected: StoreRevision::ANY,
+        value: Some(encode(&record)),
+        lease: Some(lease),
+    };
+    match store.swap_all(vec![item]).await? {
+        BatchOutcome::Written(_) => Ok(Some(lease)),
+        BatchOutcome::Conflict(_) => Ok(None),
+    }
+}
+
+/// Removes the node's record, so that others take its pools at once.
+pub(crate) async fn leave_group<S: StoreClient>(
+    store: &S,
+    keys: &JobKeys,
+    identity: &NodeIdentity,
+) {
+    let item = SwapItem {
+        key: keys.member(&identity.node),
+        expected: StoreRevision::ANY,
+        value: None,
+        lease: None,
+    };
+    let left = store.swap_all(vec![item]).await;
+    event!(
+        Info,
+        "group_left",
+        node = identity.node,
+        outcome = format_args!("{left:?}")
+    );
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -0,0 +1,43 @@
+//! The job service of a node.
+//!
+//! Any node takes jobs in, and answers for their state; what it answers lies in
+//! the store. Each pool has one owner among the nodes, which places the pool's
+//! tasks, talks to its runners and takes its VMs through waves. Owners are
+//! elected under compare-and-swap; the revision of an owner's election is the
+//! fencing token of all its orders.
+//!
+//! The platform is met through the traits of [`platform`].
+
+mod clock;
+mod desk;
+mod follow;
+mod group;
+mod journal;
+mod keys;
+mod metrics;
+mod node;
+mod owner;
+mod pending;
+pub mod platform;
+mod session;
+mod shared;
+mod takeover;
+mod waves;
+
+pub use clock::NodeClock;
+pub use desk::{
+    CancelAnswer,
+    JobDesk,
+    StatusAnswer,
+    SubmitAnswer, //
+};
+pub use keys::JobKeys;
+pub use metrics::NodeMetrics;
+pub use node::{
+    NodeIdentity,
+    run_node, //
+};
+pub use shared::{
+    NodeShared,
+    StoreWatch, //
+};
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -0,0 +1,74 @@
+//! Metrics of a node.
+
+use prometheus::{
+    Histogram,
+    HistogramOpts,
+    IntCounterVec,
+    Opts,
+    Registry, //
+};
+
+/// Counters and histograms of the job service.
+#[derive(Clone, Debug)]
+pub struct NodeMetrics {
+    /// Registry that they are in.
+    pub registry: Registry,
+    /// Calls of clients, by kind and outcome.
+    pub calls: IntCounterVec,
+    /// Orders to runners, by kind and outcome.
+    pub orders: IntCounterVec,
+    /// Events of this node's pools, by kind.
+    pub events: IntCounterVec,
+    /// Seconds from the acceptance of a job to the first start of a task.
+    pub first_start: Histogram,
+    /// Seconds that a write of an owner's journal took.
+    pub journal: Histogram,
+}
+
+impl NodeMetrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric is registered twice.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let histogram = |name: &str, help: &str| {
+            let buckets = vec![0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
+            let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
+            registry.register(Box::new(histogram.clone()))?;
+            prometheus::Result::Ok(histogram)
+        };
+        Ok(Self {
+            calls: counter(
+                "hoisthitch_job_calls_total",
+                "Calls of clients",
+                &["call", "outcome"],
+            )?,
+            orders: counter(
+                "hoisthitch_runner_orders_total",
+                "Orders to runners",
+                &["order", "outcome"],
+            )?,
+            events: counter(
+                "hoisthitch_pool_events_total",
+                "Events of owned pools",
+                &["event"],
+            )?,
+            first_start: histogram(
+                "hoisthitch_job_first_start_seconds",
+                "Time from acceptance to the first start",
+            )?,
+            journal: histogram(
+                "hoisthitch_journal_write_seconds",
+                "Time of a journal write",
+            )?,
+            registry,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -0,0 +1,306 @@
+//! The control thread of a node.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap,
+        HashSet, //
+    },
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use hoisthitch_jobs::QueuePolicy;
+use hoisthitch_store::StoredValue;
+use hoisthitch_telemetry::event;
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
+
+use crate::{
+    follow::{
+        FollowEvent,
+        follow_prefix, //
+    },
+    group::{
+        GroupView,
+        keep_member,
+        leave_group, //
+    },
+    keys::JobKeys,
+    owner::{
+        OwnerContext,
+        run_owner, //
+    },
+    platform::{
+        FleetCodec,
+        FleetPolicy,
+        Platform,
+        RunnerRecord,
+        WaveOrder, //
+    },
+    shared::NodeShared,
+    takeover::take_over, //
+};
+
+/// Time between two looks at the group.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Longest time that a stopping node waits for its owners to write what they
+/// hold.
+const HAND_OVER: Duration = Duration::from_millis(800);
+
+/// Who a node is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeIdentity {
+    /// Name of the node.
+    pub node: String,
+    /// Random number of this life of the process.
+    pub life: u64,
+    /// Data hall.
+    pub hall: String,
+}
+
+/// Operators' and runners' records, as last seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FleetView {
+    /// Runners by name of their life.
+    pub(crate) runners: HashMap<String, RunnerRecord>,
+    /// Lives that another life at the same address or VM followed.
+    pub(crate) ended: HashSet<String>,
+    /// Policies by queue.
+    pub(crate) policies: HashMap<String, QueuePolicy>,
+    /// Pools.
+    pub(crate) pools: Vec<String>,
+    /// Waves by number.
+    pub(crate) waves: BTreeMap<u64, WaveOrder>,
+    by_address: HashMap<SocketAddr, String>,
+    by_vm: HashMap<String, String>,
+}
+
+struct NodeControl<P: Platform> {
+    platform: P,
+    shared: Arc<NodeShared>,
+    keys: JobKeys,
+    identity: NodeIdentity,
+    fleet: watch::Sender<Arc<FleetView>>,
+    stop: watch::Sender<bool>,
+    running: BTreeSet<String>,
+    ended: mpsc::UnboundedSender<String>,
+}
+
+/// Runs the control side of a node until it is told to stop; returns once its
+/// pools are handed over.
+pub async fn run_node<P: Platform>(
+    platform: P,
+    shared: Arc<NodeShared>,
+    keys: JobKeys,
+    identity: NodeIdentity,
+) {
+    let store = platform.store().clone();
+    let codec = platform.codec().clone();
+    let follow = |prefix: String| {
+        let (sender, told) = mpsc::unbounded_channel();
+        actix_rt::spawn(follow_prefix(store.clone(), prefix, shared.clone(), sender));
+        told
+    };
+    let mut operators = follow(codec.operators_prefix());
+    let mut runners = follow(codec.runners_prefix());
+    let mut changes = follow(keys.group());
+    let member = keep_member(store.clone(), shared.clone(), keys.clone(), identity.clone());
+    let member = actix_rt::spawn(member);
+    let (fleet, _) = watch::channel(Arc::new(FleetView::default()));
+    let (stop, _) = watch::channel(false);
+    let (ended, mut ends) = mpsc::unbounded_channel();
+    let mut control = NodeControl {
+        platform,
+        shared,
+        keys,
+        identity,
+        fleet,
+        stop,
+        running: BTreeSet::new(),
+        ended,
+    };
+    let mut group = GroupView::default();
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while !control.shared.is_stopping() {
+        tokio::select! {
+            Some(change) = operators.recv() => control.take_operators(change),
+            Some(change) = runners.recv() => control.take_runners(change),
+            Some(change) = changes.recv() => group.take(&control.keys, change),
+            Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
+            _ = tick.tick() => {}
+        }
+        control.elect(&mut group).await;
+    }
+    control.stop.send_replace(true);
+    let handed_over = async {
+        while !control.running.is_empty() {
+            let Some(pool) = ends.recv().await else { break };
+            control.running.remove(&pool);
+        }
+    };
+    if tokio::time::timeout(HAND_OVER, handed_over).await.is_err() {
+        event!(Warn, "hand_over_cut_short", pools = control.running.len());
+    }
+    member.abort();
+    leave_group(&store, &control.keys, &control.identity).await;
+}
+
+impl<P: Platform> NodeControl<P> {
+    fn take_operators(&mut self, change: FollowEvent) {
+        match change {
+            FollowEvent::All(values) => values.iter().for_each(|value| self.take_operator(value)),
+            FollowEvent::Put(value) => self.take_operator(&value),
+            FollowEvent::Gone(key) => event!(Warn, "operators_key_gone", key = key),
+        }
+    }
+
+    fn take_operator(&mut self, value: &StoredValue) {
+        let codec = self.platform.codec().clone();
+        match codec.policy(&value.key, &value.value) {
+            Some(Ok(policy)) => self.apply_policy(policy),
+            Some(Err(err)) => event!(Error, "policy_unreadable", key = value.key, error = err),
+            None => {}
+        }
+        match codec.wave(&value.key, &value.value) {
+            Some(Ok(order)) => {
+                event!(Info, "wave_seen", wave = order.wave, vms = order.vms.len());
+                self.change_fleet(|fleet| drop(fleet.waves.insert(order.wave, order.clone())));
+            }
+            Some(Err(err)) => event!(Error, "wave_unreadable", key = value.key, error = err),
+            None => {}
+        }
+    }
+
+    /// Puts a configuration in force, unless it is older than the one there.
+    fn apply_policy(&mut self, policy: FleetPolicy) {
+        let current = self.shared.policy.load();
+        if current.as_ref().is_some_and(|now| now.version >= policy.version) {
+            return;
+        }
+        event!(
+            Info,
+            "policy_in_force",
+            version = policy.version,
+            queues = policy.queues.len(),
+            pools = policy.pools.len()
+        );
+        let pools = policy.pools.iter().map(|pool| pool.name.clone()).collect();
+        let policies = policy.policies();
+        self.shared.policy.store(Some(Arc::new(policy)));
+        self.change_fleet(|fleet| {
+            fleet.pools = pools;
+            fleet.policies = policies;
+        });
+    }
+
+    fn change_fleet(&self, change: impl FnOnce(&mut FleetView)) {
+        self.fleet
+            .send_modify(|fleet| change(Arc::make_mut(fleet)));
+    }
+
+    fn take_runners(&mut self, change: FollowEvent) {
+        let codec = self.platform.codec().clone();
+        self.change_fleet(|fleet| match change {
+            FollowEvent::All(mut values) => {
+                fleet.runners.clear();
+                // A later record at the same address is that of a later life.
+                values.sort_by_key(|value| value.revision);
+                for value in &values {
+                    fleet.put_runner(&codec, value);
+                }
+            }
+            FollowEvent::Put(value) => fleet.put_runner(&codec, &value),
+            FollowEvent::Gone(key) => {
+                if let Some(name) = codec.runner_name(&key) {
+                    event!(Info, "runner_unlisted", runner = name);
+                    fleet.runners.remove(name);
+                }
+            }
+        });
+    }
+
+    async fn elect(&mut self, group: &mut GroupView) {
+        let now = self.shared.clock.now();
+        if !self.shared.store.is_usable(now) {
+            return;
+        }
+        let pools = self.fleet.borrow().pools.clone();
+        let quiet_since = self.shared.store.last_failure();
+        let wanted = group.wanted(&pools, &self.identity, &self.running, quiet_since, now);
+        for (pool, revision) in wanted {
+            let taken = take_over(
+                self.platform.store(),
+                &self.shared,
+                &self.keys,
+                &self.identity,
+                &pool,
+                revision,
+            );
+            match taken.await {
+                Ok(Some(takeover)) => {
+                    self.running.insert(pool.clone());
+                    let context = OwnerContext {
+                        platform: self.platform.clone(),
+                        shared: self.shared.clone(),
+                        keys: self.keys.clone(),
+                        identity: self.identity.clone(),
+                        pool: pool.clone(),
+                        fleet: self.fleet.subscribe(),
+                        stop: self.stop.subscribe(),
+                    };
+                    let ended = self.ended.clone();
+                    actix_rt::spawn(async move {
+                        if let Err(err) = run_owner(context, takeover).await {
+                            event!(Error, "pool_not_read", pool = pool, error = err);
+                        }
+                        // A node that is gone counts no pools.
+                        let _ = ended.send(pool);
+                    });
+                }
+                Ok(None) => {}
+                Err(err) => event!(Warn, "takeover_unclear", pool = pool, error = err),
+            }
+        }
+    }
+}
+
+impl FleetView {
+    fn put_runner<C: FleetCodec>(&mut self, codec: &C, value: &StoredValue) {
+        let Some(name) = codec.runner_name(&value.key) else {
+            return;
+        };
+        let record = match codec.runner(name, &value.value) {
+            Ok(record) => record,
+            Err(err) => {
+                event!(Error, "runner_unreadable", runner = name, error = err);
+                return;
+            }
+        };
+        event!(
+            Info,
+            "runner_listed",
+            runner = name,
+            pool = record.pool,
+            address = record.address,
+            draining = record.facts.draining
+        );
+        let before = self.by_address.insert(record.address, name.to_owned());
+        let same_vm = (!record.facts.vm.is_empty())
+            .then(|| self.by_vm.insert(record.facts.vm.clone(), name.to_owned()))
+            .flatten();
+        for life in before.into_iter().chain(same_vm) {
+            if life != name {
+                self.runners.remove(&life);
+                self.ended.insert(life);
+            }
+        }
+        self.runners.insert(name.to_owned(), record);
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -0,0 +1,280 @@
+//! What the job service needs of the platform, besides its store.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    HoldReport,
+    PaceOrder,
+    QueuePolicy,
+    RunnerFacts,
+    StartOrder,
+    StartOutcome,
+    StopOrder, //
+};
+use hoisthitch_store::StoreClient;
+use thiserror::Error;
+
+/// A runner and where it listens.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunnerRecord {
+    /// Pool that it belongs to.
+    pub pool: String,
+    /// Address for orders.
+    pub address: SocketAddr,
+    /// What matters for placement.
+    pub facts: RunnerFacts,
+}
+
+/// Address of one life of a runner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunnerAddress {
+    /// Name of the life.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Terms of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderTerms {
+    /// Fencing token of the owner.
+    pub epoch: u64,
+    /// End of the lease that the order names, by the runner's clock.
+    pub lease_ms: u64,
+}
+
+/// Asks a runner what it holds, and renews the lease of what runs there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HoldAsk {
+    /// Fencing token of the owner.
+    pub epoch: u64,
+    /// Last end that is recorded; the runner may forget it.
+    pub recorded: u64,
+    /// New end of the lease by the runner's clock; none to leave it.
+    pub lease_ms: Option<u64>,
+    /// Time for which the runner may wait for an end.
+    pub wait: Duration,
+}
+
+/// Why a runner did not do what it was told.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum RunnerError {
+    /// A later owner gives orders there.
+    #[error("a later owner gives orders to the runner")]
+    Fenced,
+    /// Another life of the runner answered.
+    #[error("another life of the runner answered")]
+    WrongLife,
+    /// The runner refused.
+    #[error("the runner refused with status {0}")]
+    Refused(u16),
+    /// There was no readable answer; the order may still be carried out.
+    #[error("no answer from the runner: {0}")]
+    NoAnswer(String),
+}
+
+/// Gives orders to runners.
+pub trait RunnerControl: Clone + 'static {
+    /// Orders a start.
+    fn start(
+        &self,
+        runner: &RunnerAddress,
+        order: &StartOrder,
+        terms: OrderTerms,
+    ) -> impl Future<Output = StartOutcome>;
+
+    /// Orders a stop.
+    fn stop(
+        &self,
+        runner: &RunnerAddress,
+        order: &StopOrder,
+        epoch: u64,
+    ) -> impl Future<Output = Result<(), RunnerError>>;
+
+    /// Asks what the runner holds.
+    fn hold(
+        &self,
+        runner: &RunnerAddress,
+        ask: HoldAsk,
+    ) -> impl Future<Output = Result<HoldReport, RunnerError>>;
+
+    /// Sets the pace of a filler.
+    fn pace(
+        &self,
+        runner: &RunnerAddress,
+        order: &PaceOrder,
+        epoch: u64,
+    ) -> impl Future<Output = Result<(), RunnerError>>;
+}
+
+/// State of a VM in the platform's list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum VmCondition {
+    /// It runs.
+    Up,
+    /// It is in an upkeep.
+    Upkeep,
+    /// It is down, or moves between pools.
+    Away,
+}
+
+/// A VM in the platform's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VmRow {
+    /// Name.
+    pub name: String,
+    /// Pool that it belongs to.
+    pub pool: String,
+    /// State.
+    pub condition: VmCondition,
+    /// Its runner's life, if there is one.
+    pub runner: Option<String>,
+}
+
+/// Why the platform did not do what it was told about a VM.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum VmError {
+    /// The VM is not up, or leaves.
+    #[error("the VM is busy")]
+    Busy,
+    /// The VM is not of that wave, or there is no such VM.
+    #[error("the platform knows no such VM in the wave")]
+    NotListed,
+    /// A later owner gave orders for it.
+    #[error("a later owner gives orders for the VM")]
+    Fenced,
+    /// There was no answer; the order may still be carried out.
+    #[error("no answer from the platform: {0}")]
+    NoAnswer(String),
+}
+
+/// Gives orders about VMs.
+pub trait VmControl: Clone + 'static {
+    /// Lists all VMs.
+    fn list(&self) -> impl Future<Output = Result<Vec<VmRow>, VmError>>;
+
+    /// Takes a VM into its upkeep; done at once if it was done already.
+    fn upkeep(
+        &self,
+        vm: &str,
+        wave: u64,
+        holder: &str,
+        epoch: u64,
+    ) -> impl Future<Output = Result<(), VmError>>;
+}
+
+/// A queue as the operators configured it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueRoute {
+    /// Name.
+    pub name: String,
+    /// Host that callers name.
+    pub host: String,
+    /// Start of the path that callers name.
+    pub prefix: String,
+    /// Pool that runs the queue's jobs.
+    pub pool: String,
+    /// Policy.
+    pub policy: QueuePolicy,
+}
+
+/// A pool as the operators configured it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolPolicy {
+    /// Name.
+    pub name: String,
+    /// Whether its VMs are off.
+    pub spare: bool,
+}
+
+/// The operators' configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetPolicy {
+    /// Version; rises with each change.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<QueueRoute>,
+    /// Pools.
+    pub pools: Vec<PoolPolicy>,
+    /// Longest body of a request, in bytes.
+    pub body_limit: usize,
+}
+
+impl FleetPolicy {
+    /// The queue that a request is for, with what follows the queue's prefix.
+    pub fn find_queue<'a>(&self, host: &str, path: &'a str) -> Option<(&QueueRoute, &'a str)> {
+        self.queues
+            .iter()
+            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
+            .filter_map(|queue| Some((queue, path.strip_prefix(queue.prefix.as_str())?)))
+            .max_by_key(|(queue, _)| queue.prefix.len())
+    }
+
+    /// Policies by name of the queue.
+    pub fn policies(&self) -> HashMap<String, QueuePolicy> {
+        self.queues
+            .iter()
+            .map(|queue| (queue.name.clone(), queue.policy))
+            .collect()
+    }
+}
+
+/// A wave that operators ask for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WaveOrder {
+    /// Number.
+    pub wave: u64,
+    /// VMs that are due.
+    pub vms: Vec<String>,
+    /// VMs that may be down at once.
+    pub at_once: usize,
+}
+
+/// Reads what operators and runners write to the store.
+pub trait FleetCodec: Clone + 'static {
+    /// Start of the keys that operators write.
+    fn operators_prefix(&self) -> String;
+
+    /// Start of the keys that runners write.
+    fn runners_prefix(&self) -> String;
+
+    /// Reads the configuration, if the key is its key.
+    fn policy(&self, key: &str, value: &[u8]) -> Option<Result<FleetPolicy, String>>;
+
+    /// Reads a wave, if the key is a wave's.
+    fn wave(&self, key: &str, value: &[u8]) -> Option<Result<WaveOrder, String>>;
+
+    /// Name of the life of a runner, if the key is a runner's.
+    fn runner_name<'a>(&self, key: &'a str) -> Option<&'a str>;
+
+    /// Reads a runner's record.
+    fn runner(&self, name: &str, value: &[u8]) -> Result<RunnerRecord, String>;
+
+    /// Key and value that tell operators whether a wave is completed.
+    fn wave_status(&self, wave: u64, completed: bool) -> (String, Vec<u8>);
+}
+
+/// Everything of the platform that a node uses.
+pub trait Platform: Clone + 'static {
+    /// Its store.
+    type Store: StoreClient;
+    /// Its runners.
+    type Runners: RunnerControl;
+    /// Its VMs.
+    type Vms: VmControl;
+    /// Its records.
+    type Codec: FleetCodec;
+
+    /// The store.
+    fn store(&self) -> &Self::Store;
+    /// The runners.
+    fn runners(&self) -> &Self::Runners;
+    /// The VMs.
+    fn vms(&self) -> &Self::Vms;
+    /// The records.
+    fn codec(&self) -> &Self::Codec;
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -0,0 +1,377 @@
+//! Sessions of an owner with the runners of its pool.
+//!
+//! One call is always open at a runner: it renews the lease of what runs there,
+//! tells the last end that is recorded, and waits for the next end. Orders go
+//! one after the other beside it.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    HoldReport,
+    Millis,
+    PaceOrder,
+    RunnerKey,
+    StartOrder,
+    StartOutcome,
+    StopOrder, //
+};
+use hoisthitch_telemetry::event;
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::timeout, //
+};
+
+use crate::{
+    platform::{
+        HoldAsk,
+        OrderTerms,
+        RunnerAddress,
+        RunnerControl,
+        RunnerError, //
+    },
+    shared::NodeShared, //
+};
+
+/// Lease that each hold gives, in milliseconds: long enough for another node to
+/// take over after this one is lost, short enough to start anew soon what a
+/// lost runner ran.
+const LEASE_MS: Millis = 5_000;
+
+/// Longest lease after the owner last made sure that it is the owner, in
+/// milliseconds. The next owner waits for it before it gives up on runs that
+/// it can't see, so it is kept under the platform's longest lease.
+pub(crate) const LEASE_CAP_MS: Millis = 9_000;
+
+/// Time for which a hold waits for an end: the pace of fillers is decided as
+/// often, and several times within the time that a tail may be over its target.
+const HOLD_WAIT: Duration = Duration::from_millis(700);
+
+/// Longest wait of a hold for ends to be recorded.
+const RECORD_WAIT: Duration = Duration::from_millis(500);
+
+/// Least time between two holds, so that ends which come together are read
+/// together.
+const HOLD_GAP: Duration = Duration::from_millis(15);
+
+/// Wait after a hold that failed.
+const RETRY_WAIT: Duration = Duration::from_millis(250);
+
+/// Share by which a runner's clock may run slow, in percent; the platform's
+/// bound.
+const SLOW_CLOCK_PERCENT: Millis = 2;
+
+/// Allowance for the way and for timers when a lease's end is judged from
+/// here, in milliseconds.
+const LEASE_SLACK_MS: Millis = 150;
+
+/// Orders that may wait for one runner.
+const ORDER_QUEUE: usize = 1_024;
+
+/// What sessions tell the owner.
+#[derive(Debug)]
+pub(crate) enum SessionEvent {
+    /// What runs on the runner may go on until then.
+    Extended { runner: RunnerKey, until: Millis },
+    /// A hold was answered.
+    Held {
+        runner: RunnerKey,
+        report: HoldReport,
+        asked_at: Millis,
+    },
+    /// A hold was not answered.
+    Missed { runner: RunnerKey },
+    /// Another life answered at the runner's address.
+    Replaced { runner: RunnerKey },
+    /// Another owner gives orders.
+    Fenced,
+    /// What became of a start.
+    Started {
+        order: StartOrder,
+        outcome: StartOutcome,
+    },
+    /// A pace was not set.
+    PaceFailed(PaceOrder),
+}
+
+/// An order for one runner.
+#[derive(Debug)]
+pub(crate) enum RunnerOrder {
+    Start(StartOrder),
+    Stop(StopOrder),
+    Pace(PaceOrder),
+}
+
+/// What the owner tells a session.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SessionTerms {
+    /// Last end that is recorded.
+    pub(crate) recorded: u64,
+    /// When the owner last made sure that it is the owner.
+    pub(crate) confirmed_at: Millis,
+}
+
+/// The owner's end of a session; the session ends with it.
+pub(crate) struct RunnerSession {
+    terms: watch::Sender<SessionTerms>,
+    orders: mpsc::Sender<RunnerOrder>,
+}
+
+/// What a session works with.
+pub(crate) struct SessionContext<R> {
+    pub(crate) runners: R,
+    pub(crate) shared: Arc<NodeShared>,
+    pub(crate) epoch: u64,
+    pub(crate) key: RunnerKey,
+    pub(crate) address: RunnerAddress,
+    pub(crate) events: mpsc::UnboundedSender<SessionEvent>,
+}
+
+/// What is known of the runner's clock and lease, shared by holds and orders.
+#[derive(Default)]
+struct LeaseClock {
+    /// Runner's clock less this node's; the runner's is at least this far.
+    offset: Cell<Option<i64>>,
+    /// End of the lease last given, by the runner's clock.
+    granted: Cell<u64>,
+}
+
+impl RunnerSession {
+    /// Opens a session.
+    pub(crate) fn open<R: RunnerControl>(
+        context: SessionContext<R>,
+        terms: SessionTerms,
+    ) -> Self {
+        let (terms, told) = watch::channel(terms);
+        let (orders, queue) = mpsc::channel(ORDER_QUEUE);
+        let context = Rc::new(context);
+        let clock = Rc::new(LeaseClock::default());
+        actix_rt::spawn(carry_orders(context.clone(), clock.clone(), queue));
+        actix_rt::spawn(keep_holding(context, clock, told));
+        Self { terms, orders }
+    }
+
+    /// Changes the terms.
+    pub(crate) fn set_terms(&self, terms: SessionTerms) {
+        self.terms.send_if_modified(|old| {
+            let changed = old.recorded != terms.recorded;
+            *old = terms;
+            changed
+        });
+    }
+
+    /// Sends an order; answers whether there was room for it.
+    pub(crate) fn order(&self, order: RunnerOrder) -> bool {
+        self.orders.try_send(order).is_ok()
+    }
+}
+
+async fn keep_holding<R: RunnerControl>(
+    context: Rc<SessionContext<R>>,
+    clock: Rc<LeaseClock>,
+    mut told: watch::Receiver<SessionTerms>,
+) {
+    let mut answered = false;
+    while told.has_changed().is_ok() {
+        let terms = *told.borrow_and_update();
+        let asked_at = context.shared.clock.now();
+        let lease_ms = context.lease(&clock, terms, asked_at, answered);
+        let ask = HoldAsk {
+            epoch: context.epoch,
+            recorded: terms.recorded,
+            lease_ms,
+            wait: if lease_ms.is_some() {
+                HOLD_WAIT
+            } else {
+                Duration::ZERO
+            },
+        };
+        match context.runners.hold(&context.address, ask).await {
+            Ok(report) => {
+                answered = true;
+                clock.read(report.clock_ms, context.shared.clock.now());
+                let last = report.ended.iter().map(|end| end.number).max();
+                context.tell(SessionEvent::Held {
+                    runner: context.key,
+                    report,
+                    asked_at,
+                });
+                if let Some(last) = last.filter(|last| *last > terms.recorded) {
+                    let recorded = told.wait_for(|terms| terms.recorded >= last);
+                    // The next hold reports the same ends if they are not.
+                    let _ = timeout(RECORD_WAIT, recorded).await;
+                } else {
+                    tokio::time::sleep(HOLD_GAP).await;
+                }
+            }
+            Err(RunnerError::WrongLife) => {
+                let runner = context.key;
+                context.tell(SessionEvent::Replaced { runner });
+                return;
+            }
+            Err(RunnerError::Fenced) => {
+                context.tell(SessionEvent::Fenced);
+                return;
+            }
+            Err(err) => {
+                if answered {
+                    event!(Warn, "runner_lost", runner = context.address.name, error = err);
+                }
+                answered = false;
+                let runner = context.key;
+                context.tell(SessionEvent::Missed { runner });
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+        }
+    }
+}
+
+impl<R> SessionContext<R> {
+    fn tell(&self, event: SessionEvent) {
+        // An owner that is gone needs no more events.
+        let _ = self.events.send(event);
+    }
+
+    /// End of the lease to give with the next hold, by the runner's clock.
+    ///
+    /// A runner that did not answer the last hold gets no longer lease, or its
+    /// tasks could never be given up.
+    fn lease(
+        &self,
+        clock: &LeaseClock,
+        terms: SessionTerms,
+        now: Millis,
+        answered: bool,
+    ) -> Option<u64> {
+        let offset = clock.offset.get().filter(|_| answered)?;
+        let until = (now + LEASE_MS).min(terms.confirmed_at + LEASE_CAP_MS);
+        if until <= now {
+            return None;
+        }
+        let length = (until - now) * (100 + SLOW_CLOCK_PERCENT) / 100;
+        self.tell(SessionEvent::Extended {
+            runner: self.key,
+            until: now + length + LEASE_SLACK_MS,
+        });
+        let lease = until.checked_add_signed(offset)?;
+        clock.granted.set(clock.granted.get().max(lease));
+        Some(lease)
+    }
+}
+
+impl LeaseClock {
+    /// Takes in what the runner's clock showed by `now`.
+    fn read(&self, clock_ms: u64, now: Millis) {
+        let offset = i64::try_from(clock_ms).ok().zip(i64::try_from(now).ok());
+        self.offset.set(offset.map(|(theirs, ours)| theirs - ours));
+    }
+}
+
+async fn carry_orders<R: RunnerControl>(
+    context: Rc<SessionContext<R>>,
+    clock: Rc<LeaseClock>,
+    mut queue: mpsc::Receiver<RunnerOrder>,
+) {
+    while let Some(order) = queue.recv().await {
+        match order {
+            RunnerOrder::Start(order) => start(&context, &clock, order).await,
+            RunnerOrder::Stop(order) => stop(&context, &order).await,
+            RunnerOrder::Pace(order) => pace(&context, order).await,
+        }
+    }
+}
+
+async fn start<R: RunnerControl>(
+    context: &SessionContext<R>,
+    clock: &LeaseClock,
+    order: StartOrder,
+) {
+    let terms = OrderTerms {
+        epoch: context.epoch,
+        lease_ms: clock.granted.get(),
+    };
+    let sent = context.shared.clock.now();
+    let outcome = context.runners.start(&context.address, &order, terms).await;
+    event!(
+        Info,
+        "task_ordered",
+        task = order.name,
+        run = order.run,
+        runner = context.address.name,
+        epoch = context.epoch,
+        took_ms = context.shared.clock.now() - sent,
+        outcome = format_args!("{outcome:?}")
+    );
+    let counted = if outcome == StartOutcome::Started {
+        "started"
+    } else {
+        "refused"
+    };
+    context.count("start", counted);
+    if outcome == StartOutcome::Fenced {
+        context.tell(SessionEvent::Fenced);
+    }
+    if outcome == StartOutcome::WrongLife {
+        let runner = context.key;
+        context.tell(SessionEvent::Replaced { runner });
+    }
+    context.tell(SessionEvent::Started { order, outcome });
+}
+
+async fn stop<R: RunnerControl>(context: &SessionContext<R>, order: &StopOrder) {
+    let stopped = context
+        .runners
+        .stop(&context.address, order, context.epoch)
+        .await;
+    let outcome = context.outcome("stop", &stopped);
+    event!(
+        Info,
+        "task_stopped",
+        task = order.name,
+        run = order.run,
+        runner = context.address.name,
+        outcome = outcome
+    );
+}
+
+async fn pace<R: RunnerControl>(context: &SessionContext<R>, order: PaceOrder) {
+    let paced = context
+        .runners
+        .pace(&context.address, &order, context.epoch)
+        .await;
+    let outcome = context.outcome("pace", &paced);
+    event!(
+        Info,
+        "task_paced",
+        task = order.name,
+        run = order.run,
+        runner = context.address.name,
+        percent = order.percent,
+        outcome = outcome
+    );
+    if paced.is_err() {
+        context.tell(SessionEvent::PaceFailed(order));
+    }
+}
+
+impl<R> SessionContext<R> {
+    fn count(&self, order: &str, outcome: &str) {
+        let counter = &self.shared.metrics.orders;
+        counter.with_label_values(&[order, outcome]).inc();
+    }
+
+    fn outcome(&self, order: &str, result: &Result<(), RunnerError>) -> String {
+        self.count(order, if result.is_ok() { "done" } else { "failed" });
+        match result {
+            Ok(()) => "done".to_owned(),
+            Err(err) => err.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -0,0 +1,91 @@
+//! What the threads of a node share.
+
+use std::sync::{
+    Arc,
+    atomic::{
+        AtomicBool,
+        AtomicU64,
+        Ordering, //
+    }, //
+};
+
+use arc_swap::ArcSwapOption;
+use hoisthitch_jobs::Millis;
+
+use crate::{
+    clock::NodeClock,
+    metrics::NodeMetrics,
+    platform::FleetPolicy, //
+};
+
+/// Time without a successful call after which the store counts as lost, in
+/// milliseconds: longer than its slowest answers, shorter than a caller waits.
+const STORE_LOST_MS: Millis = 1_800;
+
+/// When calls to the store last succeeded and failed.
+#[derive(Debug, Default)]
+pub struct StoreWatch {
+    succeeded: AtomicU64,
+    failed: AtomicU64,
+}
+
+impl StoreWatch {
+    /// Notes that a call sent at `at` succeeded.
+    pub fn note_success(&self, at: Millis) {
+        self.succeeded.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Notes that a call failed at `at`.
+    pub fn note_failure(&self, at: Millis) {
+        self.failed.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Whether the store could be used of late.
+    pub fn is_usable(&self, now: Millis) -> bool {
+        self.succeeded.load(Ordering::Relaxed) + STORE_LOST_MS > now
+    }
+
+    /// When a call last failed.
+    pub fn last_failure(&self) -> Millis {
+        self.failed.load(Ordering::Relaxed)
+    }
+}
+
+/// State that all threads of a node see.
+#[derive(Debug)]
+pub struct NodeShared {
+    /// The node's clock.
+    pub clock: NodeClock,
+    /// Configuration in force.
+    pub policy: ArcSwapOption<FleetPolicy>,
+    /// The store as this node sees it.
+    pub store: StoreWatch,
+    /// Whether the node was told to stop.
+    pub stopping: AtomicBool,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+}
+
+impl NodeShared {
+    /// State of a node that starts.
+    pub fn new(metrics: NodeMetrics) -> Arc<Self> {
+        Arc::new(Self {
+            clock: NodeClock::start(),
+            policy: ArcSwapOption::empty(),
+            store: StoreWatch::default(),
+            stopping: AtomicBool::new(false),
+            metrics,
+        })
+    }
+
+    /// Whether the node was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether new callers should come to this node.
+    pub fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        !self.is_stopping() && self.policy.load().is_some() && self.store.is_usable(now)
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -0,0 +1,105 @@
+//! Makes this node the owner of a pool.
+
+use std::sync::Arc;
+
+use hoisthitch_store::{
+    BatchOutcome,
+    StoreClient,
+    StoreError,
+    StoreRevision,
+    SwapItem, //
+};
+use hoisthitch_telemetry::event;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    journal::{
+        HeadRecord,
+        PoolJournal,
+        decode,
+        encode, //
+    },
+    keys::JobKeys,
+    node::NodeIdentity,
+    shared::NodeShared, //
+};
+
+/// Owner of a pool.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct OwnerRecord {
+    /// Node.
+    pub(crate) node: String,
+    /// Life of the node.
+    pub(crate) life: u64,
+    /// Number of the ownership.
+    pub(crate) term: u64,
+}
+
+/// A won election.
+pub(crate) struct PoolTakeover<S> {
+    /// Journal of the pool.
+    pub(crate) journal: PoolJournal<S>,
+    /// Fencing token of the owner's orders.
+    pub(crate) epoch: u64,
+}
+
+/// Tries to become the owner; none when another node was first, or when the
+/// outcome can't be known.
+///
+/// # Errors
+///
+/// Fails as the store does.
+pub(crate) async fn take_over<S: StoreClient>(
+    store: &S,
+    shared: &Arc<NodeShared>,
+    keys: &JobKeys,
+    identity: &NodeIdentity,
+    pool: &str,
+    seen: StoreRevision,
+) -> Result<Option<PoolTakeover<S>>, StoreError> {
+    let found = store.read(&keys.head(pool)).await?;
+    let last = found.as_ref().and_then(decode);
+    let expected = found.map_or(StoreRevision::default(), |stored| stored.revision);
+    let head = HeadRecord {
+        node: identity.node.clone(),
+        life: identity.life,
+        term: last.map_or(0, |head| head.term) + 1,
+        sequence: 0,
+    };
+    let owner = OwnerRecord {
+        node: head.node.clone(),
+        life: head.life,
+        term: head.term,
+    };
+    let items = vec![
+        SwapItem {
+            key: keys.head(pool),
+            expected,
+            value: Some(encode(&head)),
+            lease: None,
+        },
+        SwapItem {
+            key: keys.owner(pool),
+            expected: seen,
+            value: Some(encode(&owner)),
+            lease: None,
+        },
+    ];
+    let BatchOutcome::Written(revision) = store.swap_all(items).await? else {
+        event!(Info, "pool_not_taken", pool = pool, term = head.term);
+        return Ok(None);
+    };
+    let epoch = u64::try_from(revision.0).unwrap_or(0);
+    event!(
+        Info,
+        "pool_taken",
+        pool = pool,
+        term = head.term,
+        epoch = epoch
+    );
+    let journal = PoolJournal::new(store.clone(), shared.clone(), keys, pool, head, revision);
+    Ok(Some(PoolTakeover { journal, epoch }))
+}
--- a/crates/hoisthitch-store/src/client.rs
+++ b/crates/hoisthitch-store/src/client.rs
@@ -11,6 +11,10 @@
 impl StoreRevision {
     /// A revision that no value has: a swap that expects it only reads.
     pub const UNKNOWN: Self = Self(i64::MAX);
+
+    /// In a swap of several values: this one may have any revision. Only safe
+    /// beside a value of the same swap whose revision is expected and changes.
+    pub const ANY: Self = Self(-1);
 }
 
 /// A lease in the store.
@@ -74,6 +78,8 @@
 pub enum WatchEvent {
     /// The watch is in place.
     Opened,
+    /// Nothing changed for a while; the watch is alive.
+    Quiet,
     /// A value was written.
     Put(StoredValue),
     /// A value was removed.
--- a/crates/hoisthitch-store/src/etcd.rs
+++ b/crates/hoisthitch-store/src/etcd.rs
@@ -340,7 +340,9 @@
     for item in items {
         let operation = item_operation(&item);
         let single = guarded(&item.key, item.expected, operation);
-        request.compare.extend(single.compare);
+        if item.expected != StoreRevision::ANY {
+            request.compare.extend(single.compare);
+        }
         request.success.extend(single.success);
         request.failure.extend(single.failure);
     }
