--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -185,14 +185,11 @@
             checkpoint: task.checkpoint.clone(),
         });
         // An ended job needs no tasks any more, unless some may still run.
-        let settled = self.phase.is_final() && self.tasks.iter().all(|task| task.runner().is_none());
+        let settled =
+            self.phase.is_final() && self.tasks.iter().all(|task| task.runner().is_none());
         JobProgress {
             phase: self.phase,
-            tasks: if settled {
-                Vec::new()
-            } else {
-                tasks.collect()
-            },
+            tasks: if settled { Vec::new() } else { tasks.collect() },
         }
     }
 
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -243,7 +243,11 @@
     /// Lets go of runs that an earlier owner ordered on this runner, which has
     /// answered and does not know them: it takes no orders of that owner now.
     fn settle_located(&mut self, key: RunnerKey, now: Millis) {
-        let Some(name) = self.runners.get(key).map(|runner| runner.facts.name.clone()) else {
+        let Some(name) = self
+            .runners
+            .get(key)
+            .map(|runner| runner.facts.name.clone())
+        else {
             return;
         };
         self.settle_unlocated(|runner, _| runner == name, now);
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -81,10 +81,7 @@
             .map(|(key, job)| {
                 let lasts = job.spec.lasts();
                 let late = !lasts && job.due_at() < now;
-                (
-                    (job.policy.priority, !lasts, late, job.due_at()),
-                    key,
-                )
+                ((job.policy.priority, !lasts, late, job.due_at()), key)
             })
             .collect();
         order.sort_by_key(|(rank, _)| *rank);
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -260,7 +260,10 @@
             self.set_place(task, TaskPlace::Waiting, now);
             self.mark_dirty(task.job);
         }
-        let name = self.runners.get(key).map(|runner| runner.facts.name.clone());
+        let name = self
+            .runners
+            .get(key)
+            .map(|runner| runner.facts.name.clone());
         if let Some(name) = name {
             self.settle_unlocated(|runner, _| runner == name, now);
         }
@@ -295,11 +298,7 @@
         lapsed
     }
 
-    pub(crate) fn settle_unlocated(
-        &mut self,
-        ended: impl Fn(&str, Millis) -> bool,
-        now: Millis,
-    ) {
+    pub(crate) fn settle_unlocated(&mut self, ended: impl Fn(&str, Millis) -> bool, now: Millis) {
         let settled: Vec<TaskRef> = self
             .active_tasks()
             .filter(|(_, task)| match &task.place {
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -62,7 +62,8 @@
             let Some(entry) = self.task(*task) else {
                 continue;
             };
-            let at_work = entry.away_since.is_none() && matches!(entry.place, TaskPlace::Running(_));
+            let at_work =
+                entry.away_since.is_none() && matches!(entry.place, TaskPlace::Running(_));
             if at_work {
                 *ending
                     .entry((task.job, entry.round, entry.step))
--- a/crates/hoisthitch-scheduler/src/desk.rs
+++ b/crates/hoisthitch-scheduler/src/desk.rs
@@ -127,10 +127,7 @@
         let request = CreateRequest {
             key: self.keys.location(id),
             value: queue.pool.clone().into_bytes(),
-            others: vec![(
-                self.keys.submission(&queue.pool, id),
-                encode(&submission),
-            )],
+            others: vec![(self.keys.submission(&queue.pool, id), encode(&submission))],
             give_up,
         };
         let outcome = self.creates.create(request).await;
@@ -168,7 +165,10 @@
             return Ok(Some(end));
         }
         let sent = self.shared.clock.now();
-        let found = self.store.read(&self.keys.progress(&memory.pool, id)).await?;
+        let found = self
+            .store
+            .read(&self.keys.progress(&memory.pool, id))
+            .await?;
         self.shared.store.note_success(sent);
         let Some(stored) = found else {
             return Ok(Some(JobPhase::Queued));
@@ -205,9 +205,7 @@
             give_up,
         };
         let (answer, word) = match self.creates.create(request).await {
-            CreateOutcome::Created | CreateOutcome::Present => {
-                (CancelAnswer::Accepted, "accepted")
-            }
+            CreateOutcome::Created | CreateOutcome::Present => (CancelAnswer::Accepted, "accepted"),
             CreateOutcome::Refused | CreateOutcome::Unknown => (CancelAnswer::Unknown, "unknown"),
         };
         self.note("cancel", id, &memory.pool, word, started);
--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -188,11 +188,8 @@
 
     /// Pools owned, by living node.
     fn loads(&self, pools: &[String]) -> BTreeMap<String, usize> {
-        let mut loads: BTreeMap<String, usize> = self
-            .members
-            .keys()
-            .map(|node| (node.clone(), 0))
-            .collect();
+        let mut loads: BTreeMap<String, usize> =
+            self.members.keys().map(|node| (node.clone(), 0)).collect();
         for pool in pools.iter().filter(|pool| self.is_owned(pool)) {
             if let Some(entry) = self.owners.get(pool)
                 && let Some(load) = loads.get_mut(&entry.record.node)
@@ -229,7 +226,12 @@
             Ok(renewed) => {
                 shared.store.note_success(sent);
                 if lost || lease != renewed {
-                    event!(Info, "member_recorded", node = identity.node, life = identity.life);
+                    event!(
+                        Info,
+                        "member_recorded",
+                        node = identity.node,
+                        life = identity.life
+                    );
                 }
                 lost = false;
                 lease = renewed;
@@ -238,7 +240,12 @@
             Err(err) => {
                 shared.store.note_failure(shared.clock.now());
                 if !lost {
-                    event!(Warn, "member_not_renewed", node = identity.node, error = err);
+                    event!(
+                        Warn,
+                        "member_not_renewed",
+                        node = identity.node,
+                        error = err
+                    );
                 }
                 lost = true;
                 tokio::time::sleep(RETRY_WAIT).await;
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -110,7 +110,12 @@
     let mut operators = follow(codec.operators_prefix());
     let mut runners = follow(codec.runners_prefix());
     let mut changes = follow(keys.group());
-    let member = keep_member(store.clone(), shared.clone(), keys.clone(), identity.clone());
+    let member = keep_member(
+        store.clone(),
+        shared.clone(),
+        keys.clone(),
+        identity.clone(),
+    );
     let member = actix_rt::spawn(member);
     let (fleet, _) = watch::channel(Arc::new(FleetView::default()));
     let (stop, _) = watch::channel(false);
@@ -181,7 +186,10 @@
     /// Puts a configuration in force, unless it is older than the one there.
     fn apply_policy(&mut self, policy: FleetPolicy) {
         let current = self.shared.policy.load();
-        if current.as_ref().is_some_and(|now| now.version >= policy.version) {
+        if current
+            .as_ref()
+            .is_some_and(|now| now.version >= policy.version)
+        {
             return;
         }
         event!(
@@ -201,8 +209,7 @@
     }
 
     fn change_fleet(&self, change: impl FnOnce(&mut FleetView)) {
-        self.fleet
-            .send_modify(|fleet| change(Arc::make_mut(fleet)));
+        self.fleet.send_modify(|fleet| change(Arc::make_mut(fleet)));
     }
 
     fn take_runners(&mut self, change: FollowEvent) {
--- a/crates/hoisthitch-scheduler/src/owner.rs
+++ b/crates/hoisthitch-scheduler/src/owner.rs
@@ -327,7 +327,12 @@
 
     /// Looks at once whether this node still owns the pool.
     fn confirm_soon(&mut self) -> bool {
-        event!(Warn, "runner_fenced", pool = self.context.pool, epoch = self.epoch);
+        event!(
+            Warn,
+            "runner_fenced",
+            pool = self.context.pool,
+            epoch = self.epoch
+        );
         self.confirmed_at = self.confirmed_at.min(self.now().saturating_sub(CONFIRM_MS));
         true
     }
@@ -354,11 +359,7 @@
         }
     }
 
-    fn take_letter(
-        &mut self,
-        value: &StoredValue,
-        recorded: &mut HashMap<String, JobProgress>,
-    ) {
+    fn take_letter(&mut self, value: &StoredValue, recorded: &mut HashMap<String, JobProgress>) {
         let prefix = self.context.keys.inbox(&self.context.pool);
         let now = self.now();
         match InboxKey::parse(&prefix, &value.key) {
@@ -501,7 +502,8 @@
             recorded: 0,
             confirmed_at: self.confirmed_at,
         };
-        self.sessions.insert(key, RunnerSession::open(context, terms));
+        self.sessions
+            .insert(key, RunnerSession::open(context, terms));
     }
 
     fn drop_runner(&mut self, key: RunnerKey, why: &'static str) {
--- a/crates/hoisthitch-scheduler/src/session.rs
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -145,10 +145,7 @@
 
 impl RunnerSession {
     /// Opens a session.
-    pub(crate) fn open<R: RunnerControl>(
-        context: SessionContext<R>,
-        terms: SessionTerms,
-    ) -> Self {
+    pub(crate) fn open<R: RunnerControl>(context: SessionContext<R>, terms: SessionTerms) -> Self {
         let (terms, told) = watch::channel(terms);
         let (orders, queue) = mpsc::channel(ORDER_QUEUE);
         let context = Rc::new(context);
@@ -222,7 +219,12 @@
             }
             Err(err) => {
                 if answered {
-                    event!(Warn, "runner_lost", runner = context.address.name, error = err);
+                    event!(
+                        Warn,
+                        "runner_lost",
+                        runner = context.address.name,
+                        error = err
+                    );
                 }
                 answered = false;
                 let runner = context.key;
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -184,7 +184,8 @@
             event!(Info, "upkeep_done", wave = order.wave, vm = vm);
             (progress, revision) = self.write(order, next, revision).await?;
         }
-        self.empty_next(order, &due, &rows, progress, revision).await
+        self.empty_next(order, &due, &rows, progress, revision)
+            .await
     }
 
     /// Empties the next VMs, and takes down those that may go.
--- a/crates/hoisthitch-telemetry/src/logger.rs
+++ b/crates/hoisthitch-telemetry/src/logger.rs
@@ -42,6 +42,10 @@
 /// Longest time that the end of a process waits for its last lines.
 const FLUSH_LIMIT: Duration = Duration::from_secs(1);
 
+/// Start of the names of the project's own packages; libraries log warnings
+/// and errors only.
+const OWN_TARGETS: &str = "hoisthitch";
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 static QUEUE: OnceLock<SyncSender<LogItem>> = OnceLock::new();
@@ -114,13 +118,8 @@
                 "time={time} level={level} process={process} {message}"
             ));
         })
-        .level(library_level)
-        .level_for("hoisthitch_core", level)
-        .level_for("hoisthitch_entry", level)
-        .level_for("hoisthitch_standin", level)
-        .level_for("hoisthitch_steward", level)
-        .level_for("hoisthitch_store", level)
-        .level_for("hoisthitch_wire", level)
+        .level(level)
+        .filter(move |meta| meta.target().starts_with(OWN_TARGETS) || meta.level() <= library_level)
         .chain(Output::call(move |record| {
             let line = record.args().to_string();
             if sender.try_send(LogItem::Line(line)).is_err() {
