Ask runners only once all jobs are known; give VM orders only while surely the owner

Now a pause gathers changes. Ruled out: late orders (no run of an old owner began after the new epoch).

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -46,13 +46,9 @@
         asked_at: Millis,
         now: Millis,
     ) -> Vec<StartOrder> {
-        let Some(runner) = self.runners.get_mut(key) else {
+        let Some(runner) = self.runners.get(key) else {
             return Vec::new();
         };
-        if !runner.open {
-            runner.open = true;
-            self.plan_needed = true;
-        }
         let seen = runner.seen;
         let mut present = HashSet::new();
         for row in &report.running {
@@ -70,6 +66,13 @@
         self.take_absent(key, &present, asked_at, now)
     }
 
+    /// Takes in that the runner has a lease of this owner.
+    pub fn open_runner(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.open = true;
+        }
+    }
+
     /// Takes in that a hold got no answer.
     pub fn miss_hold(&mut self, key: RunnerKey) {
         if let Some(runner) = self.runners.get_mut(key) {
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -58,14 +58,22 @@
     pub(crate) stops: Vec<StopOrder>,
     /// Whether a job without records was taken in, or a task became free.
     pub(crate) plan_needed: bool,
+    /// When everything that earlier owners ordered has ended.
+    inherited_until: Millis,
 }
 
 impl PoolState {
+    /// The state of a new owner; `inherited_until` is when runs that earlier
+    /// owners ordered have ended for certain on runners that can't be asked.
+    pub fn new(inherited_until: Millis) -> Self {
+        Self {
+            inherited_until,
+            ..Self::default()
+        }
+    }
+
     /// Takes a job in; answers whether it is new.
-    ///
-    /// `unlocated_until` is when runs that an earlier owner ordered have ended
-    /// for certain on runners that can't be asked.
-    pub fn add_job(&mut self, new: NewJob, now: Millis, unlocated_until: Millis) -> bool {
+    pub fn add_job(&mut self, new: NewJob, now: Millis) -> bool {
         if self.job_ids.contains_key(&new.id) {
             return false;
         }
@@ -83,7 +91,7 @@
             accepted_at,
         );
         if let Some(progress) = progress {
-            self.restore(&mut job, progress, now, unlocated_until);
+            self.restore(&mut job, progress, now);
         }
         let settled = job.phase.is_final() && job.tasks.iter().all(|task| is_settled(&task.place));
         if settled {
@@ -98,13 +106,7 @@
         true
     }
 
-    fn restore(
-        &self,
-        job: &mut JobEntry,
-        progress: JobProgress,
-        now: Millis,
-        unlocated_until: Millis,
-    ) {
+    fn restore(&self, job: &mut JobEntry, progress: JobProgress, now: Millis) {
         job.phase = progress.phase;
         while job.tasks.len() < progress.tasks.len() && job.rounds_begun() < job.spec.rounds() {
             job.begin_round(now);
@@ -122,7 +124,7 @@
                 TaskPhase::Ordered => {
                     task.place = TaskPlace::Unlocated {
                         runner: recorded.runner,
-                        until: unlocated_until,
+                        until: self.inherited_until,
                     };
                 }
                 TaskPhase::Done => {
@@ -134,13 +136,14 @@
         }
     }
 
-    /// Takes in a cancel; answers whether the job is known.
+    /// Takes in a cancel; answers whether it ended the job.
     pub fn cancel(&mut self, id: &str, now: Millis) -> bool {
         let Some(key) = self.job_ids.get(id).copied() else {
             return false;
         };
+        let ends = self.jobs.get(key).is_some_and(|job| !job.phase.is_final());
         self.end_job(key, JobPhase::Cancelled, now);
-        true
+        ends
     }
 
     /// Ends a job and stops what runs of it.
@@ -225,7 +228,7 @@
             return key;
         }
         let name = facts.name.clone();
-        let key = self.runners.insert(RunnerEntry::new(facts));
+        let key = self.runners.insert(RunnerEntry::new(facts, self.inherited_until));
         self.runner_names.insert(name, key);
         key
     }
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -69,13 +69,14 @@
 }
 
 impl RunnerEntry {
-    /// A runner that has not answered yet.
-    pub fn new(facts: RunnerFacts) -> Self {
+    /// A runner that has not answered yet; `lease_until` is when everything that
+    /// earlier owners ordered there has ended.
+    pub fn new(facts: RunnerFacts, lease_until: Millis) -> Self {
         Self {
             facts,
             open: false,
             leaving: false,
-            lease_until: 0,
+            lease_until,
             used: TaskNeed::default(),
             tasks: HashSet::new(),
             seen: 0,
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -40,6 +40,10 @@
         let Some(runner) = self.runners.get(key) else {
             return UpkeepView::Free;
         };
+        // What an earlier owner ordered there shows in the runner's answers.
+        if !runner.open {
+            return UpkeepView::Held;
+        }
         let lasting = |task: &&TaskRef| {
             let job = self.jobs.get(task.job);
             job.and_then(|job| job.step_of(task.slot))
--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -33,17 +33,19 @@
     Gone(String),
 }
 
-/// Follows the keys that start with `prefix` until nobody listens.
+/// Follows the keys that start with `prefix` until nobody listens. Between two
+/// waits for changes it pauses, so that changes which come often share a call.
 pub(crate) async fn follow_prefix<S: StoreClient>(
     store: S,
     prefix: String,
+    pause: Duration,
     shared: Arc<NodeShared>,
     events: mpsc::UnboundedSender<FollowEvent>,
 ) {
     let prefix = Rc::new(prefix);
     let mut lost = false;
     while !events.is_closed() {
-        let ended = follow_once(&store, &prefix, &shared, &events, &mut lost).await;
+        let ended = follow_once(&store, &prefix, pause, &shared, &events, &mut lost).await;
         if let Err(err) = ended {
             shared.store.note_failure(shared.clock.now());
             if !lost {
@@ -58,6 +60,7 @@
 async fn follow_once<S: StoreClient>(
     store: &S,
     prefix: &str,
+    pause: Duration,
     shared: &NodeShared,
     events: &mpsc::UnboundedSender<FollowEvent>,
     lost: &mut bool,
@@ -79,6 +82,9 @@
             WatchEvent::Delete { key, .. } => events.send(FollowEvent::Gone(key)),
             WatchEvent::Quiet => Ok(()),
         };
+        if !pause.is_zero() && watch.is_drained() {
+            tokio::time::sleep(pause).await;
+        }
         if told.is_err() {
             break;
         }
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -49,6 +49,10 @@
 /// Time between two looks at the group.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Pause between two looks at what runners write: they write often, and a
+/// change has two seconds to be in force.
+const RUNNERS_PAUSE: Duration = Duration::from_millis(300);
+
 /// Longest time that a stopping node waits for its owners to write what they
 /// hold.
 const HAND_OVER: Duration = Duration::from_millis(800);
@@ -102,14 +106,15 @@
 ) {
     let store = platform.store().clone();
     let codec = platform.codec().clone();
-    let follow = |prefix: String| {
+    let follow = |prefix: String, pause: Duration| {
         let (sender, told) = mpsc::unbounded_channel();
-        actix_rt::spawn(follow_prefix(store.clone(), prefix, shared.clone(), sender));
+        let follower = follow_prefix(store.clone(), prefix, pause, shared.clone(), sender);
+        actix_rt::spawn(follower);
         told
     };
-    let mut operators = follow(codec.operators_prefix());
-    let mut runners = follow(codec.runners_prefix());
-    let mut changes = follow(keys.group());
+    let mut operators = follow(codec.operators_prefix(), Duration::ZERO);
+    let mut runners = follow(codec.runners_prefix(), RUNNERS_PAUSE);
+    let mut changes = follow(keys.group(), Duration::ZERO);
     let member = keep_member(
         store.clone(),
         shared.clone(),
@@ -176,7 +181,10 @@
         match codec.wave(&value.key, &value.value) {
             Some(Ok(order)) => {
                 event!(Info, "wave_seen", wave = order.wave, vms = order.vms.len());
-                self.change_fleet(|fleet| drop(fleet.waves.insert(order.wave, order.clone())));
+                self.change_fleet(|fleet| {
+                    let before = fleet.waves.insert(order.wave, order.clone());
+                    before.as_ref() != Some(&order)
+                });
             }
             Some(Err(err)) => event!(Error, "wave_unreadable", key = value.key, error = err),
             None => {}
@@ -205,11 +213,14 @@
         self.change_fleet(|fleet| {
             fleet.pools = pools;
             fleet.policies = policies;
+            true
         });
     }
 
-    fn change_fleet(&self, change: impl FnOnce(&mut FleetView)) {
-        self.fleet.send_modify(|fleet| change(Arc::make_mut(fleet)));
+    /// Changes the view; those who follow it hear of it if `change` says so.
+    fn change_fleet(&self, change: impl FnOnce(&mut FleetView) -> bool) {
+        self.fleet
+            .send_if_modified(|fleet| change(Arc::make_mut(fleet)));
     }
 
     fn take_runners(&mut self, change: FollowEvent) {
@@ -222,6 +233,7 @@
                 for value in &values {
                     fleet.put_runner(&codec, value);
                 }
+                true
             }
             FollowEvent::Put(value) => fleet.put_runner(&codec, &value),
             FollowEvent::Gone(key) => {
@@ -229,6 +241,7 @@
                     event!(Info, "runner_unlisted", runner = name);
                     fleet.runners.remove(name);
                 }
+                true
             }
         });
     }
@@ -279,17 +292,21 @@
 }
 
 impl FleetView {
-    fn put_runner<C: FleetCodec>(&mut self, codec: &C, value: &StoredValue) {
+    /// Takes in a runner's record; answers whether it changes anything.
+    fn put_runner<C: FleetCodec>(&mut self, codec: &C, value: &StoredValue) -> bool {
         let Some(name) = codec.runner_name(&value.key) else {
-            return;
+            return false;
         };
         let record = match codec.runner(name, &value.value) {
             Ok(record) => record,
             Err(err) => {
                 event!(Error, "runner_unreadable", runner = name, error = err);
-                return;
+                return false;
             }
         };
+        if self.runners.get(name) == Some(&record) {
+            return false;
+        }
         event!(
             Info,
             "runner_listed",
@@ -309,5 +326,6 @@
             }
         }
         self.runners.insert(name.to_owned(), record);
+        true
     }
 }
--- a/crates/hoisthitch-scheduler/src/owner.rs
+++ b/crates/hoisthitch-scheduler/src/owner.rs
@@ -5,7 +5,9 @@
 //! journal; meanwhile events are taken in and further decisions gathered.
 
 use std::{
+    cell::Cell,
     collections::HashMap,
+    rc::Rc,
     sync::Arc,
     time::Duration, //
 };
@@ -73,6 +75,7 @@
     shared::NodeShared,
     takeover::PoolTakeover,
     waves::{
+        WaveContext,
         WaveRequest,
         run_waves, //
     }, //
@@ -87,7 +90,7 @@
 
 /// Time without a write after which the owner makes sure that it is the owner,
 /// in milliseconds.
-const CONFIRM_MS: Millis = 1_000;
+const CONFIRM_MS: Millis = 500;
 
 /// Least time between two writes of the queues' counts, in milliseconds; they
 /// may be two seconds old.
@@ -133,12 +136,11 @@
     returns: mpsc::UnboundedSender<JournalReturn<P::Store>>,
     events: mpsc::UnboundedSender<SessionEvent>,
     sessions: HashMap<RunnerKey, RunnerSession>,
-    confirmed_at: Millis,
+    /// When this node was last surely the owner.
+    confirmed: Rc<Cell<Millis>>,
     wrote_at: Millis,
     counts: HashMap<String, u32>,
     counted_at: Millis,
-    /// When everything that earlier owners ordered has ended.
-    unlocated_until: Millis,
 }
 
 /// Owns a pool until another node does, or the node stops.
@@ -153,7 +155,7 @@
     let store = context.platform.store().clone();
     let prefix = context.keys.inbox(&context.pool);
     let (inbox, mut told) = mpsc::unbounded_channel();
-    let follower = follow_prefix(store.clone(), prefix, context.shared.clone(), inbox);
+    let follower = follow_prefix(store.clone(), prefix, Duration::ZERO, context.shared.clone(), inbox);
     actix_rt::spawn(follower);
     let progress_prefix = context.keys.all_progress(&context.pool);
     let progress = store.read_prefix(&progress_prefix).await?;
@@ -162,32 +164,39 @@
     let (wave_sender, mut wave_requests) = mpsc::channel(16);
     let mut fleet = context.fleet.clone();
     let mut stop = context.stop.clone();
-    let waves = run_waves(
-        context.platform.clone(),
-        context.keys.clone(),
-        context.identity.node.clone(),
-        context.pool.clone(),
-        takeover.epoch,
-        context.fleet.clone(),
-        wave_sender,
-    );
+    let confirmed = Rc::new(Cell::new(context.shared.clock.now()));
+    let waves = run_waves(WaveContext {
+        platform: context.platform.clone(),
+        shared: context.shared.clone(),
+        keys: context.keys.clone(),
+        node: context.identity.node.clone(),
+        pool: context.pool.clone(),
+        epoch: takeover.epoch,
+        confirmed: confirmed.clone(),
+        fleet: context.fleet.clone(),
+        owner: wave_sender,
+    });
     let waves = actix_rt::spawn(waves);
     let now = context.shared.clock.now();
     let mut owner = PoolOwner {
         epoch: takeover.epoch,
-        state: PoolState::default(),
+        state: PoolState::new(now + LEASE_CAP_MS + LEASE_CAP_MS / 20),
         journal: Some(takeover.journal),
         returns,
         events,
         sessions: HashMap::new(),
-        confirmed_at: now,
+        confirmed,
         wrote_at: 0,
         counts: HashMap::new(),
         counted_at: 0,
-        unlocated_until: now + LEASE_CAP_MS + LEASE_CAP_MS / 20,
         context,
     };
     let mut recorded = read_progress(&owner.context, progress);
+    // Runners are asked only once all jobs are known: what they report of an
+    // unknown job would be stopped, and its ends forgotten.
+    if let Some(all) = told.recv().await {
+        owner.take_inbox(all, &mut recorded);
+    }
     owner.sync_fleet();
     let end = loop {
         tokio::select! {
@@ -307,8 +316,12 @@
                 runner,
                 report,
                 asked_at,
+                leased,
             } => {
                 let again = self.state.take_hold(runner, &report, asked_at, now);
+                if leased {
+                    self.state.open_runner(runner);
+                }
                 self.start_all(again);
                 for pace in self.state.pace(runner) {
                     self.send(runner, RunnerOrder::Pace(pace));
@@ -333,7 +346,8 @@
             pool = self.context.pool,
             epoch = self.epoch
         );
-        self.confirmed_at = self.confirmed_at.min(self.now().saturating_sub(CONFIRM_MS));
+        let doubtful = self.now().saturating_sub(CONFIRM_MS);
+        self.confirmed.set(self.confirmed.get().min(doubtful));
         true
     }
 
@@ -370,8 +384,9 @@
                 }
             }
             Some(InboxKey::Cancel(id)) => {
-                let known = self.state.cancel(id, now);
-                event!(Info, "job_cancelled", job = id, known = known);
+                if self.state.cancel(id, now) {
+                    event!(Info, "job_cancelled", job = id, key_revision = value.revision.0);
+                }
             }
             None => event!(Warn, "inbox_key_unknown", key = value.key),
         }
@@ -389,7 +404,7 @@
             progress,
             accepted_at: now.saturating_sub(age),
         };
-        if self.state.add_job(new, now, self.unlocated_until) {
+        if self.state.add_job(new, now) {
             event!(
                 Info,
                 "job_taken",
@@ -500,7 +515,7 @@
         };
         let terms = SessionTerms {
             recorded: 0,
-            confirmed_at: self.confirmed_at,
+            confirmed_at: self.confirmed.get(),
         };
         self.sessions
             .insert(key, RunnerSession::open(context, terms));
@@ -526,7 +541,7 @@
             if let Some(runner) = self.state.runner(*key) {
                 session.set_terms(SessionTerms {
                     recorded: runner.seen,
-                    confirmed_at: self.confirmed_at,
+                    confirmed_at: self.confirmed.get(),
                 });
             }
         }
@@ -565,13 +580,13 @@
     }
 
     fn confirm(&mut self, journal: PoolJournal<P::Store>, now: Millis) {
-        if now < self.confirmed_at.max(self.wrote_at) + CONFIRM_MS {
+        if now < self.confirmed.get().max(self.wrote_at) + CONFIRM_MS {
             self.journal = Some(journal);
             return;
         }
         self.wrote_at = now;
         let returns = self.returns.clone();
-        let known = self.confirmed_at;
+        let known = self.confirmed.get();
         actix_rt::spawn(async move {
             let result = match journal.confirm().await {
                 Ok(result) => result,
@@ -589,7 +604,7 @@
         let (journal, plan, result) = back;
         let confirmed = result?;
         self.journal = Some(journal);
-        self.confirmed_at = self.confirmed_at.max(confirmed);
+        self.confirmed.set(self.confirmed.get().max(confirmed));
         let now = self.now();
         let starts = self.state.finish_flush(&plan, now);
         self.start_all(starts);
@@ -597,7 +612,7 @@
             if let Some(session) = self.sessions.get(runner) {
                 session.set_terms(SessionTerms {
                     recorded: *seen,
-                    confirmed_at: self.confirmed_at,
+                    confirmed_at: self.confirmed.get(),
                 });
             }
         }
--- a/crates/hoisthitch-scheduler/src/session.rs
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -85,6 +85,8 @@
         runner: RunnerKey,
         report: HoldReport,
         asked_at: Millis,
+        /// Whether it gave a lease, under which starts can be ordered.
+        leased: bool,
     },
     /// A hold was not answered.
     Missed { runner: RunnerKey },
@@ -199,6 +201,7 @@
                     runner: context.key,
                     report,
                     asked_at,
+                    leased: lease_ms.is_some(),
                 });
                 if let Some(last) = last.filter(|last| *last > terms.recorded) {
                     let recorded = told.wait_for(|terms| terms.recorded >= last);
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -5,15 +5,20 @@
 //! and out of it once the VM is back with a new life of its runner.
 
 use std::{
+    cell::Cell,
     collections::{
         BTreeMap,
         BTreeSet, //
     },
+    rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
-use hoisthitch_jobs::UpkeepView;
+use hoisthitch_jobs::{
+    Millis,
+    UpkeepView, //
+};
 use hoisthitch_store::{
     BatchOutcome,
     StoreClient,
@@ -44,13 +49,24 @@
         VmError,
         VmRow,
         WaveOrder, //
-    }, //
+    },
+    shared::NodeShared, //
 };
 
 /// Time between two looks at a wave that is under way: a fraction of the time
 /// that an upkeep takes.
 const WAVE_TICK: Duration = Duration::from_millis(350);
 
+/// Time that a new owner waits before it gives orders about VMs, in
+/// milliseconds: an earlier one may send some until its own doubt stops it
+/// ([`DOUBT_MS`]), and they may be under way for the limit of a call. Nor may
+/// two owners take turns within the platform's three seconds.
+const SETTLE_MS: Millis = 3_200;
+
+/// Time after the owner last made sure that it is the owner in which it gives
+/// orders about VMs, in milliseconds.
+const DOUBT_MS: Millis = 1_200;
+
 /// VMs of a pool that are emptied at once. More would cost a pool of about ten
 /// VMs too much of its room.
 const EMPTY_AT_ONCE: usize = 1;
@@ -86,29 +102,44 @@
     pool: String,
     epoch: u64,
     owner: mpsc::Sender<WaveRequest>,
+    shared: Arc<NodeShared>,
+    /// When the owner last made sure that it is the owner.
+    confirmed: Rc<Cell<Millis>>,
     /// Runners that are being emptied, by VM.
     leaving: BTreeMap<String, String>,
+    /// VMs that went down on this worker's order.
+    went_down: BTreeSet<(u64, String)>,
+}
+
+/// What a wave worker works with.
+pub(crate) struct WaveContext<P> {
+    pub(crate) platform: P,
+    pub(crate) shared: Arc<NodeShared>,
+    pub(crate) keys: JobKeys,
+    pub(crate) node: String,
+    pub(crate) pool: String,
+    pub(crate) epoch: u64,
+    pub(crate) confirmed: Rc<Cell<Millis>>,
+    pub(crate) fleet: watch::Receiver<Arc<FleetView>>,
+    pub(crate) owner: mpsc::Sender<WaveRequest>,
 }
 
 /// Takes the pool's VMs through all waves until the owner ends.
-pub(crate) async fn run_waves<P: Platform>(
-    platform: P,
-    keys: JobKeys,
-    node: String,
-    pool: String,
-    epoch: u64,
-    mut fleet: watch::Receiver<Arc<FleetView>>,
-    owner: mpsc::Sender<WaveRequest>,
-) {
+pub(crate) async fn run_waves<P: Platform>(context: WaveContext<P>) {
+    let mut fleet = context.fleet;
     let mut worker = WaveWorker {
-        platform,
-        keys,
-        node,
-        pool,
-        epoch,
-        owner,
+        platform: context.platform,
+        keys: context.keys,
+        node: context.node,
+        pool: context.pool,
+        epoch: context.epoch,
+        owner: context.owner,
+        shared: context.shared,
+        confirmed: context.confirmed,
         leaving: BTreeMap::new(),
+        went_down: BTreeSet::new(),
     };
+    tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
     let mut completed = BTreeSet::new();
     loop {
         let orders: Vec<WaveOrder> = fleet
@@ -144,6 +175,8 @@
     Vm(#[from] VmError),
     #[error("the wave's record can't be read: {0}")]
     Record(#[from] serde_json::Error),
+    #[error("whether this node still owns the pool is not known")]
+    Doubt,
 }
 
 impl<P: Platform> WaveWorker<P> {
@@ -171,7 +204,7 @@
                     next.down.remove(vm);
                     next.done.insert(vm.clone());
                 }
-                (Some(row), Some(before)) if is_back(row, before) => {
+                (Some(row), Some(before)) if self.is_back(order, row, before) => {
                     next.down.remove(vm);
                     next.done.insert(vm.clone());
                 }
@@ -254,7 +287,19 @@
         }
     }
 
+    /// Whether a VM that went down is up again: with a new life of its runner,
+    /// or, where it runs none, after it went down on this worker's order.
+    fn is_back(&self, order: &WaveOrder, row: &VmRow, before: &str) -> bool {
+        let renewed = row.runner.as_deref().is_some_and(|now| now != before);
+        let went_down = || self.went_down.contains(&(order.wave, row.name.clone()));
+        let runs_none = before.is_empty() && row.runner.is_none();
+        row.condition == VmCondition::Up && (renewed || (runs_none && went_down()))
+    }
+
     async fn take_down(&mut self, order: &WaveOrder, row: &VmRow) -> Result<(), WaveError> {
+        if self.shared.clock.now() > self.confirmed.get() + DOUBT_MS {
+            return Err(WaveError::Doubt);
+        }
         let vms = self.platform.vms();
         let done = vms
             .upkeep(&row.name, order.wave, &self.node, self.epoch)
@@ -268,6 +313,7 @@
             outcome = format_args!("{done:?}")
         );
         done?;
+        self.went_down.insert((order.wave, row.name.clone()));
         self.leaving.remove(&row.name);
         if let Some(runner) = row.runner.clone() {
             // An owner that is gone knows no runner.
@@ -328,9 +374,3 @@
         }
     }
 }
-
-/// Whether a VM that went down is up again.
-fn is_back(row: &VmRow, before: &str) -> bool {
-    let renewed = row.runner.as_deref().is_some_and(|now| now != before);
-    row.condition == VmCondition::Up && renewed
-}
--- a/crates/hoisthitch-store/src/client.rs
+++ b/crates/hoisthitch-store/src/client.rs
@@ -95,6 +95,9 @@
 pub trait WatchStream {
     /// The next change; `None` once the watch has ended.
     fn next(&mut self) -> impl Future<Output = Option<Result<WatchEvent, StoreError>>>;
+
+    /// Whether every change that has come in was given out.
+    fn is_drained(&self) -> bool;
 }
 
 /// The platform's store.
--- a/crates/hoisthitch-store/src/etcd.rs
+++ b/crates/hoisthitch-store/src/etcd.rs
@@ -310,6 +310,10 @@
             }
         }
     }
+
+    fn is_drained(&self) -> bool {
+        self.ready.is_empty() && self.buffer.is_empty()
+    }
 }
 
 impl EtcdWatch {
