--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -228,7 +228,9 @@
             return key;
         }
         let name = facts.name.clone();
-        let key = self.runners.insert(RunnerEntry::new(facts, self.inherited_until));
+        let key = self
+            .runners
+            .insert(RunnerEntry::new(facts, self.inherited_until));
         self.runner_names.insert(name, key);
         key
     }
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -13,7 +13,10 @@
 };
 
 use hoisthitch_jobs::QueuePolicy;
-use hoisthitch_store::StoredValue;
+use hoisthitch_store::{
+    StoreRevision,
+    StoredValue, //
+};
 use hoisthitch_telemetry::event;
 use tokio::sync::{
     mpsc,
@@ -49,6 +52,9 @@
 /// Time between two looks at the group.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Pause after a lost election, in which this node hears who won.
+const ELECTION_PAUSE: Duration = Duration::from_millis(400);
+
 /// Pause between two looks at what runners write: they write often, and a
 /// change has two seconds to be in force.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(300);
@@ -146,7 +152,7 @@
             Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
             _ = tick.tick() => {}
         }
-        control.elect(&mut group).await;
+        control.elect(&mut group);
     }
     control.stop.send_replace(true);
     let handed_over = async {
@@ -246,7 +252,8 @@
         });
     }
 
-    async fn elect(&mut self, group: &mut GroupView) {
+    /// Stands for election where this node should.
+    fn elect(&mut self, group: &mut GroupView) {
         let now = self.shared.clock.now();
         if !self.shared.store.is_usable(now) {
             return;
@@ -255,39 +262,48 @@
         let quiet_since = self.shared.store.last_failure();
         let wanted = group.wanted(&pools, &self.identity, &self.running, quiet_since, now);
         for (pool, revision) in wanted {
-            let taken = take_over(
-                self.platform.store(),
-                &self.shared,
-                &self.keys,
-                &self.identity,
-                &pool,
-                revision,
-            );
-            match taken.await {
-                Ok(Some(takeover)) => {
-                    self.running.insert(pool.clone());
-                    let context = OwnerContext {
-                        platform: self.platform.clone(),
-                        shared: self.shared.clone(),
-                        keys: self.keys.clone(),
-                        identity: self.identity.clone(),
-                        pool: pool.clone(),
-                        fleet: self.fleet.subscribe(),
-                        stop: self.stop.subscribe(),
-                    };
-                    let ended = self.ended.clone();
-                    actix_rt::spawn(async move {
-                        if let Err(err) = run_owner(context, takeover).await {
-                            event!(Error, "pool_not_read", pool = pool, error = err);
-                        }
-                        // A node that is gone counts no pools.
-                        let _ = ended.send(pool);
-                    });
-                }
-                Ok(None) => {}
-                Err(err) => event!(Warn, "takeover_unclear", pool = pool, error = err),
+            self.running.insert(pool.clone());
+            let context = OwnerContext {
+                platform: self.platform.clone(),
+                shared: self.shared.clone(),
+                keys: self.keys.clone(),
+                identity: self.identity.clone(),
+                pool: pool.clone(),
+                fleet: self.fleet.subscribe(),
+                stop: self.stop.subscribe(),
+            };
+            let ended = self.ended.clone();
+            actix_rt::spawn(async move {
+                stand_for(context, revision).await;
+                // A node that is gone counts no pools.
+                let _ = ended.send(pool);
+            });
+        }
+    }
+}
+
+/// Tries to become the owner of a pool, and owns it if that succeeds.
+async fn stand_for<P: Platform>(context: OwnerContext<P>, seen: StoreRevision) {
+    let pool = context.pool.clone();
+    let taken = take_over(
+        context.platform.store(),
+        &context.shared,
+        &context.keys,
+        &context.identity,
+        &pool,
+        seen,
+    );
+    match taken.await {
+        Ok(Some(takeover)) => {
+            if let Err(err) = run_owner(context, takeover).await {
+                event!(Error, "pool_not_read", pool = pool, error = err);
             }
         }
+        Ok(None) => tokio::time::sleep(ELECTION_PAUSE).await,
+        Err(err) => {
+            event!(Warn, "takeover_unclear", pool = pool, error = err);
+            tokio::time::sleep(ELECTION_PAUSE).await;
+        }
     }
 }
 
--- a/crates/hoisthitch-scheduler/src/owner.rs
+++ b/crates/hoisthitch-scheduler/src/owner.rs
@@ -155,7 +155,13 @@
     let store = context.platform.store().clone();
     let prefix = context.keys.inbox(&context.pool);
     let (inbox, mut told) = mpsc::unbounded_channel();
-    let follower = follow_prefix(store.clone(), prefix, Duration::ZERO, context.shared.clone(), inbox);
+    let follower = follow_prefix(
+        store.clone(),
+        prefix,
+        Duration::ZERO,
+        context.shared.clone(),
+        inbox,
+    );
     actix_rt::spawn(follower);
     let progress_prefix = context.keys.all_progress(&context.pool);
     let progress = store.read_prefix(&progress_prefix).await?;
@@ -385,7 +391,12 @@
             }
             Some(InboxKey::Cancel(id)) => {
                 if self.state.cancel(id, now) {
-                    event!(Info, "job_cancelled", job = id, key_revision = value.revision.0);
+                    event!(
+                        Info,
+                        "job_cancelled",
+                        job = id,
+                        key_revision = value.revision.0
+                    );
                 }
             }
             None => event!(Warn, "inbox_key_unknown", key = value.key),
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -242,18 +242,12 @@
                 break;
             }
             let view = self.ask(row).await;
-            let free = match view {
-                Some(UpkeepView::Held) => {
-                    self.stay(&row.name).await;
-                    continue;
-                }
-                Some(UpkeepView::Busy(_)) => {
-                    emptied += 1;
-                    continue;
-                }
-                Some(UpkeepView::Free) | None => true,
-            };
+            if view == Some(UpkeepView::Held) {
+                self.stay(&row.name).await;
+                continue;
+            }
             emptied += 1;
+            let free = matches!(view, Some(UpkeepView::Free) | None);
             if !free || progress.down.len() >= order.at_once.max(1) {
                 continue;
             }
@@ -300,6 +294,11 @@
         if self.shared.clock.now() > self.confirmed.get() + DOUBT_MS {
             return Err(WaveError::Doubt);
         }
+        // The record may have taken long to write; what runs there may have
+        // changed since.
+        if !matches!(self.ask(row).await, Some(UpkeepView::Free) | None) {
+            return Ok(());
+        }
         let vms = self.platform.vms();
         let done = vms
             .upkeep(&row.name, order.wave, &self.node, self.epoch)
