--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -8,6 +8,7 @@
     pool::PoolState,
     runner::RunnerKey,
     task::{
+        TaskEntry,
         TaskPlace,
         TaskRef, //
     }, //
@@ -88,13 +89,22 @@
                 .tasks
                 .iter()
                 .filter(|task| task.round == round && task.step == step)
-                .filter(|task| task.away_since.is_some())
+                .filter(|task| !self.is_at_work(task))
                 .count();
             job.phase.is_final()
                 || u32::try_from(away).is_ok_and(|away| away + count <= spec.may_miss)
         })
     }
 
+    /// Whether a lasting task works, as far as its runner has said of late.
+    fn is_at_work(&self, task: &TaskEntry) -> bool {
+        let TaskPlace::Running(key) = task.place else {
+            return false;
+        };
+        let heard = self.runners.get(key).is_some_and(|runner| runner.open);
+        heard && task.away_since.is_none()
+    }
+
     /// Takes the lasting tasks of a runner as away: its VM goes down now.
     pub fn note_down(&mut self, key: RunnerKey, now: Millis) {
         self.release_runner(key, now);
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -7,7 +7,6 @@
         HashMap,
         HashSet, //
     },
-    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -87,8 +86,15 @@
     pub(crate) pools: Vec<String>,
     /// Waves by number.
     pub(crate) waves: BTreeMap<u64, WaveOrder>,
-    by_address: HashMap<SocketAddr, String>,
-    by_vm: HashMap<String, String>,
+    /// Last lives of runners, by address and by VM.
+    last_lives: HashMap<String, RunnerLife>,
+}
+
+/// A life of a runner, and the last change of its record.
+#[derive(Clone, Debug)]
+struct RunnerLife {
+    name: String,
+    revision: StoreRevision,
 }
 
 struct NodeControl<P: Platform> {
@@ -331,17 +337,41 @@
             address = record.address,
             draining = record.facts.draining
         );
-        let before = self.by_address.insert(record.address, name.to_owned());
-        let same_vm = (!record.facts.vm.is_empty())
-            .then(|| self.by_vm.insert(record.facts.vm.clone(), name.to_owned()))
-            .flatten();
-        for life in before.into_iter().chain(same_vm) {
-            if life != name {
-                self.runners.remove(&life);
-                self.ended.insert(life);
+        let life = RunnerLife {
+            name: name.to_owned(),
+            revision: value.revision,
+        };
+        let address = record.address.to_string();
+        let places = [address, record.facts.vm.clone()];
+        for place in places.into_iter().filter(|place| !place.is_empty()) {
+            if let Some(over) = self.succeed(place, &life) {
+                event!(Info, "runner_life_over", runner = over, by = name);
+                self.runners.remove(&over);
+                self.ended.insert(over);
             }
         }
+        if self.ended.contains(name) {
+            return true;
+        }
         self.runners.insert(name.to_owned(), record);
         true
     }
+
+    /// Takes in which life of a runner is the last one at an address or on a
+    /// VM; answers with the life that is over. Records may be read again in
+    /// any order, so that the later revision decides.
+    fn succeed(&mut self, place: String, life: &RunnerLife) -> Option<String> {
+        let Some(last) = self.last_lives.get_mut(&place) else {
+            self.last_lives.insert(place, life.clone());
+            return None;
+        };
+        if last.name == life.name {
+            last.revision = last.revision.max(life.revision);
+            return None;
+        }
+        if last.revision > life.revision {
+            return Some(life.name.clone());
+        }
+        Some(std::mem::replace(last, life.clone()).name)
+    }
 }
