--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -0,0 +1,362 @@
+//! Owners that are lost, deposed, frozen and cut off: no task runs twice, none
+//! is forgotten.
+
+mod world;
+
+use eyre::{
+    Result,
+    ensure, //
+};
+use hoisthitch_jobs::JobPhase;
+use world::{
+    TestWorld,
+    job,
+    lasting,
+    play,
+    sleep_ms,
+    store::StoreFaults, //
+};
+
+/// Names each case; every case is played on the paused clock.
+macro_rules! cases {
+    ($($name:ident => $call:expr;)+) => {
+        $(
+            #[test]
+            fn $name() -> Result<()> {
+                play($call)
+            }
+        )+
+    };
+}
+
+cases! {
+    job_of_two_steps_is_completed => completes();
+    job_handed_in_twice_is_one_job => submits_twice();
+    failing_job_spends_its_attempts_and_no_more => spends_attempts();
+    cancelled_job_stops_everywhere => cancels();
+    killed_owner_hands_over_without_a_second_run => kills_owner();
+    frozen_owner_that_wakes_starts_nothing => freezes_owner();
+    owner_cut_from_the_store_is_replaced => cuts_owner();
+    owner_whose_record_was_taken_goes_on_or_is_replaced => revokes_owner();
+    all_killed_at_once_go_on_from_the_store => kills_all();
+    lost_answers_of_the_store_change_nothing => loses_answers();
+    writes_done_late_change_nothing => late_writes();
+    late_orders_start_nothing_twice => late_orders();
+    cut_runner_under_a_new_owner_is_waited_for => cuts_runner();
+    crashed_runner_s_tasks_start_anew => crashes_runner();
+    reread_list_keeps_a_living_runner => rereads_list();
+    new_owner_stops_nothing_that_lasts => keeps_lasting();
+    wave_takes_every_vm_within_its_limits => takes_wave();
+    wave_goes_on_under_a_new_owner => takes_wave_over();
+}
+
+fn kept(world: &TestWorld) -> Result<()> {
+    let broken = world.fleet.broken();
+    ensure!(broken.is_empty(), "{broken:?}");
+    Ok(())
+}
+
+async fn completes() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    world.submit("a1", job("work 300", &[6, 3])).await;
+    world.wait_phase("a1", JobPhase::Completed, 5_000).await?;
+    ensure!(world.fleet.done() == 9, "{} done", world.fleet.done());
+    kept(&world)
+}
+
+async fn submits_twice() -> Result<()> {
+    let world = TestWorld::start(2, 4).await;
+    let spec = job("work 300", &[4]);
+    let (first, second) = (
+        world.submit("a1", spec.clone()),
+        world.submit("a1", spec.clone()),
+    );
+    tokio::join!(first, second);
+    world.wait_phase("a1", JobPhase::Completed, 5_000).await?;
+    world.submit("a1", spec).await;
+    sleep_ms(2_000).await;
+    ensure!(world.fleet.starts("a1.0.0.0") == 1);
+    kept(&world)
+}
+
+async fn spends_attempts() -> Result<()> {
+    let world = TestWorld::start(2, 4).await;
+    world.submit("bad", job("fail 100", &[2])).await;
+    world.wait_phase("bad", JobPhase::Failed, 30_000).await?;
+    sleep_ms(5_000).await;
+    let starts = [0, 1].map(|task| world.fleet.starts(&format!("bad.0.0.{task}")));
+    ensure!(starts.iter().all(|starts| *starts <= 3), "{starts:?}");
+    ensure!(starts.contains(&3), "{starts:?}");
+    kept(&world)
+}
+
+async fn cancels() -> Result<()> {
+    let world = TestWorld::start(2, 4).await;
+    world.submit("long", lasting(4, 1)).await;
+    sleep_ms(1_000).await;
+    ensure!(world.fleet.running().len() == 4);
+    world.cancel("long").await;
+    world.wait_phase("long", JobPhase::Cancelled, 2_000).await?;
+    sleep_ms(1_000).await;
+    ensure!(world.fleet.running().is_empty());
+    kept(&world)
+}
+
+async fn kills_owner() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    for number in 0..6 {
+        world
+            .submit(&format!("j{number}"), job("work 1500", &[4, 2]))
+            .await;
+    }
+    sleep_ms(700).await;
+    let owner = world.owner();
+    world.nodes[&owner].kill();
+    for number in 0..6 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 30_000).await?;
+    }
+    ensure!(world.owner() != owner);
+    ensure!(world.fleet.starts("j0.0.0.0") == 1, "what ran went on");
+    kept(&world)
+}
+
+async fn freezes_owner() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    for number in 0..8 {
+        world
+            .submit(&format!("j{number}"), job("work 900", &[4, 2]))
+            .await;
+    }
+    let owner = world.owner();
+    for _ in 0..3 {
+        sleep_ms(350).await;
+        world.nodes[&owner].freeze(true);
+        sleep_ms(4_000).await;
+        world.nodes[&owner].freeze(false);
+    }
+    for number in 0..8 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 30_000).await?;
+    }
+    kept(&world)
+}
+
+async fn cuts_owner() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    let owner = world.owner();
+    for number in 0..6 {
+        world
+            .submit(&format!("j{number}"), job("work 900", &[4, 2]))
+            .await;
+    }
+    let cut = [owner.clone()].into_iter().collect();
+    world.store.set_faults(StoreFaults {
+        cut,
+        ..StoreFaults::default()
+    });
+    sleep_ms(6_000).await;
+    ensure!(world.owner() != owner);
+    world.store.set_faults(StoreFaults::default());
+    for number in 0..6 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 30_000).await?;
+    }
+    kept(&world)
+}
+
+async fn revokes_owner() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    world.submit("j", job("work 900", &[8, 8, 8])).await;
+    for _ in 0..4 {
+        sleep_ms(500).await;
+        world.store.revoke(&world.owner());
+    }
+    world.wait_phase("j", JobPhase::Completed, 30_000).await?;
+    kept(&world)
+}
+
+async fn kills_all() -> Result<()> {
+    let mut world = TestWorld::start(3, 4).await;
+    for number in 0..6 {
+        world
+            .submit(&format!("j{number}"), job("work 900", &[4, 2]))
+            .await;
+    }
+    sleep_ms(400).await;
+    let names: Vec<String> = world.nodes.keys().cloned().collect();
+    for name in &names {
+        world.nodes[name].kill();
+    }
+    sleep_ms(1_000).await;
+    for name in &names {
+        world.start_node(name);
+    }
+    for number in 0..6 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 12_000).await?;
+    }
+    kept(&world)
+}
+
+async fn loses_answers() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    world.store.set_faults(StoreFaults {
+        lose_every: 3,
+        ..StoreFaults::default()
+    });
+    for number in 0..6 {
+        world
+            .submit(&format!("j{number}"), job("work 300", &[4, 2]))
+            .await;
+    }
+    sleep_ms(8_000).await;
+    world.store.set_faults(StoreFaults::default());
+    for number in 0..6 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 20_000).await?;
+    }
+    kept(&world)
+}
+
+async fn late_writes() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    world.store.set_faults(StoreFaults {
+        lose_every: 3,
+        late: std::time::Duration::from_millis(2_500),
+        ..StoreFaults::default()
+    });
+    for number in 0..6 {
+        world
+            .submit(&format!("j{number}"), job("work 300", &[4, 2]))
+            .await;
+    }
+    sleep_ms(8_000).await;
+    world.store.set_faults(StoreFaults::default());
+    for number in 0..6 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 20_000).await?;
+    }
+    kept(&world)
+}
+
+async fn late_orders() -> Result<()> {
+    let world = TestWorld::start(3, 4).await;
+    world.fleet.set_late(4);
+    for number in 0..8 {
+        world
+            .submit(&format!("j{number}"), job("work 700", &[4, 2]))
+            .await;
+    }
+    sleep_ms(900).await;
+    world.nodes[&world.owner()].kill();
+    sleep_ms(6_000).await;
+    world.fleet.set_late(0);
+    for number in 0..8 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 40_000).await?;
+    }
+    kept(&world)
+}
+
+async fn cuts_runner() -> Result<()> {
+    let world = TestWorld::start(3, 3).await;
+    world.submit("j", job("work 20000", &[6])).await;
+    sleep_ms(800).await;
+    let runner = world.fleet.living()[0].0.clone();
+    let nodes: Vec<String> = world.nodes.keys().cloned().collect();
+    world.fleet.cut(&runner, &nodes);
+    world.nodes[&world.owner()].kill();
+    sleep_ms(6_000).await;
+    world.fleet.cut(&runner, &[]);
+    world.wait_phase("j", JobPhase::Completed, 60_000).await?;
+    kept(&world)
+}
+
+async fn crashes_runner() -> Result<()> {
+    let world = TestWorld::start(2, 3).await;
+    world.submit("j", job("work 3000", &[6])).await;
+    sleep_ms(1_000).await;
+    let (runner, vm) = world.fleet.living()[0].clone();
+    world.fleet.crash(&runner);
+    sleep_ms(1_000).await;
+    world.begin_runner(&vm);
+    world.wait_phase("j", JobPhase::Completed, 15_000).await?;
+    kept(&world)
+}
+
+/// A dead life's record stays in the store while that can't be reached, and is
+/// read again beside the living one's.
+async fn rereads_list() -> Result<()> {
+    let world = TestWorld::start(2, 3).await;
+    let (runner, vm) = world.fleet.living()[0].clone();
+    world.fleet.crash(&runner);
+    world.begin_runner(&vm);
+    sleep_ms(1_500).await;
+    world.submit("j", job("work 4000", &[8])).await;
+    sleep_ms(1_000).await;
+    world.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    sleep_ms(1_500).await;
+    world.store.set_faults(StoreFaults::default());
+    world.wait_phase("j", JobPhase::Completed, 15_000).await?;
+    ensure!((0..8).all(|task| world.fleet.starts(&format!("j.0.0.{task}")) == 1));
+    kept(&world)
+}
+
+async fn keeps_lasting() -> Result<()> {
+    let world = TestWorld::start(3, 5).await;
+    world.submit("long", lasting(5, 1)).await;
+    sleep_ms(2_000).await;
+    world.nodes[&world.owner()].kill();
+    sleep_ms(8_000).await;
+    let starts: Vec<u32> = (0..5)
+        .map(|task| world.fleet.starts(&format!("long.0.0.{task}")))
+        .collect();
+    ensure!(starts == [1; 5], "{starts:?}");
+    ensure!(world.fleet.running().len() == 5);
+    kept(&world)
+}
+
+async fn wave(world: &TestWorld, vms: usize, limit_ms: u64) -> Result<()> {
+    let list: Vec<String> = (0..vms).map(|vm| format!("vm-{vm}")).collect();
+    world
+        .store
+        .put("op/wave/1", Some(list.join(",").as_bytes()), 0);
+    for _ in 0..limit_ms / 100 {
+        sleep_ms(100).await;
+        world.revive();
+        if world.store.get("status/wave/1").as_deref() == Some(b"completed") {
+            return Ok(());
+        }
+    }
+    eyre::bail!("the wave was not completed in {limit_ms} ms")
+}
+
+async fn takes_wave() -> Result<()> {
+    let world = TestWorld::start(3, 6).await;
+    world.submit("long", lasting(4, 1)).await;
+    sleep_ms(2_000).await;
+    wave(&world, 6, 60_000).await?;
+    let (vms, most) = world.fleet.upkeeps();
+    ensure!(vms == 6 && most <= 2, "{vms} VMs, {most} at once");
+    sleep_ms(2_000).await;
+    ensure!(world.fleet.running().len() == 4);
+    kept(&world)
+}
+
+async fn takes_wave_over() -> Result<()> {
+    let world = TestWorld::start(3, 6).await;
+    world.submit("long", lasting(4, 1)).await;
+    sleep_ms(4_000).await;
+    world
+        .store
+        .put("op/wave/1", Some(b"vm-0,vm-1,vm-2,vm-3,vm-4,vm-5"), 0);
+    sleep_ms(1_200).await;
+    world.nodes[&world.owner()].kill();
+    wave(&world, 6, 60_000).await?;
+    ensure!(world.fleet.upkeeps().0 == 6);
+    kept(&world)
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -0,0 +1,454 @@
+//! Nodes, a store and runners in one process, on the runtime's paused clock.
+//!
+//! A node is a set of local tasks of its own, so that it can be killed, frozen
+//! and thawed like a process.
+
+pub mod runners;
+pub mod store;
+
+use std::{
+    cell::Cell,
+    collections::BTreeMap,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    sync::Arc,
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    JobPhase,
+    JobSpec,
+    QueuePolicy,
+    RunnerFacts,
+    StepSpec,
+    TaskNeed, //
+};
+use hoisthitch_scheduler::{
+    CancelAnswer,
+    JobDesk,
+    JobKeys,
+    NodeIdentity,
+    NodeMetrics,
+    NodeShared,
+    StatusAnswer,
+    SubmitAnswer,
+    platform::{
+        FleetCodec,
+        FleetPolicy,
+        Platform,
+        PoolPolicy,
+        QueueRoute,
+        RunnerRecord,
+        WaveOrder, //
+    },
+    run_node, //
+};
+use runners::MemoryFleet;
+use store::MemoryStore;
+use tokio::task::{
+    LocalSet,
+    spawn_local, //
+};
+
+/// The pool of the tests.
+pub const POOL: &str = "halls";
+
+thread_local! {
+    /// What goes on whatever becomes of a node.
+    static OUTSIDE: std::cell::RefCell<Vec<Pin<Box<dyn Future<Output = ()>>>>> =
+        const { std::cell::RefCell::new(Vec::new()) };
+}
+
+/// Runs a task that belongs to no node.
+pub fn spawn_outside(task: impl Future<Output = ()> + 'static) {
+    OUTSIDE.with(|tasks| tasks.borrow_mut().push(Box::pin(task)));
+}
+
+/// Records of the tests' operators and runners.
+#[derive(Clone)]
+pub struct TestCodec;
+
+impl FleetCodec for TestCodec {
+    fn operators_prefix(&self) -> String {
+        "op/".to_owned()
+    }
+
+    fn runners_prefix(&self) -> String {
+        "runner/".to_owned()
+    }
+
+    fn policy(&self, key: &str, value: &[u8]) -> Option<Result<FleetPolicy, String>> {
+        if key != "op/policy" {
+            return None;
+        }
+        let version = String::from_utf8_lossy(value).parse().unwrap_or(0);
+        Some(Ok(policy(version)))
+    }
+
+    fn wave(&self, key: &str, value: &[u8]) -> Option<Result<WaveOrder, String>> {
+        let wave = key.strip_prefix("op/wave/")?.parse().ok()?;
+        let text = String::from_utf8_lossy(value);
+        Some(Ok(WaveOrder {
+            wave,
+            vms: text.split(',').map(str::to_owned).collect(),
+            at_once: 2,
+        }))
+    }
+
+    fn runner_name<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix("runner/")
+    }
+
+    fn runner(&self, name: &str, value: &[u8]) -> Result<RunnerRecord, String> {
+        let vm = String::from_utf8_lossy(value).into_owned();
+        let number: u16 = vm.trim_start_matches("vm-").parse().unwrap_or(0);
+        Ok(RunnerRecord {
+            pool: POOL.to_owned(),
+            address: ([127, 0, 0, 1], 10_000 + number).into(),
+            facts: RunnerFacts {
+                name: name.to_owned(),
+                vm,
+                capacity: TaskNeed {
+                    cpu_milli: 8_000,
+                    memory_mb: 32_000,
+                    gpus: 0,
+                },
+                labels: Vec::new(),
+                rack: String::new(),
+                draining: false,
+            },
+        })
+    }
+
+    fn wave_status(&self, wave: u64, completed: bool) -> (String, Vec<u8>) {
+        let text = if completed { "completed" } else { "running" };
+        (format!("status/wave/{wave}"), text.as_bytes().to_vec())
+    }
+}
+
+fn policy(version: u64) -> FleetPolicy {
+    FleetPolicy {
+        version,
+        queues: vec![queue()],
+        pools: vec![PoolPolicy {
+            name: POOL.to_owned(),
+            spare: false,
+        }],
+        body_limit: 262_144,
+    }
+}
+
+/// The queue of the tests.
+pub fn queue() -> QueueRoute {
+    QueueRoute {
+        name: "hold".to_owned(),
+        host: "halls.example".to_owned(),
+        prefix: "/hold/".to_owned(),
+        pool: POOL.to_owned(),
+        policy: QueuePolicy {
+            priority: 0,
+            max_attempts: 3,
+            stretch: 2.0,
+            aim_ms: 600,
+        },
+    }
+}
+
+/// The platform as a node of the tests sees it.
+#[derive(Clone)]
+pub struct TestPlatform {
+    store: MemoryStore,
+    fleet: MemoryFleet,
+    codec: TestCodec,
+}
+
+impl Platform for TestPlatform {
+    type Store = MemoryStore;
+    type Runners = MemoryFleet;
+    type Vms = MemoryFleet;
+    type Codec = TestCodec;
+
+    fn store(&self) -> &MemoryStore {
+        &self.store
+    }
+
+    fn runners(&self) -> &MemoryFleet {
+        &self.fleet
+    }
+
+    fn vms(&self) -> &MemoryFleet {
+        &self.fleet
+    }
+
+    fn codec(&self) -> &TestCodec {
+        &self.codec
+    }
+}
+
+/// A node's tasks, which can be frozen.
+struct NodeTasks {
+    set: LocalSet,
+    frozen: Rc<Cell<bool>>,
+    killed: Rc<Cell<bool>>,
+    tick: tokio::time::Interval,
+}
+
+impl Future for NodeTasks {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        while self.tick.poll_tick(context).is_ready() {}
+        if self.killed.get() {
+            return Poll::Ready(());
+        }
+        if self.frozen.get() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.set).poll(context)
+    }
+}
+
+/// A node of the tests.
+pub struct TestNode {
+    /// What it shares.
+    pub shared: Arc<NodeShared>,
+    desk: JobDesk<MemoryStore>,
+    frozen: Rc<Cell<bool>>,
+    killed: Rc<Cell<bool>>,
+}
+
+impl TestNode {
+    /// Stops the node's clock hand.
+    pub fn freeze(&self, frozen: bool) {
+        self.frozen.set(frozen);
+    }
+
+    /// Ends the node at once.
+    pub fn kill(&self) {
+        self.killed.set(true);
+    }
+}
+
+/// Everything.
+pub struct TestWorld {
+    /// The store.
+    pub store: MemoryStore,
+    /// The runners.
+    pub fleet: MemoryFleet,
+    /// The nodes, by name.
+    pub nodes: BTreeMap<String, TestNode>,
+    lives: u64,
+}
+
+impl TestWorld {
+    /// Starts nodes and runners, and waits until the pool is owned.
+    pub async fn start(nodes: usize, runners: usize) -> Self {
+        let store = MemoryStore::new();
+        let fleet = MemoryFleet::default();
+        let mut world = Self {
+            store,
+            fleet,
+            nodes: BTreeMap::new(),
+            lives: 0,
+        };
+        spawn_local(run_outside());
+        world.store.put("op/policy", Some(b"1"), 0);
+        for number in 0..runners {
+            world.begin_runner(&format!("vm-{number}"));
+        }
+        for number in 0..nodes {
+            world.start_node(&format!("node-{number}"));
+        }
+        sleep_ms(1_500).await;
+        world
+    }
+
+    /// Begins a life of a VM's runner.
+    pub fn begin_runner(&self, vm: &str) -> String {
+        let name = self.fleet.begin(vm);
+        self.store
+            .put(&format!("runner/{name}"), Some(vm.as_bytes()), 0);
+        name
+    }
+
+    /// Starts a node, or starts it anew.
+    pub fn start_node(&mut self, name: &str) {
+        self.lives += 1;
+        let metrics = NodeMetrics::new().expect("metrics register once");
+        let shared = NodeShared::new(metrics);
+        let platform = TestPlatform {
+            store: self.store.for_node(name),
+            fleet: self.fleet.for_node(name),
+            codec: TestCodec,
+        };
+        let identity = NodeIdentity {
+            node: name.to_owned(),
+            life: self.lives,
+            hall: "augusta".to_owned(),
+        };
+        let keys = JobKeys::new("test");
+        let set = LocalSet::new();
+        let desk = {
+            let _guard = set.enter();
+            JobDesk::open(platform.store.clone(), shared.clone(), keys.clone())
+        };
+        set.spawn_local(run_node(platform, shared.clone(), keys, identity));
+        let node = TestNode {
+            shared,
+            desk,
+            frozen: Rc::default(),
+            killed: Rc::default(),
+        };
+        spawn_local(NodeTasks {
+            set,
+            frozen: node.frozen.clone(),
+            killed: node.killed.clone(),
+            tick: tokio::time::interval(Duration::from_millis(5)),
+        });
+        self.nodes.insert(name.to_owned(), node);
+    }
+
+    /// Name of the node that owns the pool, by the store.
+    pub fn owner(&self) -> String {
+        let record = self.store.get("test/group/owner/halls").unwrap_or_default();
+        let text = String::from_utf8_lossy(&record).into_owned();
+        let names = self.nodes.keys();
+        names
+            .filter(|name| text.contains(&format!("\"{name}\"")))
+            .next()
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Hands a job in at some node until it is accepted.
+    pub async fn submit(&self, id: &str, spec: JobSpec) {
+        for _ in 0..100 {
+            for node in self.nodes.values() {
+                if node.frozen.get() || node.killed.get() {
+                    continue;
+                }
+                let give_up = node.shared.clock.now() + 1_000;
+                let queue = queue();
+                let answer = node.desk.submit(&queue, id, spec.clone(), give_up);
+                let answer = tokio::time::timeout(Duration::from_secs(2), answer).await;
+                if matches!(answer, Ok(SubmitAnswer::Accepted)) {
+                    return;
+                }
+            }
+            sleep_ms(100).await;
+        }
+        panic!("{id} was never accepted");
+    }
+
+    /// Cancels a job at some node until that is accepted.
+    pub async fn cancel(&self, id: &str) {
+        for node in self.nodes.values() {
+            if node.frozen.get() || node.killed.get() {
+                continue;
+            }
+            let give_up = node.shared.clock.now() + 2_000;
+            if node.desk.cancel(id, give_up).await == CancelAnswer::Accepted {
+                return;
+            }
+        }
+        panic!("{id} was not cancelled");
+    }
+
+    /// State of a job, as a living node tells it.
+    pub async fn phase(&self, id: &str) -> Option<JobPhase> {
+        for node in self.nodes.values() {
+            if node.frozen.get() || node.killed.get() {
+                continue;
+            }
+            if let StatusAnswer::Known(phase) = node.desk.status(id).await {
+                return Some(phase);
+            }
+        }
+        None
+    }
+
+    /// Waits until a job is in a state.
+    pub async fn wait_phase(&self, id: &str, wanted: JobPhase, limit_ms: u64) -> eyre::Result<()> {
+        let mut last = None;
+        for _ in 0..limit_ms / 50 {
+            last = self.phase(id).await;
+            if last == Some(wanted) {
+                return Ok(());
+            }
+            sleep_ms(50).await;
+        }
+        eyre::bail!("{id} is {last:?} after {limit_ms} ms, not {wanted:?}")
+    }
+
+    /// Gives VMs whose upkeep is over a new life.
+    pub fn revive(&self) {
+        for vm in self.fleet.take_back() {
+            self.begin_runner(&vm);
+        }
+    }
+}
+
+async fn run_outside() {
+    loop {
+        let tasks: Vec<_> = OUTSIDE.with(|tasks| tasks.borrow_mut().drain(..).collect());
+        for task in tasks {
+            spawn_local(task);
+        }
+        sleep_ms(5).await;
+    }
+}
+
+/// Lets time pass.
+pub async fn sleep_ms(time: u64) {
+    tokio::time::sleep(Duration::from_millis(time)).await;
+}
+
+/// A job of steps, each with tasks of that payload and time.
+pub fn job(payload: &str, counts: &[u32]) -> JobSpec {
+    let steps = (0..).zip(counts).map(|(number, count)| StepSpec {
+        count: *count,
+        need: TaskNeed {
+            cpu_milli: 1_000,
+            memory_mb: 500,
+            gpus: 0,
+        },
+        estimate_ms: 300,
+        after: if number > 0 {
+            vec![number - 1]
+        } else {
+            Vec::new()
+        },
+        ..StepSpec::default()
+    });
+    JobSpec {
+        payload: payload.to_owned(),
+        steps: steps.collect(),
+        schedule: None,
+    }
+}
+
+/// A job whose tasks run until it is cancelled.
+pub fn lasting(count: u32, may_miss: u32) -> JobSpec {
+    let mut spec = job("lasts", &[count]);
+    for step in &mut spec.steps {
+        step.lasting = true;
+        step.spread = 1;
+        step.may_miss = may_miss;
+    }
+    spec
+}
+
+/// Runs a test on the paused clock.
+pub fn play(test: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+    OUTSIDE.with(|tasks| tasks.borrow_mut().clear());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()?;
+    LocalSet::new().block_on(&runtime, test)
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/world/runners.rs
@@ -0,0 +1,573 @@
+//! Runners and VMs in memory, and a judge that looks at what they are told.
+
+use std::{
+    cell::RefCell,
+    collections::{
+        BTreeMap,
+        HashMap,
+        HashSet, //
+    },
+    rc::Rc,
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    EndKind,
+    EndedTask,
+    HoldReport,
+    PaceOrder,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+    StopOrder, //
+};
+use hoisthitch_scheduler::platform::{
+    HoldAsk,
+    OrderTerms,
+    RunnerAddress,
+    RunnerControl,
+    RunnerError,
+    VmCondition,
+    VmControl,
+    VmError,
+    VmRow, //
+};
+use tokio::time::Instant;
+
+/// Time of a call, one way.
+const WAY: Duration = Duration::from_millis(1);
+
+/// Time after which a caller gives up.
+const GIVE_UP: Duration = Duration::from_millis(900);
+
+/// Time that an upkeep takes.
+const UPKEEP: Duration = Duration::from_secs(2);
+
+/// Longest lease.
+const LEASE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Start of the runners' clocks.
+const CLOCK_START: u64 = 480_000;
+
+#[derive(Clone, Debug)]
+struct Run {
+    run: u32,
+    began: Instant,
+    work: Duration,
+    fails: bool,
+    lasts: bool,
+}
+
+struct Runner {
+    vm: String,
+    alive: bool,
+    began: Instant,
+    fence: u64,
+    lease: Instant,
+    running: BTreeMap<String, Run>,
+    ended: Vec<EndedTask>,
+    last_end: u64,
+    seen: u64,
+    /// Highest run that was stopped or ended, by task.
+    over: HashMap<String, u32>,
+    cut: HashSet<String>,
+}
+
+/// What the fleet was told, and what broke a promise.
+#[derive(Default)]
+struct FleetState {
+    runners: BTreeMap<String, Runner>,
+    /// Down for upkeep: VM, until when.
+    upkeep: HashMap<String, Instant>,
+    lives: u64,
+    /// Tasks whose end `done` was acknowledged.
+    noted: HashSet<String>,
+    /// Tasks that ended `done`.
+    done: HashSet<String>,
+    /// Failed ends that were acknowledged, by task.
+    failed: HashMap<String, u32>,
+    starts: HashMap<String, u32>,
+    broken: Vec<String>,
+    /// Each order of this many is not answered and carried out later.
+    late_every: u64,
+    orders: u64,
+    upkeeps: Vec<(String, u64, Instant)>,
+    down_most: usize,
+}
+
+/// The fleet.
+#[derive(Clone, Default)]
+pub struct MemoryFleet {
+    state: Rc<RefCell<FleetState>>,
+    node: String,
+}
+
+impl MemoryFleet {
+    /// The fleet as a node sees it.
+    pub fn for_node(&self, node: &str) -> Self {
+        Self {
+            state: self.state.clone(),
+            node: node.to_owned(),
+        }
+    }
+
+    /// Begins a life of a VM's runner; answers with its name.
+    pub fn begin(&self, vm: &str) -> String {
+        let mut state = self.state.borrow_mut();
+        state.lives += 1;
+        let name = format!("i-{}", state.lives);
+        let runner = Runner {
+            vm: vm.to_owned(),
+            alive: true,
+            began: Instant::now(),
+            fence: 0,
+            lease: Instant::now(),
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            seen: 0,
+            over: HashMap::new(),
+            cut: HashSet::new(),
+        };
+        state.runners.insert(name.clone(), runner);
+        name
+    }
+
+    /// Ends a life at once.
+    pub fn crash(&self, name: &str) {
+        if let Some(runner) = self.state.borrow_mut().runners.get_mut(name) {
+            runner.alive = false;
+            runner.running.clear();
+        }
+    }
+
+    /// Cuts a runner off from nodes, or heals the cut.
+    pub fn cut(&self, name: &str, nodes: &[String]) {
+        if let Some(runner) = self.state.borrow_mut().runners.get_mut(name) {
+            runner.cut = nodes.iter().cloned().collect();
+        }
+    }
+
+    /// Each order of this many is carried out late.
+    pub fn set_late(&self, every: u64) {
+        self.state.borrow_mut().late_every = every;
+    }
+
+    /// Living runners.
+    pub fn living(&self) -> Vec<(String, String)> {
+        let state = self.state.borrow();
+        let living = state.runners.iter().filter(|(_, runner)| runner.alive);
+        living
+            .map(|(name, runner)| (name.clone(), runner.vm.clone()))
+            .collect()
+    }
+
+    /// VMs whose upkeep is over, to be given a new life.
+    pub fn take_back(&self) -> Vec<String> {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let back: Vec<String> = state
+            .upkeep
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in &back {
+            state.upkeep.remove(vm);
+        }
+        back
+    }
+
+    /// Promises that were broken.
+    pub fn broken(&self) -> Vec<String> {
+        self.state.borrow().broken.clone()
+    }
+
+    /// Tasks that are done.
+    pub fn done(&self) -> usize {
+        self.state.borrow().done.len()
+    }
+
+    /// Starts of a task.
+    pub fn starts(&self, task: &str) -> u32 {
+        self.state.borrow().starts.get(task).copied().unwrap_or(0)
+    }
+
+    /// Tasks that run on living runners.
+    pub fn running(&self) -> Vec<String> {
+        self.settle();
+        let state = self.state.borrow();
+        let living = state.runners.values().filter(|runner| runner.alive);
+        living
+            .flat_map(|runner| runner.running.keys().cloned())
+            .collect()
+    }
+
+    /// VMs that went down for upkeep, with the most at once.
+    pub fn upkeeps(&self) -> (usize, usize) {
+        let state = self.state.borrow();
+        let vms: HashSet<&String> = state.upkeeps.iter().map(|row| &row.0).collect();
+        (vms.len(), state.down_most)
+    }
+
+    /// Lets time pass on all runners.
+    fn settle(&self) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let mut done = Vec::new();
+        for runner in state.runners.values_mut().filter(|runner| runner.alive) {
+            done.extend(runner.settle(now));
+        }
+        state.done.extend(done);
+    }
+
+    fn start(&self, name: &str, order: &StartOrder, terms: OrderTerms) -> StartOutcome {
+        self.settle();
+        let now = Instant::now();
+        let task = order.name.to_string();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let Some(runner) = state.runners.get_mut(name).filter(|runner| runner.alive) else {
+            return StartOutcome::WrongLife;
+        };
+        if terms.epoch < runner.fence {
+            return StartOutcome::Fenced;
+        }
+        runner.fence = terms.epoch;
+        if runner.at(terms.lease_ms) <= now {
+            return StartOutcome::Refused;
+        }
+        runner.extend(terms.lease_ms, now);
+        if runner
+            .over
+            .get(&task)
+            .is_some_and(|over| *over >= order.run)
+        {
+            return StartOutcome::Old;
+        }
+        if let Some(run) = runner.running.get(&task) {
+            return if run.run == order.run {
+                StartOutcome::Started
+            } else {
+                StartOutcome::Old
+            };
+        }
+        let run = Run {
+            run: order.run,
+            began: now,
+            work: Duration::from_millis(work_ms(&order.payload)),
+            fails: order.payload.contains("fail"),
+            lasts: order.payload.contains("lasts"),
+        };
+        runner.running.insert(task.clone(), run);
+        let copies = state
+            .runners
+            .values()
+            .filter(|runner| runner.alive && runner.running.contains_key(&task))
+            .count();
+        if copies > 1 {
+            state.broken.push(format!("{task} runs twice at once"));
+        }
+        if state.noted.contains(&task) {
+            let run = order.run;
+            state
+                .broken
+                .push(format!("{task} run {run} began after its end was noted"));
+        }
+        if state.failed.get(&task).copied().unwrap_or(0) >= 3 {
+            state.broken.push(format!("{task} began beyond its budget"));
+        }
+        *state.starts.entry(task).or_insert(0) += 1;
+        StartOutcome::Started
+    }
+
+    fn stop(&self, name: &str, order: &StopOrder, epoch: u64) -> Result<(), RunnerError> {
+        self.settle();
+        let mut state = self.state.borrow_mut();
+        let Some(runner) = state.runners.get_mut(name).filter(|runner| runner.alive) else {
+            return Err(RunnerError::WrongLife);
+        };
+        if epoch < runner.fence {
+            return Err(RunnerError::Fenced);
+        }
+        runner.fence = epoch;
+        let task = order.name.to_string();
+        let over = runner.over.entry(task.clone()).or_insert(0);
+        *over = (*over).max(order.run);
+        if runner
+            .running
+            .get(&task)
+            .is_some_and(|run| run.run == order.run)
+        {
+            runner.end(&task, EndKind::Stopped);
+        }
+        Ok(())
+    }
+
+    fn hold(&self, name: &str, ask: HoldAsk) -> Result<HoldReport, RunnerError> {
+        self.settle();
+        let now = Instant::now();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let Some(runner) = state.runners.get_mut(name).filter(|runner| runner.alive) else {
+            return Err(RunnerError::WrongLife);
+        };
+        if ask.epoch < runner.fence {
+            return Err(RunnerError::Fenced);
+        }
+        runner.fence = ask.epoch;
+        if let Some(lease) = ask.lease_ms {
+            runner.extend(lease, now);
+        }
+        runner.seen = runner.seen.max(ask.recorded);
+        let seen = runner.seen;
+        let (noted, left): (Vec<_>, Vec<_>) =
+            runner.ended.drain(..).partition(|end| end.number <= seen);
+        runner.ended = left;
+        let report = runner.report(now);
+        for end in noted {
+            match end.kind {
+                EndKind::Done => drop(state.noted.insert(end.name)),
+                EndKind::Failed => *state.failed.entry(end.name).or_insert(0) += 1,
+                _ => {}
+            }
+        }
+        Ok(report)
+    }
+
+    /// Whether the call reaches the runner.
+    fn reaches(&self, name: &str) -> bool {
+        let state = self.state.borrow();
+        let runner = state.runners.get(name);
+        runner.is_some_and(|runner| !runner.cut.contains(&self.node))
+    }
+
+    fn is_late(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.orders += 1;
+        state.late_every > 0 && state.orders % state.late_every == 0
+    }
+
+    /// Whether an end waits to be told.
+    fn has_end(&self, name: &str, recorded: u64) -> bool {
+        self.settle();
+        let state = self.state.borrow();
+        let runner = state.runners.get(name);
+        runner.is_none_or(|runner| {
+            !runner.alive || runner.ended.iter().any(|end| end.number > recorded)
+        })
+    }
+}
+
+impl Runner {
+    fn at(&self, clock_ms: u64) -> Instant {
+        let since = clock_ms.saturating_sub(CLOCK_START);
+        self.began + Duration::from_millis(since)
+    }
+
+    fn extend(&mut self, lease_ms: u64, now: Instant) {
+        let until = self.at(lease_ms).min(now + LEASE_LIMIT);
+        self.lease = self.lease.max(until);
+    }
+
+    fn end(&mut self, task: &str, kind: EndKind) {
+        let Some(run) = self.running.remove(task) else {
+            return;
+        };
+        self.last_end += 1;
+        let over = self.over.entry(task.to_owned()).or_insert(0);
+        *over = (*over).max(run.run);
+        self.ended.push(EndedTask {
+            number: self.last_end,
+            name: task.to_owned(),
+            run: run.run,
+            kind,
+            checkpoint: String::new(),
+        });
+    }
+
+    /// Ends what is over by now; answers with the tasks that are done.
+    fn settle(&mut self, now: Instant) -> Vec<String> {
+        let mut done = Vec::new();
+        let lapse = self.lease;
+        let over: Vec<(String, Run)> = self
+            .running
+            .iter()
+            .filter(|(_, run)| !run.lasts && run.began + run.work <= now.min(lapse))
+            .map(|(task, run)| (task.clone(), run.clone()))
+            .collect();
+        for (task, run) in over {
+            let kind = if run.fails {
+                EndKind::Failed
+            } else {
+                EndKind::Done
+            };
+            if kind == EndKind::Done {
+                done.push(task.clone());
+            }
+            self.end(&task, kind);
+        }
+        if lapse <= now {
+            let lapsed: Vec<String> = self.running.keys().cloned().collect();
+            for task in lapsed {
+                self.end(&task, EndKind::Lapsed);
+            }
+        }
+        done
+    }
+
+    fn report(&self, now: Instant) -> HoldReport {
+        let running = self.running.iter().map(|(task, run)| RunningTask {
+            name: task.clone(),
+            run: run.run,
+            checkpoint: String::new(),
+            percent: if run.lasts && now > run.began + Duration::from_millis(300) {
+                100
+            } else {
+                10
+            },
+            load: 0,
+        });
+        HoldReport {
+            clock_ms: CLOCK_START + now.duration_since(self.began).as_millis() as u64,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+/// The work of a task: the number in its payload.
+fn work_ms(payload: &str) -> u64 {
+    let digits: String = payload.chars().filter(char::is_ascii_digit).collect();
+    digits.parse().unwrap_or(300)
+}
+
+impl RunnerControl for MemoryFleet {
+    async fn start(
+        &self,
+        runner: &RunnerAddress,
+        order: &StartOrder,
+        terms: OrderTerms,
+    ) -> StartOutcome {
+        tokio::time::sleep(WAY).await;
+        let cut = !self.reaches(&runner.name);
+        if cut || self.is_late() {
+            let (fleet, name, order) = (self.clone(), runner.name.clone(), order.clone());
+            let late = Duration::from_millis(2_000 + u64::from(order.run) * 700);
+            super::spawn_outside(async move {
+                tokio::time::sleep(late).await;
+                fleet.start(&name, &order, terms);
+            });
+            tokio::time::sleep(GIVE_UP).await;
+            return StartOutcome::Unclear;
+        }
+        let outcome = MemoryFleet::start(self, &runner.name, order, terms);
+        tokio::time::sleep(WAY).await;
+        outcome
+    }
+
+    async fn stop(
+        &self,
+        runner: &RunnerAddress,
+        order: &StopOrder,
+        epoch: u64,
+    ) -> Result<(), RunnerError> {
+        tokio::time::sleep(WAY).await;
+        if !self.reaches(&runner.name) || self.is_late() {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(RunnerError::NoAnswer("lost".to_owned()));
+        }
+        let stopped = MemoryFleet::stop(self, &runner.name, order, epoch);
+        tokio::time::sleep(WAY).await;
+        stopped
+    }
+
+    async fn hold(&self, runner: &RunnerAddress, ask: HoldAsk) -> Result<HoldReport, RunnerError> {
+        tokio::time::sleep(WAY).await;
+        if !self.reaches(&runner.name) {
+            tokio::time::sleep(ask.wait + GIVE_UP).await;
+            return Err(RunnerError::NoAnswer("cut".to_owned()));
+        }
+        // The fence and the lease count from the arrival.
+        MemoryFleet::hold(self, &runner.name, ask)?;
+        let until = Instant::now() + ask.wait;
+        while Instant::now() < until && !self.has_end(&runner.name, ask.recorded) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let report = MemoryFleet::hold(
+            self,
+            &runner.name,
+            HoldAsk {
+                lease_ms: None,
+                ..ask
+            },
+        );
+        tokio::time::sleep(WAY).await;
+        if !self.reaches(&runner.name) {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(RunnerError::NoAnswer("cut".to_owned()));
+        }
+        report
+    }
+
+    async fn pace(
+        &self,
+        _runner: &RunnerAddress,
+        _order: &PaceOrder,
+        _epoch: u64,
+    ) -> Result<(), RunnerError> {
+        tokio::time::sleep(WAY).await;
+        Ok(())
+    }
+}
+
+impl VmControl for MemoryFleet {
+    async fn list(&self) -> Result<Vec<VmRow>, VmError> {
+        tokio::time::sleep(WAY * 2).await;
+        let state = self.state.borrow();
+        let mut rows: Vec<VmRow> = state
+            .runners
+            .iter()
+            .filter(|(_, runner)| runner.alive)
+            .map(|(name, runner)| VmRow {
+                name: runner.vm.clone(),
+                pool: super::POOL.to_owned(),
+                condition: VmCondition::Up,
+                runner: Some(name.clone()),
+            })
+            .collect();
+        rows.extend(state.upkeep.keys().map(|vm| VmRow {
+            name: vm.clone(),
+            pool: super::POOL.to_owned(),
+            condition: VmCondition::Upkeep,
+            runner: None,
+        }));
+        Ok(rows)
+    }
+
+    async fn upkeep(&self, vm: &str, _wave: u64, _holder: &str, epoch: u64) -> Result<(), VmError> {
+        tokio::time::sleep(WAY).await;
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let last = state.upkeeps.iter().rev().find(|row| row.0 == vm);
+        if let Some((_, token, _)) = last {
+            if *token > epoch {
+                state
+                    .broken
+                    .push(format!("{vm}: a lower token after a higher"));
+            }
+            return Ok(());
+        }
+        for runner in state.runners.values_mut() {
+            if runner.vm == vm {
+                runner.alive = false;
+                runner.running.clear();
+            }
+        }
+        let now = Instant::now();
+        state.upkeeps.push((vm.to_owned(), epoch, now));
+        state.upkeep.insert(vm.to_owned(), now + UPKEEP);
+        state.down_most = state.down_most.max(state.upkeep.len());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/world/store.rs
@@ -0,0 +1,403 @@
+//! A key-value store in memory: revisions, conditions, leases, watches, and
+//! the ways in which it fails.
+
+use std::{
+    cell::RefCell,
+    collections::{
+        BTreeMap,
+        HashMap,
+        HashSet,
+        VecDeque, //
+    },
+    rc::Rc,
+    time::Duration, //
+};
+
+use hoisthitch_store::{
+    BatchOutcome,
+    KeyRevision,
+    LeaseId,
+    StoreClient,
+    StoreError,
+    StoreRevision,
+    StoredValue,
+    SwapItem,
+    SwapOutcome,
+    WatchEvent,
+    WatchStream, //
+};
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+/// Time of a call.
+const CALL_TIME: Duration = Duration::from_millis(4);
+
+/// Time after which a caller gives up.
+const GIVE_UP: Duration = Duration::from_millis(900);
+
+/// Time for which a watch waits.
+const WATCH_TIME: Duration = Duration::from_millis(1_200);
+
+/// Most values in a write.
+const ENTRY_LIMIT: usize = 32;
+
+/// How the store fails.
+#[derive(Clone, Debug, Default)]
+pub struct StoreFaults {
+    /// Nobody gets an answer, and nothing is done.
+    pub down: bool,
+    /// These nodes get no answer.
+    pub cut: HashSet<String>,
+    /// Each write of this many is done and not answered; zero for none.
+    pub lose_every: u64,
+    /// Lost writes are done this much later.
+    pub late: Duration,
+    /// Added to each call.
+    pub delay: Duration,
+}
+
+#[derive(Default)]
+struct StoreState {
+    values: BTreeMap<String, (Vec<u8>, i64, i64)>,
+    revision: i64,
+    log: Vec<(i64, WatchEvent)>,
+    leases: HashMap<i64, (Duration, Instant)>,
+    next_lease: i64,
+    writes: u64,
+    faults: StoreFaults,
+}
+
+/// The store.
+#[derive(Clone)]
+pub struct MemoryStore {
+    state: Rc<RefCell<StoreState>>,
+    changed: Rc<watch::Sender<i64>>,
+    /// Node that calls.
+    node: String,
+}
+
+impl MemoryStore {
+    /// An empty store.
+    pub fn new() -> Self {
+        let (changed, _) = watch::channel(0);
+        Self {
+            state: Rc::default(),
+            changed: Rc::new(changed),
+            node: "operator".to_owned(),
+        }
+    }
+
+    /// The store as a node sees it.
+    pub fn for_node(&self, node: &str) -> Self {
+        Self {
+            node: node.to_owned(),
+            ..self.clone()
+        }
+    }
+
+    /// Changes how the store fails.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.state.borrow_mut().faults = faults;
+    }
+
+    /// Takes away the leased values of a node, without a sign.
+    pub fn revoke(&self, part: &str) {
+        let keys: Vec<String> = {
+            let state = self.state.borrow();
+            let leased = state.values.iter().filter(|(_, value)| value.2 != 0);
+            leased
+                .filter(|(key, _)| key.contains(part))
+                .map(|(key, _)| key.clone())
+                .collect()
+        };
+        for key in keys {
+            self.put(&key, None, 0);
+        }
+    }
+
+    /// Writes without a condition, as operators and runners do.
+    pub fn put(&self, key: &str, value: Option<&[u8]>, lease: i64) {
+        let mut state = self.state.borrow_mut();
+        state.revision += 1;
+        state.put(key, value, lease);
+        self.changed.send_replace(state.revision);
+    }
+
+    /// A value, as it is.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.borrow();
+        state.values.get(key).map(|value| value.0.clone())
+    }
+
+    async fn enter(&self, call: &'static str) -> Result<(), StoreError> {
+        let delay = self.state.borrow().faults.delay;
+        if delay > GIVE_UP {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(timeout(call));
+        }
+        tokio::time::sleep(CALL_TIME + delay).await;
+        if self.is_cut() {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(timeout(call));
+        }
+        self.expire();
+        Ok(())
+    }
+
+    fn is_cut(&self) -> bool {
+        let state = self.state.borrow();
+        state.faults.down || state.faults.cut.contains(&self.node)
+    }
+
+    fn expire(&self) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let over: Vec<i64> = state
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.1 <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            state.leases.remove(&id);
+            let keys: Vec<String> = state
+                .values
+                .iter()
+                .filter(|(_, value)| value.2 == id)
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in keys {
+                state.revision += 1;
+                state.put(&key, None, 0);
+            }
+        }
+        self.changed.send_if_modified(|last| {
+            let changed = *last != state.revision;
+            *last = state.revision;
+            changed
+        });
+    }
+
+    fn apply(&self, items: &[SwapItem]) -> BatchOutcome {
+        let mut state = self.state.borrow_mut();
+        let holds = items.iter().all(|item| {
+            let found = state.values.get(&item.key).map_or(0, |value| value.1);
+            item.expected == StoreRevision::ANY || item.expected.0 == found
+        });
+        if !holds {
+            let found = items.iter().map(|item| state.stored(&item.key));
+            return BatchOutcome::Conflict(found.collect());
+        }
+        state.revision += 1;
+        for item in items {
+            let lease = item.lease.map_or(0, |lease| lease.0);
+            state.put(&item.key, item.value.as_deref(), lease);
+        }
+        self.changed.send_replace(state.revision);
+        BatchOutcome::Written(StoreRevision(state.revision))
+    }
+}
+
+impl StoreState {
+    fn put(&mut self, key: &str, value: Option<&[u8]>, lease: i64) {
+        let revision = self.revision;
+        let event = match value {
+            Some(value) => {
+                let entry = (value.to_vec(), revision, lease);
+                self.values.insert(key.to_owned(), entry);
+                WatchEvent::Put(StoredValue {
+                    key: key.to_owned(),
+                    value: value.to_vec(),
+                    revision: StoreRevision(revision),
+                })
+            }
+            None => {
+                self.values.remove(key);
+                WatchEvent::Delete {
+                    key: key.to_owned(),
+                    revision: StoreRevision(revision),
+                }
+            }
+        };
+        self.log.push((revision, event));
+    }
+
+    fn stored(&self, key: &str) -> Option<StoredValue> {
+        let (value, revision, _) = self.values.get(key)?;
+        Some(StoredValue {
+            key: key.to_owned(),
+            value: value.clone(),
+            revision: StoreRevision(*revision),
+        })
+    }
+}
+
+fn timeout(call: &'static str) -> StoreError {
+    StoreError::Timeout {
+        call,
+        limit: GIVE_UP,
+    }
+}
+
+impl StoreClient for MemoryStore {
+    type Watch = MemoryWatch;
+
+    async fn read(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        self.enter("read").await?;
+        Ok(self.state.borrow().stored(key))
+    }
+
+    async fn read_prefix(&self, prefix: &str) -> Result<Vec<StoredValue>, StoreError> {
+        self.enter("read_prefix").await?;
+        let state = self.state.borrow();
+        let keys = state.values.keys().filter(|key| key.starts_with(prefix));
+        Ok(keys.filter_map(|key| state.stored(key)).collect())
+    }
+
+    async fn read_revisions(&self, prefix: &str) -> Result<Vec<KeyRevision>, StoreError> {
+        let values = self.read_prefix(prefix).await?;
+        let revisions = values.into_iter().map(|value| KeyRevision {
+            key: value.key,
+            revision: value.revision,
+        });
+        Ok(revisions.collect())
+    }
+
+    async fn swap(
+        &self,
+        _key: &str,
+        _expected: StoreRevision,
+        _value: &[u8],
+        _lease: Option<LeaseId>,
+    ) -> Result<SwapOutcome, StoreError> {
+        unimplemented!("the job service swaps in batches")
+    }
+
+    async fn remove(
+        &self,
+        _key: &str,
+        _expected: StoreRevision,
+    ) -> Result<SwapOutcome, StoreError> {
+        unimplemented!("the job service swaps in batches")
+    }
+
+    async fn swap_all(&self, items: Vec<SwapItem>) -> Result<BatchOutcome, StoreError> {
+        assert!(items.len() <= ENTRY_LIMIT, "{} entries", items.len());
+        let keys: HashSet<&String> = items.iter().map(|item| &item.key).collect();
+        assert_eq!(keys.len(), items.len(), "a key is written twice");
+        self.enter("swap_all").await?;
+        let (lost, late) = {
+            let mut state = self.state.borrow_mut();
+            state.writes += 1;
+            let every = state.faults.lose_every;
+            (every > 0 && state.writes % every == 0, state.faults.late)
+        };
+        if !lost {
+            return Ok(self.apply(&items));
+        }
+        if late.is_zero() {
+            self.apply(&items);
+        } else {
+            let store = self.clone();
+            // Not a task of the node: the write is under way whatever becomes of it.
+            super::spawn_outside(async move {
+                tokio::time::sleep(late).await;
+                store.apply(&items);
+            });
+        }
+        tokio::time::sleep(GIVE_UP).await;
+        Err(timeout("swap_all"))
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.enter("grant_lease").await?;
+        let mut state = self.state.borrow_mut();
+        state.next_lease += 1;
+        let id = state.next_lease;
+        state.leases.insert(id, (ttl, Instant::now() + ttl));
+        Ok(LeaseId(id))
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.enter("keep_alive").await?;
+        let mut state = self.state.borrow_mut();
+        let Some(entry) = state.leases.get_mut(&lease.0) else {
+            return Ok(false);
+        };
+        entry.1 = Instant::now() + entry.0;
+        Ok(true)
+    }
+
+    async fn watch(&self, prefix: &str, _from: StoreRevision) -> Result<MemoryWatch, StoreError> {
+        self.enter("watch").await?;
+        Ok(MemoryWatch {
+            store: self.clone(),
+            prefix: prefix.to_owned(),
+            after: self.state.borrow().revision,
+            ready: VecDeque::from([WatchEvent::Opened]),
+        })
+    }
+}
+
+/// A watch.
+pub struct MemoryWatch {
+    store: MemoryStore,
+    prefix: String,
+    after: i64,
+    ready: VecDeque<WatchEvent>,
+}
+
+impl MemoryWatch {
+    fn gather(&mut self) {
+        let state = self.store.state.borrow();
+        let news = state.log.iter().rev();
+        let news = news.take_while(|(revision, _)| *revision > self.after);
+        let mut news: Vec<_> = news
+            .filter(|(_, event)| match event {
+                WatchEvent::Put(value) => value.key.starts_with(&self.prefix),
+                WatchEvent::Delete { key, .. } => key.starts_with(&self.prefix),
+                WatchEvent::Opened | WatchEvent::Quiet => false,
+            })
+            .map(|(_, event)| event.clone())
+            .collect();
+        news.reverse();
+        self.ready.extend(news);
+        self.after = state.revision;
+    }
+}
+
+impl WatchStream for MemoryWatch {
+    async fn next(&mut self) -> Option<Result<WatchEvent, StoreError>> {
+        if let Some(event) = self.ready.pop_front() {
+            return Some(Ok(event));
+        }
+        let mut changed = self.store.changed.subscribe();
+        let until = Instant::now() + WATCH_TIME;
+        loop {
+            changed.borrow_and_update();
+            if self.store.is_cut() {
+                tokio::time::sleep_until(until).await;
+                return Some(Err(timeout("watch")));
+            }
+            self.gather();
+            if let Some(event) = self.ready.pop_front() {
+                tokio::time::sleep(CALL_TIME).await;
+                return Some(Ok(event));
+            }
+            if tokio::time::timeout_at(until, changed.changed())
+                .await
+                .is_err()
+            {
+                self.store.expire();
+                self.gather();
+                return Some(Ok(self.ready.pop_front().unwrap_or(WatchEvent::Quiet)));
+            }
+        }
+    }
+
+    fn is_drained(&self) -> bool {
+        self.ready.is_empty()
+    }
+}
