Move VMs between pools by what they need; one worker for all orders about VMs

Now each owner publishes what its pool has and wants, all work out the same moves, and givers carry them out.

--- /dev/null
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -0,0 +1,162 @@
+//! How many VMs a pool needs, and which of its runners it can spare.
+
+use crate::{
+    Millis,
+    job::JobEntry,
+    pool::PoolState,
+    runner::RunnerKey,
+    task::TaskPlace, //
+};
+
+/// Room wanted for each core that short tasks take, in percent: a VM-second
+/// costs a twentieth of what its cores earn when they are busy, and work that
+/// waits for a VM is late.
+const HEADROOM_PERCENT: u64 = 130;
+
+/// Time over which the work that comes in is averaged, in milliseconds: about
+/// the time that a move takes, after which it is needed.
+const ARRIVAL_WINDOW_MS: Millis = 1_000;
+
+/// Time within which work that waits is to be under way, in milliseconds;
+/// objectives leave about as much beside the work itself.
+const BACKLOG_MS: Millis = 1_500;
+
+/// Time of a task of a queue that none is known of, in milliseconds.
+const USUAL_TASK_MS: Millis = 1_000;
+
+/// Part of a new figure in a learned mean: one in this many.
+const LEARN_PART: u64 = 8;
+
+/// Capacity of a VM while none of the pool's is known, in thousandths of a
+/// core.
+const USUAL_CAPACITY: u64 = 32_000;
+
+/// Time for which a runner stays in its pool at least, in milliseconds: two
+/// owners may not order about one VM within the platform's three seconds.
+const STAY_MS: Millis = 3_300;
+
+/// VMs that a pool needs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WantedVms {
+    /// For what comes in all the time.
+    pub steady: u32,
+    /// With what waits now.
+    pub now: u32,
+}
+
+/// Work of a pool, in thousandths of a core, and in those times milliseconds
+/// for what waits.
+#[derive(Default)]
+struct DemandSums {
+    running: u64,
+    lasting: u64,
+    backlog: u64,
+    /// VMs over which lasting tasks are spread.
+    spread: u32,
+}
+
+impl PoolState {
+    /// VMs that the pool needs: for lasting work, for the short work that
+    /// comes in, and for what waits.
+    pub fn wanted_vms(&self, now: Millis) -> WantedVms {
+        let mut sums = DemandSums::default();
+        for key in &self.active {
+            if let Some(job) = self.jobs.get(*key)
+                && !job.phase.is_final()
+            {
+                self.add_demand(&mut sums, job);
+            }
+        }
+        let arriving: u64 = self
+            .arrivals
+            .iter()
+            .filter(|(at, _)| at + ARRIVAL_WINDOW_MS > now)
+            .map(|(_, work)| work)
+            .sum();
+        let steady = sums.running.max(arriving / ARRIVAL_WINDOW_MS);
+        let cores = steady * HEADROOM_PERCENT / 100 + sums.lasting;
+        let capacity = self
+            .runners
+            .values()
+            .map(|runner| runner.facts.capacity.cpu_milli)
+            .max()
+            .unwrap_or(USUAL_CAPACITY)
+            .max(1);
+        let vms = |cores: u64| {
+            let vms = cores.div_ceil(capacity);
+            u32::try_from(vms).unwrap_or(u32::MAX).max(sums.spread)
+        };
+        WantedVms {
+            steady: vms(cores),
+            now: vms(cores + sums.backlog / BACKLOG_MS),
+        }
+    }
+
+    fn add_demand(&self, sums: &mut DemandSums, job: &JobEntry) {
+        let time = self.task_time(&job.queue);
+        for step in job.spec.steps.iter().filter(|step| step.lasting) {
+            let vms = step.count.div_ceil(step.most_together());
+            sums.spread = sums.spread.max(vms);
+        }
+        for (slot, task) in job.tasks.iter().enumerate() {
+            let Some(step) = job.step_of(slot).filter(|step| !step.filler) else {
+                continue;
+            };
+            let cpu = step.need.cpu_milli;
+            let runs = task.runner().is_some();
+            let waits = task.place == TaskPlace::Waiting && job.is_ready(slot);
+            match (step.lasting, runs, waits) {
+                (true, true, _) | (true, _, true) => sums.lasting += cpu,
+                (false, true, _) => sums.running += cpu,
+                (false, _, true) => sums.backlog += cpu * time,
+                _ => {}
+            }
+        }
+    }
+
+    /// Mean time of a queue's tasks, as seen so far.
+    fn task_time(&self, queue: &str) -> Millis {
+        self.task_times.get(queue).copied().unwrap_or(USUAL_TASK_MS)
+    }
+
+    /// Learns from a task that is done.
+    pub(crate) fn learn_time(&mut self, queue: &str, time: Millis) {
+        let mean = self
+            .task_times
+            .entry(queue.to_owned())
+            .or_insert(USUAL_TASK_MS);
+        *mean = (*mean * (LEARN_PART - 1) + time) / LEARN_PART;
+    }
+
+    /// Notes the work of a job that came in.
+    pub(crate) fn note_arrival(&mut self, job: &JobEntry, now: Millis) {
+        let time = self.task_time(&job.queue);
+        let steps = job.spec.steps.iter().filter(|step| !step.lasting);
+        let work = steps.map(|step| u64::from(step.count) * step.need.cpu_milli * time);
+        let work = work.sum();
+        self.arrivals.retain(|(at, _)| at + ARRIVAL_WINDOW_MS > now);
+        self.arrivals.push((now, work));
+    }
+
+    /// VMs of the pool's runners.
+    pub fn vms(&self) -> Vec<String> {
+        let runners = self.runners.values();
+        let staying = runners.filter(|runner| !runner.facts.draining);
+        staying.map(|runner| runner.facts.vm.clone()).collect()
+    }
+
+    /// Runners without lasting tasks, those that are missed least in front.
+    pub fn spare_runners(&self, now: Millis, limit: usize) -> Vec<RunnerKey> {
+        let mut spare: Vec<(bool, u64, RunnerKey)> = self
+            .runners
+            .iter()
+            .filter(|(_, runner)| runner.open && !runner.facts.draining)
+            .filter(|(_, runner)| runner.known_since + STAY_MS <= now)
+            .filter(|(_, runner)| !self.holds_lasting(runner))
+            .map(|(key, runner)| (!runner.leaving, runner.used.cpu_milli, key))
+            .collect();
+        spare.sort();
+        spare.truncate(limit);
+        spare.into_iter().map(|(_, _, key)| key).collect()
+    }
+}
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -6,6 +6,8 @@
 //! acknowledged. Nothing here does input or output; times are milliseconds of
 //! the owner's steady clock.
 
+mod balance;
+mod demand;
 mod job;
 mod observe;
 mod pace;
@@ -19,6 +21,12 @@
 mod task;
 mod upkeep;
 
+pub use balance::{
+    PoolMove,
+    PoolShare,
+    plan_moves, //
+};
+pub use demand::WantedVms;
 pub use job::{
     JobEntry,
     JobKey, //
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -204,6 +204,12 @@
     }
 
     fn finish_task(&mut self, task: TaskRef, now: Millis) {
+        let ran = self.task(task).filter(|entry| entry.runner().is_some());
+        if let Some(time) = ran.map(|entry| now.saturating_sub(entry.began_at))
+            && let Some(queue) = self.jobs.get(task.job).map(|job| job.queue.clone())
+        {
+            self.learn_time(&queue, time);
+        }
         self.set_place(task, TaskPlace::Done, now);
         self.begin_job(task.job);
         let Some(job) = self.jobs.get_mut(task.job) else {
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -16,6 +16,14 @@
 /// up for.
 const FAR_COST: f64 = 2.0;
 
+/// What a lasting task costs on a runner that holds as many of its step as may
+/// be away at once: more than any load, so that it goes there last.
+const TOGETHER_COST: f64 = 4.0;
+
+/// What a lasting task costs on a runner without any: lasting tasks stay
+/// together, and other runners can leave the pool.
+const FIRST_LASTING_COST: f64 = 1.0;
+
 /// What each filler beside a serving task costs, in shares of a runner's load:
 /// enough to spread the two kinds over runners while there are any.
 const MIXED_COST: f64 = 0.5;
@@ -32,25 +40,22 @@
                 .filter(|(_, runner)| runner.takes_tasks(now) && runner.fits(step))
                 .filter(|(_, runner)| !runner.is_on_trial() || runner.tasks.is_empty())
                 .filter(|(_, runner)| has_label(runner, step))
-                .filter(|(_, runner)| self.keeps_spread(task, runner, step))
+                .filter(|(_, runner)| step.spread == 0 || self.alike(task, runner) < step.spread)
         };
         let best = |avoid: Option<RunnerKey>| {
             fitting()
                 .filter(|(key, _)| Some(*key) != avoid)
-                .map(|(key, runner)| (self.cost(runner, step), key))
+                .map(|(key, runner)| (self.cost(task, runner, step), key))
                 .min_by(|left, right| left.0.total_cmp(&right.0))
                 .map(|(_, key)| key)
         };
         best(failed_on).or_else(|| best(None))
     }
 
-    /// Whether the runner may hold one more task of the step.
-    fn keeps_spread(&self, task: TaskRef, runner: &RunnerEntry, step: &StepSpec) -> bool {
-        if step.spread == 0 {
-            return true;
-        }
+    /// Tasks of the same step on the runner.
+    fn alike(&self, task: TaskRef, runner: &RunnerEntry) -> u32 {
         let Some(entry) = self.task(task) else {
-            return false;
+            return 0;
         };
         let alike = runner
             .tasks
@@ -59,20 +64,35 @@
             .filter_map(|other| self.task(*other))
             .filter(|other| other.step == entry.step && other.round == entry.round)
             .count();
-        u32::try_from(alike).is_ok_and(|alike| alike < step.spread)
+        u32::try_from(alike).unwrap_or(u32::MAX)
     }
 
-    fn cost(&self, runner: &RunnerEntry, step: &StepSpec) -> f64 {
+    fn cost(&self, task: TaskRef, runner: &RunnerEntry, step: &StepSpec) -> f64 {
         let far = step
             .data_rack
             .as_ref()
             .is_some_and(|rack| *rack != runner.facts.rack);
-        let mixed = self.mixed_neighbours(runner, step);
         let mut cost = runner.load_with(step);
         if far {
             cost += FAR_COST;
         }
-        cost + MIXED_COST * f64::from(mixed)
+        if step.lasting {
+            if self.alike(task, runner) >= step.most_together() {
+                cost += TOGETHER_COST;
+            }
+            if !self.holds_lasting(runner) {
+                cost += FIRST_LASTING_COST;
+            }
+        }
+        cost + MIXED_COST * f64::from(self.mixed_neighbours(runner, step))
+    }
+
+    pub(crate) fn holds_lasting(&self, runner: &RunnerEntry) -> bool {
+        runner
+            .tasks
+            .iter()
+            .filter_map(|task| self.jobs.get(task.job)?.step_of(task.slot))
+            .any(|step| step.lasting)
     }
 
     /// Tasks on the runner that would disturb the step's, or be disturbed.
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -60,6 +60,10 @@
     pub(crate) plan_needed: bool,
     /// When everything that earlier owners ordered has ended.
     inherited_until: Millis,
+    /// Mean time of a task, by queue, in milliseconds.
+    pub(crate) task_times: HashMap<String, Millis>,
+    /// Work that came in of late, in thousandths of a core times milliseconds.
+    pub(crate) arrivals: Vec<(Millis, u64)>,
 }
 
 impl PoolState {
@@ -97,6 +101,9 @@
         if settled {
             job.ended_at = Some(now);
         }
+        if !settled {
+            self.note_arrival(&job, now);
+        }
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
         if !settled {
@@ -219,7 +226,7 @@
     }
 
     /// Takes a runner in, or what changed of it.
-    pub fn set_runner(&mut self, facts: RunnerFacts) -> RunnerKey {
+    pub fn set_runner(&mut self, facts: RunnerFacts, now: Millis) -> RunnerKey {
         self.plan_needed = true;
         if let Some(key) = self.runner_names.get(&facts.name).copied()
             && let Some(runner) = self.runners.get_mut(key)
@@ -230,7 +237,7 @@
         let name = facts.name.clone();
         let key = self
             .runners
-            .insert(RunnerEntry::new(facts, self.inherited_until));
+            .insert(RunnerEntry::new(facts, self.inherited_until, now));
         self.runner_names.insert(name, key);
         key
     }
@@ -355,6 +362,9 @@
             return;
         };
         let before = entry.runner();
+        if matches!(place, TaskPlace::Running(_)) {
+            entry.began_at = now;
+        }
         entry.place = place;
         entry.moved_at = now;
         let after = entry.runner();
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -56,6 +56,8 @@
     pub leaving: bool,
     /// When everything on it has ended if no hold is answered any more.
     pub lease_until: Millis,
+    /// When it was first seen.
+    pub known_since: Millis,
     /// Room taken.
     pub used: TaskNeed,
     /// Tasks that take room.
@@ -71,12 +73,13 @@
 impl RunnerEntry {
     /// A runner that has not answered yet; `lease_until` is when everything that
     /// earlier owners ordered there has ended.
-    pub fn new(facts: RunnerFacts, lease_until: Millis) -> Self {
+    pub fn new(facts: RunnerFacts, lease_until: Millis, now: Millis) -> Self {
         Self {
             facts,
             open: false,
             leaving: false,
             lease_until,
+            known_since: now,
             used: TaskNeed::default(),
             tasks: HashSet::new(),
             seen: 0,
--- a/crates/hoisthitch-jobs/src/spec.rs
+++ b/crates/hoisthitch-jobs/src/spec.rs
@@ -186,6 +186,17 @@
 }
 
 impl StepSpec {
+    /// Tasks of a lasting step that should be on one runner at most, so that
+    /// its VM can go down without more being away than may be.
+    pub fn most_together(&self) -> u32 {
+        let may_miss = self.may_miss.max(1);
+        if self.spread == 0 {
+            may_miss
+        } else {
+            may_miss.min(self.spread)
+        }
+    }
+
     fn check(&self, number: usize) -> Result<(), SpecError> {
         if self.count == 0 {
             return Err(SpecError::NoTasks(number));
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -102,6 +102,8 @@
     pub percent: u32,
     /// When the place or the share of the work last changed.
     pub moved_at: Millis,
+    /// When the last run was first seen to run.
+    pub began_at: Millis,
     /// Tail of answers in milliseconds, or thousandths of a core in use.
     pub load: u64,
     /// Share at which a filler may work.
@@ -157,6 +159,7 @@
             checkpoint: String::new(),
             percent: 0,
             moved_at: now,
+            began_at: now,
             load: 0,
             pace: 100,
             ordered_at: 0,
--- a/crates/hoisthitch-scheduler/src/keys.rs
+++ b/crates/hoisthitch-scheduler/src/keys.rs
@@ -81,6 +81,16 @@
         format!("{}/count/{pool}", self.root)
     }
 
+    /// What all pools have and want.
+    pub fn all_shares(&self) -> String {
+        format!("{}/share/", self.root)
+    }
+
+    /// What a pool has and wants.
+    pub fn share(&self, pool: &str) -> String {
+        format!("{}/share/{pool}", self.root)
+    }
+
     /// State of a wave.
     pub fn wave(&self, wave: u64) -> String {
         format!("{}/wave/{wave}", self.root)
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -22,6 +22,7 @@
 mod session;
 mod shared;
 mod takeover;
+mod vms;
 mod waves;
 
 pub use clock::NodeClock;
--- a/crates/hoisthitch-scheduler/src/owner.rs
+++ b/crates/hoisthitch-scheduler/src/owner.rs
@@ -74,10 +74,12 @@
     },
     shared::NodeShared,
     takeover::PoolTakeover,
-    waves::{
-        WaveContext,
-        WaveRequest,
-        run_waves, //
+    vms::{
+        PoolNeed,
+        SPARE_LIMIT,
+        VmContext,
+        VmRequest,
+        run_vms, //
     }, //
 };
 
@@ -167,11 +169,11 @@
     let progress = store.read_prefix(&progress_prefix).await?;
     let (events, mut session_events) = mpsc::unbounded_channel();
     let (returns, mut returned) = mpsc::unbounded_channel();
-    let (wave_sender, mut wave_requests) = mpsc::channel(16);
+    let (vm_sender, mut vm_requests) = mpsc::channel(16);
     let mut fleet = context.fleet.clone();
     let mut stop = context.stop.clone();
     let confirmed = Rc::new(Cell::new(context.shared.clock.now()));
-    let waves = run_waves(WaveContext {
+    let vms = run_vms(VmContext {
         platform: context.platform.clone(),
         shared: context.shared.clone(),
         keys: context.keys.clone(),
@@ -180,9 +182,9 @@
         epoch: takeover.epoch,
         confirmed: confirmed.clone(),
         fleet: context.fleet.clone(),
-        owner: wave_sender,
+        owner: vm_sender,
     });
-    let waves = actix_rt::spawn(waves);
+    let vms = actix_rt::spawn(vms);
     let now = context.shared.clock.now();
     let mut owner = PoolOwner {
         epoch: takeover.epoch,
@@ -222,7 +224,7 @@
                     break OwnerEnd::Deposed;
                 }
             }
-            Some(request) = wave_requests.recv() => owner.take_wave(request),
+            Some(request) = vm_requests.recv() => owner.take_vm_request(request),
             changed = fleet.changed() => {
                 if changed.is_err() {
                     break OwnerEnd::Stopped;
@@ -238,7 +240,7 @@
         }
         owner.advance();
     };
-    waves.abort();
+    vms.abort();
     event!(
         Info,
         "pool_left",
@@ -428,10 +430,10 @@
         }
     }
 
-    fn take_wave(&mut self, request: WaveRequest) {
+    fn take_vm_request(&mut self, request: VmRequest) {
         let now = self.now();
         match request {
-            WaveRequest::Leave { runner, reply } => {
+            VmRequest::Leave { runner, reply } => {
                 let view = self.state.runner_key(&runner).map(|key| {
                     self.state.set_leaving(key, true);
                     self.state.upkeep_view(key)
@@ -439,12 +441,26 @@
                 // A worker that is gone asks again.
                 let _ = reply.send(view);
             }
-            WaveRequest::Stay { runner } => {
+            VmRequest::Stay { runner } => {
                 if let Some(key) = self.state.runner_key(&runner) {
                     self.state.set_leaving(key, false);
                 }
             }
-            WaveRequest::Down { runner } => {
+            VmRequest::Need { reply } => {
+                let spare = self.state.spare_runners(now, SPARE_LIMIT);
+                let spare = spare.into_iter().filter_map(|key| {
+                    let facts = &self.state.runner(key)?.facts;
+                    Some((facts.name.clone(), facts.vm.clone()))
+                });
+                let need = PoolNeed {
+                    want: self.state.wanted_vms(now),
+                    vms: self.state.vms(),
+                    spare: spare.collect(),
+                };
+                // A worker that is gone asks again.
+                let _ = reply.send(need);
+            }
+            VmRequest::Down { runner } => {
                 if let Some(key) = self.state.runner_key(&runner) {
                     self.state.note_down(key, now);
                     self.drop_runner(key, "upkeep");
@@ -467,7 +483,7 @@
             if fleet.ended.contains(&record.facts.name) {
                 continue;
             }
-            let key = self.state.set_runner(record.facts.clone());
+            let key = self.state.set_runner(record.facts.clone(), now);
             if !self.sessions.contains_key(&key) {
                 self.open_session(
                     key,
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -163,7 +163,16 @@
         vm: &str,
         wave: u64,
         holder: &str,
-        epoch: u64,
+        token: u64,
+    ) -> impl Future<Output = Result<(), VmError>>;
+
+    /// Moves a VM to another pool; done at once if it was done already.
+    fn reassign(
+        &self,
+        vm: &str,
+        pool: &str,
+        holder: &str,
+        token: u64,
     ) -> impl Future<Output = Result<(), VmError>>;
 }
 
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -4,25 +4,15 @@
 //! they belong to. An owner writes its VM into it before it takes the VM down,
 //! and out of it once the VM is back with a new life of its runner.
 
-use std::{
-    cell::Cell,
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
-    rc::Rc,
-    sync::Arc,
-    time::Duration, //
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
 };
 
-use hoisthitch_jobs::{
-    Millis,
-    UpkeepView, //
-};
+use hoisthitch_jobs::UpkeepView;
 use hoisthitch_store::{
     BatchOutcome,
     StoreClient,
-    StoreError,
     StoreRevision,
     SwapItem, //
 };
@@ -31,61 +21,28 @@
     Deserialize,
     Serialize, //
 };
-use tokio::sync::{
-    mpsc,
-    oneshot,
-    watch, //
-};
 
 use crate::{
     journal::encode,
-    keys::JobKeys,
-    node::FleetView,
     platform::{
         FleetCodec,
         Platform,
         VmCondition,
         VmControl,
-        VmError,
         VmRow,
         WaveOrder, //
     },
-    shared::NodeShared, //
+    vms::{
+        VmRequest,
+        VmWorkError,
+        VmWorker, //
+    }, //
 };
 
-/// Time between two looks at a wave that is under way: a fraction of the time
-/// that an upkeep takes.
-const WAVE_TICK: Duration = Duration::from_millis(350);
-
-/// Time that a new owner waits before it gives orders about VMs, in
-/// milliseconds: an earlier one may send some until its own doubt stops it
-/// ([`DOUBT_MS`]), and they may be under way for the limit of a call. Nor may
-/// two owners take turns within the platform's three seconds.
-const SETTLE_MS: Millis = 3_200;
-
-/// Time after the owner last made sure that it is the owner in which it gives
-/// orders about VMs, in milliseconds.
-const DOUBT_MS: Millis = 1_200;
-
 /// VMs of a pool that are emptied at once. More would cost a pool of about ten
 /// VMs too much of its room.
 const EMPTY_AT_ONCE: usize = 1;
 
-/// What the wave worker asks the owner.
-#[derive(Debug)]
-pub(crate) enum WaveRequest {
-    /// Empty the runner; the answer says how far that is, or nothing when the
-    /// runner is not known.
-    Leave {
-        runner: String,
-        reply: oneshot::Sender<Option<UpkeepView>>,
-    },
-    /// The runner goes on.
-    Stay { runner: String },
-    /// The runner's VM went down.
-    Down { runner: String },
-}
-
 /// How far a wave is.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 struct WaveProgress {
@@ -95,105 +52,21 @@
     done: BTreeSet<String>,
 }
 
-struct WaveWorker<P: Platform> {
-    platform: P,
-    keys: JobKeys,
-    node: String,
-    pool: String,
-    epoch: u64,
-    owner: mpsc::Sender<WaveRequest>,
-    shared: Arc<NodeShared>,
-    /// When the owner last made sure that it is the owner.
-    confirmed: Rc<Cell<Millis>>,
-    /// Runners that are being emptied, by VM.
-    leaving: BTreeMap<String, String>,
-    /// VMs that went down on this worker's order.
-    went_down: BTreeSet<(u64, String)>,
-}
-
-/// What a wave worker works with.
-pub(crate) struct WaveContext<P> {
-    pub(crate) platform: P,
-    pub(crate) shared: Arc<NodeShared>,
-    pub(crate) keys: JobKeys,
-    pub(crate) node: String,
-    pub(crate) pool: String,
-    pub(crate) epoch: u64,
-    pub(crate) confirmed: Rc<Cell<Millis>>,
-    pub(crate) fleet: watch::Receiver<Arc<FleetView>>,
-    pub(crate) owner: mpsc::Sender<WaveRequest>,
-}
-
-/// Takes the pool's VMs through all waves until the owner ends.
-pub(crate) async fn run_waves<P: Platform>(context: WaveContext<P>) {
-    let mut fleet = context.fleet;
-    let mut worker = WaveWorker {
-        platform: context.platform,
-        keys: context.keys,
-        node: context.node,
-        pool: context.pool,
-        epoch: context.epoch,
-        owner: context.owner,
-        shared: context.shared,
-        confirmed: context.confirmed,
-        leaving: BTreeMap::new(),
-        went_down: BTreeSet::new(),
-    };
-    tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
-    let mut completed = BTreeSet::new();
-    loop {
-        let orders: Vec<WaveOrder> = fleet
-            .borrow_and_update()
-            .waves
-            .values()
-            .filter(|order| !completed.contains(&order.wave))
-            .cloned()
-            .collect();
-        if orders.is_empty() {
-            if fleet.changed().await.is_err() {
-                return;
-            }
-            continue;
-        }
-        for order in orders {
-            match worker.advance(&order).await {
-                Ok(true) => drop(completed.insert(order.wave)),
-                Ok(false) => {}
-                Err(err) => event!(Warn, "wave_stalled", wave = order.wave, error = err),
-            }
-        }
-        tokio::time::sleep(WAVE_TICK).await;
-    }
-}
-
-/// Why a wave does not go on for now.
-#[derive(Debug, thiserror::Error)]
-enum WaveError {
-    #[error("{0}")]
-    Store(#[from] StoreError),
-    #[error("{0}")]
-    Vm(#[from] VmError),
-    #[error("the wave's record can't be read: {0}")]
-    Record(#[from] serde_json::Error),
-    #[error("whether this node still owns the pool is not known")]
-    Doubt,
-}
-
-impl<P: Platform> WaveWorker<P> {
+impl<P: Platform> VmWorker<P> {
     /// Takes a wave further; answers whether it is completed.
-    async fn advance(&mut self, order: &WaveOrder) -> Result<bool, WaveError> {
-        let (mut progress, mut revision) = self.read(order).await?;
+    pub(crate) async fn advance(&mut self, order: &WaveOrder) -> Result<bool, VmWorkError> {
+        let (mut progress, mut revision) = self.read_wave(order).await?;
         if order.vms.iter().all(|vm| progress.done.contains(vm)) {
             return Ok(true);
         }
-        let rows = self.platform.vms().list().await?;
+        let rows = self.context.platform.vms().list().await?;
         let own = |vm: &&String| {
-            let row = rows.iter().find(|row| row.name == **vm);
-            row.is_none_or(|row| row.pool == self.pool)
+            let row = Self::find(&rows, vm);
+            row.is_none_or(|row| row.pool == self.context.pool)
         };
         let due: Vec<String> = order.vms.iter().filter(own).cloned().collect();
         for vm in &due {
-            let row = rows.iter().find(|row| row.name == *vm);
+            let row = Self::find(&rows, vm);
             if progress.done.contains(vm) {
                 continue;
             }
@@ -215,7 +88,7 @@
                 _ => continue,
             }
             event!(Info, "upkeep_done", wave = order.wave, vm = vm);
-            (progress, revision) = self.write(order, next, revision).await?;
+            (progress, revision) = self.write_wave(order, next, revision).await?;
         }
         self.empty_next(order, &due, &rows, progress, revision)
             .await
@@ -229,32 +102,35 @@
         rows: &[VmRow],
         mut progress: WaveProgress,
         mut revision: StoreRevision,
-    ) -> Result<bool, WaveError> {
-        let waiting: Vec<&VmRow> = due
+    ) -> Result<bool, VmWorkError> {
+        let mut waiting: Vec<&VmRow> = due
             .iter()
             .filter(|vm| !progress.done.contains(*vm) && !progress.down.contains_key(*vm))
-            .filter_map(|vm| rows.iter().find(|row| row.name == *vm))
+            .filter_map(|vm| Self::find(rows, vm))
             .filter(|row| row.condition == VmCondition::Up)
             .collect();
+        // What is being emptied already goes on.
+        waiting.sort_by_key(|row| !self.leaving.contains_key(&row.name));
         let mut emptied = 0;
         for row in waiting {
             if emptied >= EMPTY_AT_ONCE {
                 break;
             }
-            let view = self.ask(row).await;
+            let view = self.ask_row(row).await;
             if view == Some(UpkeepView::Held) {
                 self.stay(&row.name).await;
                 continue;
             }
-            emptied += 1;
             let free = matches!(view, Some(UpkeepView::Free) | None);
+            // A VM without a runner costs no room.
+            emptied += usize::from(row.runner.is_some());
             if !free || progress.down.len() >= order.at_once.max(1) {
                 continue;
             }
             let mut next = progress.clone();
             let before = row.runner.clone().unwrap_or_default();
             next.down.insert(row.name.clone(), before);
-            (progress, revision) = self.write(order, next, revision).await?;
+            (progress, revision) = self.write_wave(order, next, revision).await?;
             if progress.down.contains_key(&row.name) {
                 self.take_down(order, row).await?;
             }
@@ -263,21 +139,16 @@
     }
 
     /// Asks the owner to empty a VM's runner.
-    async fn ask(&mut self, row: &VmRow) -> Option<UpkeepView> {
+    async fn ask_row(&mut self, row: &VmRow) -> Option<UpkeepView> {
         let runner = row.runner.clone()?;
         self.leaving.insert(row.name.clone(), runner.clone());
-        let (reply, answer) = oneshot::channel();
-        let request = WaveRequest::Leave { runner, reply };
-        if self.owner.send(request).await.is_err() {
-            return Some(UpkeepView::Held);
-        }
-        answer.await.unwrap_or(Some(UpkeepView::Held))
+        self.ask_leave(&runner).await
     }
 
     async fn stay(&mut self, vm: &str) {
         if let Some(runner) = self.leaving.remove(vm) {
             // An owner that is gone keeps no runner.
-            let _ = self.owner.send(WaveRequest::Stay { runner }).await;
+            let _ = self.context.owner.send(VmRequest::Stay { runner }).await;
         }
     }
 
@@ -290,25 +161,23 @@
         row.condition == VmCondition::Up && (renewed || (runs_none && went_down()))
     }
 
-    async fn take_down(&mut self, order: &WaveOrder, row: &VmRow) -> Result<(), WaveError> {
-        if self.shared.clock.now() > self.confirmed.get() + DOUBT_MS {
-            return Err(WaveError::Doubt);
-        }
-        // The record may have taken long to write; what runs there may have
-        // changed since.
-        if !matches!(self.ask(row).await, Some(UpkeepView::Free) | None) {
+    async fn take_down(&mut self, order: &WaveOrder, row: &VmRow) -> Result<(), VmWorkError> {
+        let token = self.authorize().await?;
+        // The writes may have taken long; what runs there may have changed.
+        if !matches!(self.ask_row(row).await, Some(UpkeepView::Free) | None) {
             return Ok(());
         }
-        let vms = self.platform.vms();
+        self.check_owner()?;
+        let vms = self.context.platform.vms();
         let done = vms
-            .upkeep(&row.name, order.wave, &self.node, self.epoch)
+            .upkeep(&row.name, order.wave, &self.context.node, token)
             .await;
         event!(
             Info,
             "upkeep_ordered",
             wave = order.wave,
             vm = row.name,
-            epoch = self.epoch,
+            token = token,
             outcome = format_args!("{done:?}")
         );
         done?;
@@ -316,17 +185,17 @@
         self.leaving.remove(&row.name);
         if let Some(runner) = row.runner.clone() {
             // An owner that is gone knows no runner.
-            let _ = self.owner.send(WaveRequest::Down { runner }).await;
+            let _ = self.context.owner.send(VmRequest::Down { runner }).await;
         }
         Ok(())
     }
 
-    async fn read(&self, order: &WaveOrder) -> Result<(WaveProgress, StoreRevision), WaveError> {
-        let found = self
-            .platform
-            .store()
-            .read(&self.keys.wave(order.wave))
-            .await?;
+    async fn read_wave(
+        &self,
+        order: &WaveOrder,
+    ) -> Result<(WaveProgress, StoreRevision), VmWorkError> {
+        let key = self.context.keys.wave(order.wave);
+        let found = self.context.platform.store().read(&key).await?;
         let Some(stored) = found else {
             return Ok((WaveProgress::default(), StoreRevision::default()));
         };
@@ -335,17 +204,18 @@
 
     /// Writes the wave's record; answers with the record in force, which is
     /// another when someone else was first.
-    async fn write(
+    async fn write_wave(
         &self,
         order: &WaveOrder,
         next: WaveProgress,
         expected: StoreRevision,
-    ) -> Result<(WaveProgress, StoreRevision), WaveError> {
+    ) -> Result<(WaveProgress, StoreRevision), VmWorkError> {
         let completed = order.vms.iter().all(|vm| next.done.contains(vm));
-        let (status, told) = self.platform.codec().wave_status(order.wave, completed);
+        let platform = &self.context.platform;
+        let (status, told) = platform.codec().wave_status(order.wave, completed);
         let items = vec![
             SwapItem {
-                key: self.keys.wave(order.wave),
+                key: self.context.keys.wave(order.wave),
                 expected,
                 value: Some(encode(&next)),
                 lease: None,
@@ -357,7 +227,7 @@
                 lease: None,
             },
         ];
-        match self.platform.store().swap_all(items).await? {
+        match platform.store().swap_all(items).await? {
             BatchOutcome::Written(revision) => {
                 event!(
                     Info,
@@ -369,7 +239,7 @@
                 );
                 Ok((next, revision))
             }
-            BatchOutcome::Conflict(_) => self.read(order).await,
+            BatchOutcome::Conflict(_) => self.read_wave(order).await,
         }
     }
 }
--- a/crates/hoisthitch-scheduler/tests/world/runners.rs
+++ b/crates/hoisthitch-scheduler/tests/world/runners.rs
@@ -570,4 +570,14 @@
         state.down_most = state.down_most.max(state.upkeep.len());
         Ok(())
     }
+
+    async fn reassign(
+        &self,
+        _vm: &str,
+        _pool: &str,
+        _holder: &str,
+        _token: u64,
+    ) -> Result<(), VmError> {
+        Err(VmError::NotListed)
+    }
 }
