--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -8,17 +8,20 @@
     task::TaskPlace, //
 };
 
-/// Room wanted for each core that short tasks take, in percent: a VM-second
+/// Room wanted for each core of work that comes in, in percent: a VM-second
 /// costs a twentieth of what its cores earn when they are busy, and work that
 /// waits for a VM is late.
 const HEADROOM_PERCENT: u64 = 130;
 
-/// Time over which the work that comes in is averaged, in milliseconds: about
-/// the time that a move takes, after which it is needed.
-const ARRIVAL_WINDOW_MS: Millis = 1_000;
+/// Times over which the work that comes in is averaged, in milliseconds. The
+/// short one is used when enough jobs came in it to tell a trend from a lump.
+const ARRIVAL_WINDOWS_MS: [Millis; 2] = [1_000, 4_000];
 
-/// Time within which work that waits is to be under way, in milliseconds;
-/// objectives leave about as much beside the work itself.
+/// Jobs that tell a trend: the mean of as many is off by a third or so.
+const TREND_JOBS: usize = 10;
+
+/// Time beside the work itself within which work that waits is to be done, in
+/// milliseconds; objectives leave about as much.
 const BACKLOG_MS: Millis = 1_500;
 
 /// Time of a task of a queue that none is known of, in milliseconds.
@@ -44,8 +47,7 @@
     pub now: u32,
 }
 
-/// Work of a pool, in thousandths of a core, and in those times milliseconds
-/// for what waits.
+/// Work of a pool, in thousandths of a core.
 #[derive(Default)]
 struct DemandSums {
     running: u64,
@@ -67,14 +69,9 @@
                 self.add_demand(&mut sums, job);
             }
         }
-        let arriving: u64 = self
-            .arrivals
-            .iter()
-            .filter(|(at, _)| at + ARRIVAL_WINDOW_MS > now)
-            .map(|(_, work)| work)
-            .sum();
-        let steady = sums.running.max(arriving / ARRIVAL_WINDOW_MS);
-        let cores = steady * HEADROOM_PERCENT / 100 + sums.lasting;
+        let arriving = self.arriving_cores(now) * HEADROOM_PERCENT / 100;
+        let steady = sums.running.max(arriving);
+        let cores = steady + sums.lasting;
         let capacity = self
             .runners
             .values()
@@ -88,10 +85,22 @@
         };
         WantedVms {
             steady: vms(cores),
-            now: vms(cores + sums.backlog / BACKLOG_MS),
+            now: vms(cores + sums.backlog),
         }
     }
 
+    /// Work that comes in, in thousandths of a core.
+    fn arriving_cores(&self, now: Millis) -> u64 {
+        let rates = ARRIVAL_WINDOWS_MS.map(|window| {
+            let recent = self.arrivals.iter();
+            let recent = recent.filter(|(at, _)| at + window > now);
+            let (jobs, work) = recent.fold((0, 0), |(jobs, sum), (_, work)| (jobs + 1, sum + work));
+            (jobs, work / window)
+        });
+        let [(jobs, short), (_, long)] = rates;
+        if jobs >= TREND_JOBS { short } else { long }
+    }
+
     fn add_demand(&self, sums: &mut DemandSums, job: &JobEntry) {
         let time = self.task_time(&job.queue);
         for step in job.spec.steps.iter().filter(|step| step.lasting) {
@@ -108,7 +117,7 @@
             match (step.lasting, runs, waits) {
                 (true, true, _) | (true, _, true) => sums.lasting += cpu,
                 (false, true, _) => sums.running += cpu,
-                (false, _, true) => sums.backlog += cpu * time,
+                (false, _, true) => sums.backlog += cpu * time / (BACKLOG_MS + time),
                 _ => {}
             }
         }
@@ -134,7 +143,8 @@
         let steps = job.spec.steps.iter().filter(|step| !step.lasting);
         let work = steps.map(|step| u64::from(step.count) * step.need.cpu_milli * time);
         let work = work.sum();
-        self.arrivals.retain(|(at, _)| at + ARRIVAL_WINDOW_MS > now);
+        let [_, longest] = ARRIVAL_WINDOWS_MS;
+        self.arrivals.retain(|(at, _)| at + longest > now);
         self.arrivals.push((now, work));
     }
 
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -73,7 +73,7 @@
 
 /// Time for which VMs are kept after they were wanted, in milliseconds: a VM
 /// that goes and comes back costs two moves of one and a half seconds.
-const KEEP_MS: Millis = 3_000;
+const KEEP_MS: Millis = 2_000;
 
 /// Time after which a VM that was sent away and did not arrive is counted no
 /// more, in milliseconds; a move takes one and a half seconds.
