--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -16,9 +16,12 @@
 pub struct PoolShare {
     /// VMs wanted now.
     pub want: u32,
-    /// VMs that were wanted at most in the last seconds; what is above it can
-    /// go.
+    /// VMs wanted for what comes in all the time; what is above it can go to a
+    /// pool that lacks VMs.
     pub keep: u32,
+    /// VMs that were kept at most in the last seconds; what is above it can be
+    /// turned off.
+    pub hold: u32,
     /// VMs of the pool.
     pub vms: Vec<String>,
     /// VMs on their way to other pools.
@@ -92,7 +95,7 @@
         *left -= 1;
         add_move(&mut moves, from, to);
     }
-    moves.extend(park(pools, &surplus));
+    moves.extend(park(pools, &surplus, floor));
     moves
 }
 
@@ -124,18 +127,27 @@
     });
 }
 
-/// Moves what nobody wants to a pool whose VMs are off.
-fn park(pools: &BTreeMap<String, PoolShare>, surplus: &[(&String, usize)]) -> Vec<PoolMove> {
+/// Moves what nobody wanted for seconds to a pool whose VMs are off.
+fn park(
+    pools: &BTreeMap<String, PoolShare>,
+    surplus: &[(&String, usize)],
+    floor: usize,
+) -> Vec<PoolMove> {
     let Some((off, _)) = pools.iter().find(|(_, share)| share.spare) else {
         return Vec::new();
     };
-    let idle = surplus
-        .iter()
-        .filter(|(pool, count)| *count > 0 && !pools.get(*pool).is_some_and(|share| share.spare));
+    let idle = surplus.iter().filter_map(|(pool, left)| {
+        let share = pools.get(*pool).filter(|share| !share.spare)?;
+        // The surplus is counted above what is kept; more may be held.
+        let keep = to_usize(share.keep).max(floor);
+        let hold = to_usize(share.hold).max(floor);
+        let count = left.saturating_sub(hold.saturating_sub(keep));
+        (count > 0).then_some((*pool, count))
+    });
     idle.map(|(pool, count)| PoolMove {
-        from: (*pool).clone(),
+        from: pool.clone(),
         to: off.clone(),
-        count: *count,
+        count,
     })
     .collect()
 }
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -71,9 +71,9 @@
 /// orders about VMs, in milliseconds.
 const DOUBT_MS: Millis = 1_200;
 
-/// Time for which VMs are kept after they were wanted, in milliseconds: a VM
-/// that goes and comes back costs two moves of one and a half seconds.
-const KEEP_MS: Millis = 2_000;
+/// Time for which VMs are left on after they were wanted, in milliseconds: one
+/// that goes off and comes back costs two moves of one and a half seconds.
+const HOLD_MS: Millis = 3_000;
 
 /// Time after which a VM that was sent away and did not arrive is counted no
 /// more, in milliseconds; a move takes one and a half seconds.
@@ -235,6 +235,7 @@
                 pool = self.context.pool,
                 want = share.want,
                 keep = share.keep,
+                hold = share.hold,
                 has = share.vms.len(),
                 sent = share.sent.len()
             );
@@ -373,9 +374,9 @@
         spare: bool,
         now: Millis,
     ) -> PoolShare {
-        self.wants.retain(|(at, _)| at + KEEP_MS > now);
+        self.wants.retain(|(at, _)| at + HOLD_MS > now);
         self.wants.push((now, need.want.steady));
-        let keep = self.wants.iter().map(|(_, want)| *want).max();
+        let hold = self.wants.iter().map(|(_, want)| *want).max();
         self.sent.retain(|vm, (_, at)| {
             // A VM that is listed here no more has left for certain, and is
             // counted by the other pool once it has arrived there.
@@ -386,7 +387,8 @@
         vms.sort();
         PoolShare {
             want: need.want.now,
-            keep: keep.unwrap_or(need.want.steady),
+            keep: need.want.steady,
+            hold: hold.unwrap_or(need.want.steady),
             vms,
             sent: sent.map(|(vm, (to, _))| (vm.clone(), to.clone())).collect(),
             spare,
