Move lasting tasks apart before a VM goes down

Now one after the other is stopped and started elsewhere. Tests: crowded tasks, tasks of a silent runner; both fail without their mend.

--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -56,6 +56,9 @@
     pub leaving: bool,
     /// When everything on it has ended if no hold is answered any more.
     pub lease_until: Millis,
+    /// Until when a lasting task that was moved off it may take to work
+    /// elsewhere.
+    pub relocating_until: Millis,
     /// When it was first seen.
     pub known_since: Millis,
     /// Room taken.
@@ -79,6 +82,7 @@
             open: false,
             leaving: false,
             lease_until,
+            relocating_until: 0,
             known_since: now,
             used: TaskNeed::default(),
             tasks: HashSet::new(),
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -14,6 +14,10 @@
     }, //
 };
 
+/// Time that a lasting task has to be at work elsewhere, in milliseconds: a
+/// stop, a start and the short time until it is at work.
+const RELOCATE_MS: Millis = 2_500;
+
 /// Whether a VM may go down.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpkeepView {
@@ -105,6 +109,48 @@
         heard && task.away_since.is_none()
     }
 
+    /// Moves one lasting task off a runner that holds more of a step than may be
+    /// away at once; answers whether it did, or did a moment ago.
+    pub fn relocate_one(&mut self, key: RunnerKey, now: Millis) -> bool {
+        let Some(runner) = self.runners.get(key).filter(|runner| runner.open) else {
+            return false;
+        };
+        if runner.relocating_until > now {
+            return true;
+        }
+        let tasks: Vec<TaskRef> = runner.tasks.iter().copied().collect();
+        let crowded = tasks.iter().copied().find(|task| {
+            let at_work = self.task(*task).is_some_and(|entry| self.is_at_work(entry));
+            at_work && self.is_crowded(*task, &tasks) && self.may_miss(&[*task])
+        });
+        let Some(task) = crowded else {
+            return false;
+        };
+        self.stop_task(task, now);
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.relocating_until = now + RELOCATE_MS;
+        }
+        true
+    }
+
+    /// Whether these tasks hold more of the task's lasting step than may be
+    /// away at once.
+    fn is_crowded(&self, task: TaskRef, tasks: &[TaskRef]) -> bool {
+        let Some(job) = self.jobs.get(task.job) else {
+            return false;
+        };
+        let Some(step) = job.step_of(task.slot).filter(|step| step.lasting) else {
+            return false;
+        };
+        let number = job.tasks.get(task.slot).map(|entry| entry.step);
+        let alike = tasks
+            .iter()
+            .filter(|other| other.job == task.job)
+            .filter(|other| job.tasks.get(other.slot).map(|entry| entry.step) == number)
+            .count();
+        step.may_miss > 0 && u32::try_from(alike).is_ok_and(|alike| alike > step.may_miss)
+    }
+
     /// Takes the lasting tasks of a runner as away: its VM goes down now.
     pub fn note_down(&mut self, key: RunnerKey, now: Millis) {
         self.release_runner(key, now);
--- a/crates/hoisthitch-scheduler/src/owner.rs
+++ b/crates/hoisthitch-scheduler/src/owner.rs
@@ -20,7 +20,8 @@
     NewJob,
     PoolState,
     RunnerKey,
-    StartOrder, //
+    StartOrder,
+    UpkeepView, //
 };
 use hoisthitch_store::{
     StoreClient,
@@ -436,7 +437,11 @@
             VmRequest::Leave { runner, reply } => {
                 let view = self.state.runner_key(&runner).map(|key| {
                     self.state.set_leaving(key, true);
-                    self.state.upkeep_view(key)
+                    let view = self.state.upkeep_view(key);
+                    if view == UpkeepView::Held && self.state.relocate_one(key, now) {
+                        return UpkeepView::Busy(1);
+                    }
+                    view
                 });
                 // A worker that is gone asks again.
                 let _ = reply.send(view);
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -48,6 +48,8 @@
     new_owner_stops_nothing_that_lasts => keeps_lasting();
     wave_takes_every_vm_within_its_limits => takes_wave();
     wave_goes_on_under_a_new_owner => takes_wave_over();
+    wave_moves_lasting_tasks_that_stand_too_close => moves_crowded();
+    wave_counts_tasks_of_silent_runners_as_away => counts_silent();
 }
 
 fn kept(world: &TestWorld) -> Result<()> {
@@ -360,3 +362,46 @@
     ensure!(world.fleet.upkeeps().0 == 6);
     kept(&world)
 }
+
+/// Four tasks on two runners, of which one may be away: no VM can go down
+/// before a task is moved off it.
+async fn moves_crowded() -> Result<()> {
+    let world = TestWorld::start(3, 2).await;
+    let mut spec = lasting(4, 1);
+    spec.steps[0].spread = 0;
+    world.submit("long", spec).await;
+    sleep_ms(3_000).await;
+    world.begin_runner("vm-2");
+    world.begin_runner("vm-3");
+    sleep_ms(4_000).await;
+    wave(&world, 4, 90_000).await?;
+    sleep_ms(2_000).await;
+    ensure!(world.fleet.running().len() == 4);
+    kept(&world)
+}
+
+async fn counts_silent() -> Result<()> {
+    let world = TestWorld::start(3, 6).await;
+    world.submit("long", lasting(4, 1)).await;
+    sleep_ms(5_000).await;
+    let busy = world.fleet.busy();
+    let vms: Vec<String> = world
+        .fleet
+        .living()
+        .into_iter()
+        .filter(|(name, _)| busy[1..].contains(name))
+        .map(|(_, vm)| vm)
+        .collect();
+    let nodes: Vec<String> = world.nodes.keys().cloned().collect();
+    world.fleet.cut(&busy[0], &nodes);
+    world.fleet.crash(&busy[0]);
+    sleep_ms(1_800).await;
+    world
+        .store
+        .put("op/wave/1", Some(vms.join(",").as_bytes()), 0);
+    for _ in 0..100 {
+        sleep_ms(100).await;
+        world.revive();
+    }
+    kept(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -347,6 +347,7 @@
 
     /// Cancels a job at some node until that is accepted.
     pub async fn cancel(&self, id: &str) {
+        self.fleet.note_cancel(id);
         for node in self.nodes.values() {
             if node.frozen.get() || node.killed.get() {
                 continue;
--- a/crates/hoisthitch-scheduler/tests/world/runners.rs
+++ b/crates/hoisthitch-scheduler/tests/world/runners.rs
@@ -46,6 +46,9 @@
 /// Longest lease.
 const LEASE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time after which a lasting task is at work.
+const STARTED: Duration = Duration::from_millis(300);
+
 /// Start of the runners' clocks.
 const CLOCK_START: u64 = 480_000;
 
@@ -93,6 +96,8 @@
     orders: u64,
     upkeeps: Vec<(String, u64, Instant)>,
     down_most: usize,
+    /// Jobs whose tasks may be stopped as their caller wants.
+    cancelled: HashSet<String>,
 }
 
 /// The fleet.
@@ -153,6 +158,11 @@
         self.state.borrow_mut().late_every = every;
     }
 
+    /// The caller cancels a job: its tasks may be stopped from now on.
+    pub fn note_cancel(&self, job: &str) {
+        self.state.borrow_mut().cancelled.insert(job.to_owned());
+    }
+
     /// Living runners.
     pub fn living(&self) -> Vec<(String, String)> {
         let state = self.state.borrow();
@@ -162,6 +172,14 @@
             .collect()
     }
 
+    /// Living runners that run something.
+    pub fn busy(&self) -> Vec<String> {
+        let state = self.state.borrow();
+        let busy = state.runners.iter();
+        let busy = busy.filter(|(_, runner)| runner.alive && !runner.running.is_empty());
+        busy.map(|(name, _)| name.clone()).collect()
+    }
+
     /// VMs whose upkeep is over, to be given a new life.
     pub fn take_back(&self) -> Vec<String> {
         let now = Instant::now();
@@ -292,6 +310,10 @@
         }
         runner.fence = epoch;
         let task = order.name.to_string();
+        state.judge_end(&task);
+        let Some(runner) = state.runners.get_mut(name) else {
+            return Err(RunnerError::WrongLife);
+        };
         let over = runner.over.entry(task.clone()).or_insert(0);
         *over = (*over).max(order.run);
         if runner
@@ -359,6 +381,35 @@
     }
 }
 
+impl FleetState {
+    /// Looks whether ending a lasting task at work leaves more than one away.
+    fn judge_end(&mut self, task: &str) {
+        let now = Instant::now();
+        let Some((job, _)) = task.split_once('.') else {
+            return;
+        };
+        let at_work = |name: &str| {
+            self.runners.values().any(|runner| {
+                let run = runner.running.get(name).filter(|run| run.lasts);
+                runner.alive && run.is_some_and(|run| run.began + STARTED < now)
+            })
+        };
+        if self.cancelled.contains(job) || !at_work(task) {
+            return;
+        }
+        let away: Vec<&String> = self
+            .starts
+            .keys()
+            .filter(|name| name.starts_with(&format!("{job}.")) && *name != task)
+            .filter(|name| !at_work(name))
+            .collect();
+        if !away.is_empty() {
+            let broken = format!("{task} is ended while {away:?} are away");
+            self.broken.push(broken);
+        }
+    }
+}
+
 impl Runner {
     fn at(&self, clock_ms: u64) -> Instant {
         let since = clock_ms.saturating_sub(CLOCK_START);
@@ -421,7 +472,7 @@
             name: task.clone(),
             run: run.run,
             checkpoint: String::new(),
-            percent: if run.lasts && now > run.began + Duration::from_millis(300) {
+            percent: if run.lasts && now > run.began + STARTED {
                 100
             } else {
                 10
@@ -558,6 +609,15 @@
             }
             return Ok(());
         }
+        let ends: Vec<String> = state
+            .runners
+            .values()
+            .filter(|runner| runner.vm == vm && runner.alive)
+            .flat_map(|runner| runner.running.keys().cloned())
+            .collect();
+        for task in &ends {
+            state.judge_end(task);
+        }
         for runner in state.runners.values_mut() {
             if runner.vm == vm {
                 runner.alive = false;
