--- a/crates/hoisthitch-scheduler/src/desk.rs
+++ b/crates/hoisthitch-scheduler/src/desk.rs
@@ -80,6 +80,13 @@
     end: Option<JobPhase>,
 }
 
+/// Waiting jobs of a pool by queue, and when they were read.
+#[derive(Clone, Debug)]
+struct CountMemory {
+    read_at: Millis,
+    counts: HashMap<String, u32>,
+}
+
 /// Takes jobs in, on one thread.
 #[derive(Clone)]
 pub struct JobDesk<S> {
@@ -88,7 +95,7 @@
     keys: JobKeys,
     creates: CreateClient,
     memory: Rc<RefCell<HashMap<String, JobMemory>>>,
-    counts: Rc<RefCell<HashMap<String, (Millis, HashMap<String, u32>)>>>,
+    counts: Rc<RefCell<HashMap<String, CountMemory>>>,
 }
 
 impl<S: StoreClient> JobDesk<S> {
@@ -219,10 +226,10 @@
     /// Fails as the store does.
     pub async fn waiting(&self, queue: &QueueRoute) -> Result<u32, StoreError> {
         let now = self.shared.clock.now();
-        if let Some((at, counts)) = self.counts.borrow().get(&queue.pool)
-            && at + COUNT_AGE_MS > now
+        if let Some(memory) = self.counts.borrow().get(&queue.pool)
+            && memory.read_at + COUNT_AGE_MS > now
         {
-            return Ok(counts.get(&queue.name).copied().unwrap_or(0));
+            return Ok(memory.counts.get(&queue.name).copied().unwrap_or(0));
         }
         let found = self.store.read(&self.keys.counts(&queue.pool)).await?;
         self.shared.store.note_success(now);
@@ -236,9 +243,11 @@
             None => HashMap::new(),
         };
         let count = counts.get(&queue.name).copied().unwrap_or(0);
-        self.counts
-            .borrow_mut()
-            .insert(queue.pool.clone(), (now, counts));
+        let memory = CountMemory {
+            read_at: now,
+            counts,
+        };
+        self.counts.borrow_mut().insert(queue.pool.clone(), memory);
         Ok(count)
     }
 
--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -149,8 +149,7 @@
             .filter(|pool| !running.contains(*pool))
             .filter(|pool| !self.is_owned(pool) || self.is_own(pool, identity))
             .collect();
-        self.vacant_since
-            .retain(|pool, _| vacant.iter().any(|vacant| *vacant == pool));
+        self.vacant_since.retain(|pool, _| vacant.contains(&pool));
         for pool in &vacant {
             self.vacant_since.entry((*pool).clone()).or_insert(now);
         }
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -0,0 +1,337 @@
+//! The owner of a pool: decides, records, orders, and takes in what happens.
+//!
+//! One task runs all of it for a pool, so that nothing is decided on a state
+//! that another decision changes. What has to be recorded first waits for the
+//! journal; meanwhile events are taken in and further decisions gathered.
+
+mod inbox;
+mod runners;
+mod writes;
+
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    FlushPlan,
+    JobProgress,
+    Millis,
+    PoolState,
+    RunnerKey,
+    StartOrder, //
+};
+use hoisthitch_store::{
+    StoreClient,
+    StoreError,
+    StoredValue, //
+};
+use hoisthitch_telemetry::event;
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::{
+        Instant,
+        sleep_until, //
+    }, //
+};
+
+use self::writes::{
+    CONFIRM_MS,
+    WRITE_GAP_MS, //
+};
+use crate::{
+    follow::follow_prefix,
+    journal::{
+        JournalError,
+        PoolJournal, //
+    },
+    keys::JobKeys,
+    node::{
+        FleetView,
+        NodeIdentity, //
+    },
+    platform::Platform,
+    session::{
+        LEASE_CAP_MS,
+        RunnerOrder,
+        RunnerSession,
+        SessionEvent, //
+    },
+    shared::NodeShared,
+    takeover::PoolTakeover,
+    vms::{
+        VmContext,
+        run_vms, //
+    }, //
+};
+
+/// Time between two looks at what time alone changes.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Events taken in before the next decision.
+const EVENT_BATCH: usize = 256;
+
+/// What the owner of a pool works with.
+pub(crate) struct OwnerContext<P> {
+    pub(crate) platform: P,
+    pub(crate) shared: Arc<NodeShared>,
+    pub(crate) keys: JobKeys,
+    pub(crate) identity: NodeIdentity,
+    pub(crate) pool: String,
+    pub(crate) fleet: watch::Receiver<Arc<FleetView>>,
+    pub(crate) stop: watch::Receiver<bool>,
+}
+
+/// Why an owner ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OwnerEnd {
+    /// Another node owns the pool.
+    Deposed,
+    /// The node was told to stop.
+    Stopped,
+}
+
+type JournalReturn<S> = (PoolJournal<S>, FlushPlan, Result<Millis, JournalError>);
+
+struct PoolOwner<P: Platform> {
+    context: OwnerContext<P>,
+    epoch: u64,
+    state: PoolState,
+    /// The journal; away while a write is under way.
+    journal: Option<PoolJournal<P::Store>>,
+    returns: mpsc::UnboundedSender<JournalReturn<P::Store>>,
+    events: mpsc::UnboundedSender<SessionEvent>,
+    sessions: HashMap<RunnerKey, RunnerSession>,
+    /// When this node was last surely the owner.
+    confirmed: Rc<Cell<Millis>>,
+    wrote_at: Millis,
+    counts: HashMap<String, u32>,
+    counted_at: Millis,
+}
+
+/// Owns a pool until another node does, or the node stops.
+///
+/// # Errors
+///
+/// Fails when the pool's records can't be read.
+pub(crate) async fn run_owner<P: Platform>(
+    context: OwnerContext<P>,
+    takeover: PoolTakeover<P::Store>,
+) -> Result<OwnerEnd, StoreError> {
+    let store = context.platform.store().clone();
+    let prefix = context.keys.inbox(&context.pool);
+    let (inbox, mut told) = mpsc::unbounded_channel();
+    let follower = follow_prefix(
+        store.clone(),
+        prefix,
+        Duration::ZERO,
+        context.shared.clone(),
+        inbox,
+    );
+    actix_rt::spawn(follower);
+    let progress_prefix = context.keys.all_progress(&context.pool);
+    let progress = store.read_prefix(&progress_prefix).await?;
+    let (events, mut session_events) = mpsc::unbounded_channel();
+    let (returns, mut returned) = mpsc::unbounded_channel();
+    let (vm_sender, mut vm_requests) = mpsc::channel(16);
+    let mut fleet = context.fleet.clone();
+    let mut stop = context.stop.clone();
+    let confirmed = Rc::new(Cell::new(context.shared.clock.now()));
+    let vms = run_vms(VmContext {
+        platform: context.platform.clone(),
+        shared: context.shared.clone(),
+        keys: context.keys.clone(),
+        node: context.identity.node.clone(),
+        pool: context.pool.clone(),
+        epoch: takeover.epoch,
+        confirmed: confirmed.clone(),
+        fleet: context.fleet.clone(),
+        owner: vm_sender,
+    });
+    let vms = actix_rt::spawn(vms);
+    let now = context.shared.clock.now();
+    let mut owner = PoolOwner {
+        epoch: takeover.epoch,
+        state: PoolState::new(now + LEASE_CAP_MS + LEASE_CAP_MS / 20),
+        journal: Some(takeover.journal),
+        returns,
+        events,
+        sessions: HashMap::new(),
+        confirmed,
+        wrote_at: 0,
+        counts: HashMap::new(),
+        counted_at: 0,
+        context,
+    };
+    let mut recorded = read_progress(&owner.context, progress);
+    // Runners are asked only once all jobs are known: what they report of an
+    // unknown job would be stopped, and its ends forgotten.
+    if let Some(all) = told.recv().await {
+        owner.take_inbox(all, &mut recorded);
+    }
+    owner.sync_fleet();
+    let end = loop {
+        tokio::select! {
+            Some(event) = session_events.recv() => {
+                let mut next = Some(event);
+                for _ in 0..EVENT_BATCH {
+                    let Some(event) = next else { break };
+                    if owner.take_event(event) {
+                        break;
+                    }
+                    next = session_events.try_recv().ok();
+                }
+            }
+            Some(change) = told.recv() => owner.take_inbox(change, &mut recorded),
+            Some(back) = returned.recv() => {
+                if owner.take_journal(back).is_err() {
+                    break OwnerEnd::Deposed;
+                }
+            }
+            Some(request) = vm_requests.recv() => owner.take_vm_request(request),
+            changed = fleet.changed() => {
+                if changed.is_err() {
+                    break OwnerEnd::Stopped;
+                }
+                fleet.borrow_and_update();
+                owner.sync_fleet();
+            }
+            _ = stop.changed() => {}
+            () = sleep_until(owner.next_wake()) => {}
+        }
+        if *stop.borrow() && owner.journal.is_some() {
+            break OwnerEnd::Stopped;
+        }
+        owner.advance();
+    };
+    vms.abort();
+    event!(
+        Info,
+        "pool_left",
+        pool = owner.context.pool,
+        epoch = owner.epoch,
+        end = format_args!("{end:?}")
+    );
+    Ok(end)
+}
+
+/// Decodes the progress of jobs, by identifier.
+fn read_progress<P: Platform>(
+    context: &OwnerContext<P>,
+    values: Vec<StoredValue>,
+) -> HashMap<String, JobProgress> {
+    let prefix = context.keys.all_progress(&context.pool);
+    values
+        .into_iter()
+        .filter_map(|stored| {
+            let id = stored.key.strip_prefix(prefix.as_str())?.to_owned();
+            match serde_json::from_slice(&stored.value) {
+                Ok(progress) => Some((id, progress)),
+                Err(err) => {
+                    event!(Error, "progress_unreadable", job = id, error = err);
+                    None
+                }
+            }
+        })
+        .collect()
+}
+
+impl<P: Platform> PoolOwner<P> {
+    fn now(&self) -> Millis {
+        self.context.shared.clock.now()
+    }
+
+    /// When something is to be done without an event.
+    fn next_wake(&self) -> Instant {
+        let write_due = self.journal.is_some() && self.state.needs_flush();
+        if !write_due {
+            return Instant::now() + TICK;
+        }
+        let wait = (self.wrote_at + WRITE_GAP_MS).saturating_sub(self.now());
+        Instant::now() + Duration::from_millis(wait.max(1))
+    }
+
+    /// Decides, and does what can be done now.
+    fn advance(&mut self) {
+        let now = self.now();
+        for runner in self.state.expire(now) {
+            let name = self.state.runner(runner).map(|r| r.facts.name.clone());
+            event!(Warn, "lease_lapsed", runner = name.unwrap_or_default());
+        }
+        let today = self.context.shared.clock.today_ms();
+        self.state.begin_rounds(now, today);
+        if self.state.runs_tasks() {
+            self.state.plan(now);
+        }
+        for stop in self.state.take_stops(now) {
+            self.send(stop.runner, RunnerOrder::Stop(stop));
+        }
+        self.write(now);
+        self.share_terms();
+    }
+
+    fn send(&self, runner: RunnerKey, order: RunnerOrder) {
+        let sent = self
+            .sessions
+            .get(&runner)
+            .is_some_and(|session| session.order(order));
+        if !sent {
+            event!(Warn, "order_not_queued", pool = self.context.pool);
+        }
+    }
+
+    fn take_event(&mut self, event: SessionEvent) -> bool {
+        let now = self.now();
+        match event {
+            SessionEvent::Extended { runner, until } => self.state.extend_lease(runner, until),
+            SessionEvent::Held {
+                runner,
+                report,
+                asked_at,
+                leased,
+            } => {
+                let again = self.state.take_hold(runner, &report, asked_at, now);
+                if leased {
+                    self.state.open_runner(runner);
+                }
+                self.start_all(again);
+                for pace in self.state.pace(runner) {
+                    self.send(runner, RunnerOrder::Pace(pace));
+                }
+            }
+            SessionEvent::Missed { runner } => self.state.miss_hold(runner),
+            SessionEvent::Replaced { runner } => self.drop_runner(runner, "replaced"),
+            SessionEvent::Fenced => return self.confirm_soon(),
+            SessionEvent::Started { order, outcome } => {
+                self.state.take_start(&order, outcome, now);
+            }
+            SessionEvent::PaceFailed(order) => self.state.fail_pace(&order),
+        }
+        false
+    }
+
+    /// Looks at once whether this node still owns the pool.
+    fn confirm_soon(&mut self) -> bool {
+        event!(
+            Warn,
+            "runner_fenced",
+            pool = self.context.pool,
+            epoch = self.epoch
+        );
+        let doubtful = self.now().saturating_sub(CONFIRM_MS);
+        self.confirmed.set(self.confirmed.get().min(doubtful));
+        true
+    }
+
+    fn start_all(&self, orders: Vec<StartOrder>) {
+        for order in orders {
+            self.send(order.runner, RunnerOrder::Start(order));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -0,0 +1,176 @@
+//! The runners of an owned pool, and the VMs below them.
+
+use hoisthitch_jobs::{
+    Millis,
+    RunnerKey,
+    UpkeepView, //
+};
+use hoisthitch_telemetry::event;
+
+use super::PoolOwner;
+use crate::{
+    platform::{
+        Platform,
+        RunnerAddress, //
+    },
+    session::{
+        RunnerSession,
+        SessionContext,
+        SessionTerms, //
+    },
+    vms::{
+        PoolNeed,
+        SPARE_LIMIT,
+        VmRequest, //
+    }, //
+};
+
+impl<P: Platform> PoolOwner<P> {
+    pub(super) fn take_vm_request(&mut self, request: VmRequest) {
+        let now = self.now();
+        match request {
+            VmRequest::Leave { runner, reply } => {
+                let view = self.state.runner_key(&runner).map(|key| {
+                    self.state.set_leaving(key, true);
+                    let view = self.state.upkeep_view(key);
+                    if view == UpkeepView::Held && self.state.relocate_one(key, now) {
+                        return UpkeepView::Busy(1);
+                    }
+                    view
+                });
+                // A worker that is gone asks again.
+                let _ = reply.send(view);
+            }
+            VmRequest::Stay { runner } => {
+                if let Some(key) = self.state.runner_key(&runner) {
+                    self.state.set_leaving(key, false);
+                }
+            }
+            VmRequest::Need { reply } => {
+                let spare = self.state.spare_runners(now, SPARE_LIMIT);
+                let spare = spare.into_iter().filter_map(|key| {
+                    let facts = &self.state.runner(key)?.facts;
+                    Some((facts.name.clone(), facts.vm.clone()))
+                });
+                let need = PoolNeed {
+                    want: self.state.wanted_vms(now),
+                    vms: self.state.vms(),
+                    spare: spare.collect(),
+                };
+                // A worker that is gone asks again.
+                let _ = reply.send(need);
+            }
+            VmRequest::Down { runner } => {
+                if let Some(key) = self.state.runner_key(&runner) {
+                    self.state.note_down(key, now);
+                    self.drop_runner(key, "upkeep");
+                }
+            }
+        }
+    }
+
+    /// Takes in the runners of the pool, and the policies in force.
+    pub(super) fn sync_fleet(&mut self) {
+        let now = self.now();
+        let fleet = self.context.fleet.borrow().clone();
+        self.state.set_policies(&fleet.policies);
+        let own: Vec<_> = fleet
+            .runners
+            .values()
+            .filter(|record| record.pool == self.context.pool)
+            .collect();
+        for record in &own {
+            if fleet.ended.contains(&record.facts.name) {
+                continue;
+            }
+            let key = self.state.set_runner(record.facts.clone(), now);
+            if !self.sessions.contains_key(&key) {
+                self.open_session(
+                    key,
+                    RunnerAddress {
+                        name: record.facts.name.clone(),
+                        address: record.address,
+                    },
+                );
+            }
+        }
+        let known: Vec<(RunnerKey, String)> = self
+            .state
+            .runners()
+            .map(|(key, runner)| (key, runner.facts.name.clone()))
+            .collect();
+        for (key, name) in known {
+            if fleet.ended.contains(&name) {
+                self.drop_runner(key, "ended");
+            } else if !fleet.runners.contains_key(&name) {
+                self.state.retire_runner(key);
+                self.drop_if_empty(key, now);
+            }
+        }
+        for name in &fleet.ended {
+            self.state.forget_life(name, now);
+        }
+    }
+
+    /// Forgets a runner that is listed no more, once nothing can run on it.
+    fn drop_if_empty(&mut self, key: RunnerKey, now: Millis) {
+        let over = self
+            .state
+            .runner(key)
+            .is_some_and(|runner| !runner.open && runner.lease_until <= now);
+        if over {
+            self.drop_runner(key, "silent");
+        }
+    }
+
+    fn open_session(&mut self, key: RunnerKey, address: RunnerAddress) {
+        event!(
+            Info,
+            "runner_taken",
+            runner = address.name,
+            address = address.address,
+            pool = self.context.pool,
+            epoch = self.epoch
+        );
+        let context = SessionContext {
+            runners: self.context.platform.runners().clone(),
+            shared: self.context.shared.clone(),
+            epoch: self.epoch,
+            key,
+            address,
+            events: self.events.clone(),
+        };
+        let terms = SessionTerms {
+            recorded: 0,
+            confirmed_at: self.confirmed.get(),
+        };
+        self.sessions
+            .insert(key, RunnerSession::open(context, terms));
+    }
+
+    pub(super) fn drop_runner(&mut self, key: RunnerKey, why: &'static str) {
+        let now = self.now();
+        let name = self.state.runner(key).map(|r| r.facts.name.clone());
+        self.sessions.remove(&key);
+        if let Some(name) = name {
+            event!(Info, "runner_gone", runner = name, why = why);
+            self.state.remove_runner(key, now);
+        }
+    }
+
+    /// Tells sessions what is recorded, and since when this node is surely the
+    /// owner.
+    pub(super) fn share_terms(&mut self) {
+        if self.journal.is_none() || self.state.needs_flush() {
+            return;
+        }
+        for (key, session) in &self.sessions {
+            if let Some(runner) = self.state.runner(*key) {
+                session.set_terms(SessionTerms {
+                    recorded: runner.seen,
+                    confirmed_at: self.confirmed.get(),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -0,0 +1,175 @@
+//! What an owner writes to its pool's journal, and what it may do then.
+
+use hoisthitch_jobs::{
+    FlushPlan,
+    Millis, //
+};
+use hoisthitch_store::{
+    StoreRevision,
+    SwapItem, //
+};
+use hoisthitch_telemetry::event;
+
+use super::{
+    JournalReturn,
+    PoolOwner, //
+};
+use crate::{
+    journal::{
+        BATCH_LIMIT,
+        JournalError,
+        PoolJournal,
+        encode, //
+    },
+    platform::Platform,
+    session::SessionTerms, //
+};
+
+/// Least time between two writes of the journal, in milliseconds: what comes
+/// meanwhile shares a write.
+pub(super) const WRITE_GAP_MS: Millis = 25;
+
+/// Time without a write after which the owner makes sure that it is the owner,
+/// in milliseconds.
+pub(super) const CONFIRM_MS: Millis = 500;
+
+/// Least time between two writes of the queues' counts, in milliseconds; they
+/// may be two seconds old.
+const COUNT_GAP_MS: Millis = 600;
+
+/// Time that ended jobs are kept, beyond the bound in force, in milliseconds.
+const KEPT_MS: Millis = 300_000;
+
+/// Entries that the forgetting of a job takes in a write.
+const FORGET_ENTRIES: usize = 4;
+
+impl<P: Platform> PoolOwner<P> {
+    pub(super) fn write(&mut self, now: Millis) {
+        if now < self.wrote_at + WRITE_GAP_MS {
+            return;
+        }
+        let Some(journal) = self.journal.take() else {
+            return;
+        };
+        let plan = self.state.begin_flush(BATCH_LIMIT - 1);
+        let mut items: Vec<SwapItem> = plan
+            .records
+            .iter()
+            .map(|(id, progress)| {
+                let key = self.context.keys.progress(&self.context.pool, id);
+                put(key, encode(progress))
+            })
+            .collect();
+        items.extend(self.count_item(now));
+        self.add_forgotten(&mut items, now);
+        if items.is_empty() {
+            self.confirm(journal, now);
+            return;
+        }
+        self.wrote_at = now;
+        let returns = self.returns.clone();
+        let mut journal = journal;
+        actix_rt::spawn(async move {
+            let result = journal.write(items).await;
+            // An owner that is gone needs no journal.
+            let _ = returns.send((journal, plan, result));
+        });
+    }
+
+    fn confirm(&mut self, journal: PoolJournal<P::Store>, now: Millis) {
+        if now < self.confirmed.get().max(self.wrote_at) + CONFIRM_MS {
+            self.journal = Some(journal);
+            return;
+        }
+        self.wrote_at = now;
+        let returns = self.returns.clone();
+        let known = self.confirmed.get();
+        actix_rt::spawn(async move {
+            let result = match journal.confirm().await {
+                Ok(result) => result,
+                Err(err) => {
+                    event!(Warn, "owner_unconfirmed", error = err);
+                    Ok(known)
+                }
+            };
+            // An owner that is gone needs no journal.
+            let _ = returns.send((journal, FlushPlan::default(), result));
+        });
+    }
+
+    pub(super) fn take_journal(
+        &mut self,
+        back: JournalReturn<P::Store>,
+    ) -> Result<(), JournalError> {
+        let (journal, plan, result) = back;
+        let confirmed = result?;
+        self.journal = Some(journal);
+        self.confirmed.set(self.confirmed.get().max(confirmed));
+        let now = self.now();
+        let starts = self.state.finish_flush(&plan, now);
+        self.start_all(starts);
+        for (runner, seen) in &plan.seen {
+            if let Some(session) = self.sessions.get(runner) {
+                session.set_terms(SessionTerms {
+                    recorded: *seen,
+                    confirmed_at: self.confirmed.get(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// The counts of waiting jobs, if they changed.
+    fn count_item(&mut self, now: Millis) -> Option<SwapItem> {
+        if now < self.counted_at + COUNT_GAP_MS {
+            return None;
+        }
+        let counts = self.state.waiting_jobs();
+        if counts == self.counts {
+            return None;
+        }
+        self.counted_at = now;
+        self.counts.clone_from(&counts);
+        let key = self.context.keys.counts(&self.context.pool);
+        Some(put(key, encode(&counts)))
+    }
+
+    /// Removes the records of jobs that ended long ago.
+    fn add_forgotten(&mut self, items: &mut Vec<SwapItem>, now: Millis) {
+        let room = BATCH_LIMIT.saturating_sub(items.len()) / FORGET_ENTRIES;
+        if room == 0 || now < KEPT_MS {
+            return;
+        }
+        let old = self.state.ended_before(now - KEPT_MS);
+        let keys = &self.context.keys;
+        let pool = &self.context.pool;
+        for id in old.into_iter().take(room) {
+            let gone = [
+                keys.submission(pool, &id),
+                keys.cancel(pool, &id),
+                keys.progress(pool, &id),
+                keys.location(&id),
+            ];
+            items.extend(gone.map(remove));
+            self.state.forget_job(&id);
+        }
+    }
+}
+
+fn put(key: String, value: Vec<u8>) -> SwapItem {
+    SwapItem {
+        key,
+        expected: StoreRevision::ANY,
+        value: Some(value),
+        lease: None,
+    }
+}
+
+fn remove(key: String) -> SwapItem {
+    SwapItem {
+        key,
+        expected: StoreRevision::ANY,
+        value: None,
+        lease: None,
+    }
+}
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -59,31 +59,32 @@
 }
 
 async fn completes() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
-    world.submit("a1", job("work 300", &[6, 3])).await;
+    let world = TestWorld::start(3, 4).await?;
+    world.submit("a1", job("work 300", &[6, 3])).await?;
     world.wait_phase("a1", JobPhase::Completed, 5_000).await?;
     ensure!(world.fleet.done() == 9, "{} done", world.fleet.done());
     kept(&world)
 }
 
 async fn submits_twice() -> Result<()> {
-    let world = TestWorld::start(2, 4).await;
+    let world = TestWorld::start(2, 4).await?;
     let spec = job("work 300", &[4]);
     let (first, second) = (
         world.submit("a1", spec.clone()),
         world.submit("a1", spec.clone()),
     );
-    tokio::join!(first, second);
+    let (first, second) = tokio::join!(first, second);
+    first.and(second)?;
     world.wait_phase("a1", JobPhase::Completed, 5_000).await?;
-    world.submit("a1", spec).await;
+    world.submit("a1", spec).await?;
     sleep_ms(2_000).await;
     ensure!(world.fleet.starts("a1.0.0.0") == 1);
     kept(&world)
 }
 
 async fn spends_attempts() -> Result<()> {
-    let world = TestWorld::start(2, 4).await;
-    world.submit("bad", job("fail 100", &[2])).await;
+    let world = TestWorld::start(2, 4).await?;
+    world.submit("bad", job("fail 100", &[2])).await?;
     world.wait_phase("bad", JobPhase::Failed, 30_000).await?;
     sleep_ms(5_000).await;
     let starts = [0, 1].map(|task| world.fleet.starts(&format!("bad.0.0.{task}")));
@@ -93,11 +94,11 @@
 }
 
 async fn cancels() -> Result<()> {
-    let world = TestWorld::start(2, 4).await;
-    world.submit("long", lasting(4, 1)).await;
+    let world = TestWorld::start(2, 4).await?;
+    world.submit("long", lasting(4, 1)).await?;
     sleep_ms(1_000).await;
     ensure!(world.fleet.running().len() == 4);
-    world.cancel("long").await;
+    world.cancel("long").await?;
     world.wait_phase("long", JobPhase::Cancelled, 2_000).await?;
     sleep_ms(1_000).await;
     ensure!(world.fleet.running().is_empty());
@@ -105,11 +106,11 @@
 }
 
 async fn kills_owner() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
+    let world = TestWorld::start(3, 4).await?;
     for number in 0..6 {
         world
             .submit(&format!("j{number}"), job("work 1500", &[4, 2]))
-            .await;
+            .await?;
     }
     sleep_ms(700).await;
     let owner = world.owner();
@@ -124,11 +125,11 @@
 }
 
 async fn freezes_owner() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
+    let world = TestWorld::start(3, 4).await?;
     for number in 0..8 {
         world
             .submit(&format!("j{number}"), job("work 900", &[4, 2]))
-            .await;
+            .await?;
     }
     let owner = world.owner();
     for _ in 0..3 {
@@ -145,12 +146,12 @@
 }
 
 async fn cuts_owner() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
+    let world = TestWorld::start(3, 4).await?;
     let owner = world.owner();
     for number in 0..6 {
         world
             .submit(&format!("j{number}"), job("work 900", &[4, 2]))
-            .await;
+            .await?;
     }
     let cut = [owner.clone()].into_iter().collect();
     world.store.set_faults(StoreFaults {
@@ -168,8 +169,8 @@
 }
 
 async fn revokes_owner() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
-    world.submit("j", job("work 900", &[8, 8, 8])).await;
+    let world = TestWorld::start(3, 4).await?;
+    world.submit("j", job("work 900", &[8, 8, 8])).await?;
     for _ in 0..4 {
         sleep_ms(500).await;
         world.store.revoke(&world.owner());
@@ -179,11 +180,11 @@
 }
 
 async fn kills_all() -> Result<()> {
-    let mut world = TestWorld::start(3, 4).await;
+    let mut world = TestWorld::start(3, 4).await?;
     for number in 0..6 {
         world
             .submit(&format!("j{number}"), job("work 900", &[4, 2]))
-            .await;
+            .await?;
     }
     sleep_ms(400).await;
     let names: Vec<String> = world.nodes.keys().cloned().collect();
@@ -192,7 +193,7 @@
     }
     sleep_ms(1_000).await;
     for name in &names {
-        world.start_node(name);
+        world.start_node(name)?;
     }
     for number in 0..6 {
         let id = format!("j{number}");
@@ -202,7 +203,7 @@
 }
 
 async fn loses_answers() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
+    let world = TestWorld::start(3, 4).await?;
     world.store.set_faults(StoreFaults {
         lose_every: 3,
         ..StoreFaults::default()
@@ -210,7 +211,7 @@
     for number in 0..6 {
         world
             .submit(&format!("j{number}"), job("work 300", &[4, 2]))
-            .await;
+            .await?;
     }
     sleep_ms(8_000).await;
     world.store.set_faults(StoreFaults::default());
@@ -222,7 +223,7 @@
 }
 
 async fn late_writes() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
+    let world = TestWorld::start(3, 4).await?;
     world.store.set_faults(StoreFaults {
         lose_every: 3,
         late: std::time::Duration::from_millis(2_500),
@@ -231,7 +232,7 @@
     for number in 0..6 {
         world
             .submit(&format!("j{number}"), job("work 300", &[4, 2]))
-            .await;
+            .await?;
     }
     sleep_ms(8_000).await;
     world.store.set_faults(StoreFaults::default());
@@ -243,12 +244,12 @@
 }
 
 async fn late_orders() -> Result<()> {
-    let world = TestWorld::start(3, 4).await;
+    let world = TestWorld::start(3, 4).await?;
     world.fleet.set_late(4);
     for number in 0..8 {
         world
             .submit(&format!("j{number}"), job("work 700", &[4, 2]))
-            .await;
+            .await?;
     }
     sleep_ms(900).await;
     world.nodes[&world.owner()].kill();
@@ -262,8 +263,8 @@
 }
 
 async fn cuts_runner() -> Result<()> {
-    let world = TestWorld::start(3, 3).await;
-    world.submit("j", job("work 20000", &[6])).await;
+    let world = TestWorld::start(3, 3).await?;
+    world.submit("j", job("work 20000", &[6])).await?;
     sleep_ms(800).await;
     let runner = world.fleet.living()[0].0.clone();
     let nodes: Vec<String> = world.nodes.keys().cloned().collect();
@@ -276,8 +277,8 @@
 }
 
 async fn crashes_runner() -> Result<()> {
-    let world = TestWorld::start(2, 3).await;
-    world.submit("j", job("work 3000", &[6])).await;
+    let world = TestWorld::start(2, 3).await?;
+    world.submit("j", job("work 3000", &[6])).await?;
     sleep_ms(1_000).await;
     let (runner, vm) = world.fleet.living()[0].clone();
     world.fleet.crash(&runner);
@@ -290,12 +291,12 @@
 /// A dead life's record stays in the store while that can't be reached, and is
 /// read again beside the living one's.
 async fn rereads_list() -> Result<()> {
-    let world = TestWorld::start(2, 3).await;
+    let world = TestWorld::start(2, 3).await?;
     let (runner, vm) = world.fleet.living()[0].clone();
     world.fleet.crash(&runner);
     world.begin_runner(&vm);
     sleep_ms(1_500).await;
-    world.submit("j", job("work 4000", &[8])).await;
+    world.submit("j", job("work 4000", &[8])).await?;
     sleep_ms(1_000).await;
     world.store.set_faults(StoreFaults {
         down: true,
@@ -309,8 +310,8 @@
 }
 
 async fn keeps_lasting() -> Result<()> {
-    let world = TestWorld::start(3, 5).await;
-    world.submit("long", lasting(5, 1)).await;
+    let world = TestWorld::start(3, 5).await?;
+    world.submit("long", lasting(5, 1)).await?;
     sleep_ms(2_000).await;
     world.nodes[&world.owner()].kill();
     sleep_ms(8_000).await;
@@ -338,8 +339,8 @@
 }
 
 async fn takes_wave() -> Result<()> {
-    let world = TestWorld::start(3, 6).await;
-    world.submit("long", lasting(4, 1)).await;
+    let world = TestWorld::start(3, 6).await?;
+    world.submit("long", lasting(4, 1)).await?;
     sleep_ms(2_000).await;
     wave(&world, 6, 60_000).await?;
     let (vms, most) = world.fleet.upkeeps();
@@ -350,8 +351,8 @@
 }
 
 async fn takes_wave_over() -> Result<()> {
-    let world = TestWorld::start(3, 6).await;
-    world.submit("long", lasting(4, 1)).await;
+    let world = TestWorld::start(3, 6).await?;
+    world.submit("long", lasting(4, 1)).await?;
     sleep_ms(4_000).await;
     world
         .store
@@ -366,10 +367,10 @@
 /// Four tasks on two runners, of which one may be away: no VM can go down
 /// before a task is moved off it.
 async fn moves_crowded() -> Result<()> {
-    let world = TestWorld::start(3, 2).await;
+    let world = TestWorld::start(3, 2).await?;
     let mut spec = lasting(4, 1);
     spec.steps[0].spread = 0;
-    world.submit("long", spec).await;
+    world.submit("long", spec).await?;
     sleep_ms(3_000).await;
     world.begin_runner("vm-2");
     world.begin_runner("vm-3");
@@ -381,8 +382,8 @@
 }
 
 async fn counts_silent() -> Result<()> {
-    let world = TestWorld::start(3, 6).await;
-    world.submit("long", lasting(4, 1)).await;
+    let world = TestWorld::start(3, 6).await?;
+    world.submit("long", lasting(4, 1)).await?;
     sleep_ms(5_000).await;
     let busy = world.fleet.busy();
     let vms: Vec<String> = world
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -247,7 +247,7 @@
 
 impl TestWorld {
     /// Starts nodes and runners, and waits until the pool is owned.
-    pub async fn start(nodes: usize, runners: usize) -> Self {
+    pub async fn start(nodes: usize, runners: usize) -> eyre::Result<Self> {
         let store = MemoryStore::new();
         let fleet = MemoryFleet::default();
         let mut world = Self {
@@ -262,10 +262,10 @@
             world.begin_runner(&format!("vm-{number}"));
         }
         for number in 0..nodes {
-            world.start_node(&format!("node-{number}"));
+            world.start_node(&format!("node-{number}"))?;
         }
         sleep_ms(1_500).await;
-        world
+        Ok(world)
     }
 
     /// Begins a life of a VM's runner.
@@ -277,9 +277,9 @@
     }
 
     /// Starts a node, or starts it anew.
-    pub fn start_node(&mut self, name: &str) {
+    pub fn start_node(&mut self, name: &str) -> eyre::Result<()> {
         self.lives += 1;
-        let metrics = NodeMetrics::new().expect("metrics register once");
+        let metrics = NodeMetrics::new()?;
         let shared = NodeShared::new(metrics);
         let platform = TestPlatform {
             store: self.store.for_node(name),
@@ -311,22 +311,22 @@
             tick: tokio::time::interval(Duration::from_millis(5)),
         });
         self.nodes.insert(name.to_owned(), node);
+        Ok(())
     }
 
     /// Name of the node that owns the pool, by the store.
     pub fn owner(&self) -> String {
         let record = self.store.get("test/group/owner/halls").unwrap_or_default();
         let text = String::from_utf8_lossy(&record).into_owned();
-        let names = self.nodes.keys();
+        let mut names = self.nodes.keys();
         names
-            .filter(|name| text.contains(&format!("\"{name}\"")))
-            .next()
+            .find(|name| text.contains(&format!("\"{name}\"")))
             .cloned()
             .unwrap_or_default()
     }
 
     /// Hands a job in at some node until it is accepted.
-    pub async fn submit(&self, id: &str, spec: JobSpec) {
+    pub async fn submit(&self, id: &str, spec: JobSpec) -> eyre::Result<()> {
         for _ in 0..100 {
             for node in self.nodes.values() {
                 if node.frozen.get() || node.killed.get() {
@@ -337,16 +337,16 @@
                 let answer = node.desk.submit(&queue, id, spec.clone(), give_up);
                 let answer = tokio::time::timeout(Duration::from_secs(2), answer).await;
                 if matches!(answer, Ok(SubmitAnswer::Accepted)) {
-                    return;
+                    return Ok(());
                 }
             }
             sleep_ms(100).await;
         }
-        panic!("{id} was never accepted");
+        eyre::bail!("{id} was never accepted")
     }
 
     /// Cancels a job at some node until that is accepted.
-    pub async fn cancel(&self, id: &str) {
+    pub async fn cancel(&self, id: &str) -> eyre::Result<()> {
         self.fleet.note_cancel(id);
         for node in self.nodes.values() {
             if node.frozen.get() || node.killed.get() {
@@ -354,10 +354,10 @@
             }
             let give_up = node.shared.clock.now() + 2_000;
             if node.desk.cancel(id, give_up).await == CancelAnswer::Accepted {
-                return;
+                return Ok(());
             }
         }
-        panic!("{id} was not cancelled");
+        eyre::bail!("{id} was not cancelled")
     }
 
     /// State of a job, as a living node tells it.
--- a/crates/hoisthitch-scheduler/tests/world/runners.rs
+++ b/crates/hoisthitch-scheduler/tests/world/runners.rs
@@ -367,7 +367,7 @@
     fn is_late(&self) -> bool {
         let mut state = self.state.borrow_mut();
         state.orders += 1;
-        state.late_every > 0 && state.orders % state.late_every == 0
+        state.late_every > 0 && state.orders.is_multiple_of(state.late_every)
     }
 
     /// Whether an end waits to be told.
--- a/crates/hoisthitch-scheduler/tests/world/store.rs
+++ b/crates/hoisthitch-scheduler/tests/world/store.rs
@@ -292,7 +292,10 @@
             let mut state = self.state.borrow_mut();
             state.writes += 1;
             let every = state.faults.lose_every;
-            (every > 0 && state.writes % every == 0, state.faults.late)
+            (
+                every > 0 && state.writes.is_multiple_of(every),
+                state.faults.late,
+            )
         };
         if !lost {
             return Ok(self.apply(&items));
