--- /dev/null
+++ b/crates/hoisthitch-jobs/src/advice.rs
@@ -0,0 +1,155 @@
+//! Leave of a queue's adviser to run a step on some runners.
+
+use std::collections::HashMap;
+
+use crate::{
+    Millis,
+    pool::PoolState,
+    runner::{
+        RunnerEntry,
+        RunnerKey, //
+    },
+    task::{
+        TaskPlace,
+        TaskRef, //
+    }, //
+};
+
+/// Runners that are named in one call; the platform takes as many.
+const ASK_LIMIT: usize = 100;
+
+/// Runners that are asked for each waiting task: an adviser allows some only.
+const ASK_FOR_EACH: usize = 4;
+
+/// Time before the same step is asked for again, in milliseconds.
+const ASK_AGAIN_MS: Millis = 700;
+
+/// Time for which a ticket must still hold when a start is planned, in
+/// milliseconds: a record is written before the start.
+const TICKET_SLACK_MS: Millis = 400;
+
+/// A question for an adviser.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdviceAsk {
+    /// One of the tasks that wait; tells the step.
+    pub task: TaskRef,
+    /// Name of the step: identifier of the job, round, step.
+    pub step: String,
+    /// Names of runners.
+    pub runners: Vec<String>,
+}
+
+/// Leave to run a step on a runner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdviceTicket {
+    /// Name of the runner.
+    pub runner: String,
+    /// The ticket.
+    pub ticket: String,
+}
+
+/// What an adviser said of a step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepAdvice {
+    asked_at: Millis,
+    /// Tickets by runner, and until when they hold.
+    tickets: HashMap<String, (String, Millis)>,
+}
+
+impl PoolState {
+    /// The next question for an adviser.
+    pub fn ask_advice(&mut self, now: Millis) -> Option<AdviceAsk> {
+        let (task, waiting) = self.unadvised(now)?;
+        let job = self.jobs.get(task.job)?;
+        let step = job.step_of(task.slot)?;
+        let entry = job.tasks.get(task.slot)?;
+        let key = (task.job, entry.round, entry.step);
+        let name = format!("{}.{}.{}", job.id, entry.round, entry.step);
+        let mut runners: Vec<(u64, String)> = self
+            .runners
+            .values()
+            .filter(|runner| runner.takes_tasks(now) && runner.fits(step))
+            .map(|runner| (runner.used.cpu_milli, runner.facts.name.clone()))
+            .collect();
+        runners.sort();
+        runners.truncate((waiting * ASK_FOR_EACH).min(ASK_LIMIT));
+        if runners.is_empty() {
+            return None;
+        }
+        self.advice.entry(key).or_default().asked_at = now;
+        Some(AdviceAsk {
+            task,
+            step: name,
+            runners: runners.into_iter().map(|(_, name)| name).collect(),
+        })
+    }
+
+    /// A task of a step that waits for leave, and how many wait with it.
+    fn unadvised(&self, now: Millis) -> Option<(TaskRef, usize)> {
+        let jobs = self.active.iter();
+        let jobs = jobs.filter_map(|key| Some((*key, self.jobs.get(*key)?)));
+        let advised = jobs.filter(|(_, job)| job.policy.advised && !job.phase.is_final());
+        let mut open = advised.flat_map(|(key, job)| {
+            let tasks = job.tasks.iter().enumerate();
+            tasks
+                .filter(|(slot, task)| task.place == TaskPlace::Waiting && job.is_ready(*slot))
+                .map(move |(slot, task)| (TaskRef { job: key, slot }, task))
+        });
+        let (task, entry) = open.find(|(task, entry)| {
+            let advice = self.advice.get(&(task.job, entry.round, entry.step));
+            advice.is_none_or(|advice| advice.asked_at + ASK_AGAIN_MS <= now)
+        })?;
+        let waiting = self.jobs.get(task.job)?.tasks.iter();
+        let waiting = waiting
+            .filter(|other| other.step == entry.step && other.round == entry.round)
+            .filter(|other| other.place == TaskPlace::Waiting);
+        Some((task, waiting.count()))
+    }
+
+    /// Takes in what an adviser said; its leave holds until `until`.
+    pub fn take_advice(&mut self, task: TaskRef, tickets: Vec<AdviceTicket>, until: Millis) {
+        let Some(entry) = self.task(task) else {
+            return;
+        };
+        let key = (task.job, entry.round, entry.step);
+        let advice = self.advice.entry(key).or_default();
+        let rows = tickets.into_iter();
+        advice
+            .tickets
+            .extend(rows.map(|row| (row.runner, (row.ticket, until))));
+        self.plan_needed = true;
+    }
+
+    /// Forgets what an adviser said of the task's step.
+    pub(crate) fn drop_advice(&mut self, task: TaskRef) {
+        if let Some(entry) = self.task(task) {
+            let key = (task.job, entry.round, entry.step);
+            self.advice.remove(&key);
+        }
+    }
+
+    /// Whether the runner may run the task's step.
+    pub(crate) fn is_advised(&self, task: TaskRef, runner: &RunnerEntry, now: Millis) -> bool {
+        let Some(job) = self.jobs.get(task.job) else {
+            return false;
+        };
+        if !job.policy.advised {
+            return true;
+        }
+        let ticket = self.find_ticket(task, &runner.facts.name);
+        ticket.is_some_and(|(_, until)| *until > now + TICKET_SLACK_MS)
+    }
+
+    /// The ticket for a task on a runner.
+    pub(crate) fn ticket(&self, task: TaskRef, runner: RunnerKey) -> Option<String> {
+        let name = &self.runners.get(runner)?.facts.name;
+        self.find_ticket(task, name)
+            .map(|(ticket, _)| ticket.clone())
+    }
+
+    fn find_ticket(&self, task: TaskRef, runner: &str) -> Option<&(String, Millis)> {
+        let entry = self.task(task)?;
+        let advice = self.advice.get(&(task.job, entry.round, entry.step))?;
+        advice.tickets.get(runner)
+    }
+}
--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -128,6 +128,13 @@
         self.task_times.get(queue).copied().unwrap_or(USUAL_TASK_MS)
     }
 
+    /// Time that a task of the job is expected to take: the longer of what its
+    /// caller guessed and what the queue's tasks took.
+    pub(crate) fn expected_time(&self, job: &JobEntry) -> Millis {
+        let guess = job.spec.steps.iter().map(|step| step.estimate_ms).max();
+        guess.unwrap_or(0).max(self.task_time(&job.queue))
+    }
+
     /// Learns from a task that is done.
     pub(crate) fn learn_time(&mut self, queue: &str, time: Millis) {
         let mean = self
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -6,8 +6,10 @@
 //! acknowledged. Nothing here does input or output; times are milliseconds of
 //! the owner's steady clock.
 
+mod advice;
 mod balance;
 mod demand;
+mod gang;
 mod job;
 mod observe;
 mod pace;
@@ -18,9 +20,14 @@
 mod report;
 mod runner;
 mod spec;
+mod stall;
 mod task;
 mod upkeep;
 
+pub use advice::{
+    AdviceAsk,
+    AdviceTicket, //
+};
 pub use balance::{
     PoolMove,
     PoolShare,
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -18,6 +18,7 @@
     task::{
         StartOrder,
         StopOrder,
+        TaskEntry,
         TaskName,
         TaskPlace,
         TaskRef, //
@@ -167,13 +168,23 @@
         match row.kind {
             EndKind::Done => {
                 self.note_runner_done(key);
-                self.finish_task(task, now);
+                // One member that is done stands for its whole gang.
+                let whole = if self.is_gang(task) {
+                    self.members(task)
+                } else {
+                    vec![task]
+                };
+                for member in whole {
+                    self.finish_task(member, now);
+                }
             }
             EndKind::Failed if current => {
                 self.note_runner_failed(key, now);
                 self.fail_task(task, key, &row.checkpoint, now);
+                self.break_gang(task, now);
             }
             _ if current => {
+                self.break_gang(task, now);
                 self.keep_checkpoint(task, &row.checkpoint);
                 self.set_place(task, TaskPlace::Waiting, now);
                 self.mark_dirty(task.job);
@@ -204,6 +215,9 @@
     }
 
     fn finish_task(&mut self, task: TaskRef, now: Millis) {
+        if self.task(task).is_none_or(TaskEntry::is_done) {
+            return;
+        }
         let ran = self.task(task).filter(|entry| entry.runner().is_some());
         if let Some(time) = ran.map(|entry| now.saturating_sub(entry.began_at))
             && let Some(queue) = self.jobs.get(task.job).map(|job| job.queue.clone())
@@ -326,8 +340,14 @@
             }
             StartOutcome::NoRoom | StartOutcome::Refused if ordered => {
                 self.set_place(task, TaskPlace::Waiting, now);
+                self.break_gang(task, now);
                 self.shun(order.runner, now, REFUSED_SHUN_MS);
             }
+            StartOutcome::NoTicket if ordered => {
+                self.set_place(task, TaskPlace::Waiting, now);
+                self.break_gang(task, now);
+                self.drop_advice(task);
+            }
             StartOutcome::Unclear | StartOutcome::Old if ordered => {
                 entry.unclear = true;
                 self.shun(order.runner, now, UNCLEAR_SHUN_MS);
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -29,8 +29,14 @@
 const MIXED_COST: f64 = 0.5;
 
 impl PoolState {
-    /// The runner for a task; none while none has room.
-    pub(crate) fn choose_runner(&self, task: TaskRef, now: Millis) -> Option<RunnerKey> {
+    /// The runner for a task, on the rack where one is named; none while none
+    /// has room.
+    pub(crate) fn choose_runner(
+        &self,
+        task: TaskRef,
+        rack: Option<&str>,
+        now: Millis,
+    ) -> Option<RunnerKey> {
         let job = self.jobs.get(task.job)?;
         let step = job.step_of(task.slot)?;
         let failed_on = job.tasks.get(task.slot)?.failed_on;
@@ -40,6 +46,8 @@
                 .filter(|(_, runner)| runner.takes_tasks(now) && runner.fits(step))
                 .filter(|(_, runner)| !runner.is_on_trial() || runner.tasks.is_empty())
                 .filter(|(_, runner)| has_label(runner, step))
+                .filter(|(_, runner)| rack.is_none_or(|rack| runner.facts.rack == rack))
+                .filter(|(_, runner)| self.is_advised(task, runner, now))
                 .filter(|(_, runner)| step.spread == 0 || self.alike(task, runner) < step.spread)
         };
         let best = |avoid: Option<RunnerKey>| {
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -99,9 +99,12 @@
             .filter(|(slot, task)| task.place == TaskPlace::Waiting && job.is_ready(*slot))
             .map(|(slot, _)| TaskRef { job: key, slot })
             .collect();
-        let mut planned = 0;
+        let mut planned = self.plan_gangs(key, now);
         for task in ready {
-            let Some(runner) = self.choose_runner(task, now) else {
+            if self.is_gang(task) {
+                continue;
+            }
+            let Some(runner) = self.choose_runner(task, None, now) else {
                 continue;
             };
             self.set_place(task, TaskPlace::Planned(runner), now);
@@ -186,6 +189,7 @@
                 .is_some_and(|entry| entry.open && !entry.facts.draining && !entry.leaving);
             if !usable {
                 self.set_place(*task, TaskPlace::Waiting, now);
+                self.break_gang(*task, now);
                 continue;
             }
             self.set_place(*task, TaskPlace::Ordered(runner), now);
@@ -214,6 +218,7 @@
             name: job.name_of(task.slot)?,
             run: entry.run,
             payload: job.spec.payload.clone(),
+            ticket: self.ticket(task, runner).unwrap_or_default(),
             checkpoint: if saves {
                 entry.checkpoint.clone()
             } else {
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Millis,
+    advice::StepAdvice,
     job::{
         JobEntry,
         JobKey, //
@@ -25,6 +26,7 @@
     task::{
         StopOrder,
         TaskEntry,
+        TaskName,
         TaskPlace,
         TaskRef, //
     }, //
@@ -62,6 +64,8 @@
     inherited_until: Millis,
     /// Mean time of a task, by queue, in milliseconds.
     pub(crate) task_times: HashMap<String, Millis>,
+    /// Leave of the advisers, by job, round and step.
+    pub(crate) advice: HashMap<(JobKey, u32, u32), StepAdvice>,
     /// Work that came in of late, in thousandths of a core times milliseconds.
     pub(crate) arrivals: Vec<(Millis, u64)>,
 }
@@ -271,6 +275,7 @@
         for task in tasks {
             self.set_place(task, TaskPlace::Waiting, now);
             self.mark_dirty(task.job);
+            self.break_gang(task, now);
         }
         let name = self
             .runners
@@ -346,6 +351,11 @@
         self.jobs.get(task.job)?.tasks.get(task.slot)
     }
 
+    /// Name of a task.
+    pub fn name_of(&self, task: TaskRef) -> Option<TaskName> {
+        self.jobs.get(task.job)?.name_of(task.slot)
+    }
+
     pub(crate) fn task_mut(&mut self, task: TaskRef) -> Option<&mut TaskEntry> {
         self.jobs.get_mut(task.job)?.tasks.get_mut(task.slot)
     }
@@ -453,6 +463,7 @@
     pub fn forget_job(&mut self, id: &str) {
         if let Some(key) = self.job_ids.remove(id) {
             self.jobs.remove(key);
+            self.advice.retain(|(job, _, _), _| *job != key);
             self.active.retain(|active| *active != key);
         }
     }
--- a/crates/hoisthitch-jobs/src/record.rs
+++ b/crates/hoisthitch-jobs/src/record.rs
@@ -35,6 +35,9 @@
     pub stretch: f64,
     /// Fixed part of the objective, in milliseconds.
     pub aim_ms: u64,
+    /// Whether an adviser says which runners may run a step.
+    #[serde(default)]
+    pub advised: bool,
 }
 
 /// State of a job that callers see.
--- a/crates/hoisthitch-jobs/src/report.rs
+++ b/crates/hoisthitch-jobs/src/report.rs
@@ -68,6 +68,8 @@
     NoRoom,
     /// The runner is not well, or the order came too late; nothing was started.
     Refused,
+    /// The adviser's leave is missing or over; nothing was started.
+    NoTicket,
     /// The runner ended that run, or a later one, before.
     Old,
     /// A later owner gives orders there.
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -133,6 +133,8 @@
     pub payload: String,
     /// Progress to resume from; empty for none.
     pub checkpoint: String,
+    /// Leave of the queue's adviser; empty where none is needed.
+    pub ticket: String,
 }
 
 /// Tells a runner to stop a task.
--- /dev/null
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -0,0 +1,550 @@
+//! Decisions of a pool's owner: order of steps, budgets, gangs, leave of an
+//! adviser, tasks that stand still, moves between pools.
+
+use std::collections::BTreeMap;
+
+use eyre::{
+    OptionExt,
+    Result,
+    ensure, //
+};
+use hoisthitch_jobs::{
+    AdviceTicket,
+    EndKind,
+    EndedTask,
+    HoldReport,
+    JobPhase,
+    JobSpec,
+    JobSubmission,
+    NewJob,
+    PoolMove,
+    PoolShare,
+    PoolState,
+    QueuePolicy,
+    RunnerFacts,
+    RunnerKey,
+    RunningTask,
+    SpecError,
+    StartOrder,
+    StartOutcome,
+    StepSpec,
+    TaskNeed,
+    plan_moves, //
+};
+use hoisthitch_tests::cases;
+use quickcheck::quickcheck;
+
+cases! {
+    step_waits_for_the_one_before => step_order();
+    failed_task_is_tried_elsewhere_within_its_budget => budget();
+    gang_starts_whole_under_one_run => gang_starts();
+    gang_waits_while_one_member_has_no_room => gang_waits();
+    refused_member_stops_the_gang => gang_refused();
+    one_member_done_stands_for_the_gang => gang_done();
+    gang_prefers_one_rack => gang_rack();
+    queue_with_an_adviser_starts_only_with_a_ticket => advised();
+    refused_ticket_is_asked_for_again => ticket_refused();
+    task_that_stands_still_is_started_elsewhere => stalls();
+    task_on_a_silent_runner_is_left_alone => silent();
+    lapsed_lease_frees_the_tasks => lapse();
+    runner_that_fails_everything_is_shunned_and_tried_again => shunned();
+    unanswered_start_is_sent_again_under_its_run => unanswered();
+    lasting_tasks_are_spread_and_keep_together => spread();
+    lack_is_met_from_what_is_off_first => balance_off_first();
+    vms_on_their_way_are_counted => balance_counts_sent();
+    floor_is_kept => balance_floor();
+    bad_specs_are_refused => bad_specs();
+}
+
+fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        need: TaskNeed {
+            cpu_milli: 1_000,
+            memory_mb: 100,
+            gpus: 0,
+        },
+        estimate_ms: 500,
+        ..StepSpec::default()
+    }
+}
+
+fn gang(count: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count)
+    }
+}
+
+fn new_job(id: &str, steps: Vec<StepSpec>) -> NewJob {
+    NewJob {
+        id: id.to_owned(),
+        submission: JobSubmission {
+            queue: "hold".to_owned(),
+            policy: QueuePolicy {
+                priority: 0,
+                max_attempts: 3,
+                stretch: 2.0,
+                aim_ms: 600,
+                advised: false,
+            },
+            accepted_ms: 0,
+            spec: JobSpec {
+                payload: "work".to_owned(),
+                steps,
+                schedule: None,
+            },
+        },
+        progress: None,
+        accepted_at: 1_000,
+    }
+}
+
+fn pool_of(runners: u32, cores: u64) -> PoolState {
+    let mut state = PoolState::new(0);
+    for number in 0..runners {
+        let key = state.set_runner(
+            RunnerFacts {
+                name: format!("i-{number}"),
+                vm: format!("vm-{number}"),
+                capacity: TaskNeed {
+                    cpu_milli: cores * 1_000,
+                    memory_mb: 10_000,
+                    gpus: 0,
+                },
+                labels: Vec::new(),
+                rack: format!("r-{}", number / 2),
+                draining: false,
+            },
+            0,
+        );
+        state.open_runner(key);
+        state.extend_lease(key, 1_000_000);
+    }
+    state
+}
+
+fn decide(state: &mut PoolState, now: u64) -> Vec<StartOrder> {
+    state.begin_rounds(now, 0);
+    state.plan(now);
+    let plan = state.begin_flush(100);
+    state.finish_flush(&plan, now)
+}
+
+fn start_all(state: &mut PoolState, now: u64) -> Vec<StartOrder> {
+    let orders = decide(state, now);
+    for order in &orders {
+        state.take_start(order, StartOutcome::Started, now);
+    }
+    orders
+}
+
+/// Reports ends of these starts, each on its runner.
+fn end_all(state: &mut PoolState, orders: &[StartOrder], kind: EndKind, now: u64) {
+    for order in orders {
+        let number = state.runner(order.runner).map_or(0, |runner| runner.seen) + 1;
+        let report = HoldReport {
+            clock_ms: now,
+            running: running_on(state, order.runner, Some(order), 10),
+            ended: vec![EndedTask {
+                number,
+                name: order.name.to_string(),
+                run: order.run,
+                kind,
+                checkpoint: String::new(),
+            }],
+        };
+        state.take_hold(order.runner, &report, now - 1, now);
+    }
+}
+
+/// What the state believes to run on a runner, but for one task.
+fn running_on(
+    state: &PoolState,
+    runner: RunnerKey,
+    except: Option<&StartOrder>,
+    percent: u32,
+) -> Vec<RunningTask> {
+    let Some(entry) = state.runner(runner) else {
+        return Vec::new();
+    };
+    let tasks = entry
+        .tasks
+        .iter()
+        .filter(|task| except.is_none_or(|o| o.task != **task));
+    tasks
+        .filter_map(|task| {
+            let entry = state.task(*task)?;
+            Some(RunningTask {
+                name: state.name_of(*task)?.to_string(),
+                run: entry.run,
+                checkpoint: String::new(),
+                percent,
+                load: 0,
+            })
+        })
+        .collect()
+}
+
+async fn step_order() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    let after = StepSpec {
+        after: vec![0],
+        ..step(2)
+    };
+    state.add_job(new_job("a", vec![step(3), after]), 1_000);
+    let first = start_all(&mut state, 1_000);
+    ensure!(first.len() == 3);
+    end_all(&mut state, &first[..2], EndKind::Done, 2_000);
+    ensure!(decide(&mut state, 2_100).is_empty());
+    end_all(&mut state, &first[2..], EndKind::Done, 2_200);
+    let second = start_all(&mut state, 2_300);
+    ensure!(second.iter().all(|order| order.name.step == 1) && second.len() == 2);
+    end_all(&mut state, &second, EndKind::Done, 3_000);
+    ensure!(state.job("a").map(|job| job.phase) == Some(JobPhase::Completed));
+    Ok(())
+}
+
+async fn budget() -> Result<()> {
+    let mut state = pool_of(3, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let mut runners = Vec::new();
+    for now in [2_000, 3_000, 4_000] {
+        let orders = start_all(&mut state, now);
+        ensure!(orders.len() == 1, "at {now}");
+        runners.push(orders[0].runner);
+        end_all(&mut state, &orders, EndKind::Failed, now + 500);
+    }
+    ensure!(runners[0] != runners[1] && runners[1] != runners[2]);
+    ensure!(start_all(&mut state, 9_000).is_empty());
+    ensure!(state.job("a").map(|job| job.phase) == Some(JobPhase::Failed));
+    Ok(())
+}
+
+async fn gang_starts() -> Result<()> {
+    let mut state = pool_of(4, 2);
+    state.add_job(new_job("g", vec![gang(6)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    ensure!(orders.len() == 6 && orders.iter().all(|order| order.run == 1));
+    end_all(&mut state, &orders[..1], EndKind::Failed, 2_000);
+    ensure!(state.take_stops(2_000).len() == 5, "the others are stopped");
+    ensure!(decide(&mut state, 2_100).is_empty(), "until none is left");
+    end_all(&mut state, &orders[1..], EndKind::Broken, 2_500);
+    let again = start_all(&mut state, 3_000);
+    ensure!(again.len() == 6 && again.iter().all(|order| order.run == 2));
+    Ok(())
+}
+
+async fn gang_waits() -> Result<()> {
+    let mut state = pool_of(2, 2);
+    state.add_job(new_job("g", vec![gang(5)]), 1_000);
+    ensure!(decide(&mut state, 1_000).is_empty());
+    state.add_job(new_job("a", vec![step(4)]), 1_000);
+    ensure!(
+        decide(&mut state, 1_100).len() == 4,
+        "room is not held for it"
+    );
+    Ok(())
+}
+
+async fn gang_refused() -> Result<()> {
+    let mut state = pool_of(4, 2);
+    state.add_job(new_job("g", vec![gang(4)]), 1_000);
+    let orders = decide(&mut state, 1_000);
+    for order in &orders[1..] {
+        state.take_start(order, StartOutcome::Started, 1_001);
+    }
+    state.take_start(&orders[0], StartOutcome::NoRoom, 1_002);
+    ensure!(state.take_stops(1_003).len() == 3);
+    Ok(())
+}
+
+async fn gang_done() -> Result<()> {
+    let mut state = pool_of(4, 2);
+    state.add_job(new_job("g", vec![gang(4)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    end_all(&mut state, &orders[2..3], EndKind::Done, 2_000);
+    ensure!(state.job("g").map(|job| job.phase) == Some(JobPhase::Completed));
+    end_all(&mut state, &orders[..1], EndKind::Done, 2_001);
+    ensure!(state.job("g").map(|job| job.phase) == Some(JobPhase::Completed));
+    Ok(())
+}
+
+async fn gang_rack() -> Result<()> {
+    let mut state = pool_of(6, 2);
+    let together = StepSpec {
+        same_rack: true,
+        ..gang(4)
+    };
+    state.add_job(new_job("g", vec![together]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    ensure!(orders.len() == 4);
+    let mut racks: Vec<String> = orders
+        .iter()
+        .filter_map(|order| state.runner(order.runner))
+        .map(|runner| runner.facts.rack.clone())
+        .collect();
+    racks.dedup();
+    ensure!(racks.len() == 1, "{racks:?}");
+    Ok(())
+}
+
+async fn advised() -> Result<()> {
+    let mut state = pool_of(3, 8);
+    let mut new = new_job("a", vec![step(2)]);
+    new.submission.policy.advised = true;
+    state.add_job(new, 1_000);
+    ensure!(decide(&mut state, 1_000).is_empty());
+    let ask = state.ask_advice(1_000).ok_or_eyre("no question")?;
+    ensure!(ask.step == "a.0.0" && ask.runners.len() == 3);
+    ensure!(state.ask_advice(1_010).is_none(), "asked once");
+    let ticket = AdviceTicket {
+        runner: "i-1".to_owned(),
+        ticket: "t-1".to_owned(),
+    };
+    state.take_advice(ask.task, vec![ticket], 3_000);
+    let orders = decide(&mut state, 1_050);
+    ensure!(orders.len() == 2);
+    ensure!(orders.iter().all(|order| order.ticket == "t-1"));
+    let only = state.runner_key("i-1");
+    ensure!(orders.iter().all(|order| Some(order.runner) == only));
+    Ok(())
+}
+
+async fn ticket_refused() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    let mut new = new_job("a", vec![step(1)]);
+    new.submission.policy.advised = true;
+    state.add_job(new, 1_000);
+    state.begin_rounds(1_000, 0);
+    let ask = state.ask_advice(1_000).ok_or_eyre("no question")?;
+    let ticket = AdviceTicket {
+        runner: "i-0".to_owned(),
+        ticket: "t".to_owned(),
+    };
+    state.take_advice(ask.task, vec![ticket], 9_000);
+    let orders = decide(&mut state, 1_100);
+    state.take_start(&orders[0], StartOutcome::NoTicket, 1_200);
+    ensure!(decide(&mut state, 1_300).is_empty());
+    ensure!(state.ask_advice(1_300).is_some());
+    Ok(())
+}
+
+async fn stalls() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let stuck = orders[0].runner;
+    for now in [1_700, 2_400, 3_100] {
+        let report = HoldReport {
+            clock_ms: now,
+            running: running_on(&state, stuck, None, 40),
+            ended: Vec::new(),
+        };
+        state.take_hold(stuck, &report, now - 1, now);
+    }
+    ensure!(state.stop_stalled(3_200).is_empty());
+    ensure!(state.stop_stalled(4_000) == [stuck]);
+    ensure!(state.take_stops(4_000).len() == 1);
+    end_all(&mut state, &orders, EndKind::Stopped, 4_100);
+    let again = start_all(&mut state, 4_200);
+    ensure!(again.len() == 1 && again[0].runner != stuck && again[0].run == 2);
+    Ok(())
+}
+
+async fn silent() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    state.miss_hold(orders[0].runner);
+    ensure!(state.stop_stalled(60_000).is_empty());
+    ensure!(decide(&mut state, 60_000).is_empty());
+    Ok(())
+}
+
+async fn lapse() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    state.miss_hold(orders[0].runner);
+    ensure!(state.expire(999_999).is_empty());
+    ensure!(state.expire(1_000_001) == [orders[0].runner]);
+    let again = start_all(&mut state, 1_000_002);
+    ensure!(again.len() == 1 && again[0].runner != orders[0].runner);
+    Ok(())
+}
+
+async fn shunned() -> Result<()> {
+    let mut state = pool_of(2, 2);
+    let broken = state.runner_key("i-0");
+    for number in 0..8 {
+        state.add_job(new_job(&format!("j{number}"), vec![step(1)]), 1_000);
+    }
+    let mut failures = 0;
+    for now in (2_000..3_000).step_by(100) {
+        let orders = start_all(&mut state, now);
+        let (bad, good): (Vec<_>, Vec<_>) = orders
+            .into_iter()
+            .partition(|order| Some(order.runner) == broken);
+        failures += bad.len();
+        end_all(&mut state, &bad, EndKind::Failed, now + 50);
+        end_all(&mut state, &good, EndKind::Done, now + 50);
+    }
+    ensure!((2..=4).contains(&failures), "{failures} runs failed");
+    state.add_job(new_job("late", vec![step(4)]), 8_000);
+    let orders = decide(&mut state, 8_000);
+    let trial = orders.iter().filter(|order| Some(order.runner) == broken);
+    ensure!(trial.count() == 1, "one task to try it again");
+    Ok(())
+}
+
+async fn unanswered() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let orders = decide(&mut state, 1_000);
+    state.take_start(&orders[0], StartOutcome::Unclear, 1_900);
+    let report = HoldReport::default();
+    let early = state.take_hold(orders[0].runner, &report, 1_800, 2_000);
+    ensure!(early.is_empty(), "the hold was sent before the start ended");
+    let again = state.take_hold(orders[0].runner, &report, 2_100, 2_101);
+    ensure!(again.len() == 1 && again[0].run == orders[0].run);
+    Ok(())
+}
+
+async fn spread() -> Result<()> {
+    let mut state = pool_of(6, 8);
+    let lasting = StepSpec {
+        lasting: true,
+        may_miss: 1,
+        ..step(4)
+    };
+    state.add_job(new_job("a", vec![lasting.clone()]), 1_000);
+    state.add_job(new_job("b", vec![lasting]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    ensure!(orders.len() == 8);
+    let mut runners: Vec<RunnerKey> = orders.iter().map(|order| order.runner).collect();
+    runners.sort();
+    runners.dedup();
+    ensure!(runners.len() == 4, "{} runners", runners.len());
+    Ok(())
+}
+
+fn share(want: u32, vms: &[&str]) -> PoolShare {
+    PoolShare {
+        want,
+        keep: want,
+        hold: want,
+        vms: vms.iter().map(|vm| (*vm).to_owned()).collect(),
+        ..PoolShare::default()
+    }
+}
+
+async fn balance_off_first() -> Result<()> {
+    let off = PoolShare {
+        spare: true,
+        ..share(0, &["s1", "s2"])
+    };
+    let pools = BTreeMap::from([
+        ("a".to_owned(), share(6, &["a1", "a2", "a3", "a4"])),
+        ("b".to_owned(), share(1, &["b1", "b2", "b3", "b4"])),
+        ("off".to_owned(), off),
+    ]);
+    let moves = plan_moves(&pools);
+    let first = PoolMove {
+        from: "off".to_owned(),
+        to: "a".to_owned(),
+        count: 2,
+    };
+    ensure!(moves.contains(&first), "{moves:?}");
+    Ok(())
+}
+
+async fn balance_counts_sent() -> Result<()> {
+    let mut giver = share(1, &["b1", "b2", "b3", "b4", "b5", "b6"]);
+    giver.sent.insert("b1".to_owned(), "a".to_owned());
+    giver.sent.insert("b2".to_owned(), "a".to_owned());
+    let pools = BTreeMap::from([
+        ("a".to_owned(), share(4, &["a1", "a2"])),
+        ("b".to_owned(), giver),
+    ]);
+    ensure!(plan_moves(&pools).is_empty());
+    Ok(())
+}
+
+async fn balance_floor() -> Result<()> {
+    let pools = BTreeMap::from([
+        ("a".to_owned(), share(50, &["a1", "a2", "a3", "a4", "a5"])),
+        ("b".to_owned(), share(0, &["b1", "b2", "b3", "b4", "b5"])),
+    ]);
+    let given: usize = plan_moves(&pools).iter().map(|order| order.count).sum();
+    ensure!(given == 2, "{given} VMs");
+    Ok(())
+}
+
+async fn bad_specs() -> Result<()> {
+    let spec = |steps: Vec<StepSpec>| JobSpec {
+        payload: "x".to_owned(),
+        steps,
+        schedule: None,
+    };
+    let after = |after: Vec<u32>| StepSpec { after, ..step(1) };
+    ensure!(spec(vec![]).check() == Err(SpecError::NoSteps));
+    ensure!(spec(vec![step(0)]).check() == Err(SpecError::NoTasks(0)));
+    let cyclic = Err(SpecError::BadOrder { step: 0, after: 0 });
+    ensure!(spec(vec![after(vec![0])]).check() == cyclic);
+    let dangling = Err(SpecError::BadOrder { step: 1, after: 7 });
+    ensure!(spec(vec![step(1), after(vec![7])]).check() == dangling);
+    let doubled = spec(vec![step(1), after(vec![0, 0])]);
+    ensure!(doubled.check() == Err(SpecError::DoubledOrder(1)));
+    ensure!(spec(vec![step(5_000)]).check() == Err(SpecError::TooManyTasks(5_000)));
+    let long = JobSpec {
+        payload: "x".repeat(4_001),
+        ..spec(vec![step(1)])
+    };
+    ensure!(long.check() == Err(SpecError::PayloadTooLong(4_001)));
+    Ok(())
+}
+
+quickcheck! {
+    /// No runner is ever planned over its capacity, and each task once.
+    fn plans_keep_to_capacity(counts: Vec<u8>, runners: u8) -> bool {
+        let mut state = pool_of(u32::from(runners % 6) + 1, 4);
+        for (number, count) in counts.iter().take(12).enumerate() {
+            let steps = vec![step(u32::from(count % 9) + 1)];
+            state.add_job(new_job(&format!("j{number}"), steps), 1_000);
+        }
+        let orders = decide(&mut state, 1_000);
+        let mut used = BTreeMap::new();
+        let mut names = std::collections::BTreeSet::new();
+        for order in &orders {
+            *used.entry(order.runner).or_insert(0) += 1;
+            names.insert(order.name.to_string());
+        }
+        let wanted: usize = counts.iter().take(12).map(|count| usize::from(count % 9) + 1).sum();
+        let room = (usize::from(runners % 6) + 1) * 4;
+        // The naive plan fills the pool in order of arrival.
+        used.values().all(|used| *used <= 4)
+            && names.len() == orders.len()
+            && orders.len() == wanted.min(room)
+    }
+
+    /// Moves give only what is there, and never more than is lacked.
+    fn moves_add_up(wants: Vec<(u8, u8)>) -> bool {
+        let pools: BTreeMap<String, PoolShare> = wants
+            .iter()
+            .take(8)
+            .enumerate()
+            .map(|(number, (want, has))| {
+                let vms: Vec<String> = (0..has % 20).map(|vm| format!("{number}-{vm}")).collect();
+                let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
+                (format!("p{number}"), share(u32::from(want % 30), &vms))
+            })
+            .collect();
+        let moves = plan_moves(&pools);
+        pools.iter().all(|(pool, share)| {
+            let gives: usize = moves.iter().filter(|m| m.from == *pool).map(|m| m.count).sum();
+            let gets: usize = moves.iter().filter(|m| m.to == *pool).map(|m| m.count).sum();
+            gives <= share.vms.len() && (gives == 0 || gets == 0)
+        })
+    }
+}
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -4,6 +4,7 @@
 //! that another decision changes. What has to be recorded first waits for the
 //! journal; meanwhile events are taken in and further decisions gathered.
 
+mod advice;
 mod inbox;
 mod runners;
 mod writes;
@@ -41,6 +42,7 @@
     }, //
 };
 
+use self::advice::AdviceReturn;
 use self::writes::{
     CONFIRM_MS,
     WRITE_GAP_MS, //
@@ -106,6 +108,9 @@
     /// The journal; away while a write is under way.
     journal: Option<PoolJournal<P::Store>>,
     returns: mpsc::UnboundedSender<JournalReturn<P::Store>>,
+    advice: mpsc::UnboundedSender<AdviceReturn>,
+    /// Whether an adviser is being asked.
+    asking: bool,
     events: mpsc::UnboundedSender<SessionEvent>,
     sessions: HashMap<RunnerKey, RunnerSession>,
     /// When this node was last surely the owner.
@@ -139,6 +144,7 @@
     let progress = store.read_prefix(&progress_prefix).await?;
     let (events, mut session_events) = mpsc::unbounded_channel();
     let (returns, mut returned) = mpsc::unbounded_channel();
+    let (advice, mut advised) = mpsc::unbounded_channel();
     let (vm_sender, mut vm_requests) = mpsc::channel(16);
     let mut fleet = context.fleet.clone();
     let mut stop = context.stop.clone();
@@ -161,6 +167,8 @@
         state: PoolState::new(now + LEASE_CAP_MS + LEASE_CAP_MS / 20),
         journal: Some(takeover.journal),
         returns,
+        advice,
+        asking: false,
         events,
         sessions: HashMap::new(),
         confirmed,
@@ -195,6 +203,7 @@
                 }
             }
             Some(request) = vm_requests.recv() => owner.take_vm_request(request),
+            Some(back) = advised.recv() => owner.take_advice(back),
             changed = fleet.changed() => {
                 if changed.is_err() {
                     break OwnerEnd::Stopped;
@@ -266,6 +275,11 @@
         }
         let today = self.context.shared.clock.today_ms();
         self.state.begin_rounds(now, today);
+        for runner in self.state.stop_stalled(now) {
+            let name = self.state.runner(runner).map(|r| r.facts.name.clone());
+            event!(Warn, "task_stalled", runner = name.unwrap_or_default());
+        }
+        self.ask_advice(now);
         if self.state.runs_tasks() {
             self.state.plan(now);
         }
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -7,6 +7,8 @@
 };
 
 use hoisthitch_jobs::{
+    AdviceAsk,
+    AdviceTicket,
     HoldReport,
     PaceOrder,
     QueuePolicy,
@@ -267,6 +269,21 @@
     fn wave_status(&self, wave: u64, completed: bool) -> (String, Vec<u8>);
 }
 
+/// What an adviser answered.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AdviceAnswer {
+    /// Runners that may run the step, with their tickets.
+    pub tickets: Vec<AdviceTicket>,
+    /// Time for which the tickets hold, from the answer on.
+    pub valid: Duration,
+}
+
+/// Asks which runners may run a step.
+pub trait AdviceSource: Clone + 'static {
+    /// Asks for one step; the error says why there is no answer.
+    fn advise(&self, ask: &AdviceAsk) -> impl Future<Output = Result<AdviceAnswer, String>>;
+}
+
 /// Everything of the platform that a node uses.
 pub trait Platform: Clone + 'static {
     /// Its store.
@@ -277,6 +294,8 @@
     type Vms: VmControl;
     /// Its records.
     type Codec: FleetCodec;
+    /// Its adviser.
+    type Advice: AdviceSource;
 
     /// The store.
     fn store(&self) -> &Self::Store;
@@ -286,4 +305,6 @@
     fn vms(&self) -> &Self::Vms;
     /// The records.
     fn codec(&self) -> &Self::Codec;
+    /// The adviser.
+    fn advice(&self) -> &Self::Advice;
 }
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -11,6 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use hoisthitch_jobs::Millis;
+use tokio::sync::Semaphore;
 
 use crate::{
     clock::NodeClock,
@@ -64,6 +65,8 @@
     pub stopping: AtomicBool,
     /// Metrics.
     pub metrics: NodeMetrics,
+    /// Leave to ask an adviser, which serves one call of a node at a time.
+    pub(crate) advice_turn: Semaphore,
 }
 
 impl NodeShared {
@@ -75,6 +78,7 @@
             store: StoreWatch::default(),
             stopping: AtomicBool::new(false),
             metrics,
+            advice_turn: Semaphore::new(1),
         })
     }
 
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -21,6 +21,7 @@
 };
 
 use hoisthitch_jobs::{
+    AdviceAsk,
     JobPhase,
     JobSpec,
     QueuePolicy,
@@ -38,6 +39,8 @@
     StatusAnswer,
     SubmitAnswer,
     platform::{
+        AdviceAnswer,
+        AdviceSource,
         FleetCodec,
         FleetPolicy,
         Platform,
@@ -155,10 +158,21 @@
             max_attempts: 3,
             stretch: 2.0,
             aim_ms: 600,
+            advised: false,
         },
     }
 }
 
+/// Adviser of queues that have none.
+#[derive(Clone)]
+pub struct NoAdvice;
+
+impl AdviceSource for NoAdvice {
+    async fn advise(&self, _ask: &AdviceAsk) -> Result<AdviceAnswer, String> {
+        Err("no adviser".to_owned())
+    }
+}
+
 /// The platform as a node of the tests sees it.
 #[derive(Clone)]
 pub struct TestPlatform {
@@ -172,6 +186,7 @@
     type Runners = MemoryFleet;
     type Vms = MemoryFleet;
     type Codec = TestCodec;
+    type Advice = NoAdvice;
 
     fn store(&self) -> &MemoryStore {
         &self.store
@@ -188,6 +203,10 @@
     fn codec(&self) -> &TestCodec {
         &self.codec
     }
+
+    fn advice(&self) -> &NoAdvice {
+        &NoAdvice
+    }
 }
 
 /// A node's tasks, which can be frozen.
