--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -124,7 +124,7 @@
     }
 
     /// Mean time of a queue's tasks, as seen so far.
-    fn task_time(&self, queue: &str) -> Millis {
+    pub(crate) fn task_time(&self, queue: &str) -> Millis {
         self.task_times.get(queue).copied().unwrap_or(USUAL_TASK_MS)
     }
 
--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -166,11 +166,6 @@
         self.tasks.iter().any(|task| task.run > 0)
     }
 
-    /// When the job stops earning its full worth.
-    pub fn due_at(&self) -> Millis {
-        self.accepted_at + self.policy.aim_ms + scale(self.spec.chain_ms(), self.policy.stretch)
-    }
-
     /// The job's record; `names` tells a runner's name.
     pub fn progress(&self, names: impl Fn(&TaskEntry) -> String) -> JobProgress {
         let tasks = self.tasks.iter().map(|task| TaskProgress {
@@ -206,6 +201,6 @@
     clippy::cast_sign_loss,
     reason = "times of jobs are far below 2^52 ms, and the factor is not negative"
 )]
-fn scale(time: Millis, factor: f64) -> Millis {
+pub(crate) fn scale(time: Millis, factor: f64) -> Millis {
     (time as f64 * factor.max(0.0)) as Millis
 }
--- a/crates/hoisthitch-jobs/src/spec.rs
+++ b/crates/hoisthitch-jobs/src/spec.rs
@@ -169,17 +169,17 @@
         self.steps.iter().any(|step| step.lasting)
     }
 
-    /// Longest chain of estimated times, in milliseconds.
-    pub fn chain_ms(&self) -> u64 {
+    /// Longest chain of steps, in milliseconds, given the time of each.
+    pub fn chain_of(&self, time: impl Fn(u32) -> u64) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (number, step) in (0..).zip(&self.steps) {
             let start = step
                 .after
                 .iter()
                 .filter_map(|after| ends.get(usize::try_from(*after).ok()?))
                 .max()
                 .copied();
-            ends.push(start.unwrap_or(0) + step.estimate_ms);
+            ends.push(start.unwrap_or(0) + time(number));
         }
         ends.into_iter().max().unwrap_or(0)
     }
