--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -75,6 +75,13 @@
 /// that goes off and comes back costs two moves of one and a half seconds.
 const HOLD_MS: Millis = 3_000;
 
+/// Time over which a rise of what is wanted is looked at, in milliseconds.
+const TREND_MS: Millis = 1_000;
+
+/// How far a rise is carried on: a move takes about twice the time over which
+/// the rise is looked at, from the decision to the first task.
+const RISE_FACTOR: u32 = 2;
+
 /// Time after which a VM that was sent away and did not arrive is counted no
 /// more, in milliseconds; a move takes one and a half seconds.
 const ARRIVE_MS: Millis = 6_000;
@@ -386,7 +393,10 @@
         let mut vms = vms;
         vms.sort();
         PoolShare {
-            want: need.want.now,
+            want: need
+                .want
+                .now
+                .saturating_add(self.expected_rise(need.want.steady, now)),
             keep: need.want.steady,
             hold: hold.unwrap_or(need.want.steady),
             vms,
@@ -395,6 +405,17 @@
         }
     }
 
+    /// VMs that will be wanted beyond those of now when a move ordered now is
+    /// made, if the want goes on rising.
+    fn expected_rise(&self, steady: u32, now: Millis) -> u32 {
+        let before = self
+            .wants
+            .iter()
+            .find(|(at, _)| at + TREND_MS > now)
+            .map_or(steady, |(_, want)| *want);
+        steady.saturating_sub(before) * RISE_FACTOR
+    }
+
     /// VMs of a pool whose VMs are off, once they may be ordered about.
     async fn list_idle(&mut self, now: Millis) -> Result<Vec<String>, VmWorkError> {
         let rows = self.context.platform.vms().list().await?;
