Take no life of a runner up again that went down

Cause: the record of a life stays for some heartbeats after its VM was moved or taken down; the next look at the list took it for a runner of the pool, so that the pool counted VMs that it had sent away (25 for 8) and kept others back. Test: vm_that_went_down_is_not_counted, fails first.

--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -30,6 +30,14 @@
     pub spare: bool,
 }
 
+impl PoolShare {
+    /// VMs that are counted in the pool still though they were sent away.
+    pub fn sent_here(&self) -> usize {
+        let sent = self.sent.keys();
+        sent.filter(|vm| self.vms.contains(*vm)).count()
+    }
+}
+
 /// VMs that go from one pool to another.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PoolMove {
@@ -56,7 +64,7 @@
     let mut surplus: Vec<(&String, usize)> = pools
         .iter()
         .map(|(pool, share)| {
-            let staying = share.vms.len() - sent_of(share);
+            let staying = share.vms.len() - share.sent_here();
             let keep = if share.spare {
                 0
             } else {
@@ -163,13 +171,7 @@
         .flat_map(|(_, other)| &other.sent)
         .filter(|(vm, to)| *to == pool && !share.vms.contains(vm))
         .count();
-    share.vms.len() - sent_of(share) + coming
-}
-
-/// VMs that are counted in a pool still though they were sent away.
-fn sent_of(share: &PoolShare) -> usize {
-    let sent = share.sent.keys();
-    sent.filter(|vm| share.vms.contains(*vm)).count()
+    share.vms.len() - share.sent_here() + coming
 }
 
 fn to_usize(count: u32) -> usize {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -11,7 +11,10 @@
 
 use std::{
     cell::Cell,
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -113,6 +116,8 @@
     asking: bool,
     events: mpsc::UnboundedSender<SessionEvent>,
     sessions: HashMap<RunnerKey, RunnerSession>,
+    /// Lives of runners that are over, though they may be listed still.
+    over: HashSet<String>,
     /// When this node was last surely the owner.
     confirmed: Rc<Cell<Millis>>,
     wrote_at: Millis,
@@ -171,6 +176,7 @@
         asking: false,
         events,
         sessions: HashMap::new(),
+        over: HashSet::new(),
         confirmed,
         wrote_at: 0,
         counts: HashMap::new(),
@@ -320,7 +326,11 @@
                 }
             }
             SessionEvent::Missed { runner } => self.state.miss_hold(runner),
-            SessionEvent::Replaced { runner } => self.drop_runner(runner, "replaced"),
+            SessionEvent::Replaced { runner } => {
+                let name = self.state.runner(runner).map(|r| r.facts.name.clone());
+                self.over.extend(name);
+                self.drop_runner(runner, "replaced");
+            }
             SessionEvent::Fenced => return self.confirm_soon(),
             SessionEvent::Started { order, outcome } => {
                 self.state.take_start(&order, outcome, now);
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -63,7 +63,9 @@
             VmRequest::Down { runner } => {
                 if let Some(key) = self.state.runner_key(&runner) {
                     self.state.note_down(key, now);
-                    self.drop_runner(key, "upkeep");
+                    // Its record stays for some heartbeats.
+                    self.over.insert(runner);
+                    self.drop_runner(key, "down");
                 }
             }
         }
@@ -80,7 +82,8 @@
             .filter(|record| record.pool == self.context.pool)
             .collect();
         for record in &own {
-            if fleet.ended.contains(&record.facts.name) {
+            let name = &record.facts.name;
+            if fleet.ended.contains(name) || self.over.contains(name) {
                 continue;
             }
             let key = self.state.set_runner(record.facts.clone(), now);
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -248,6 +248,12 @@
             );
             self.publish(share).await?;
         }
+        // Without a VM to give there is nothing to look for.
+        let kept = if spare { 0 } else { need.want.steady };
+        let staying = self.record.share.vms.len() - self.record.share.sent_here();
+        if u32::try_from(staying).is_ok_and(|staying| staying <= kept) && self.giving.is_empty() {
+            return Ok(());
+        }
         let mut pools = self.read_shares().await?;
         pools.insert(self.context.pool.clone(), self.record.share.clone());
         let own = plan_moves(&pools)
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -50,6 +50,7 @@
     wave_goes_on_under_a_new_owner => takes_wave_over();
     wave_moves_lasting_tasks_that_stand_too_close => moves_crowded();
     wave_counts_tasks_of_silent_runners_as_away => counts_silent();
+    vm_that_went_down_is_not_counted => counts_down();
 }
 
 fn kept(world: &TestWorld) -> Result<()> {
@@ -406,3 +407,19 @@
     }
     kept(&world)
 }
+
+/// The record of a life that is over stays in the store for some heartbeats.
+async fn counts_down() -> Result<()> {
+    let world = TestWorld::start(2, 4).await?;
+    sleep_ms(3_000).await;
+    world.store.put("op/wave/1", Some(b"vm-0"), 0);
+    sleep_ms(900).await;
+    ensure!(world.fleet.upkeeps().0 == 1);
+    world.begin_runner("vm-9");
+    sleep_ms(900).await;
+    let share = world.store.get("test/share/halls").unwrap_or_default();
+    let share = String::from_utf8_lossy(&share).into_owned();
+    ensure!(share.contains("vm-9"), "{share}");
+    ensure!(!share.contains("vm-0"), "{share}");
+    Ok(())
+}
