--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -13,9 +13,9 @@
 /// waits for a VM is late.
 const HEADROOM_PERCENT: u64 = 130;
 
-/// Times over which the work that comes in is averaged, in milliseconds. The
-/// short one is used when enough jobs came in it to tell a trend from a lump.
-const ARRIVAL_WINDOWS_MS: [Millis; 2] = [1_000, 4_000];
+/// Times over which the work that comes in is averaged, in milliseconds. Short
+/// ones are used when enough jobs came in them to tell a trend from a lump.
+const ARRIVAL_WINDOWS_MS: [Millis; 3] = [500, 1_000, 4_000];
 
 /// Jobs that tell a trend: the mean of as many is off by a third or so.
 const TREND_JOBS: usize = 10;
@@ -97,8 +97,9 @@
             let (jobs, work) = recent.fold((0, 0), |(jobs, sum), (_, work)| (jobs + 1, sum + work));
             (jobs, work / window)
         });
-        let [(jobs, short), (_, long)] = rates;
-        if jobs >= TREND_JOBS { short } else { long }
+        let [.., (_, longest)] = rates;
+        let trends = rates.iter().filter(|(jobs, _)| *jobs >= TREND_JOBS);
+        trends.map(|(_, rate)| *rate).max().unwrap_or(longest)
     }
 
     fn add_demand(&self, sums: &mut DemandSums, job: &JobEntry) {
@@ -150,7 +151,7 @@
         let steps = job.spec.steps.iter().filter(|step| !step.lasting);
         let work = steps.map(|step| u64::from(step.count) * step.need.cpu_milli * time);
         let work = work.sum();
-        let [_, longest] = ARRIVAL_WINDOWS_MS;
+        let [.., longest] = ARRIVAL_WINDOWS_MS;
         self.arrivals.retain(|(at, _)| at + longest > now);
         self.arrivals.push((now, work));
     }
--- a/crates/hoisthitch-scheduler/tests/world/runners.rs
+++ b/crates/hoisthitch-scheduler/tests/world/runners.rs
@@ -360,8 +360,15 @@
     /// Whether the call reaches the runner.
     fn reaches(&self, name: &str) -> bool {
         let state = self.state.borrow();
-        let runner = state.runners.get(name);
-        runner.is_some_and(|runner| !runner.cut.contains(&self.node))
+        let Some(runner) = state.runners.get(name) else {
+            return false;
+        };
+        // Where no later life listens, a dead one leaves silence.
+        let listens = state
+            .runners
+            .values()
+            .any(|other| other.alive && other.vm == runner.vm);
+        listens && !runner.cut.contains(&self.node)
     }
 
     fn is_late(&self) -> bool {
@@ -410,6 +417,15 @@
     }
 }
 
+impl Run {
+    fn percent(&self, now: Instant) -> u32 {
+        let work = if self.lasts { STARTED } else { self.work };
+        let done = now.duration_since(self.began).as_millis() * 100;
+        let percent = done / work.as_millis().max(1);
+        u32::try_from(percent).unwrap_or(100).min(100)
+    }
+}
+
 impl Runner {
     fn at(&self, clock_ms: u64) -> Instant {
         let since = clock_ms.saturating_sub(CLOCK_START);
@@ -472,11 +488,7 @@
             name: task.clone(),
             run: run.run,
             checkpoint: String::new(),
-            percent: if run.lasts && now > run.began + STARTED {
-                100
-            } else {
-                10
-            },
+            percent: run.percent(now),
             load: 0,
         });
         HoldReport {
