--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -116,6 +116,8 @@
     asking: bool,
     events: mpsc::UnboundedSender<SessionEvent>,
     sessions: HashMap<RunnerKey, RunnerSession>,
+    /// Whether the list of runners was taken in.
+    synced: bool,
     /// Lives of runners that are over, though they may be listed still.
     over: HashSet<String>,
     /// When this node was last surely the owner.
@@ -177,6 +179,7 @@
         events,
         sessions: HashMap::new(),
         over: HashSet::new(),
+        synced: false,
         confirmed,
         wrote_at: 0,
         counts: HashMap::new(),
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -74,6 +74,10 @@
     /// Takes in the runners of the pool, and the policies in force.
     pub(super) fn sync_fleet(&mut self) {
         let now = self.now();
+        // What was there before this owner has been in the pool for long, or
+        // the VM worker knows better.
+        let since = if self.synced { now } else { 0 };
+        self.synced = true;
         let fleet = self.context.fleet.borrow().clone();
         self.state.set_policies(&fleet.policies);
         let own: Vec<_> = fleet
@@ -86,7 +90,7 @@
             if fleet.ended.contains(name) || self.over.contains(name) {
                 continue;
             }
-            let key = self.state.set_runner(record.facts.clone(), now);
+            let key = self.state.set_runner(record.facts.clone(), since);
             if !self.sessions.contains_key(&key) {
                 self.open_session(
                     key,
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -61,12 +61,16 @@
 /// upkeep or a move takes.
 const VM_TICK: Duration = Duration::from_millis(200);
 
-/// Time that a new owner waits before it gives orders about VMs, in
-/// milliseconds: an earlier one may send some until its own doubt stops it
-/// ([`DOUBT_MS`]), and they may be under way for the limit of a call. Nor may
-/// two owners take turns within the platform's three seconds.
+/// Time for which a new owner gives no order about a VM that an earlier one may
+/// have given an order about, in milliseconds: that order may be under way
+/// until the doubt of its owner ([`DOUBT_MS`]) and the limit of a call are over,
+/// and two owners may not take turns within the platform's three seconds.
 const SETTLE_MS: Millis = 3_200;
 
+/// Time for which a VM counts as lately ordered about, in milliseconds; the
+/// time above, with some to spare.
+const RECENT_MS: Millis = 4_000;
+
 /// Time after the owner last made sure that it is the owner in which it gives
 /// orders about VMs, in milliseconds.
 const DOUBT_MS: Millis = 1_200;
@@ -126,6 +130,9 @@
     sequence: u64,
     /// What the pool has and wants.
     share: PoolShare,
+    /// VMs that this owner gives orders about, or lately did.
+    #[serde(default)]
+    recent: Vec<String>,
 }
 
 /// What a VM worker works with.
@@ -167,10 +174,19 @@
     revision: StoreRevision,
     /// Steady wants of the last seconds.
     wants: Vec<(Millis, u32)>,
+    /// VMs that orders were given about, and when.
+    ordered: BTreeMap<String, Millis>,
+    /// VMs that an earlier owner may have given orders about, and until when
+    /// none is given here.
+    blocked: BTreeMap<String, Millis>,
+    /// Whether the share was written under this owner.
+    settled: bool,
     /// VMs sent away, and when.
     sent: BTreeMap<String, (String, Millis)>,
     /// VMs without a runner, as last listed, and since when.
     idle: BTreeMap<String, Millis>,
+    /// Whether those VMs were listed before.
+    listed: bool,
     /// Runners that are being emptied to be given away, by VM.
     giving: BTreeMap<String, String>,
 }
@@ -185,11 +201,14 @@
         record: ShareRecord::default(),
         revision: StoreRevision::default(),
         wants: Vec::new(),
+        ordered: BTreeMap::new(),
+        blocked: BTreeMap::new(),
+        settled: false,
         sent: BTreeMap::new(),
         idle: BTreeMap::new(),
+        listed: false,
         giving: BTreeMap::new(),
     };
-    tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
     while !worker.context.owner.is_closed() {
         match worker.look(&mut completed).await {
             Ok(()) => {}
@@ -207,6 +226,9 @@
 
 impl<P: Platform> VmWorker<P> {
     async fn look(&mut self, completed: &mut BTreeSet<u64>) -> Result<(), VmWorkError> {
+        if !self.settled {
+            self.settle_in().await?;
+        }
         self.balance().await?;
         let orders: Vec<_> = {
             let fleet = self.context.fleet.borrow();
@@ -222,6 +244,34 @@
         Ok(())
     }
 
+    /// Takes the pool's share over from an earlier owner, whose orders may be
+    /// under way still.
+    async fn settle_in(&mut self) -> Result<(), VmWorkError> {
+        for (pool, share) in self.read_shares().await? {
+            if pool != self.context.pool {
+                let sent = share.sent.iter();
+                let here = sent.filter(|(_, to)| **to == self.context.pool);
+                self.block(here.map(|(vm, _)| vm.clone()).collect());
+            }
+        }
+        // A write that finds the share of an earlier owner blocks its VMs.
+        let share = self.record.share.clone();
+        self.publish(share).await?;
+        self.settled = true;
+        Ok(())
+    }
+
+    fn block(&mut self, vms: Vec<String>) {
+        let until = self.context.shared.clock.now() + SETTLE_MS;
+        self.blocked.extend(vms.into_iter().map(|vm| (vm, until)));
+    }
+
+    /// Whether an earlier owner may have given an order about the VM lately.
+    pub(crate) fn is_blocked(&self, vm: &str) -> bool {
+        let now = self.context.shared.clock.now();
+        self.blocked.get(vm).is_some_and(|until| *until > now)
+    }
+
     /// Publishes what the pool needs, and sends away what others need more.
     async fn balance(&mut self) -> Result<(), VmWorkError> {
         let now = self.context.shared.clock.now();
@@ -280,6 +330,7 @@
         self.idle
             .iter()
             .filter(|(vm, since)| !self.sent.contains_key(*vm) && **since + SETTLE_MS <= now)
+            .filter(|(vm, _)| !self.is_blocked(vm))
             .map(|(vm, _)| vm.clone())
             .collect()
     }
@@ -290,6 +341,7 @@
             .spare
             .iter()
             .filter(|(_, vm)| !self.leaving.contains_key(vm) && !self.sent.contains_key(vm))
+            .filter(|(_, vm)| !self.is_blocked(vm))
             .take(count)
             .cloned()
             .collect();
@@ -330,6 +382,7 @@
         let mut share = self.record.share.clone();
         for (vm, target) in &moves {
             self.sent.insert(vm.clone(), (target.clone(), now));
+            self.ordered.insert(vm.clone(), now);
             share.sent.insert(vm.clone(), target.clone());
         }
         let token = self.publish(share).await?;
@@ -430,8 +483,12 @@
             .filter(|row| row.pool == self.context.pool && row.condition == VmCondition::Up);
         let names: BTreeSet<String> = own.map(|row| row.name).collect();
         self.idle.retain(|vm, _| names.contains(vm));
+        // What was there before the first look has stayed long enough, or is
+        // blocked.
+        let since = if self.listed { now } else { 0 };
+        self.listed = true;
         for vm in names {
-            self.idle.entry(vm).or_insert(now);
+            self.idle.entry(vm).or_insert(since);
         }
         Ok(self.idle.keys().cloned().collect())
     }
@@ -477,17 +534,22 @@
         Ok(())
     }
 
-    /// Writes the share as it is; answers with the token of the next order.
-    pub(crate) async fn authorize(&mut self) -> Result<u64, VmWorkError> {
+    /// Writes down that an order about a VM follows; answers with its token.
+    pub(crate) async fn authorize(&mut self, vm: &str) -> Result<u64, VmWorkError> {
+        let now = self.context.shared.clock.now();
+        self.ordered.insert(vm.to_owned(), now);
         self.publish(self.record.share.clone()).await
     }
 
     /// Writes the pool's share; answers with the write's revision.
     async fn publish(&mut self, share: PoolShare) -> Result<u64, VmWorkError> {
+        let now = self.context.shared.clock.now();
+        self.ordered.retain(|_, at| *at + RECENT_MS > now);
         let record = ShareRecord {
             epoch: self.context.epoch,
             sequence: self.record.sequence + 1,
             share,
+            recent: self.ordered.keys().cloned().collect(),
         };
         let key = self.context.keys.share(&self.context.pool);
         loop {
@@ -515,6 +577,10 @@
                     }
                     // An own write whose answer was lost, or an earlier owner's.
                     self.revision = stored.revision;
+                    if other.epoch < self.context.epoch {
+                        self.block(other.recent);
+                        self.block(other.share.sent.into_keys().collect());
+                    }
                 }
             }
         }
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -107,7 +107,7 @@
             .iter()
             .filter(|vm| !progress.done.contains(*vm) && !progress.down.contains_key(*vm))
             .filter_map(|vm| Self::find(rows, vm))
-            .filter(|row| row.condition == VmCondition::Up)
+            .filter(|row| row.condition == VmCondition::Up && !self.is_blocked(&row.name))
             .collect();
         // What is being emptied already goes on.
         waiting.sort_by_key(|row| !self.leaving.contains_key(&row.name));
@@ -162,7 +162,10 @@
     }
 
     async fn take_down(&mut self, order: &WaveOrder, row: &VmRow) -> Result<(), VmWorkError> {
-        let token = self.authorize().await?;
+        if self.is_blocked(&row.name) {
+            return Ok(());
+        }
+        let token = self.authorize(&row.name).await?;
         // The writes may have taken long; what runs there may have changed.
         if !matches!(self.ask_row(row).await, Some(UpkeepView::Free) | None) {
             return Ok(());
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -418,8 +418,8 @@
     world.begin_runner("vm-9");
     sleep_ms(900).await;
     let share = world.store.get("test/share/halls").unwrap_or_default();
-    let share = String::from_utf8_lossy(&share).into_owned();
-    ensure!(share.contains("vm-9"), "{share}");
-    ensure!(!share.contains("vm-0"), "{share}");
+    let share: serde_json::Value = serde_json::from_slice(&share)?;
+    let vms = share["share"]["vms"].to_string();
+    ensure!(vms.contains("vm-9") && !vms.contains("vm-0"), "{vms}");
     Ok(())
 }
