--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -60,6 +60,12 @@
                 // A worker that is gone asks again.
                 let _ = reply.send(need);
             }
+            VmRequest::Doubt { runner } => {
+                // Its next answer to a hold tells that it is still there.
+                if let Some(key) = self.state.runner_key(&runner) {
+                    self.state.miss_hold(key);
+                }
+            }
             VmRequest::Down { runner } => {
                 if let Some(key) = self.state.runner_key(&runner) {
                     self.state.note_down(key, now);
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -106,6 +106,8 @@
     Stay { runner: String },
     /// The runner's VM went down.
     Down { runner: String },
+    /// The runner's VM was told to go down, and there was no answer.
+    Doubt { runner: String },
     /// What does the pool need, and which runner can it spare?
     Need { reply: oneshot::Sender<PoolNeed> },
 }
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -29,6 +29,7 @@
         Platform,
         VmCondition,
         VmControl,
+        VmError,
         VmRow,
         WaveOrder, //
     },
@@ -183,6 +184,10 @@
             token = token,
             outcome = format_args!("{done:?}")
         );
+        if let (Err(VmError::NoAnswer(_)), Some(runner)) = (&done, row.runner.clone()) {
+            // An owner that is gone knows no runner.
+            let _ = self.context.owner.send(VmRequest::Doubt { runner }).await;
+        }
         done?;
         self.went_down.insert((order.wave, row.name.clone()));
         self.leaving.remove(&row.name);
--- a/crates/hoisthitch-tests/src/http.rs
+++ b/crates/hoisthitch-tests/src/http.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// A DELETE.
+    pub fn delete(url: &str) -> Self {
+        Self::new(Method::DELETE, url)
+    }
+
     /// A PUT of JSON.
     ///
     /// # Errors
--- a/crates/hoisthitch-tests/src/lib.rs
+++ b/crates/hoisthitch-tests/src/lib.rs
@@ -14,6 +14,7 @@
 mod proxies;
 mod scripted;
 mod wait;
+pub mod world;
 
 pub use cases::run_case;
 pub use fleet::Fleet;
