Take only the platform's answer for an upkeep

Ruled out: the list (the VM was in it). Now the record keeps which upkeeps were confirmed; a repeated order spares a life that came after.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -70,6 +70,7 @@
     /// Takes in that the runner has a lease of this owner.
     pub fn open_runner(&mut self, key: RunnerKey) {
         if let Some(runner) = self.runners.get_mut(key) {
+            self.plan_needed |= !runner.open;
             runner.open = true;
         }
     }
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -207,26 +207,24 @@
     }
 
     /// Stops that are to be sent.
-    pub fn take_stops(&mut self, now: Millis) -> Vec<StopOrder> {
+    pub fn take_stops(&mut self) -> Vec<StopOrder> {
+        std::mem::take(&mut self.stops)
+    }
+
+    /// Sends stops again of which no end was heard.
+    pub fn stop_again(&mut self, now: Millis) {
         let overdue: Vec<(TaskRef, RunnerKey)> = self
-            .active
-            .iter()
-            .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
-            .filter(|(_, job)| job.phase.is_final() || job.spec.lasts())
-            .flat_map(|(key, job)| {
-                let tasks = job.tasks.iter().enumerate();
-                tasks.filter_map(move |(slot, task)| match task.place {
-                    TaskPlace::Stopping(runner) if task.ordered_at + STOP_AGAIN_MS <= now => {
-                        Some((TaskRef { job: key, slot }, runner))
-                    }
-                    _ => None,
-                })
+            .active_tasks()
+            .filter_map(|(task, entry)| match entry.place {
+                TaskPlace::Stopping(runner) if entry.ordered_at + STOP_AGAIN_MS <= now => {
+                    Some((task, runner))
+                }
+                _ => None,
             })
             .collect();
         for (task, runner) in overdue {
             self.order_stop(task, runner, now);
         }
-        std::mem::take(&mut self.stops)
     }
 
     /// Takes a runner in, or what changed of it.
@@ -253,11 +251,6 @@
         }
     }
 
-    /// Whether any job has work left.
-    pub fn runs_tasks(&self) -> bool {
-        !self.active.is_empty()
-    }
-
     /// Forgets a runner whose runs have all ended.
     pub fn remove_runner(&mut self, key: RunnerKey, now: Millis) {
         self.release_runner(key, now);
--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -227,7 +227,7 @@
     let orders = start_all(&mut state, 1_000);
     ensure!(orders.len() == 6 && orders.iter().all(|order| order.run == 1));
     end_all(&mut state, &orders[..1], EndKind::Failed, 2_000);
-    ensure!(state.take_stops(2_000).len() == 5, "the others are stopped");
+    ensure!(state.take_stops().len() == 5, "the others are stopped");
     ensure!(decide(&mut state, 2_100).is_empty(), "until none is left");
     end_all(&mut state, &orders[1..], EndKind::Broken, 2_500);
     let again = start_all(&mut state, 3_000);
@@ -255,7 +255,7 @@
         state.take_start(order, StartOutcome::Started, 1_001);
     }
     state.take_start(&orders[0], StartOutcome::NoRoom, 1_002);
-    ensure!(state.take_stops(1_003).len() == 3);
+    ensure!(state.take_stops().len() == 3);
     Ok(())
 }
 
@@ -345,7 +345,7 @@
     }
     ensure!(state.stop_stalled(3_200).is_empty());
     ensure!(state.stop_stalled(4_000) == [stuck]);
-    ensure!(state.take_stops(4_000).len() == 1);
+    ensure!(state.take_stops().len() == 1);
     end_all(&mut state, &orders, EndKind::Stopped, 4_100);
     let again = start_all(&mut state, 4_200);
     ensure!(again.len() == 1 && again[0].runner != stuck && again[0].run == 2);
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -79,6 +79,10 @@
 /// Time between two looks at what time alone changes.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Least time between two looks at what time alone changes, in milliseconds:
+/// they go through all tasks, and events come by the hundred in a second.
+const CHECK_MS: Millis = 50;
+
 /// Events taken in before the next decision.
 const EVENT_BATCH: usize = 256;
 
@@ -122,6 +126,7 @@
     over: HashSet<String>,
     /// When this node was last surely the owner.
     confirmed: Rc<Cell<Millis>>,
+    checked_at: Millis,
     wrote_at: Millis,
     counts: HashMap<String, u32>,
     counted_at: Millis,
@@ -181,6 +186,7 @@
         over: HashSet::new(),
         synced: false,
         confirmed,
+        checked_at: 0,
         wrote_at: 0,
         counts: HashMap::new(),
         counted_at: 0,
@@ -278,25 +284,34 @@
     /// Decides, and does what can be done now.
     fn advance(&mut self) {
         let now = self.now();
+        if now >= self.checked_at + CHECK_MS {
+            self.checked_at = now;
+            self.check_times(now);
+            self.state.plan(now);
+        } else if self.state.needs_plan() {
+            self.state.plan(now);
+        }
+        self.ask_advice(now);
+        for stop in self.state.take_stops() {
+            self.send(stop.runner, RunnerOrder::Stop(stop));
+        }
+        self.write(now);
+        self.share_terms();
+    }
+
+    /// Looks at what time alone changes.
+    fn check_times(&mut self, now: Millis) {
         for runner in self.state.expire(now) {
             let name = self.state.runner(runner).map(|r| r.facts.name.clone());
             event!(Warn, "lease_lapsed", runner = name.unwrap_or_default());
         }
         let today = self.context.shared.clock.today_ms();
         self.state.begin_rounds(now, today);
+        self.state.stop_again(now);
         for runner in self.state.stop_stalled(now) {
             let name = self.state.runner(runner).map(|r| r.facts.name.clone());
             event!(Warn, "task_stalled", runner = name.unwrap_or_default());
         }
-        self.ask_advice(now);
-        if self.state.runs_tasks() {
-            self.state.plan(now);
-        }
-        for stop in self.state.take_stops(now) {
-            self.send(stop.runner, RunnerOrder::Stop(stop));
-        }
-        self.write(now);
-        self.share_terms();
     }
 
     fn send(&self, runner: RunnerKey, order: RunnerOrder) {
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -170,8 +170,10 @@
     pub(crate) context: VmContext<P>,
     /// Runners that are being emptied for a wave, by VM.
     pub(crate) leaving: BTreeMap<String, String>,
-    /// VMs that went down on this worker's order.
-    pub(crate) went_down: BTreeSet<(u64, String)>,
+    /// VMs that went down on this worker's order, and when.
+    pub(crate) went_down: BTreeMap<(u64, String), Millis>,
+    /// VMs of waves that are missing from the list, and since when.
+    pub(crate) missing: BTreeMap<String, Millis>,
     record: ShareRecord,
     revision: StoreRevision,
     /// Steady wants of the last seconds.
@@ -199,7 +201,8 @@
     let mut worker = VmWorker {
         context,
         leaving: BTreeMap::new(),
-        went_down: BTreeSet::new(),
+        went_down: BTreeMap::new(),
+        missing: BTreeMap::new(),
         record: ShareRecord::default(),
         revision: StoreRevision::default(),
         wants: Vec::new(),
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -9,7 +9,10 @@
     BTreeSet, //
 };
 
-use hoisthitch_jobs::UpkeepView;
+use hoisthitch_jobs::{
+    Millis,
+    UpkeepView, //
+};
 use hoisthitch_store::{
     BatchOutcome,
     StoreClient,
@@ -44,15 +47,36 @@
 /// VMs too much of its room.
 const EMPTY_AT_ONCE: usize = 1;
 
+/// Time after an order for upkeep in which the list shows the VM as down, in
+/// milliseconds; an upkeep takes two seconds.
+const BACK_MS: Millis = 1_500;
+
+/// Time for which a VM is missing from the list before it counts as gone, in
+/// milliseconds: longer than any way back takes.
+const GONE_MS: Millis = 10_000;
+
 /// How far a wave is.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 struct WaveProgress {
     /// VMs that are down or about to be, with the life of their runner before.
     down: BTreeMap<String, String>,
+    /// Those of them whose upkeep the platform has confirmed. A VM that is up
+    /// with a new life without that had a crash.
+    #[serde(default)]
+    begun: BTreeSet<String>,
     /// VMs that had their upkeep.
     done: BTreeSet<String>,
 }
 
+impl WaveProgress {
+    /// Notes that a VM has had its upkeep, or is no more.
+    fn finish(&mut self, vm: &str) {
+        self.down.remove(vm);
+        self.begun.remove(vm);
+        self.done.insert(vm.to_owned());
+    }
+}
+
 impl<P: Platform> VmWorker<P> {
     /// Takes a wave further; answers whether it is completed.
     pub(crate) async fn advance(&mut self, order: &WaveOrder) -> Result<bool, VmWorkError> {
@@ -73,18 +97,18 @@
             }
             let mut next = progress.clone();
             match (row, progress.down.get(vm)) {
-                (None, _) => {
-                    // The VM is no more; nothing is left to be done for it.
-                    next.down.remove(vm);
-                    next.done.insert(vm.clone());
-                }
-                (Some(row), Some(before)) if self.is_back(order, row, before) => {
-                    next.down.remove(vm);
-                    next.done.insert(vm.clone());
-                }
-                (Some(row), Some(_)) if row.condition == VmCondition::Up => {
-                    self.take_down(order, row).await?;
-                    continue;
+                // The VM is no more; nothing is left to be done for it.
+                (None, _) if self.is_gone(vm) => next.finish(vm),
+                (Some(row), Some(before)) if row.condition == VmCondition::Up => {
+                    if !progress.begun.contains(vm) {
+                        let again = self.take_down(order, row, progress, revision).await?;
+                        (progress, revision) = again;
+                        continue;
+                    }
+                    if !self.is_back(order, row, before) {
+                        continue;
+                    }
+                    next.finish(vm);
                 }
                 _ => continue,
             }
@@ -133,7 +157,8 @@
             next.down.insert(row.name.clone(), before);
             (progress, revision) = self.write_wave(order, next, revision).await?;
             if progress.down.contains_key(&row.name) {
-                self.take_down(order, row).await?;
+                let taken = self.take_down(order, row, progress, revision).await?;
+                (progress, revision) = taken;
             }
         }
         Ok(order.vms.iter().all(|vm| progress.done.contains(vm)))
@@ -153,23 +178,37 @@
         }
     }
 
-    /// Whether a VM that went down is up again: with a new life of its runner,
-    /// or, where it runs none, after it went down on this worker's order.
+    /// Whether a VM that is up again has been through its upkeep: with a new
+    /// life of its runner, or, where that can't tell, some time after the order.
     fn is_back(&self, order: &WaveOrder, row: &VmRow, before: &str) -> bool {
         let renewed = row.runner.as_deref().is_some_and(|now| now != before);
-        let went_down = || self.went_down.contains(&(order.wave, row.name.clone()));
-        let runs_none = before.is_empty() && row.runner.is_none();
-        row.condition == VmCondition::Up && (renewed || (runs_none && went_down()))
+        let now = self.context.shared.clock.now();
+        let ordered = self.went_down.get(&(order.wave, row.name.clone()));
+        renewed || ordered.is_none_or(|at| *at + BACK_MS <= now)
     }
 
-    async fn take_down(&mut self, order: &WaveOrder, row: &VmRow) -> Result<(), VmWorkError> {
+    /// Whether a VM has been missing from the list for long.
+    fn is_gone(&mut self, vm: &str) -> bool {
+        let now = self.context.shared.clock.now();
+        let since = self.missing.entry(vm.to_owned()).or_insert(now);
+        *since + GONE_MS <= now
+    }
+
+    /// Takes a VM down, if it may go; answers with the wave's record then.
+    async fn take_down(
+        &mut self,
+        order: &WaveOrder,
+        row: &VmRow,
+        progress: WaveProgress,
+        revision: StoreRevision,
+    ) -> Result<(WaveProgress, StoreRevision), VmWorkError> {
         if self.is_blocked(&row.name) {
-            return Ok(());
+            return Ok((progress, revision));
         }
         let token = self.authorize(&row.name).await?;
         // The writes may have taken long; what runs there may have changed.
         if !matches!(self.ask_row(row).await, Some(UpkeepView::Free) | None) {
-            return Ok(());
+            return Ok((progress, revision));
         }
         self.check_owner()?;
         let vms = self.context.platform.vms();
@@ -184,18 +223,26 @@
             token = token,
             outcome = format_args!("{done:?}")
         );
-        if let (Err(VmError::NoAnswer(_)), Some(runner)) = (&done, row.runner.clone()) {
-            // An owner that is gone knows no runner.
-            let _ = self.context.owner.send(VmRequest::Doubt { runner }).await;
+        // An order that was done before leaves a later life as it is.
+        let same_life = progress.down.get(&row.name) == row.runner.as_ref();
+        if let Some(runner) = row.runner.clone() {
+            let told = match &done {
+                Ok(()) if same_life => Some(VmRequest::Down { runner }),
+                Ok(()) | Err(VmError::NoAnswer(_)) => Some(VmRequest::Doubt { runner }),
+                Err(_) => None,
+            };
+            if let Some(told) = told {
+                // An owner that is gone knows no runner.
+                let _ = self.context.owner.send(told).await;
+            }
         }
         done?;
-        self.went_down.insert((order.wave, row.name.clone()));
+        let now = self.context.shared.clock.now();
+        self.went_down.insert((order.wave, row.name.clone()), now);
         self.leaving.remove(&row.name);
-        if let Some(runner) = row.runner.clone() {
-            // An owner that is gone knows no runner.
-            let _ = self.context.owner.send(VmRequest::Down { runner }).await;
-        }
-        Ok(())
+        let mut next = progress;
+        next.begun.insert(row.name.clone());
+        self.write_wave(order, next, revision).await
     }
 
     async fn read_wave(
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -51,6 +51,7 @@
     wave_moves_lasting_tasks_that_stand_too_close => moves_crowded();
     wave_counts_tasks_of_silent_runners_as_away => counts_silent();
     vm_that_went_down_is_not_counted => counts_down();
+    crash_before_the_upkeep_is_no_upkeep => crash_is_no_upkeep();
 }
 
 fn kept(world: &TestWorld) -> Result<()> {
@@ -423,3 +424,21 @@
     ensure!(vms.contains("vm-9") && !vms.contains("vm-0"), "{vms}");
     Ok(())
 }
+
+/// The order for the upkeep is lost, and the runner comes back by itself.
+async fn crash_is_no_upkeep() -> Result<()> {
+    let world = TestWorld::start(2, 3).await?;
+    sleep_ms(2_000).await;
+    world.fleet.lose_vm_orders(true);
+    world.store.put("op/wave/1", Some(b"vm-0,vm-1,vm-2"), 0);
+    sleep_ms(1_500).await;
+    for (runner, vm) in world.fleet.living() {
+        world.fleet.crash(&runner);
+        world.begin_runner(&vm);
+    }
+    sleep_ms(3_000).await;
+    world.fleet.lose_vm_orders(false);
+    wave(&world, 3, 60_000).await?;
+    ensure!(world.fleet.upkeeps().0 == 3, "{:?}", world.fleet.upkeeps());
+    kept(&world)
+}
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -96,6 +96,8 @@
     orders: u64,
     upkeeps: Vec<(String, u64, Instant)>,
     down_most: usize,
+    /// Orders about VMs are lost.
+    vms_lost: bool,
     /// Jobs whose tasks may be stopped as their caller wants.
     cancelled: HashSet<String>,
 }
@@ -158,6 +160,11 @@
         self.state.borrow_mut().late_every = every;
     }
 
+    /// Has orders about VMs be lost, or not.
+    pub fn lose_vm_orders(&self, lost: bool) {
+        self.state.borrow_mut().vms_lost = lost;
+    }
+
     /// The caller cancels a job: its tasks may be stopped from now on.
     pub fn note_cancel(&self, job: &str) {
         self.state.borrow_mut().cancelled.insert(job.to_owned());
@@ -610,6 +617,10 @@
 
     async fn upkeep(&self, vm: &str, _wave: u64, _holder: &str, epoch: u64) -> Result<(), VmError> {
         tokio::time::sleep(WAY).await;
+        if self.state.borrow().vms_lost {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(VmError::NoAnswer("lost".to_owned()));
+        }
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let last = state.upkeeps.iter().rev().find(|row| row.0 == vm);
