A pool that lacks VMs gives none

Ruled out: late orders (both runs were ordered by one owner, 55 ms apart). Test and quickcheck fail first.

--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -68,7 +68,8 @@
             let keep = if share.spare {
                 0
             } else {
-                to_usize(share.keep).max(floor)
+                // A pool that lacks VMs gives none, however few it keeps.
+                to_usize(share.keep.max(share.want)).max(floor)
             };
             (pool, staying.saturating_sub(keep))
         })
@@ -147,7 +148,7 @@
     let idle = surplus.iter().filter_map(|(pool, left)| {
         let share = pools.get(*pool).filter(|share| !share.spare)?;
         // The surplus is counted above what is kept; more may be held.
-        let keep = to_usize(share.keep).max(floor);
+        let keep = to_usize(share.keep.max(share.want)).max(floor);
         let hold = to_usize(share.hold).max(floor);
         let count = left.saturating_sub(hold.saturating_sub(keep));
         (count > 0).then_some((*pool, count))
--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -53,6 +53,7 @@
     lack_is_met_from_what_is_off_first => balance_off_first();
     vms_on_their_way_are_counted => balance_counts_sent();
     floor_is_kept => balance_floor();
+    pool_that_lacks_vms_gives_none => balance_gives_none();
     bad_specs_are_refused => bad_specs();
 }
 
@@ -481,6 +482,17 @@
     Ok(())
 }
 
+/// A pool whose want rises keeps less than it wants; it is no giver for that.
+async fn balance_gives_none() -> Result<()> {
+    let rising = PoolShare {
+        keep: 2,
+        ..share(9, &["a1", "a2", "a3", "a4", "a5", "a6"])
+    };
+    let pools = BTreeMap::from([("a".to_owned(), rising)]);
+    ensure!(plan_moves(&pools).is_empty(), "{:?}", plan_moves(&pools));
+    Ok(())
+}
+
 async fn bad_specs() -> Result<()> {
     let spec = |steps: Vec<StepSpec>| JobSpec {
         payload: "x".to_owned(),
@@ -529,15 +541,20 @@
     }
 
     /// Moves give only what is there, and never more than is lacked.
-    fn moves_add_up(wants: Vec<(u8, u8)>) -> bool {
+    fn moves_add_up(wants: Vec<(u8, u8, u8)>) -> bool {
         let pools: BTreeMap<String, PoolShare> = wants
             .iter()
             .take(8)
             .enumerate()
-            .map(|(number, (want, has))| {
+            .map(|(number, (want, keep, has))| {
                 let vms: Vec<String> = (0..has % 20).map(|vm| format!("{number}-{vm}")).collect();
                 let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
-                (format!("p{number}"), share(u32::from(want % 30), &vms))
+                let want = u32::from(want % 30);
+                let share = PoolShare {
+                    keep: want.min(u32::from(*keep)),
+                    ..share(want, &vms)
+                };
+                (format!("p{number}"), share)
             })
             .collect();
         let moves = plan_moves(&pools);
