Let a runner's answer, not its record, end the other lives of its place

Ruled out: late orders, stalls, lost ends (none in the log). Now a life is over when another at its address or VM has answered within 1.2 s. Test fails first.

--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -4,8 +4,7 @@
     collections::{
         BTreeMap,
         BTreeSet,
-        HashMap,
-        HashSet, //
+        HashMap, //
     },
     sync::Arc,
     time::Duration, //
@@ -78,23 +77,14 @@
 pub(crate) struct FleetView {
     /// Runners by name of their life.
     pub(crate) runners: HashMap<String, RunnerRecord>,
-    /// Lives that another life at the same address or VM followed.
-    pub(crate) ended: HashSet<String>,
     /// Policies by queue.
     pub(crate) policies: HashMap<String, QueuePolicy>,
     /// Pools.
     pub(crate) pools: Vec<String>,
     /// Waves by number.
     pub(crate) waves: BTreeMap<u64, WaveOrder>,
-    /// Last lives of runners, by address and by VM.
-    last_lives: HashMap<String, RunnerLife>,
-}
-
-/// A life of a runner, and the last change of its record.
-#[derive(Clone, Debug)]
-struct RunnerLife {
-    name: String,
-    revision: StoreRevision,
+    /// Lives of runners that were ever listed, by address and by VM.
+    lives: HashMap<String, BTreeSet<String>>,
 }
 
 struct NodeControl<P: Platform> {
@@ -337,41 +327,28 @@
             address = record.address,
             draining = record.facts.draining
         );
-        let life = RunnerLife {
-            name: name.to_owned(),
-            revision: value.revision,
-        };
-        let address = record.address.to_string();
-        let places = [address, record.facts.vm.clone()];
-        for place in places.into_iter().filter(|place| !place.is_empty()) {
-            if let Some(over) = self.succeed(place, &life) {
-                event!(Info, "runner_life_over", runner = over, by = name);
-                self.runners.remove(&over);
-                self.ended.insert(over);
-            }
-        }
-        if self.ended.contains(name) {
-            return true;
+        for place in places_of(&record) {
+            self.lives.entry(place).or_default().insert(name.to_owned());
         }
         self.runners.insert(name.to_owned(), record);
         true
     }
 
-    /// Takes in which life of a runner is the last one at an address or on a
-    /// VM; answers with the life that is over. Records may be read again in
-    /// any order, so that the later revision decides.
-    fn succeed(&mut self, place: String, life: &RunnerLife) -> Option<String> {
-        let Some(last) = self.last_lives.get_mut(&place) else {
-            self.last_lives.insert(place, life.clone());
-            return None;
+    /// Other lives that were listed at the address or on the VM of a runner.
+    /// Which of them came last no record tells: one of a dead life may be
+    /// written late. While the runner answers, all of them are over.
+    pub(crate) fn rivals(&self, name: &str) -> BTreeSet<String> {
+        let Some(record) = self.runners.get(name) else {
+            return BTreeSet::new();
         };
-        if last.name == life.name {
-            last.revision = last.revision.max(life.revision);
-            return None;
-        }
-        if last.revision > life.revision {
-            return Some(life.name.clone());
-        }
-        Some(std::mem::replace(last, life.clone()).name)
+        let places = places_of(record);
+        let lives = places.filter_map(|place| self.lives.get(&place)).flatten();
+        lives.filter(|life| *life != name).cloned().collect()
     }
 }
+
+/// Where a runner is: its address and its VM.
+fn places_of(record: &RunnerRecord) -> impl Iterator<Item = String> {
+    let places = [record.address.to_string(), record.facts.vm.clone()];
+    places.into_iter().filter(|place| !place.is_empty())
+}
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -338,6 +338,7 @@
                 if leased {
                     self.state.open_runner(runner);
                 }
+                self.end_rivals(runner, asked_at);
                 self.start_all(again);
                 for pace in self.state.pace(runner) {
                     self.send(runner, RunnerOrder::Pace(pace));
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -25,6 +25,11 @@
     }, //
 };
 
+/// Age up to which an answered hold proves that its runner lives, in
+/// milliseconds: longer than a hold waits, shorter than a VM takes to come back
+/// with another life.
+const PROOF_MS: Millis = 1_200;
+
 impl<P: Platform> PoolOwner<P> {
     pub(super) fn take_vm_request(&mut self, request: VmRequest) {
         let now = self.now();
@@ -93,7 +98,7 @@
             .collect();
         for record in &own {
             let name = &record.facts.name;
-            if fleet.ended.contains(name) || self.over.contains(name) {
+            if self.over.contains(name) {
                 continue;
             }
             let key = self.state.set_runner(record.facts.clone(), since);
@@ -113,15 +118,34 @@
             .map(|(key, runner)| (key, runner.facts.name.clone()))
             .collect();
         for (key, name) in known {
-            if fleet.ended.contains(&name) {
-                self.drop_runner(key, "ended");
-            } else if !fleet.runners.contains_key(&name) {
+            if !fleet.runners.contains_key(&name) {
                 self.state.retire_runner(key);
                 self.drop_if_empty(key, now);
             }
         }
-        for name in &fleet.ended {
-            self.state.forget_life(name, now);
+    }
+
+    /// Takes in that a runner answered a hold sent at `asked_at`: other lives
+    /// at its place are over.
+    pub(super) fn end_rivals(&mut self, key: RunnerKey, asked_at: Millis) {
+        let now = self.now();
+        let Some(name) = self.state.runner(key).map(|r| r.facts.name.clone()) else {
+            return;
+        };
+        // An answer that waited long here proves nothing about now.
+        if asked_at + PROOF_MS < now {
+            return;
+        }
+        let rivals = self.context.fleet.borrow().rivals(&name);
+        for rival in rivals {
+            if !self.over.insert(rival.clone()) {
+                continue;
+            }
+            event!(Info, "runner_life_over", runner = rival, by = name);
+            if let Some(rival) = self.state.runner_key(&rival) {
+                self.drop_runner(rival, "ended");
+            }
+            self.state.forget_life(&rival, now);
         }
     }
 
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -456,6 +456,8 @@
         let sent = self.sent.iter();
         let mut vms = vms;
         vms.sort();
+        // A life that is over may be listed beside its successor.
+        vms.dedup();
         PoolShare {
             want: need
                 .want
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -45,6 +45,7 @@
     cut_runner_under_a_new_owner_is_waited_for => cuts_runner();
     crashed_runner_s_tasks_start_anew => crashes_runner();
     reread_list_keeps_a_living_runner => rereads_list();
+    late_record_of_a_dead_life_ends_nothing => late_record();
     new_owner_stops_nothing_that_lasts => keeps_lasting();
     wave_takes_every_vm_within_its_limits => takes_wave();
     wave_goes_on_under_a_new_owner => takes_wave_over();
@@ -442,3 +443,22 @@
     ensure!(world.fleet.upkeeps().0 == 3, "{:?}", world.fleet.upkeeps());
     kept(&world)
 }
+
+/// What a dead runner wrote while it was cut off may arrive after its successor
+/// has come.
+async fn late_record() -> Result<()> {
+    let world = TestWorld::start(2, 3).await?;
+    let (runner, vm) = world.fleet.living()[0].clone();
+    world.fleet.crash(&runner);
+    world.begin_runner(&vm);
+    sleep_ms(1_500).await;
+    world.submit("j", job("work 4000", &[8])).await?;
+    sleep_ms(1_000).await;
+    let key = format!("runner/{runner}");
+    world.store.put(&key, None, 0);
+    sleep_ms(400).await;
+    world.store.put(&key, Some(vm.as_bytes()), 0);
+    world.wait_phase("j", JobPhase::Completed, 15_000).await?;
+    ensure!((0..8).all(|task| world.fleet.starts(&format!("j.0.0.{task}")) == 1));
+    kept(&world)
+}
