--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -205,12 +205,10 @@
     kept(&world)
 }
 
-async fn loses_answers() -> Result<()> {
+/// Jobs go through while the store fails, and all are done once it works.
+async fn goes_through(faults: StoreFaults) -> Result<()> {
     let world = TestWorld::start(3, 4).await?;
-    world.store.set_faults(StoreFaults {
-        lose_every: 3,
-        ..StoreFaults::default()
-    });
+    world.store.set_faults(faults);
     for number in 0..6 {
         world
             .submit(&format!("j{number}"), job("work 300", &[4, 2]))
@@ -225,25 +223,21 @@
     kept(&world)
 }
 
+async fn loses_answers() -> Result<()> {
+    goes_through(StoreFaults {
+        lose_every: 3,
+        ..StoreFaults::default()
+    })
+    .await
+}
+
 async fn late_writes() -> Result<()> {
-    let world = TestWorld::start(3, 4).await?;
-    world.store.set_faults(StoreFaults {
+    goes_through(StoreFaults {
         lose_every: 3,
         late: std::time::Duration::from_millis(2_500),
         ..StoreFaults::default()
-    });
-    for number in 0..6 {
-        world
-            .submit(&format!("j{number}"), job("work 300", &[4, 2]))
-            .await?;
-    }
-    sleep_ms(8_000).await;
-    world.store.set_faults(StoreFaults::default());
-    for number in 0..6 {
-        let id = format!("j{number}");
-        world.wait_phase(&id, JobPhase::Completed, 20_000).await?;
-    }
-    kept(&world)
+    })
+    .await
 }
 
 async fn late_orders() -> Result<()> {
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -3,6 +3,7 @@
 //! They keep to what the service's traits promise, fail as told, and a judge
 //! looks at what runners are told.
 
+mod life;
 mod runners;
 mod store;
 
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -13,10 +13,8 @@
 
 use hoisthitch_jobs::{
     EndKind,
-    EndedTask,
     HoldReport,
     PaceOrder,
-    RunningTask,
     StartOrder,
     StartOutcome,
     StopOrder, //
@@ -34,6 +32,12 @@
 };
 use tokio::time::Instant;
 
+use super::life::{
+    Run,
+    Runner,
+    STARTED, //
+};
+
 /// Time of a call, one way.
 const WAY: Duration = Duration::from_millis(1);
 
@@ -43,39 +47,6 @@
 /// Time that an upkeep takes.
 const UPKEEP: Duration = Duration::from_secs(2);
 
-/// Longest lease.
-const LEASE_LIMIT: Duration = Duration::from_secs(10);
-
-/// Time after which a lasting task is at work.
-const STARTED: Duration = Duration::from_millis(300);
-
-/// Start of the runners' clocks.
-const CLOCK_START: u64 = 480_000;
-
-#[derive(Clone, Debug)]
-struct Run {
-    run: u32,
-    began: Instant,
-    work: Duration,
-    fails: bool,
-    lasts: bool,
-}
-
-struct Runner {
-    vm: String,
-    alive: bool,
-    began: Instant,
-    fence: u64,
-    lease: Instant,
-    running: BTreeMap<String, Run>,
-    ended: Vec<EndedTask>,
-    last_end: u64,
-    seen: u64,
-    /// Highest run that was stopped or ended, by task.
-    over: HashMap<String, u32>,
-    cut: HashSet<String>,
-}
-
 /// What the fleet was told, and what broke a promise.
 #[derive(Default)]
 struct FleetState {
@@ -123,20 +94,7 @@
         let mut state = self.state.borrow_mut();
         state.lives += 1;
         let name = format!("i-{}", state.lives);
-        let runner = Runner {
-            vm: vm.to_owned(),
-            alive: true,
-            began: Instant::now(),
-            fence: 0,
-            lease: Instant::now(),
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            last_end: 0,
-            seen: 0,
-            over: HashMap::new(),
-            cut: HashSet::new(),
-        };
-        state.runners.insert(name.clone(), runner);
+        state.runners.insert(name.clone(), Runner::begin(vm));
         name
     }
 
@@ -277,14 +235,7 @@
                 StartOutcome::Old
             };
         }
-        let run = Run {
-            run: order.run,
-            began: now,
-            work: Duration::from_millis(work_ms(&order.payload)),
-            fails: order.payload.contains("fail"),
-            lasts: order.payload.contains("lasts"),
-        };
-        runner.running.insert(task.clone(), run);
+        runner.running.insert(task.clone(), Run::begin(order, now));
         let copies = state
             .runners
             .values()
@@ -424,94 +375,6 @@
     }
 }
 
-impl Run {
-    fn percent(&self, now: Instant) -> u32 {
-        let work = if self.lasts { STARTED } else { self.work };
-        let done = now.duration_since(self.began).as_millis() * 100;
-        let percent = done / work.as_millis().max(1);
-        u32::try_from(percent).unwrap_or(100).min(100)
-    }
-}
-
-impl Runner {
-    fn at(&self, clock_ms: u64) -> Instant {
-        let since = clock_ms.saturating_sub(CLOCK_START);
-        self.began + Duration::from_millis(since)
-    }
-
-    fn extend(&mut self, lease_ms: u64, now: Instant) {
-        let until = self.at(lease_ms).min(now + LEASE_LIMIT);
-        self.lease = self.lease.max(until);
-    }
-
-    fn end(&mut self, task: &str, kind: EndKind) {
-        let Some(run) = self.running.remove(task) else {
-            return;
-        };
-        self.last_end += 1;
-        let over = self.over.entry(task.to_owned()).or_insert(0);
-        *over = (*over).max(run.run);
-        self.ended.push(EndedTask {
-            number: self.last_end,
-            name: task.to_owned(),
-            run: run.run,
-            kind,
-            checkpoint: String::new(),
-        });
-    }
-
-    /// Ends what is over by now; answers with the tasks that are done.
-    fn settle(&mut self, now: Instant) -> Vec<String> {
-        let mut done = Vec::new();
-        let lapse = self.lease;
-        let over: Vec<(String, Run)> = self
-            .running
-            .iter()
-            .filter(|(_, run)| !run.lasts && run.began + run.work <= now.min(lapse))
-            .map(|(task, run)| (task.clone(), run.clone()))
-            .collect();
-        for (task, run) in over {
-            let kind = if run.fails {
-                EndKind::Failed
-            } else {
-                EndKind::Done
-            };
-            if kind == EndKind::Done {
-                done.push(task.clone());
-            }
-            self.end(&task, kind);
-        }
-        if lapse <= now {
-            let lapsed: Vec<String> = self.running.keys().cloned().collect();
-            for task in lapsed {
-                self.end(&task, EndKind::Lapsed);
-            }
-        }
-        done
-    }
-
-    fn report(&self, now: Instant) -> HoldReport {
-        let running = self.running.iter().map(|(task, run)| RunningTask {
-            name: task.clone(),
-            run: run.run,
-            checkpoint: String::new(),
-            percent: run.percent(now),
-            load: 0,
-        });
-        HoldReport {
-            clock_ms: CLOCK_START + now.duration_since(self.began).as_millis() as u64,
-            running: running.collect(),
-            ended: self.ended.clone(),
-        }
-    }
-}
-
-/// The work of a task: the number in its payload.
-fn work_ms(payload: &str) -> u64 {
-    let digits: String = payload.chars().filter(char::is_ascii_digit).collect();
-    digits.parse().unwrap_or(300)
-}
-
 impl RunnerControl for MemoryFleet {
     async fn start(
         &self,
