--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -26,7 +26,8 @@
     Millis,
     PoolState,
     RunnerKey,
-    StartOrder, //
+    StartOrder,
+    StartOutcome, //
 };
 use hoisthitch_store::{
     StoreClient,
@@ -46,10 +47,7 @@
 };
 
 use self::advice::AdviceReturn;
-use self::writes::{
-    CONFIRM_MS,
-    WRITE_GAP_MS, //
-};
+use self::writes::WRITE_GAP_MS;
 use crate::{
     follow::follow_prefix,
     journal::{
@@ -198,18 +196,21 @@
     if let Some(all) = told.recv().await {
         owner.take_inbox(all, &mut recorded);
     }
+    owner.count("pool_taken");
     owner.sync_fleet();
     let end = loop {
         tokio::select! {
             Some(event) = session_events.recv() => {
                 let mut next = Some(event);
+                let mut deposed = false;
                 for _ in 0..EVENT_BATCH {
                     let Some(event) = next else { break };
-                    if owner.take_event(event) {
-                        break;
-                    }
+                    deposed |= owner.take_event(event);
                     next = session_events.try_recv().ok();
                 }
+                if deposed {
+                    break OwnerEnd::Deposed;
+                }
             }
             Some(change) = told.recv() => owner.take_inbox(change, &mut recorded),
             Some(back) = returned.recv() => {
@@ -235,6 +236,7 @@
         owner.advance();
     };
     vms.abort();
+    owner.count("pool_left");
     event!(
         Info,
         "pool_left",
@@ -303,6 +305,7 @@
     fn check_times(&mut self, now: Millis) {
         for runner in self.state.expire(now) {
             let name = self.state.runner(runner).map(|r| r.facts.name.clone());
+            self.count("lease_lapsed");
             event!(Warn, "lease_lapsed", runner = name.unwrap_or_default());
         }
         let today = self.context.shared.clock.today_ms();
@@ -310,6 +313,7 @@
         self.state.stop_again(now);
         for runner in self.state.stop_stalled(now) {
             let name = self.state.runner(runner).map(|r| r.facts.name.clone());
+            self.count("task_stalled");
             event!(Warn, "task_stalled", runner = name.unwrap_or_default());
         }
     }
@@ -324,6 +328,7 @@
         }
     }
 
+    /// Takes an event in; answers whether it shows another owner.
     fn take_event(&mut self, event: SessionEvent) -> bool {
         let now = self.now();
         match event {
@@ -350,26 +355,41 @@
                 self.over.extend(name);
                 self.drop_runner(runner, "replaced");
             }
-            SessionEvent::Fenced => return self.confirm_soon(),
+            SessionEvent::Fenced => {
+                // Only a later owner's epoch is higher.
+                event!(
+                    Warn,
+                    "runner_fenced",
+                    pool = self.context.pool,
+                    epoch = self.epoch
+                );
+                return true;
+            }
             SessionEvent::Started { order, outcome } => {
                 self.state.take_start(&order, outcome, now);
+                if outcome == StartOutcome::Started {
+                    self.measure_start(&order, now);
+                }
             }
             SessionEvent::PaceFailed(order) => self.state.fail_pace(&order),
         }
         false
     }
 
-    /// Looks at once whether this node still owns the pool.
-    fn confirm_soon(&mut self) -> bool {
-        event!(
-            Warn,
-            "runner_fenced",
-            pool = self.context.pool,
-            epoch = self.epoch
-        );
-        let doubtful = self.now().saturating_sub(CONFIRM_MS);
-        self.confirmed.set(self.confirmed.get().min(doubtful));
-        true
+    /// Measures how long a job waited for its first task.
+    fn measure_start(&self, order: &StartOrder, now: Millis) {
+        let first = order.run == 1 && order.task.slot == 0;
+        if let Some(job) = self.state.job(&order.name.job).filter(|_| first) {
+            let waited = Duration::from_millis(now.saturating_sub(job.accepted_at));
+            let histogram = &self.context.shared.metrics.first_start;
+            histogram.observe(waited.as_secs_f64());
+        }
+    }
+
+    /// Counts an event of the pool.
+    fn count(&self, event: &str) {
+        let events = &self.context.shared.metrics.events;
+        events.with_label_values(&[event]).inc();
     }
 
     fn start_all(&self, orders: Vec<StartOrder>) {
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -190,6 +190,7 @@
         let name = self.state.runner(key).map(|r| r.facts.name.clone());
         self.sessions.remove(&key);
         if let Some(name) = name {
+            self.count("runner_gone");
             event!(Info, "runner_gone", runner = name, why = why);
             self.state.remove_runner(key, now);
         }
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -31,7 +31,7 @@
 
 /// Time without a write after which the owner makes sure that it is the owner,
 /// in milliseconds.
-pub(super) const CONFIRM_MS: Millis = 500;
+const CONFIRM_MS: Millis = 500;
 
 /// Least time between two writes of the queues' counts, in milliseconds; they
 /// may be two seconds old.
