--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -1,7 +1,7 @@
 //! Which nodes are alive, and which of them owns which pool.
 //!
 //! A node is alive while its leased record is there. A pool whose owner is not
-//! alive goes to the node that owns the fewest pools; the others step in one
+//! alive goes to the node that owns the fewest for its processor time; the others step in one
 //! after the other if that one does not. No safety rests on any of this: an
 //! election is a compare-and-swap, and its revision fences all orders.
 
@@ -58,6 +58,9 @@
 /// records of living nodes come back, in milliseconds.
 const SETTLE_MS: Millis = 700;
 
+/// Parts in which the pools of a node are compared with its power.
+const STRAIN_PARTS: usize = 1_000_000;
+
 /// Record of a node that is alive.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct MemberRecord {
@@ -65,6 +68,14 @@
     pub(crate) life: u64,
     /// Data hall of the node.
     pub(crate) hall: String,
+    /// Processor time that the node has, in thousandths of a core.
+    #[serde(default = "usual_power")]
+    pub(crate) power: u64,
+}
+
+/// Power of a node that does not tell, in thousandths of a core.
+fn usual_power() -> u64 {
+    1_000
 }
 
 /// An owner, and the revision of its election.
@@ -77,8 +88,8 @@
 /// The group as the store shows it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GroupView {
-    /// Lives of the nodes that are alive, by node.
-    pub(crate) members: BTreeMap<String, u64>,
+    /// Nodes that are alive, by name.
+    pub(crate) members: BTreeMap<String, MemberRecord>,
     /// Owners by pool.
     pub(crate) owners: BTreeMap<String, OwnerEntry>,
     /// When a pool was first seen without a living owner.
@@ -112,7 +123,7 @@
     fn put(&mut self, keys: &JobKeys, value: &StoredValue) {
         if let Some(node) = keys.member_of(&value.key) {
             match serde_json::from_slice::<MemberRecord>(&value.value) {
-                Ok(record) => drop(self.members.insert(node.to_owned(), record.life)),
+                Ok(record) => drop(self.members.insert(node.to_owned(), record)),
                 Err(err) => event!(Error, "member_unreadable", node = node, error = err),
             }
         } else if let Some(pool) = keys.owner_of(&value.key) {
@@ -129,8 +140,8 @@
 
     fn is_owned(&self, pool: &str) -> bool {
         self.owners.get(pool).is_some_and(|entry| {
-            let life = self.members.get(&entry.record.node);
-            life == Some(&entry.record.life)
+            let member = self.members.get(&entry.record.node);
+            member.is_some_and(|member| member.life == entry.record.life)
         })
     }
 
@@ -204,7 +215,10 @@
         let mut order: Vec<String> = self.members.keys().cloned().collect();
         order.sort_by_key(|node| {
             let load = loads.get(node).copied().unwrap_or(0);
-            (load, hash_name(&format!("{pool}/{node}")))
+            let power = self.members.get(node).map_or(1, |member| member.power);
+            // Load that the node would have for its power, in parts of it.
+            let strain = (load + 1) * STRAIN_PARTS / usize::try_from(power.max(1)).unwrap_or(1);
+            (strain, hash_name(&format!("{pool}/{node}")))
         });
         order
     }
@@ -269,6 +283,7 @@
     let record = MemberRecord {
         life: identity.life,
         hall: identity.hall.clone(),
+        power: identity.power,
     };
     let item = SwapItem {
         key: keys.member(&identity.node),
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -70,6 +70,8 @@
     pub life: u64,
     /// Data hall.
     pub hall: String,
+    /// Processor time that it has, in thousandths of a core.
+    pub power: u64,
 }
 
 /// Operators' and runners' records, as last seen.
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -297,6 +297,7 @@
             node: name.to_owned(),
             life: self.lives,
             hall: "augusta".to_owned(),
+            power: 250,
         };
         let keys = JobKeys::new("test");
         let set = LocalSet::new();
