--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -40,6 +40,7 @@
         mpsc,
         watch, //
     },
+    task::JoinHandle,
     time::{
         Instant,
         sleep_until, //
@@ -49,7 +50,10 @@
 use self::advice::AdviceReturn;
 use self::writes::WRITE_GAP_MS;
 use crate::{
-    follow::follow_prefix,
+    follow::{
+        FollowEvent,
+        follow_prefix, //
+    },
     journal::{
         JournalError,
         PoolJournal, //
@@ -70,6 +74,7 @@
     takeover::PoolTakeover,
     vms::{
         VmContext,
+        VmRequest,
         run_vms, //
     }, //
 };
@@ -81,6 +86,9 @@
 /// they go through all tasks, and events come by the hundred in a second.
 const CHECK_MS: Millis = 50;
 
+/// Questions of the VM worker that may wait.
+const VM_QUEUE: usize = 16;
+
 /// Events taken in before the next decision.
 const EVENT_BATCH: usize = 256;
 
@@ -130,6 +138,15 @@
     counted_at: Millis,
 }
 
+/// What an owner hears through.
+struct OwnerChannels<S> {
+    inbox: mpsc::UnboundedReceiver<FollowEvent>,
+    events: mpsc::UnboundedReceiver<SessionEvent>,
+    returned: mpsc::UnboundedReceiver<JournalReturn<S>>,
+    advised: mpsc::UnboundedReceiver<AdviceReturn>,
+    vm_requests: mpsc::Receiver<VmRequest>,
+}
+
 /// Owns a pool until another node does, or the node stops.
 ///
 /// # Errors
@@ -139,38 +156,23 @@
     context: OwnerContext<P>,
     takeover: PoolTakeover<P::Store>,
 ) -> Result<OwnerEnd, StoreError> {
-    let store = context.platform.store().clone();
-    let prefix = context.keys.inbox(&context.pool);
-    let (inbox, mut told) = mpsc::unbounded_channel();
-    let follower = follow_prefix(
-        store.clone(),
-        prefix,
-        Duration::ZERO,
-        context.shared.clone(),
-        inbox,
-    );
-    actix_rt::spawn(follower);
-    let progress_prefix = context.keys.all_progress(&context.pool);
-    let progress = store.read_prefix(&progress_prefix).await?;
-    let (events, mut session_events) = mpsc::unbounded_channel();
-    let (returns, mut returned) = mpsc::unbounded_channel();
-    let (advice, mut advised) = mpsc::unbounded_channel();
-    let (vm_sender, mut vm_requests) = mpsc::channel(16);
-    let mut fleet = context.fleet.clone();
-    let mut stop = context.stop.clone();
+    let inbox = follow_inbox(&context);
+    let prefix = context.keys.all_progress(&context.pool);
+    let progress = context.platform.store().read_prefix(&prefix).await?;
+    let mut recorded = read_progress(&context, progress);
+    let (vm_sender, vm_requests) = mpsc::channel(VM_QUEUE);
     let confirmed = Rc::new(Cell::new(context.shared.clock.now()));
-    let vms = run_vms(VmContext {
-        platform: context.platform.clone(),
-        shared: context.shared.clone(),
-        keys: context.keys.clone(),
-        node: context.identity.node.clone(),
-        pool: context.pool.clone(),
-        epoch: takeover.epoch,
-        confirmed: confirmed.clone(),
-        fleet: context.fleet.clone(),
-        owner: vm_sender,
-    });
-    let vms = actix_rt::spawn(vms);
+    let vms = start_vm_worker(&context, takeover.epoch, confirmed.clone(), vm_sender);
+    let (events, session_events) = mpsc::unbounded_channel();
+    let (returns, returned) = mpsc::unbounded_channel();
+    let (advice, advised) = mpsc::unbounded_channel();
+    let mut channels = OwnerChannels {
+        inbox,
+        events: session_events,
+        returned,
+        advised,
+        vm_requests,
+    };
     let now = context.shared.clock.now();
     let mut owner = PoolOwner {
         epoch: takeover.epoch,
@@ -190,51 +192,14 @@
         counted_at: 0,
         context,
     };
-    let mut recorded = read_progress(&owner.context, progress);
+    owner.count("pool_taken");
     // Runners are asked only once all jobs are known: what they report of an
     // unknown job would be stopped, and its ends forgotten.
-    if let Some(all) = told.recv().await {
+    if let Some(all) = channels.inbox.recv().await {
         owner.take_inbox(all, &mut recorded);
     }
-    owner.count("pool_taken");
     owner.sync_fleet();
-    let end = loop {
-        tokio::select! {
-            Some(event) = session_events.recv() => {
-                let mut next = Some(event);
-                let mut deposed = false;
-                for _ in 0..EVENT_BATCH {
-                    let Some(event) = next else { break };
-                    deposed |= owner.take_event(event);
-                    next = session_events.try_recv().ok();
-                }
-                if deposed {
-                    break OwnerEnd::Deposed;
-                }
-            }
-            Some(change) = told.recv() => owner.take_inbox(change, &mut recorded),
-            Some(back) = returned.recv() => {
-                if owner.take_journal(back).is_err() {
-                    break OwnerEnd::Deposed;
-                }
-            }
-            Some(request) = vm_requests.recv() => owner.take_vm_request(request),
-            Some(back) = advised.recv() => owner.take_advice(back),
-            changed = fleet.changed() => {
-                if changed.is_err() {
-                    break OwnerEnd::Stopped;
-                }
-                fleet.borrow_and_update();
-                owner.sync_fleet();
-            }
-            _ = stop.changed() => {}
-            () = sleep_until(owner.next_wake()) => {}
-        }
-        if *stop.borrow() && owner.journal.is_some() {
-            break OwnerEnd::Stopped;
-        }
-        owner.advance();
-    };
+    let end = owner.serve(&mut channels, &mut recorded).await;
     vms.abort();
     owner.count("pool_left");
     event!(
@@ -247,6 +212,39 @@
     Ok(end)
 }
 
+/// Follows what the nodes that take jobs in write for the pool.
+fn follow_inbox<P: Platform>(context: &OwnerContext<P>) -> mpsc::UnboundedReceiver<FollowEvent> {
+    let (sender, inbox) = mpsc::unbounded_channel();
+    actix_rt::spawn(follow_prefix(
+        context.platform.store().clone(),
+        context.keys.inbox(&context.pool),
+        Duration::ZERO,
+        context.shared.clone(),
+        sender,
+    ));
+    inbox
+}
+
+/// Starts the worker for the pool's VMs.
+fn start_vm_worker<P: Platform>(
+    context: &OwnerContext<P>,
+    epoch: u64,
+    confirmed: Rc<Cell<Millis>>,
+    owner: mpsc::Sender<VmRequest>,
+) -> JoinHandle<()> {
+    actix_rt::spawn(run_vms(VmContext {
+        platform: context.platform.clone(),
+        shared: context.shared.clone(),
+        keys: context.keys.clone(),
+        node: context.identity.node.clone(),
+        pool: context.pool.clone(),
+        epoch,
+        confirmed,
+        fleet: context.fleet.clone(),
+        owner,
+    }))
+}
+
 /// Decodes the progress of jobs, by identifier.
 fn read_progress<P: Platform>(
     context: &OwnerContext<P>,
@@ -273,6 +271,64 @@
         self.context.shared.clock.now()
     }
 
+    /// Takes in what comes, and acts, until the pool is another's or the node
+    /// stops.
+    async fn serve(
+        &mut self,
+        channels: &mut OwnerChannels<P::Store>,
+        recorded: &mut HashMap<String, JobProgress>,
+    ) -> OwnerEnd {
+        let mut fleet = self.context.fleet.clone();
+        let mut stop = self.context.stop.clone();
+        loop {
+            tokio::select! {
+                Some(event) = channels.events.recv() => {
+                    if self.take_events(event, &mut channels.events) {
+                        return OwnerEnd::Deposed;
+                    }
+                }
+                Some(change) = channels.inbox.recv() => self.take_inbox(change, recorded),
+                Some(back) = channels.returned.recv() => {
+                    if self.take_journal(back).is_err() {
+                        return OwnerEnd::Deposed;
+                    }
+                }
+                Some(request) = channels.vm_requests.recv() => self.take_vm_request(request),
+                Some(back) = channels.advised.recv() => self.take_advice(back),
+                changed = fleet.changed() => {
+                    if changed.is_err() {
+                        return OwnerEnd::Stopped;
+                    }
+                    fleet.borrow_and_update();
+                    self.sync_fleet();
+                }
+                _ = stop.changed() => {}
+                () = sleep_until(self.next_wake()) => {}
+            }
+            if *stop.borrow() && self.journal.is_some() {
+                return OwnerEnd::Stopped;
+            }
+            self.advance();
+        }
+    }
+
+    /// Takes in an event and those that wait behind it; answers whether one
+    /// shows another owner.
+    fn take_events(
+        &mut self,
+        first: SessionEvent,
+        events: &mut mpsc::UnboundedReceiver<SessionEvent>,
+    ) -> bool {
+        let mut deposed = self.take_event(first);
+        for _ in 1..EVENT_BATCH {
+            let Ok(event) = events.try_recv() else {
+                break;
+            };
+            deposed |= self.take_event(event);
+        }
+        deposed
+    }
+
     /// When something is to be done without an event.
     fn next_wake(&self) -> Instant {
         let write_due = self.journal.is_some() && self.state.needs_flush();
