--- a/crates/hoisthitch-tests/src/world/life.rs
+++ b/crates/hoisthitch-tests/src/world/life.rs
@@ -46,6 +46,9 @@
     pub(super) ended: Vec<EndedTask>,
     pub(super) last_end: u64,
     pub(super) seen: u64,
+    /// Last end before a lapse of the lease: the platform counts such ends as
+    /// taken note of only if that was before the lapse.
+    pub(super) void: u64,
     /// Highest run that was stopped or ended, by task.
     pub(super) over: HashMap<String, u32>,
     pub(super) cut: HashSet<String>,
@@ -84,6 +87,7 @@
             ended: Vec::new(),
             last_end: 0,
             seen: 0,
+            void: 0,
             over: HashMap::new(),
             cut: HashSet::new(),
         }
@@ -137,6 +141,7 @@
             self.end(&task, kind);
         }
         if lapse <= now {
+            self.void = self.last_end;
             let lapsed: Vec<String> = self.running.keys().cloned().collect();
             for task in lapsed {
                 self.end(&task, EndKind::Lapsed);
