--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -31,13 +31,6 @@
     starts: Vec<(TaskRef, u32)>,
 }
 
-impl FlushPlan {
-    /// Whether there is nothing to write.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
-    }
-}
-
 impl PoolState {
     /// Begins rounds that are due by the time of day `today_ms`.
     pub fn begin_rounds(&mut self, now: Millis, today_ms: u64) {
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -284,13 +284,6 @@
         self.settle_unlocated(|runner, _| runner == name, now);
     }
 
-    /// Whether the runner may hold an answer to where some task is.
-    pub fn awaits_runner(&self, name: &str) -> bool {
-        self.active_tasks().any(|(_, task)| {
-            matches!(&task.place, TaskPlace::Unlocated { runner, .. } if runner == name)
-        })
-    }
-
     /// Lets go of runs that have ended for certain by now.
     pub fn expire(&mut self, now: Millis) -> Vec<RunnerKey> {
         self.settle_unlocated(|_, until| until <= now, now);
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -285,9 +285,9 @@
     kept(&world)
 }
 
-/// A dead life's record stays in the store while that can't be reached, and is
-/// read again beside the living one's.
-async fn rereads_list() -> Result<()> {
+/// A world in which job `j` runs and one runner is the second life of its VM;
+/// answers also with the dead life's name, and the VM.
+async fn successor_at_work() -> Result<(TestWorld, String, String)> {
     let world = TestWorld::start(2, 3).await?;
     let (runner, vm) = world.fleet.living()[0].clone();
     world.fleet.crash(&runner);
@@ -295,6 +295,13 @@
     sleep_ms(1_500).await;
     world.submit("j", job("work 4000", &[8])).await?;
     sleep_ms(1_000).await;
+    Ok((world, runner, vm))
+}
+
+/// A dead life's record stays in the store while that can't be reached, and is
+/// read again beside the living one's.
+async fn rereads_list() -> Result<()> {
+    let (world, _, _) = successor_at_work().await?;
     world.store.set_faults(StoreFaults {
         down: true,
         ..StoreFaults::default()
@@ -441,13 +448,7 @@
 /// What a dead runner wrote while it was cut off may arrive after its successor
 /// has come.
 async fn late_record() -> Result<()> {
-    let world = TestWorld::start(2, 3).await?;
-    let (runner, vm) = world.fleet.living()[0].clone();
-    world.fleet.crash(&runner);
-    world.begin_runner(&vm);
-    sleep_ms(1_500).await;
-    world.submit("j", job("work 4000", &[8])).await?;
-    sleep_ms(1_000).await;
+    let (world, runner, vm) = successor_at_work().await?;
     let key = format!("runner/{runner}");
     world.store.put(&key, None, 0);
     sleep_ms(400).await;
