Begin no leave of a VM whose permit is withdrawn in the same plan

The withdrawal raises the fence, so the leave took a permit and was then void on the fence it was planned on; the next plan held the same two, for ever. Ruled out: the stores' answers and the steward's view (the kept logs show fresh reads).

--- a/crates/hoisthitch-core/src/fleet.rs
+++ b/crates/hoisthitch-core/src/fleet.rs
@@ -223,7 +223,7 @@
         let mut room = spare.min(self.room());
         let mut actions = Vec::new();
         for (hall, assignment) in assignments(self.snapshot, &self.row.name) {
-            let wanted = assignment.state == AssignmentState::Serving;
+            let wanted = assignment.state == AssignmentState::Serving && self.may_begin(assignment);
             if let Some(task @ VmTask::Move { .. }) = &assignment.task
                 && wanted
                 && room > 0
@@ -255,6 +255,9 @@
                 if room == 0 {
                     break;
                 }
+                if !self.may_begin(candidate.assignment) {
+                    continue;
+                }
                 room -= 1;
                 let task = VmTask::Maintain {
                     wave: wave.name.clone(),
@@ -274,6 +277,15 @@
         }
     }
 
+    /// Whether a VM may begin to leave. One with a permit is left out: its permit
+    /// is withdrawn first, which raises the fence, so that what is planned on the
+    /// fence before would take a permit again and fail.
+    fn may_begin(&self, assignment: &VmAssignment) -> bool {
+        !self
+            .ledger()
+            .is_some_and(|ledger| ledger.holds(&assignment.vm))
+    }
+
     /// VMs that the budget still lets be absent.
     fn room(&self) -> usize {
         let none = PermitLedger::default();
