--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -96,11 +96,7 @@
     }
 
     pub(crate) fn holds_lasting(&self, runner: &RunnerEntry) -> bool {
-        runner
-            .tasks
-            .iter()
-            .filter_map(|task| self.jobs.get(task.job)?.step_of(task.slot))
-            .any(|step| step.lasting)
+        runner.tasks.iter().any(|task| self.lasts(*task))
     }
 
     /// Tasks on the runner that would disturb the step's, or be disturbed.
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -1,6 +1,9 @@
 //! Says when a runner's VM may go down for upkeep or a move.
 
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 
 use crate::{
     Millis,
@@ -49,13 +52,9 @@
         if !runner.open {
             return UpkeepView::Held;
         }
-        let lasting = |task: &&TaskRef| {
-            let job = self.jobs.get(task.job);
-            job.and_then(|job| job.step_of(task.slot))
-                .is_some_and(|step| step.lasting)
-        };
-        let short = runner.tasks.iter().filter(|task| !lasting(task)).count();
-        if !self.may_miss(&runner.tasks.iter().copied().collect::<Vec<_>>()) {
+        let short = runner.tasks.iter().filter(|task| !self.lasts(**task));
+        let short = short.count();
+        if !self.may_end(&runner.tasks.iter().copied().collect::<Vec<_>>()) {
             return UpkeepView::Held;
         }
         match short {
@@ -64,22 +63,47 @@
         }
     }
 
-    /// Whether these tasks may be away together, beside those that are.
-    fn may_miss(&self, tasks: &[TaskRef]) -> bool {
-        let mut ending: HashMap<(JobKey, u32, u32), u32> = HashMap::new();
+    /// Whether the VM of a runner that is not in the list may go down now, by
+    /// the tasks that were recorded there; none when there are none. A runner's
+    /// record lapses in an outage of the store while the runner works on.
+    pub fn unlisted_view(&self, name: &str) -> Option<UpkeepView> {
+        let mut short = 0;
+        for (task, entry) in self.active_tasks() {
+            let here =
+                matches!(&entry.place, TaskPlace::Unlocated { runner, .. } if runner == name);
+            if !here {
+                continue;
+            }
+            if self.lasts(task) {
+                return Some(UpkeepView::Held);
+            }
+            short += 1;
+        }
+        (short > 0).then_some(UpkeepView::Busy(short))
+    }
+
+    /// Whether the task is of a step that lasts.
+    pub(crate) fn lasts(&self, task: TaskRef) -> bool {
+        let job = self.jobs.get(task.job);
+        job.and_then(|job| job.step_of(task.slot))
+            .is_some_and(|step| step.lasting)
+    }
+
+    /// Whether these tasks may be ended together, beside those that are away.
+    /// Each of them counts, for it may have come to work since its runner last
+    /// told.
+    fn may_end(&self, tasks: &[TaskRef]) -> bool {
+        let mut ending: HashMap<(JobKey, u32, u32), HashSet<usize>> = HashMap::new();
         for task in tasks {
             let Some(entry) = self.task(*task) else {
                 continue;
             };
-            let at_work =
-                entry.away_since.is_none() && matches!(entry.place, TaskPlace::Running(_));
-            if at_work {
-                *ending
-                    .entry((task.job, entry.round, entry.step))
-                    .or_insert(0) += 1;
+            if is_ordered(&entry.place) {
+                let step = (task.job, entry.round, entry.step);
+                ending.entry(step).or_default().insert(task.slot);
             }
         }
-        ending.into_iter().all(|((key, round, step), count)| {
+        ending.into_iter().all(|((key, round, step), slots)| {
             let Some(job) = self.jobs.get(key) else {
                 return true;
             };
@@ -92,11 +116,11 @@
             let away = job
                 .tasks
                 .iter()
-                .filter(|task| task.round == round && task.step == step)
-                .filter(|task| !self.is_at_work(task))
+                .enumerate()
+                .filter(|(_, task)| task.round == round && task.step == step)
+                .filter(|(slot, task)| slots.contains(slot) || !self.is_at_work(task))
                 .count();
-            job.phase.is_final()
-                || u32::try_from(away).is_ok_and(|away| away + count <= spec.may_miss)
+            job.phase.is_final() || u32::try_from(away).is_ok_and(|away| away <= spec.may_miss)
         })
     }
 
@@ -121,7 +145,7 @@
         let tasks: Vec<TaskRef> = runner.tasks.iter().copied().collect();
         let crowded = tasks.iter().copied().find(|task| {
             let at_work = self.task(*task).is_some_and(|entry| self.is_at_work(entry));
-            at_work && self.is_crowded(*task, &tasks) && self.may_miss(&[*task])
+            at_work && self.is_crowded(*task, &tasks) && self.may_end(&[*task])
         });
         let Some(task) = crowded else {
             return false;
@@ -159,3 +183,11 @@
         }
     }
 }
+
+/// Whether a runner may run the task by now.
+fn is_ordered(place: &TaskPlace) -> bool {
+    matches!(
+        place,
+        TaskPlace::Ordered(_) | TaskPlace::Running(_) | TaskPlace::Stopping(_)
+    )
+}
--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -14,6 +14,7 @@
     EndedTask,
     HoldReport,
     JobPhase,
+    JobProgress,
     JobSpec,
     JobSubmission,
     NewJob,
@@ -29,6 +30,9 @@
     StartOutcome,
     StepSpec,
     TaskNeed,
+    TaskPhase,
+    TaskProgress,
+    UpkeepView,
     plan_moves, //
 };
 use hoisthitch_tests::cases;
@@ -50,6 +54,8 @@
     runner_that_fails_everything_is_shunned_and_tried_again => shunned();
     unanswered_start_is_sent_again_under_its_run => unanswered();
     lasting_tasks_are_spread_and_keep_together => spread();
+    task_that_may_be_at_work_by_now_counts_for_an_upkeep => upkeep_counts_starting();
+    runner_that_is_not_listed_counts_with_its_tasks => upkeep_counts_unlisted();
     lack_is_met_from_what_is_off_first => balance_off_first();
     vms_on_their_way_are_counted => balance_counts_sent();
     floor_is_kept => balance_floor();
@@ -430,6 +436,62 @@
     Ok(())
 }
 
+/// A lasting step with one task on each runner, of which one may be away.
+fn lasting_step(count: u32) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        may_miss: 1,
+        spread: 1,
+        ..step(count)
+    }
+}
+
+/// Two tasks were started a moment ago. Each may have come to work since its
+/// runner last told, so that neither VM can go down.
+async fn upkeep_counts_starting() -> Result<()> {
+    let mut state = pool_of(6, 8);
+    state.add_job(new_job("a", vec![lasting_step(4)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    for order in &orders {
+        let percent = if order.name.index < 2 { 60 } else { 100 };
+        let report = HoldReport {
+            clock_ms: 1_200,
+            running: running_on(&state, order.runner, None, percent),
+            ended: Vec::new(),
+        };
+        state.take_hold(order.runner, &report, 1_199, 1_200);
+    }
+    for order in &orders {
+        let view = state.upkeep_view(order.runner);
+        ensure!(view == UpkeepView::Held, "{}: {view:?}", order.name);
+    }
+    Ok(())
+}
+
+/// A new owner may hear of the wave before it hears of the runner.
+async fn upkeep_counts_unlisted() -> Result<()> {
+    let mut state = PoolState::new(9_000);
+    let ordered = |runner: &str| TaskProgress {
+        phase: TaskPhase::Ordered,
+        run: 1,
+        runner: runner.to_owned(),
+        ..TaskProgress::default()
+    };
+    let job = NewJob {
+        progress: Some(JobProgress {
+            phase: JobPhase::Running,
+            tasks: vec![ordered("i-0"), ordered("i-1")],
+        }),
+        ..new_job("a", vec![lasting_step(2)])
+    };
+    state.add_job(job, 1_000);
+    ensure!(state.unlisted_view("i-0") == Some(UpkeepView::Held));
+    ensure!(state.unlisted_view("i-5").is_none());
+    state.expire(9_001);
+    ensure!(state.unlisted_view("i-0").is_none());
+    Ok(())
+}
+
 fn share(want: u32, vms: &[&str]) -> PoolShare {
     PoolShare {
         want,
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -35,14 +35,7 @@
         let now = self.now();
         match request {
             VmRequest::Leave { runner, reply } => {
-                let view = self.state.runner_key(&runner).map(|key| {
-                    self.state.set_leaving(key, true);
-                    let view = self.state.upkeep_view(key);
-                    if view == UpkeepView::Held && self.state.relocate_one(key, now) {
-                        return UpkeepView::Busy(1);
-                    }
-                    view
-                });
+                let view = self.prepare_leave(&runner, now);
                 // A worker that is gone asks again.
                 let _ = reply.send(view);
             }
@@ -82,6 +75,20 @@
         }
     }
 
+    /// Has a runner emptied; answers how far that is, or nothing when the runner
+    /// is not known and nothing was recorded on it.
+    fn prepare_leave(&mut self, runner: &str, now: Millis) -> Option<UpkeepView> {
+        let Some(key) = self.state.runner_key(runner) else {
+            return self.state.unlisted_view(runner);
+        };
+        self.state.set_leaving(key, true);
+        let view = self.state.upkeep_view(key);
+        if view == UpkeepView::Held && self.state.relocate_one(key, now) {
+            return Some(UpkeepView::Busy(1));
+        }
+        Some(view)
+    }
+
     /// Takes in the runners of the pool, and the policies in force.
     pub(super) fn sync_fleet(&mut self) {
         let now = self.now();
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -51,6 +51,7 @@
     wave_goes_on_under_a_new_owner => takes_wave_over();
     wave_moves_lasting_tasks_that_stand_too_close => moves_crowded();
     wave_counts_tasks_of_silent_runners_as_away => counts_silent();
+    wave_under_a_new_owner_waits_for_runners_that_are_not_listed => counts_unlisted();
     vm_that_went_down_is_not_counted => counts_down();
     crash_before_the_upkeep_is_no_upkeep => crash_is_no_upkeep();
 }
@@ -411,6 +412,34 @@
     kept(&world)
 }
 
+/// The records of two runners lapse, as in an outage of the store, and the owner
+/// is lost: its successor knows the runners by what was recorded of the tasks.
+async fn counts_unlisted() -> Result<()> {
+    let world = TestWorld::start(3, 6).await?;
+    world.submit("long", lasting(4, 1)).await?;
+    sleep_ms(5_000).await;
+    let busy = world.fleet.busy();
+    let living = world.fleet.living();
+    let lapsed: Vec<_> = living
+        .iter()
+        .filter(|(name, _)| busy[..2].contains(name))
+        .collect();
+    for (name, _) in &lapsed {
+        world.store.put(&format!("runner/{name}"), None, 0);
+    }
+    world.nodes[&world.owner()].kill();
+    let vms: Vec<&str> = lapsed.iter().map(|(_, vm)| vm.as_str()).collect();
+    world
+        .store
+        .put("op/wave/1", Some(vms.join(",").as_bytes()), 0);
+    for _ in 0..150 {
+        sleep_ms(100).await;
+        world.revive();
+    }
+    ensure!(world.fleet.upkeeps().0 == 2, "{:?}", world.fleet.upkeeps());
+    kept(&world)
+}
+
 /// The record of a life that is over stays in the store for some heartbeats.
 async fn counts_down() -> Result<()> {
     let world = TestWorld::start(2, 4).await?;
