Level pools while none lacks VMs, instead of turning off what was not wanted for 3 s

Cause of late work at the start of a rise: VMs were off or on their way off (1.5 s of a move, 3.2 s in which no second holder may order, 1.5 s back) while a pool's work rose. A move costs about a VM-second, so that turning off for some seconds saves nothing. Change: VMs go to pools that lack them for their work first (givers keep half of an even share), then all pools are filled to 95 percent of an even share; the rest is turned off.

--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -49,76 +49,109 @@
     pub count: usize,
 }
 
-/// Part of an even share of all VMs that each pool keeps whatever it needs, in
-/// percent: work comes sooner than a VM can be moved, and what is late for want
-/// of one earns less than the VM costs.
-const FLOOR_PERCENT: usize = 60;
+/// Part of an even share of all VMs that a pool keeps though others lack VMs, in
+/// percent: work comes sooner than a VM can be moved.
+const GIVE_FLOOR_PERCENT: usize = 50;
 
-/// Works out the moves that are due.
+/// Part of an even share of all VMs up to which each pool is filled while no pool
+/// lacks VMs, in percent; what is beyond is turned off. A VM that is off for some
+/// seconds costs two moves, which cost as much as it saves, and is late when it
+/// is wanted: measured, see docs/MEASURED.md.
+const LEVEL_PERCENT: usize = 95;
+
+/// A pool while moves are worked out.
+struct PoolLevel<'a> {
+    name: &'a String,
+    share: &'a PoolShare,
+    /// VMs that stay in it and may be given.
+    staying: usize,
+    /// VMs that it has or gets.
+    have: usize,
+    /// Whether it gives VMs; such a pool gets none.
+    gives: bool,
+}
+
+impl PoolLevel<'_> {
+    /// VMs that it needs for its work; a pool that lacks VMs gives none.
+    fn needed(&self) -> usize {
+        to_usize(self.share.keep.max(self.share.want))
+    }
+
+    /// Part of what it wants that it lacks, in thousandths.
+    fn missing_part(&self, wanted: usize) -> usize {
+        wanted.saturating_sub(self.have) * 1_000 / wanted.max(1)
+    }
+}
+
+/// Works out the moves that are due: first to pools that lack VMs for their work,
+/// then to those below an even share; what is beyond is turned off.
 pub fn plan_moves(pools: &BTreeMap<String, PoolShare>) -> Vec<PoolMove> {
-    let floor = pool_floor(pools);
-    let have: BTreeMap<&String, usize> = pools
-        .keys()
-        .map(|pool| (pool, count_vms(pools, pool)))
-        .collect();
-    let mut surplus: Vec<(&String, usize)> = pools
-        .iter()
-        .map(|(pool, share)| {
-            let staying = share.vms.len() - share.sent_here();
-            let keep = if share.spare {
-                0
-            } else {
-                // A pool that lacks VMs gives none, however few it keeps.
-                to_usize(share.keep.max(share.want)).max(floor)
-            };
-            (pool, staying.saturating_sub(keep))
-        })
-        .filter(|(_, count)| *count > 0)
-        .collect();
-    // What is off costs nothing to give; then the pool with the most.
-    surplus.sort_by_key(|(pool, count)| {
-        let spare = pools.get(*pool).is_some_and(|share| share.spare);
-        (!spare, std::cmp::Reverse(*count), (*pool).clone())
-    });
-    let mut shortage: Vec<(&String, usize)> = pools
+    let mut levels: Vec<PoolLevel<'_>> = pools
         .iter()
-        .filter(|(_, share)| !share.spare)
-        .map(|(pool, share)| {
-            let have = have.get(pool).copied().unwrap_or(0);
-            (pool, to_usize(share.want).max(floor).saturating_sub(have))
+        .map(|(name, share)| PoolLevel {
+            name,
+            share,
+            staying: share.vms.len() - share.sent_here(),
+            have: count_vms(pools, name),
+            gives: false,
         })
-        .filter(|(_, count)| *count > 0)
         .collect();
+    let floor = part_of_even(pools, GIVE_FLOOR_PERCENT);
+    let level = part_of_even(pools, LEVEL_PERCENT);
     let mut moves = Vec::new();
-    // One VM after the other goes to the pool that has the smallest part of
-    // what it wants, so that none takes all.
-    while let Some((to, missing)) = shortage
-        .iter_mut()
-        .filter(|(_, missing)| *missing > 0)
-        .max_by_key(|(pool, missing)| (missing_part(pools, pool, *missing), *pool))
-    {
-        let Some((from, left)) = surplus.iter_mut().find(|(_, left)| *left > 0) else {
-            break;
-        };
-        *missing -= 1;
-        *left -= 1;
-        add_move(&mut moves, from, to);
-    }
-    moves.extend(park(pools, &surplus, floor));
+    fill(
+        &mut levels,
+        &mut moves,
+        |pool| to_usize(pool.share.want).max(floor),
+        |pool| pool.needed().max(floor),
+    );
+    let held = |pool: &PoolLevel<'_>| pool.needed().max(to_usize(pool.share.hold)).max(level);
+    fill(&mut levels, &mut moves, |_| level, held);
+    park(&levels, &mut moves, held);
     moves
 }
 
-/// VMs that each pool keeps.
-fn pool_floor(pools: &BTreeMap<String, PoolShare>) -> usize {
+/// Part of an even share of all VMs, in VMs.
+fn part_of_even(pools: &BTreeMap<String, PoolShare>, percent: usize) -> usize {
     let vms: usize = pools.values().map(|share| share.vms.len()).sum();
     let active = pools.values().filter(|share| !share.spare).count();
-    vms * FLOOR_PERCENT / 100 / active.max(1)
+    vms * percent / 100 / active.max(1)
 }
 
-/// Part of what a pool wants that it lacks, in thousandths.
-fn missing_part(pools: &BTreeMap<String, PoolShare>, pool: &str, missing: usize) -> usize {
-    let want = pools.get(pool).map_or(1, |share| to_usize(share.want));
-    missing * 1_000 / want.max(1)
+/// Gives one VM after the other to the pool that has the smallest part of what is
+/// wanted, so that none takes all. VMs that are off are given first, then those
+/// of the pool with the most to spare.
+fn fill(
+    levels: &mut [PoolLevel<'_>],
+    moves: &mut Vec<PoolMove>,
+    wanted: impl Fn(&PoolLevel<'_>) -> usize,
+    kept: impl Fn(&PoolLevel<'_>) -> usize,
+) {
+    let surplus = |pool: &PoolLevel<'_>| {
+        let kept = if pool.share.spare { 0 } else { kept(pool) };
+        pool.staying.saturating_sub(kept)
+    };
+    loop {
+        let to = (0..levels.len())
+            .filter_map(|index| Some((index, levels.get(index)?)))
+            .filter(|(_, pool)| !pool.share.spare && !pool.gives && wanted(pool) > pool.have)
+            .max_by_key(|(_, pool)| (pool.missing_part(wanted(pool)), pool.name))
+            .map(|(index, _)| index);
+        let from = (0..levels.len())
+            .filter_map(|index| Some((index, levels.get(index)?)))
+            .filter(|(_, pool)| surplus(pool) > 0)
+            .max_by_key(|(_, pool)| (pool.share.spare, surplus(pool), pool.name))
+            .map(|(index, _)| index);
+        let (Some(to), Some(from)) = (to, from) else {
+            return;
+        };
+        let (giver, taker) = (levels[from].name, levels[to].name);
+        add_move(moves, giver, taker);
+        levels[from].gives = true;
+        levels[from].staying -= 1;
+        levels[from].have = levels[from].have.saturating_sub(1);
+        levels[to].have += 1;
+    }
 }
 
 fn add_move(moves: &mut Vec<PoolMove>, from: &str, to: &str) {
@@ -138,27 +171,18 @@
 
 /// Moves what nobody wanted for seconds to a pool whose VMs are off.
 fn park(
-    pools: &BTreeMap<String, PoolShare>,
-    surplus: &[(&String, usize)],
-    floor: usize,
-) -> Vec<PoolMove> {
-    let Some((off, _)) = pools.iter().find(|(_, share)| share.spare) else {
-        return Vec::new();
+    levels: &[PoolLevel<'_>],
+    moves: &mut Vec<PoolMove>,
+    kept: impl Fn(&PoolLevel<'_>) -> usize,
+) {
+    let Some(off) = levels.iter().find(|pool| pool.share.spare) else {
+        return;
     };
-    let idle = surplus.iter().filter_map(|(pool, left)| {
-        let share = pools.get(*pool).filter(|share| !share.spare)?;
-        // The surplus is counted above what is kept; more may be held.
-        let keep = to_usize(share.keep.max(share.want)).max(floor);
-        let hold = to_usize(share.hold).max(floor);
-        let count = left.saturating_sub(hold.saturating_sub(keep));
-        (count > 0).then_some((*pool, count))
-    });
-    idle.map(|(pool, count)| PoolMove {
-        from: pool.clone(),
-        to: off.clone(),
-        count,
-    })
-    .collect()
+    for pool in levels.iter().filter(|pool| !pool.share.spare) {
+        for _ in kept(pool)..pool.staying {
+            add_move(moves, pool.name, off.name);
+        }
+    }
 }
 
 /// VMs that are in a pool or on their way to it.
