Look for room once for what needs as much, while a plan is made

Change: needs without room are remembered for the time of a plan, in which room only shrinks; one task of a step stands for the others.

--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -57,7 +57,7 @@
                 .min_by(|left, right| left.0.total_cmp(&right.0))
                 .map(|(_, key)| key)
         };
-        best(failed_on).or_else(|| best(None))
+        best(failed_on).or_else(|| failed_on.and_then(|_| best(None)))
     }
 
     /// Tasks of the same step on the runner.
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -10,6 +10,10 @@
     pool::PoolState,
     record::JobProgress,
     runner::RunnerKey,
+    spec::{
+        StepSpec,
+        TaskNeed, //
+    },
     task::{
         StartOrder,
         TaskPlace,
@@ -31,6 +35,39 @@
     starts: Vec<(TaskRef, u32)>,
 }
 
+/// Needs for which no runner has room. Room only shrinks while a plan is made, so
+/// that whatever needs as much finds none either, and under a backlog the
+/// runners need not be looked through for each task that waits.
+#[derive(Default)]
+struct FullNeeds {
+    needs: Vec<TaskNeed>,
+}
+
+impl FullNeeds {
+    fn rule_out(&self, step: &StepSpec) -> bool {
+        let room = room_of(step);
+        self.needs.iter().any(|full| {
+            full.cpu_milli <= room.cpu_milli
+                && full.memory_mb <= room.memory_mb
+                && full.gpus <= room.gpus
+        })
+    }
+}
+
+/// Room that a task of the step takes.
+fn room_of(step: &StepSpec) -> TaskNeed {
+    let cpu_milli = if step.filler { 0 } else { step.need.cpu_milli };
+    TaskNeed {
+        cpu_milli,
+        ..step.need
+    }
+}
+
+/// Whether any runner with room may run a task of the step.
+fn is_unbound(step: &StepSpec) -> bool {
+    step.label.is_none() && step.spread == 0
+}
+
 impl PoolState {
     /// Begins rounds that are due by the time of day `today_ms`.
     pub fn begin_rounds(&mut self, now: Millis, today_ms: u64) {
@@ -65,8 +102,9 @@
     pub fn plan(&mut self, now: Millis) -> usize {
         self.plan_needed = false;
         let mut planned = 0;
+        let mut full = FullNeeds::default();
         for key in self.plan_order(now) {
-            planned += self.plan_job(key, now);
+            planned += self.plan_job(key, &mut full, now);
         }
         planned
     }
@@ -109,7 +147,7 @@
         (job.accepted_at + objective).saturating_sub(left + ANSWER_MS)
     }
 
-    fn plan_job(&mut self, key: JobKey, now: Millis) -> usize {
+    fn plan_job(&mut self, key: JobKey, full: &mut FullNeeds, now: Millis) -> usize {
         let Some(job) = self.jobs.get(key) else {
             return 0;
         };
@@ -121,11 +159,15 @@
             .map(|(slot, _)| TaskRef { job: key, slot })
             .collect();
         let mut planned = self.plan_gangs(key, now);
+        let mut full_step = None;
         for task in ready {
-            if self.is_gang(task) {
+            let step = self.task(task).map(|entry| (entry.round, entry.step));
+            if self.is_gang(task) || step == full_step {
                 continue;
             }
-            let Some(runner) = self.choose_runner(task, None, now) else {
+            let Some(runner) = self.choose_unless_full(task, full, now) else {
+                // What one task of a step finds no room for, none does.
+                full_step = step;
                 continue;
             };
             self.set_place(task, TaskPlace::Planned(runner), now);
@@ -138,6 +180,24 @@
         planned
     }
 
+    fn choose_unless_full(
+        &self,
+        task: TaskRef,
+        full: &mut FullNeeds,
+        now: Millis,
+    ) -> Option<RunnerKey> {
+        let step = self.jobs.get(task.job)?.step_of(task.slot)?;
+        if full.rule_out(step) {
+            return None;
+        }
+        let chosen = self.choose_runner(task, None, now);
+        let advised = self.jobs.get(task.job)?.policy.advised;
+        if chosen.is_none() && !advised && is_unbound(step) {
+            full.needs.push(room_of(step));
+        }
+        chosen
+    }
+
     /// Whether anything has to be written.
     pub fn needs_flush(&self) -> bool {
         self.active
