--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -145,15 +145,15 @@
         *mean = (*mean * (LEARN_PART - 1) + time) / LEARN_PART;
     }
 
-    /// Notes the work of a job that came in.
-    pub(crate) fn note_arrival(&mut self, job: &JobEntry, now: Millis) {
+    /// Notes the work of a job that came in at `at`.
+    pub(crate) fn note_arrival(&mut self, job: &JobEntry, at: Millis, now: Millis) {
         let time = self.task_time(&job.queue);
         let steps = job.spec.steps.iter().filter(|step| !step.lasting);
         let work = steps.map(|step| u64::from(step.count) * step.need.cpu_milli * time);
         let work = work.sum();
         let [.., longest] = ARRIVAL_WINDOWS_MS;
         self.arrivals.retain(|(at, _)| at + longest > now);
-        self.arrivals.push((now, work));
+        self.arrivals.push((at, work));
     }
 
     /// VMs of the pool's runners.
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -60,6 +60,8 @@
     pub(crate) stops: Vec<StopOrder>,
     /// Whether a job without records was taken in, or a task became free.
     pub(crate) plan_needed: bool,
+    /// Tasks of which it is not known whether they run, and where.
+    unlocated: usize,
     /// When everything that earlier owners ordered has ended.
     inherited_until: Millis,
     /// Mean time of a task, by queue, in milliseconds.
@@ -106,8 +108,10 @@
             job.ended_at = Some(now);
         }
         if !settled {
-            self.note_arrival(&job, now);
+            // What a new owner finds came in before it.
+            self.note_arrival(&job, accepted_at.min(now), now);
         }
+        self.unlocated += count_unlocated(&job);
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
         if !settled {
@@ -302,6 +306,9 @@
     }
 
     pub(crate) fn settle_unlocated(&mut self, ended: impl Fn(&str, Millis) -> bool, now: Millis) {
+        if self.unlocated == 0 {
+            return;
+        }
         let settled: Vec<TaskRef> = self
             .active_tasks()
             .filter(|(_, task)| match &task.place {
@@ -358,6 +365,9 @@
             return;
         };
         let before = entry.runner();
+        if matches!(entry.place, TaskPlace::Unlocated { .. }) {
+            self.unlocated = self.unlocated.saturating_sub(1);
+        }
         if matches!(place, TaskPlace::Running(_)) {
             entry.began_at = now;
         }
@@ -448,13 +458,22 @@
     /// Forgets a job.
     pub fn forget_job(&mut self, id: &str) {
         if let Some(key) = self.job_ids.remove(id) {
-            self.jobs.remove(key);
+            if let Some(job) = self.jobs.remove(key) {
+                self.unlocated = self.unlocated.saturating_sub(count_unlocated(&job));
+            }
             self.advice.retain(|(job, _, _), _| *job != key);
             self.active.retain(|active| *active != key);
         }
     }
 }
 
+fn count_unlocated(job: &JobEntry) -> usize {
+    let tasks = job.tasks.iter();
+    tasks
+        .filter(|task| matches!(task.place, TaskPlace::Unlocated { .. }))
+        .count()
+}
+
 fn is_settled(place: &TaskPlace) -> bool {
     matches!(place, TaskPlace::Waiting | TaskPlace::Done)
 }
