--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -31,6 +31,7 @@
     StepSpec,
     TaskNeed,
     TaskPhase,
+    TaskPlace,
     TaskProgress,
     UpkeepView,
     plan_moves, //
@@ -59,6 +60,8 @@
     lack_is_met_from_what_is_off_first => balance_off_first();
     vms_on_their_way_are_counted => balance_counts_sent();
     floor_is_kept => balance_floor();
+    pools_are_levelled_while_none_lacks_vms => balance_levels();
+    jobs_of_an_earlier_owner_are_no_rise => no_false_rise();
     pool_that_lacks_vms_gives_none => balance_gives_none();
     bad_specs_are_refused => bad_specs();
 }
@@ -540,7 +543,44 @@
         ("b".to_owned(), share(0, &["b1", "b2", "b3", "b4", "b5"])),
     ]);
     let given: usize = plan_moves(&pools).iter().map(|order| order.count).sum();
-    ensure!(given == 2, "{given} VMs");
+    ensure!(given == 3, "{given} VMs");
+    Ok(())
+}
+
+/// VMs that are off are given to pools that need none now, up to their level;
+/// what is beyond it is turned off, and no pool gives and gets.
+async fn balance_levels() -> Result<()> {
+    let names: Vec<String> = (0..20).map(|vm| format!("vm-{vm}")).collect();
+    let vms: Vec<&str> = names.iter().map(String::as_str).collect();
+    let off = PoolShare {
+        spare: true,
+        ..share(0, &vms[..6])
+    };
+    let pools = BTreeMap::from([
+        ("a".to_owned(), share(0, &vms[6..8])),
+        ("b".to_owned(), share(0, &vms[8..20])),
+        ("off".to_owned(), off),
+    ]);
+    let moves = plan_moves(&pools);
+    let count = |from: &str, to: &str| -> usize {
+        let between = moves.iter().filter(|m| m.from == from && m.to == to);
+        between.map(|m| m.count).sum()
+    };
+    // An even share is 10 VMs, the level 9.
+    ensure!(count("off", "a") == 6, "{moves:?}");
+    ensure!(count("b", "a") == 1 && count("b", "off") == 2, "{moves:?}");
+    ensure!(moves.len() == 3, "{moves:?}");
+    Ok(())
+}
+
+/// A new owner finds all jobs at once; they came in over a long time.
+async fn no_false_rise() -> Result<()> {
+    let mut state = pool_of(4, 8);
+    for number in 0..200 {
+        state.add_job(new_job(&format!("job-{number}"), vec![step(8)]), 30_000);
+    }
+    let wanted = state.wanted_vms(30_000);
+    ensure!(wanted.steady == 0, "{wanted:?}");
     Ok(())
 }
 
@@ -580,6 +620,31 @@
 }
 
 quickcheck! {
+    /// No task waits that a runner has room for, whatever was found to be full
+    /// before it.
+    fn nothing_waits_beside_room(needs: Vec<(u8, u8, bool)>) -> bool {
+        let mut state = pool_of(3, 4);
+        for (number, (cpu, memory, far)) in needs.iter().take(40).enumerate() {
+            let wanted = StepSpec {
+                need: TaskNeed {
+                    cpu_milli: u64::from(cpu % 40) * 100,
+                    memory_mb: u64::from(memory % 40) * 250,
+                    gpus: 0,
+                },
+                data_rack: far.then(|| "r-1".to_owned()),
+                ..step(2)
+            };
+            state.add_job(new_job(&format!("job-{number}"), vec![wanted]), 1_000);
+        }
+        state.begin_rounds(1_000, 0);
+        state.plan(1_000);
+        let jobs = (0..needs.len().min(40)).filter_map(|number| state.job(&format!("job-{number}")));
+        jobs.flat_map(|job| (0..job.tasks.len()).map(move |slot| (job, slot)))
+            .filter(|(job, slot)| job.tasks[*slot].place == TaskPlace::Waiting)
+            .filter_map(|(job, slot)| job.step_of(slot))
+            .all(|step| state.runners().all(|(_, runner)| !runner.fits(step)))
+    }
+
     /// No runner is ever planned over its capacity, and each task once.
     fn plans_keep_to_capacity(counts: Vec<u8>, runners: u8) -> bool {
         let mut state = pool_of(u32::from(runners % 6) + 1, 4);
--- a/crates/hoisthitch-scheduler/src/vms.rs
+++ b/crates/hoisthitch-scheduler/src/vms.rs
@@ -91,7 +91,7 @@
 const ARRIVE_MS: Millis = 6_000;
 
 /// Moves that a pool makes in one look; the platform takes 64 a second of all.
-pub(crate) const SPARE_LIMIT: usize = 12;
+pub(crate) const SPARE_LIMIT: usize = 40;
 
 /// What the VM worker asks the owner.
 #[derive(Debug)]
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -43,9 +43,10 @@
     }, //
 };
 
-/// VMs of a pool that are emptied at once. More would cost a pool of about ten
-/// VMs too much of its room.
-const EMPTY_AT_ONCE: usize = 1;
+/// Part of the VMs of a pool that are emptied at once: one in this many, and one
+/// at least. More would cost the pool too much of its room, fewer would make the
+/// waves of large pools late.
+const EMPTY_PART: usize = 10;
 
 /// Time after an order for upkeep in which the list shows the VM as down, in
 /// milliseconds; an upkeep takes two seconds.
@@ -137,8 +138,10 @@
         // What is being emptied already goes on.
         waiting.sort_by_key(|row| !self.leaving.contains_key(&row.name));
         let mut emptied = 0;
+        let own = rows.iter().filter(|row| row.pool == self.context.pool);
+        let at_once = (own.count() / EMPTY_PART).max(1);
         for row in waiting {
-            if emptied >= EMPTY_AT_ONCE {
+            if emptied >= at_once {
                 break;
             }
             let view = self.ask_row(row).await;
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -48,6 +48,7 @@
     late_record_of_a_dead_life_ends_nothing => late_record();
     new_owner_stops_nothing_that_lasts => keeps_lasting();
     wave_takes_every_vm_within_its_limits => takes_wave();
+    wave_of_a_large_pool_empties_several_vms_at_once => takes_large_wave();
     wave_goes_on_under_a_new_owner => takes_wave_over();
     wave_moves_lasting_tasks_that_stand_too_close => moves_crowded();
     wave_counts_tasks_of_silent_runners_as_away => counts_silent();
@@ -355,6 +356,25 @@
     kept(&world)
 }
 
+/// Sixty VMs, all of which may be down at once: one after the other would take
+/// longer than fifteen seconds.
+async fn takes_large_wave() -> Result<()> {
+    let world = TestWorld::start(2, 60).await?;
+    sleep_ms(2_000).await;
+    let list: Vec<String> = (0..60).map(|vm| format!("vm-{vm}")).collect();
+    let order = format!("60:{}", list.join(","));
+    world.store.put("op/wave/1", Some(order.as_bytes()), 0);
+    for tenth in 0..90 {
+        sleep_ms(100).await;
+        world.revive();
+        if world.store.get("status/wave/1").as_deref() == Some(b"completed") {
+            ensure!(world.fleet.upkeeps().0 == 60, "after {tenth} tenths");
+            return kept(&world);
+        }
+    }
+    eyre::bail!("{} upkeeps in 9 s", world.fleet.upkeeps().0)
+}
+
 async fn takes_wave_over() -> Result<()> {
     let world = TestWorld::start(3, 6).await?;
     world.submit("long", lasting(4, 1)).await?;
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -84,10 +84,12 @@
     fn wave(&self, key: &str, value: &[u8]) -> Option<Result<WaveOrder, String>> {
         let wave = key.strip_prefix("op/wave/")?.parse().ok()?;
         let text = String::from_utf8_lossy(value);
+        // VMs, or the number that may be down at once and the VMs.
+        let (at_once, vms) = text.split_once(':').unwrap_or(("2", &text));
         Some(Ok(WaveOrder {
             wave,
-            vms: text.split(',').map(str::to_owned).collect(),
-            at_once: 2,
+            vms: vms.split(',').map(str::to_owned).collect(),
+            at_once: at_once.parse().unwrap_or(2),
         }))
     }
 
