--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -176,6 +176,15 @@
         self.state.borrow().starts.get(task).copied().unwrap_or(0)
     }
 
+    /// Jobs of which a task was ever started.
+    pub fn started_jobs(&self) -> HashSet<String> {
+        let state = self.state.borrow();
+        let tasks = state.starts.keys();
+        tasks
+            .filter_map(|task| Some(task.split('.').next()?.to_owned()))
+            .collect()
+    }
+
     /// Tasks that run on living runners.
     pub fn running(&self) -> Vec<String> {
         self.settle();
