--- a/crates/hoisthitch-api/src/lib.rs
+++ b/crates/hoisthitch-api/src/lib.rs
@@ -1,8 +1,11 @@
-//! Messages of the operators' calls, between `hoisthitch` and an entry.
+//! Messages of the operators' calls, between `hoisthitch` and an entry or a node
+//! of the job service.
 //!
 //! The calls are JSON over HTTP. The table and the hall records travel as they
 //! stand in the store.
 
+mod job;
+
 use hoisthitch_core::{
     RowEdit,
     WaveProgress,
@@ -13,6 +16,14 @@
     Serialize, //
 };
 
+pub use job::{
+    JOBS_PATH,
+    JobAnswer,
+    JobCall,
+    QUEUES_PATH,
+    QueueRow, //
+};
+
 /// Path of the table.
 pub const TABLE_PATH: &str = "/table";
 
--- a/crates/hoisthitch-cli/src/client.rs
+++ b/crates/hoisthitch-cli/src/client.rs
@@ -65,6 +65,17 @@
         read_answer(&url, request.send_json(call)).await
     }
 
+    /// Takes back.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry can't be reached or refuses.
+    pub async fn delete<A: DeserializeOwned>(&self, path: &str) -> Result<A, CommandError> {
+        let url = self.url(path);
+        let request = self.signed(self.http.delete(&url));
+        read_answer(&url, request.send()).await
+    }
+
     fn url(&self, path: &str) -> String {
         format!("{}{path}", self.settings.entry.trim_end_matches('/'))
     }
--- /dev/null
+++ b/crates/hoisthitch-cli/src/commands/job.rs
@@ -0,0 +1,181 @@
+//! `hoisthitch job`: jobs, at a node of the job service.
+
+use std::{
+    path::PathBuf,
+    time::Duration, //
+};
+
+use argh::FromArgs;
+use eyre::{
+    Result,
+    WrapErr, //
+};
+use hoisthitch_api::{
+    JOBS_PATH,
+    JobAnswer,
+    JobCall,
+    QUEUES_PATH,
+    QueueRow, //
+};
+use hoisthitch_jobs::{
+    JobPhase,
+    JobSpec, //
+};
+
+use crate::{
+    client::EntryClient,
+    commands::CommandContext,
+    error::CommandError,
+    render::{
+        print_json,
+        print_rows, //
+    }, //
+};
+
+/// Time between two looks at a job that is watched.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// hand jobs in, follow and cancel them
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "job")]
+pub struct JobCommand {
+    #[argh(subcommand)]
+    action: JobAction,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum JobAction {
+    Submit(SubmitJob),
+    Status(ShowJob),
+    Cancel(CancelJob),
+    List(ListQueues),
+}
+
+/// hand a job in; the same id again is the same job
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "submit",
+    example = "hoisthitch job submit halls-hold examples/demo/job.json --watch"
+)]
+struct SubmitJob {
+    /// name of the queue; see 'hoisthitch job list'
+    #[argh(positional)]
+    queue: String,
+    /// file with the job's steps, in JSON
+    #[argh(positional)]
+    file: PathBuf,
+    /// identifier, of letters and digits (default: a random one)
+    #[argh(option)]
+    id: Option<String>,
+    /// show progress until the job has ended
+    #[argh(switch)]
+    watch: bool,
+}
+
+/// show how far a job is
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+struct ShowJob {
+    /// identifier of the job
+    #[argh(positional)]
+    id: String,
+    /// show progress until the job has ended
+    #[argh(switch)]
+    watch: bool,
+}
+
+/// cancel a job, and stop what runs of it
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cancel")]
+struct CancelJob {
+    /// identifier of the job
+    #[argh(positional)]
+    id: String,
+}
+
+/// show the queues, and how many jobs wait in each
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListQueues {}
+
+impl JobCommand {
+    /// Carries the command out.
+    pub async fn run(self, context: &CommandContext) -> Result<()> {
+        let client = context.job_client()?;
+        match self.action {
+            JobAction::Submit(args) => submit(context, &client, args).await,
+            JobAction::Status(args) => {
+                let job: JobAnswer = client.get(&job_path(&args.id)).await?;
+                follow(context, &client, job, args.watch).await
+            }
+            JobAction::Cancel(args) => {
+                let job: JobAnswer = client.delete(&job_path(&args.id)).await?;
+                show(context, &job)
+            }
+            JobAction::List(ListQueues {}) => {
+                let queues: Vec<QueueRow> = client.get(QUEUES_PATH).await?;
+                if context.json {
+                    return print_json(&queues);
+                }
+                print_rows(&queues)
+            }
+        }
+    }
+}
+
+async fn submit(context: &CommandContext, client: &EntryClient, args: SubmitJob) -> Result<()> {
+    let file = args.file.display();
+    let text = std::fs::read_to_string(&args.file).wrap_err_with(|| format!("{file}"))?;
+    let spec: JobSpec = serde_json::from_str(&text)
+        .map_err(|err| CommandError::Usage(format!("{file}: not a job: {err}")))?;
+    spec.check()
+        .map_err(|err| CommandError::Usage(format!("{file}: {err}")))?;
+    let id = args
+        .id
+        .unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+    let queue = args.queue;
+    let job: JobAnswer = client
+        .post(&job_path(&id), &JobCall { queue, spec })
+        .await?;
+    follow(context, client, job, args.watch).await
+}
+
+/// Shows a job, and with `watch` each change until it has ended.
+async fn follow(
+    context: &CommandContext,
+    client: &EntryClient,
+    mut job: JobAnswer,
+    watch: bool,
+) -> Result<()> {
+    show(context, &job)?;
+    while watch && !job.phase.is_final() {
+        actix_rt::time::sleep(WATCH_INTERVAL).await;
+        let now: JobAnswer = client.get(&job_path(&job.id)).await?;
+        if now != job {
+            show(context, &now)?;
+        }
+        job = now;
+    }
+    if watch && job.phase != JobPhase::Completed {
+        let JobAnswer { id, phase, .. } = job;
+        return Err(CommandError::Ended { id, phase }.into());
+    }
+    Ok(())
+}
+
+fn show(context: &CommandContext, job: &JobAnswer) -> Result<()> {
+    if context.json {
+        return print_json(job);
+    }
+    println!(
+        "{} {:?} in pool {}: {} tasks done, {} ordered, {} waiting, {} failed runs",
+        job.id, job.phase, job.pool, job.done, job.ordered, job.waiting, job.failed_runs
+    );
+    Ok(())
+}
+
+fn job_path(id: &str) -> String {
+    format!("{JOBS_PATH}/{id}")
+}
--- a/crates/hoisthitch-cli/src/commands/mod.rs
+++ b/crates/hoisthitch-cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Commands, one per file.
 
 mod check;
+mod job;
 mod keys;
 mod status;
 mod table;
@@ -14,6 +15,7 @@
 
 use crate::{
     client::EntryClient,
+    error::CommandError,
     settings::OperatorSettings, //
 };
 
@@ -34,6 +36,23 @@
     pub fn client(&self) -> Result<EntryClient> {
         Ok(EntryClient::new(OperatorSettings::load(&self.settings)?))
     }
+
+    /// Client of the node of the job service that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Reports the faults of the settings, or that they name no node.
+    pub fn job_client(&self) -> Result<EntryClient> {
+        let mut settings = OperatorSettings::load(&self.settings)?;
+        settings.entry = settings.jobs.clone().ok_or_else(|| {
+            let file = self.settings.display();
+            let example = "jobs = http://10.0.0.1:9464";
+            CommandError::Usage(format!(
+                "{file}: [operator] names no node of the job service; add {example}"
+            ))
+        })?;
+        Ok(EntryClient::new(settings))
+    }
 }
 
 /// A command.
@@ -42,6 +61,8 @@
 pub enum OperatorCommand {
     /// Checks a settings file.
     Check(check::CheckCommand),
+    /// Hands jobs in, follows and cancels them.
+    Job(job::JobCommand),
     /// Makes keys for tests.
     Keys(keys::KeysCommand),
     /// Shows an entry's status.
@@ -63,6 +84,7 @@
     pub async fn run(self, context: &CommandContext) -> Result<()> {
         match self {
             Self::Check(command) => command.run(),
+            Self::Job(command) => command.run(context).await,
             Self::Keys(command) => command.run(),
             Self::Status(command) => command.run(context).await,
             Self::Table(command) => command.run(context).await,
--- a/crates/hoisthitch-cli/src/error.rs
+++ b/crates/hoisthitch-cli/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the command line.
 
+use hoisthitch_jobs::JobPhase;
 use thiserror::Error;
 
 /// Exit code of a command that was not carried out.
@@ -11,6 +12,9 @@
 /// Exit code of a command that met another operator's change.
 const CONFLICT: u8 = 3;
 
+/// Exit code of a command that watched a job which was not completed.
+const NOT_COMPLETED: u8 = 4;
+
 /// Why an operator's command failed.
 #[derive(Debug, Error)]
 pub enum CommandError {
@@ -33,6 +37,14 @@
     /// The command's words are off.
     #[error("{0}")]
     Usage(String),
+    /// A job that was watched has failed or was cancelled.
+    #[error("job {id} has ended: {phase:?}")]
+    Ended {
+        /// Identifier.
+        id: String,
+        /// State.
+        phase: JobPhase,
+    },
 }
 
 /// Status of an answer that tells of another operator's change.
@@ -42,6 +54,7 @@
 pub fn exit_code(err: &eyre::Report) -> u8 {
     match err.downcast_ref::<CommandError>() {
         Some(CommandError::Usage(_)) => USAGE,
+        Some(CommandError::Ended { .. }) => NOT_COMPLETED,
         Some(CommandError::Refused { status, .. }) if *status == STATUS_CONFLICT => CONFLICT,
         _ => FAILED,
     }
--- a/crates/hoisthitch-cli/src/main.rs
+++ b/crates/hoisthitch-cli/src/main.rs
@@ -1,8 +1,9 @@
 //! The operators' command line.
 //!
 //! One command per file below `commands`. A command ends with code 0 when it
-//! did what was asked, 1 when it did not, 2 when its words are off, and 3 when
-//! another operator's change was in its way.
+//! did what was asked, 1 when it did not, 2 when its words are off, 3 when
+//! another operator's change was in its way, and 4 when a job that it watched
+//! was not completed.
 
 mod client;
 mod commands;
@@ -30,7 +31,8 @@
     note = "The settings file names an entry and the operators' token; see docs/operators/install.md.",
     error_code(1, "The command was not carried out."),
     error_code(2, "The command's words are off."),
-    error_code(3, "Another operator's change was in its way.")
+    error_code(3, "Another operator's change was in its way."),
+    error_code(4, "The job that was watched failed or was cancelled.")
 )]
 struct OperatorArgs {
     /// settings file, in INI (default hoisthitch.ini)
--- a/crates/hoisthitch-cli/src/settings.rs
+++ b/crates/hoisthitch-cli/src/settings.rs
@@ -15,6 +15,8 @@
     pub entry: String,
     /// Token that operators' calls carry.
     pub token: String,
+    /// URL of a node of the job service.
+    pub jobs: Option<String>,
 }
 
 impl OperatorSettings {
@@ -41,6 +43,7 @@
             token: reader
                 .required("operator", "token", "a-long-random-secret")
                 .unwrap_or_default(),
+            jobs: reader.optional("operator", "jobs", "http://10.0.0.1:9464"),
         };
         reader.finish()?;
         Ok(settings)
--- a/crates/hoisthitch-scheduler/src/desk.rs
+++ b/crates/hoisthitch-scheduler/src/desk.rs
@@ -151,6 +151,25 @@
         answer
     }
 
+    /// What the node's threads share.
+    pub fn shared(&self) -> &NodeShared {
+        &self.shared
+    }
+
+    /// Tells how far a job is, and the pool that runs it; nothing when there is
+    /// no such job.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the store does.
+    pub async fn describe(&self, id: &str) -> Result<Option<(String, JobProgress)>, StoreError> {
+        let Some(memory) = self.locate(id).await? else {
+            return Ok(None);
+        };
+        let progress = self.read_progress(&memory.pool, id).await?;
+        Ok(Some((memory.pool, progress.unwrap_or_default())))
+    }
+
     /// Tells a job's state.
     pub async fn status(&self, id: &str) -> StatusAnswer {
         match self.read_status(id).await {
@@ -171,24 +190,28 @@
         if let Some(end) = memory.end {
             return Ok(Some(end));
         }
+        let Some(progress) = self.read_progress(&memory.pool, id).await? else {
+            return Ok(Some(JobPhase::Queued));
+        };
+        if progress.phase.is_final() {
+            self.remember(id, &memory.pool, Some(progress.phase));
+        }
+        Ok(Some(progress.phase))
+    }
+
+    async fn read_progress(&self, pool: &str, id: &str) -> Result<Option<JobProgress>, StoreError> {
         let sent = self.shared.clock.now();
-        let found = self
-            .store
-            .read(&self.keys.progress(&memory.pool, id))
-            .await?;
+        let found = self.store.read(&self.keys.progress(pool, id)).await?;
         self.shared.store.note_success(sent);
         let Some(stored) = found else {
-            return Ok(Some(JobPhase::Queued));
+            return Ok(None);
         };
-        let progress: JobProgress =
+        let progress =
             serde_json::from_slice(&stored.value).map_err(|err| StoreError::Malformed {
                 call: "job progress",
                 fault: err.to_string(),
             })?;
-        if progress.phase.is_final() {
-            self.remember(id, &memory.pool, Some(progress.phase));
-        }
-        Ok(Some(progress.phase))
+        Ok(Some(progress))
     }
 
     /// Cancels a job.
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -0,0 +1,158 @@
+//! The product's own interface for jobs, over HTTP, for operators.
+
+use actix_web::{
+    HttpResponse,
+    HttpResponseBuilder,
+    http::StatusCode,
+    web, //
+};
+use hoisthitch_api::{
+    FaultAnswer,
+    JOBS_PATH,
+    JobAnswer,
+    JobCall,
+    QUEUES_PATH,
+    QueueRow, //
+};
+use hoisthitch_jobs::{
+    JobProgress,
+    Millis,
+    TaskPhase, //
+};
+use hoisthitch_store::{
+    StoreClient,
+    StoreError, //
+};
+
+use crate::{
+    desk::{
+        CancelAnswer,
+        JobDesk,
+        SubmitAnswer, //
+    },
+    platform::QueueRoute,
+    shared::NodeShared, //
+};
+
+/// Time in which a call of an operator is to be answered, in milliseconds.
+const PATIENCE_MS: Millis = 3_000;
+
+/// Longest identifier of a job that operators may choose, in bytes.
+const ID_LIMIT: usize = 64;
+
+/// Adds the routes; the desk is part of the app's data.
+pub fn job_routes<S: StoreClient>(config: &mut web::ServiceConfig) {
+    let job = format!("{JOBS_PATH}/{{id}}");
+    config
+        .route(QUEUES_PATH, web::get().to(list_queues::<S>))
+        .route(&job, web::post().to(submit::<S>))
+        .route(&job, web::get().to(describe::<S>))
+        .route(&job, web::delete().to(cancel::<S>));
+}
+
+async fn list_queues<S: StoreClient>(desk: web::Data<JobDesk<S>>) -> HttpResponse {
+    let Some(policy) = desk.shared().policy.load_full() else {
+        return fault(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+    };
+    let mut rows = Vec::new();
+    for queue in &policy.queues {
+        rows.push(QueueRow {
+            queue: queue.name.clone(),
+            pool: queue.pool.clone(),
+            priority: queue.policy.priority,
+            waiting: desk.waiting(queue).await.ok(),
+        });
+    }
+    HttpResponse::Ok().json(rows)
+}
+
+async fn submit<S: StoreClient>(
+    desk: web::Data<JobDesk<S>>,
+    id: web::Path<String>,
+    call: web::Json<JobCall>,
+) -> HttpResponse {
+    let is_id = id.bytes().all(|byte| byte.is_ascii_alphanumeric());
+    if !is_id || id.is_empty() || id.len() > ID_LIMIT {
+        let text = format!("an id has up to {ID_LIMIT} letters and digits");
+        return fault(StatusCode::BAD_REQUEST, &text);
+    }
+    if let Err(err) = call.spec.check() {
+        return fault(StatusCode::BAD_REQUEST, &err.to_string());
+    }
+    let Some(queue) = find_queue(desk.shared(), &call.queue) else {
+        let text = format!("there is no queue {}; see {QUEUES_PATH}", call.queue);
+        return fault(StatusCode::NOT_FOUND, &text);
+    };
+    let give_up = desk.shared().clock.now() + PATIENCE_MS;
+    match desk.submit(&queue, &id, call.spec.clone(), give_up).await {
+        SubmitAnswer::Accepted => describe(desk, id).await,
+        SubmitAnswer::Refused => fault(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not taken, and will not run; hand it in again",
+        ),
+        SubmitAnswer::Unknown => fault(
+            StatusCode::GATEWAY_TIMEOUT,
+            "whether the job is kept is not known; hand it in again under the same id",
+        ),
+    }
+}
+
+fn find_queue(shared: &NodeShared, name: &str) -> Option<QueueRoute> {
+    let policy = shared.policy.load_full()?;
+    let queue = policy.queues.iter().find(|queue| queue.name == name)?;
+    Some(queue.clone())
+}
+
+async fn describe<S: StoreClient>(
+    desk: web::Data<JobDesk<S>>,
+    id: web::Path<String>,
+) -> HttpResponse {
+    match desk.describe(&id).await {
+        Ok(Some((pool, progress))) => {
+            HttpResponse::Ok().json(summarize(id.into_inner(), pool, &progress))
+        }
+        Ok(None) => fault(StatusCode::NOT_FOUND, "there is no such job"),
+        Err(err) => unreadable(&err),
+    }
+}
+
+async fn cancel<S: StoreClient>(
+    desk: web::Data<JobDesk<S>>,
+    id: web::Path<String>,
+) -> HttpResponse {
+    let give_up = desk.shared().clock.now() + PATIENCE_MS;
+    match desk.cancel(&id, give_up).await {
+        CancelAnswer::Accepted => describe(desk, id).await,
+        CancelAnswer::Absent => fault(StatusCode::NOT_FOUND, "there is no such job"),
+        CancelAnswer::Unknown => fault(
+            StatusCode::GATEWAY_TIMEOUT,
+            "whether the cancel is kept is not known; cancel again",
+        ),
+    }
+}
+
+fn summarize(id: String, pool: String, progress: &JobProgress) -> JobAnswer {
+    let count = |phase: TaskPhase| {
+        let tasks = progress.tasks.iter();
+        tasks.filter(|task| task.phase == phase).count()
+    };
+    JobAnswer {
+        id,
+        pool,
+        phase: progress.phase,
+        waiting: count(TaskPhase::Waiting),
+        ordered: count(TaskPhase::Ordered),
+        done: count(TaskPhase::Done),
+        failed_runs: progress.tasks.iter().map(|task| task.failed).sum(),
+    }
+}
+
+fn unreadable(err: &StoreError) -> HttpResponse {
+    let text = format!("the state can't be read now: {err}");
+    fault(StatusCode::SERVICE_UNAVAILABLE, &text)
+}
+
+fn fault(status: StatusCode, error: &str) -> HttpResponse {
+    let error = error.to_owned();
+    HttpResponseBuilder::new(status).json(FaultAnswer { error })
+}
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod desk;
 mod follow;
 mod group;
+mod http;
 mod journal;
 mod keys;
 mod metrics;
@@ -32,6 +33,7 @@
     StatusAnswer,
     SubmitAnswer, //
 };
+pub use http::job_routes;
 pub use keys::JobKeys;
 pub use metrics::NodeMetrics;
 pub use node::{
--- a/crates/hoisthitch-tests/src/process.rs
+++ b/crates/hoisthitch-tests/src/process.rs
@@ -77,6 +77,15 @@
         let _ = self.child.wait();
     }
 
+    /// How the process ended; nothing while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that can't be known.
+    pub fn status(&mut self) -> Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
     /// Waits until the process has ended by itself.
     ///
     /// # Errors
