--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -54,6 +54,7 @@
     lapsed_lease_frees_the_tasks => lapse();
     runner_that_fails_everything_is_shunned_and_tried_again => shunned();
     unanswered_start_is_sent_again_under_its_run => unanswered();
+    fillers_make_way_for_a_serving_task_and_come_back => paces();
     lasting_tasks_are_spread_and_keep_together => spread();
     task_that_may_be_at_work_by_now_counts_for_an_upkeep => upkeep_counts_starting();
     runner_that_is_not_listed_counts_with_its_tasks => upkeep_counts_unlisted();
@@ -439,6 +440,46 @@
     Ok(())
 }
 
+/// The tail of a serving task over its target stops the filler beside it within
+/// two reports, and lets it work again step by step.
+async fn paces() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    let serving = StepSpec {
+        lasting: true,
+        target_ms: 100,
+        ..step(1)
+    };
+    let filler = StepSpec {
+        filler: true,
+        lasting: true,
+        ..step(1)
+    };
+    state.add_job(new_job("a", vec![serving, filler]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let runner = orders.first().ok_or_eyre("nothing was started")?.runner;
+    let mut pace_at = |load: u64, now: u64| {
+        let mut running = running_on(&state, runner, None, 100);
+        running.iter_mut().for_each(|row| row.load = load);
+        let report = HoldReport {
+            clock_ms: now,
+            running,
+            ended: Vec::new(),
+        };
+        state.take_hold(runner, &report, now - 1, now);
+        let paced = state.pace(runner);
+        paced.iter().map(|order| order.percent).collect::<Vec<_>>()
+    };
+    ensure!(pace_at(20, 2_000).is_empty(), "nothing is disturbed");
+    ensure!(pace_at(150, 2_700) == [0], "it has to make way at once");
+    ensure!(pace_at(150, 3_400).is_empty(), "it is stopped already");
+    let back: Vec<u32> = (0..20)
+        .flat_map(|look| pace_at(20, 4_100 + look * 700))
+        .collect();
+    ensure!(back.is_sorted() && back.last() == Some(&100), "{back:?}");
+    ensure!(back.first().is_some_and(|first| *first <= 50), "{back:?}");
+    Ok(())
+}
+
 /// A lasting step with one task on each runner, of which one may be away.
 fn lasting_step(count: u32) -> StepSpec {
     StepSpec {
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -10,6 +10,7 @@
 use hoisthitch_jobs::JobPhase;
 use hoisthitch_tests::world::StoreFaults;
 use world::{
+    DRAINING,
     TestWorld,
     job,
     lasting,
@@ -46,6 +47,9 @@
     crashed_runner_s_tasks_start_anew => crashes_runner();
     reread_list_keeps_a_living_runner => rereads_list();
     late_record_of_a_dead_life_ends_nothing => late_record();
+    draining_runner_gets_no_task_and_ends_its_own => drains();
+    runner_whose_record_goes_ends_its_tasks_and_gets_none => unlists();
+    policy_is_in_force_everywhere_and_never_goes_back => changes_policy();
     new_owner_stops_nothing_that_lasts => keeps_lasting();
     wave_takes_every_vm_within_its_limits => takes_wave();
     wave_of_a_large_pool_empties_several_vms_at_once => takes_large_wave();
@@ -315,6 +319,79 @@
     kept(&world)
 }
 
+/// Has all runners but two leave as `leave` says, and plays a job before and one
+/// after.
+async fn leaves(leave: impl Fn(&TestWorld, &str, &str)) -> Result<()> {
+    let world = TestWorld::start(2, 6).await?;
+    world.submit("before", job("work 4000", &[12])).await?;
+    sleep_ms(1_000).await;
+    let living = world.fleet.living();
+    for (runner, vm) in &living[2..] {
+        leave(&world, runner, vm);
+    }
+    sleep_ms(700).await;
+    world.submit("after", job("work 200", &[12])).await?;
+    for _ in 0..60 {
+        sleep_ms(50).await;
+        for (runner, tasks) in world.fleet.tasks() {
+            let new = tasks.iter().any(|task| task.starts_with("after"));
+            let stays = living[..2].iter().any(|(name, _)| *name == runner);
+            ensure!(stays || !new, "{runner} was given {tasks:?}");
+        }
+    }
+    world
+        .wait_phase("after", JobPhase::Completed, 5_000)
+        .await?;
+    world
+        .wait_phase("before", JobPhase::Completed, 10_000)
+        .await?;
+    let starts = (0..12).map(|task| world.fleet.starts(&format!("before.0.0.{task}")));
+    ensure!(starts.into_iter().all(|starts| starts == 1));
+    kept(&world)
+}
+
+async fn drains() -> Result<()> {
+    leaves(|world, runner, vm| {
+        let record = format!("{vm}{DRAINING}");
+        let key = format!("runner/{runner}");
+        world.store.put(&key, Some(record.as_bytes()), 0);
+    })
+    .await
+}
+
+/// Some runners never say that they leave: their record goes, and they serve on.
+async fn unlists() -> Result<()> {
+    leaves(|world, runner, _| world.store.put(&format!("runner/{runner}"), None, 0)).await
+}
+
+async fn changes_policy() -> Result<()> {
+    let world = TestWorld::start(3, 2).await?;
+    let cut = world.nodes.keys().next().cloned();
+    world.store.set_faults(StoreFaults {
+        cut: cut.clone().into_iter().collect(),
+        ..StoreFaults::default()
+    });
+    let versions = |world: &TestWorld| -> Vec<u64> {
+        let nodes = world.nodes.values();
+        let policies = nodes.map(|node| node.shared.policy.load_full());
+        policies
+            .map(|now| now.map_or(0, |now| now.version))
+            .collect()
+    };
+    world.store.put("op/policy", Some(b"7"), 0);
+    sleep_ms(1_000).await;
+    ensure!(versions(&world) == [1, 7, 7], "{:?}", versions(&world));
+    // An older one, written late, changes nothing; nor does a new look at all.
+    world.store.put("op/policy", Some(b"3"), 0);
+    sleep_ms(1_000).await;
+    ensure!(versions(&world) == [1, 7, 7], "{:?}", versions(&world));
+    world.store.put("op/policy", Some(b"9"), 0);
+    world.store.set_faults(StoreFaults::default());
+    sleep_ms(2_000).await;
+    ensure!(versions(&world) == [9, 9, 9], "{:?}", versions(&world));
+    kept(&world)
+}
+
 async fn keeps_lasting() -> Result<()> {
     let world = TestWorld::start(3, 5).await?;
     world.submit("long", lasting(5, 1)).await?;
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -60,6 +60,9 @@
     spawn_local, //
 };
 
+/// End of the record of a runner that is about to leave.
+pub const DRAINING: &str = " leaves";
+
 /// Records of the tests' operators and runners.
 #[derive(Clone)]
 pub struct TestCodec;
@@ -98,7 +101,9 @@
     }
 
     fn runner(&self, name: &str, value: &[u8]) -> Result<RunnerRecord, String> {
-        let vm = String::from_utf8_lossy(value).into_owned();
+        let text = String::from_utf8_lossy(value);
+        let draining = text.ends_with(DRAINING);
+        let vm = text.trim_end_matches(DRAINING).to_owned();
         let number: u16 = vm.trim_start_matches("vm-").parse().unwrap_or(0);
         Ok(RunnerRecord {
             pool: POOL.to_owned(),
@@ -113,7 +118,7 @@
                 },
                 labels: Vec::new(),
                 rack: String::new(),
-                draining: false,
+                draining,
             },
         })
     }
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -176,6 +176,16 @@
         self.state.borrow().starts.get(task).copied().unwrap_or(0)
     }
 
+    /// Tasks that run, by living runner.
+    pub fn tasks(&self) -> Vec<(String, Vec<String>)> {
+        self.settle();
+        let state = self.state.borrow();
+        let living = state.runners.iter().filter(|(_, runner)| runner.alive);
+        living
+            .map(|(name, runner)| (name.clone(), runner.running.keys().cloned().collect()))
+            .collect()
+    }
+
     /// Jobs of which a task was ever started.
     pub fn started_jobs(&self) -> HashSet<String> {
         let state = self.state.borrow();
