Free the room of a stopped run that never began, once the stop was answered

The owner let it go 1.5 s after the last stop, but sent a stop each 0.7 s, so that it kept the room, and the VM, until another owner came. And the old rule did not prove that the start can't come: now the stop must have been answered, by the same life, before the hold was asked.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -33,10 +33,6 @@
 /// milliseconds; two holds are answered meanwhile if it is well.
 const UNCLEAR_SHUN_MS: Millis = 1_500;
 
-/// Time after a stop was sent when a hold that does not show the run proves
-/// that it ended, in milliseconds: the longest wait for the stop's answer.
-const STOPPED_MS: Millis = 1_500;
-
 impl PoolState {
     /// Takes in a runner's answer to a hold that was sent at `asked_at`;
     /// answers with the starts to send again.
@@ -312,8 +308,9 @@
                     self.mark_dirty(task.job);
                 }
                 // A stop was answered before the hold was sent, so that the
-                // run can't begin any more.
-                TaskPlace::Stopping(_) if entry.ordered_at + STOPPED_MS < asked_at => {
+                // run can't begin any more; it may never have begun, and then
+                // no end of it is listed.
+                TaskPlace::Stopping(_) if entry.stopped_at.is_some_and(|at| at < asked_at) => {
                     self.set_place(task, TaskPlace::Waiting, now);
                     self.mark_dirty(task.job);
                 }
@@ -323,6 +320,17 @@
         again
     }
 
+    /// Takes in that a runner answered a stop: the run does not begin any more.
+    pub fn take_stop(&mut self, order: &StopOrder, now: Millis) {
+        let task = self.locate(&order.name.to_string());
+        if let Some(entry) = task.and_then(|task| self.task_mut(task))
+            && entry.place == TaskPlace::Stopping(order.runner)
+            && entry.run == order.run
+        {
+            entry.stopped_at = entry.stopped_at.or(Some(now));
+        }
+    }
+
     /// Takes in what became of an order to start a task.
     pub fn take_start(&mut self, order: &StartOrder, outcome: StartOutcome, now: Millis) {
         let task = order.task;
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -373,6 +373,7 @@
         }
         entry.place = place;
         entry.moved_at = now;
+        entry.stopped_at = None;
         let after = entry.runner();
         if after.is_none() {
             entry.unclear = false;
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -110,6 +110,8 @@
     pub pace: u32,
     /// When a start or stop was last sent.
     pub ordered_at: Millis,
+    /// When the runner answered a stop; none while it did not.
+    pub stopped_at: Option<Millis>,
     /// Whether a start was sent whose answer is not known.
     pub unclear: bool,
     /// Runner on which the last run failed.
@@ -165,6 +167,7 @@
             load: 0,
             pace: 100,
             ordered_at: 0,
+            stopped_at: None,
             unclear: false,
             failed_on: None,
             away_since: Some(now),
--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -51,6 +51,7 @@
     refused_ticket_is_asked_for_again => ticket_refused();
     task_that_stands_still_is_started_elsewhere => stalls();
     task_on_a_silent_runner_is_left_alone => silent();
+    stopped_start_that_never_came_frees_its_room => stopped_start();
     lapsed_lease_frees_the_tasks => lapse();
     runner_that_fails_everything_is_shunned_and_tried_again => shunned();
     unanswered_start_is_sent_again_under_its_run => unanswered();
@@ -440,6 +441,36 @@
     Ok(())
 }
 
+/// A job is cancelled while its start is on its way; the stop comes first, and
+/// the start is refused. No end is ever listed.
+async fn stopped_start() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let orders = decide(&mut state, 1_000);
+    let order = orders.first().ok_or_eyre("nothing was ordered")?;
+    state.cancel("a", 1_100);
+    let look = |state: &mut PoolState, now: u64| {
+        state.stop_again(now);
+        let stops = state.take_stops();
+        state.take_hold(order.runner, &HoldReport::default(), now - 1, now);
+        let runner = state.runner(order.runner);
+        (stops, runner.is_some_and(|runner| runner.tasks.is_empty()))
+    };
+    // While no stop is answered, the start may still come.
+    let mut last = Vec::new();
+    for now in (1_200..9_000).step_by(100) {
+        let (stops, free) = look(&mut state, now);
+        ensure!(!free, "free at {now}");
+        last.extend(stops);
+    }
+    let stop = last.last().ok_or_eyre("no stop was sent")?;
+    state.take_stop(stop, 9_000);
+    state.take_start(order, StartOutcome::Old, 9_010);
+    let (_, free) = look(&mut state, 9_100);
+    ensure!(free, "the room is not free");
+    Ok(())
+}
+
 /// The tail of a serving task over its target stops the filler beside it within
 /// two reports, and lets it work again step by step.
 async fn paces() -> Result<()> {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -427,6 +427,7 @@
                     self.measure_start(&order, now);
                 }
             }
+            SessionEvent::Stopped(order) => self.state.take_stop(&order, now),
             SessionEvent::PaceFailed(order) => self.state.fail_pace(&order),
         }
         false
--- a/crates/hoisthitch-scheduler/src/session.rs
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -99,6 +99,8 @@
         order: StartOrder,
         outcome: StartOutcome,
     },
+    /// A stop was answered.
+    Stopped(StopOrder),
     /// A pace was not set.
     PaceFailed(PaceOrder),
 }
@@ -287,7 +289,7 @@
     while let Some(order) = queue.recv().await {
         match order {
             RunnerOrder::Start(order) => start(&context, &clock, order).await,
-            RunnerOrder::Stop(order) => stop(&context, &order).await,
+            RunnerOrder::Stop(order) => stop(&context, order).await,
             RunnerOrder::Pace(order) => pace(&context, order).await,
         }
     }
@@ -330,10 +332,10 @@
     context.tell(SessionEvent::Started { order, outcome });
 }
 
-async fn stop<R: RunnerControl>(context: &SessionContext<R>, order: &StopOrder) {
+async fn stop<R: RunnerControl>(context: &SessionContext<R>, order: StopOrder) {
     let stopped = context
         .runners
-        .stop(&context.address, order, context.epoch)
+        .stop(&context.address, &order, context.epoch)
         .await;
     let outcome = context.outcome("stop", &stopped);
     event!(
@@ -344,6 +346,9 @@
         runner = context.address.name,
         outcome = outcome
     );
+    if stopped.is_ok() {
+        context.tell(SessionEvent::Stopped(order));
+    }
 }
 
 async fn pace<R: RunnerControl>(context: &SessionContext<R>, order: PaceOrder) {
