--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/vms/share.rs
@@ -0,0 +1,237 @@
+//! What a pool publishes of its VMs, written under compare-and-swap.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use hoisthitch_jobs::{
+    Millis,
+    PoolShare, //
+};
+use hoisthitch_store::{
+    BatchOutcome,
+    StoreClient,
+    StoreRevision,
+    SwapItem, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    PoolNeed,
+    VmWorkError,
+    VmWorker, //
+};
+use crate::{
+    journal::encode,
+    platform::{
+        Platform,
+        VmCondition,
+        VmControl, //
+    }, //
+};
+
+/// Time for which a new owner gives no order about a VM that an earlier one may
+/// have given an order about, in milliseconds: that order may be under way
+/// until the doubt of its owner ([`DOUBT_MS`]) and the limit of a call are over,
+/// and two owners may not take turns within the platform's three seconds.
+pub(super) const SETTLE_MS: Millis = 3_200;
+
+/// Time for which a VM counts as lately ordered about, in milliseconds; the
+/// time above, with some to spare.
+const RECENT_MS: Millis = 4_000;
+
+/// Time for which VMs are left on after they were wanted, in milliseconds: one
+/// that goes off and comes back costs two moves of one and a half seconds.
+const HOLD_MS: Millis = 3_000;
+
+/// Time over which a rise of what is wanted is looked at, in milliseconds.
+const TREND_MS: Millis = 1_000;
+
+/// How far a rise is carried on: a move takes about twice the time over which
+/// the rise is looked at, from the decision to the first task.
+const RISE_FACTOR: u32 = 2;
+
+/// Time after which a VM that was sent away and did not arrive is counted no
+/// more, in milliseconds; a move takes one and a half seconds.
+const ARRIVE_MS: Millis = 6_000;
+
+/// What the pool's owner publishes; written before each order about a VM.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct ShareRecord {
+    /// Epoch of the owner.
+    pub(super) epoch: u64,
+    /// Number of the write under this owner.
+    pub(super) sequence: u64,
+    /// What the pool has and wants.
+    pub(super) share: PoolShare,
+    /// VMs that this owner gives orders about, or lately did.
+    #[serde(default)]
+    pub(super) recent: Vec<String>,
+}
+
+impl<P: Platform> VmWorker<P> {
+    /// Takes the pool's share over from an earlier owner, whose orders may be
+    /// under way still.
+    pub(super) async fn settle_in(&mut self) -> Result<(), VmWorkError> {
+        for (pool, share) in self.read_shares().await? {
+            if pool != self.context.pool {
+                let sent = share.sent.iter();
+                let here = sent.filter(|(_, to)| **to == self.context.pool);
+                self.block(here.map(|(vm, _)| vm.clone()).collect());
+            }
+        }
+        // A write that finds the share of an earlier owner blocks its VMs.
+        let share = self.record.share.clone();
+        self.publish(share).await?;
+        self.settled = true;
+        Ok(())
+    }
+
+    pub(super) fn block(&mut self, vms: Vec<String>) {
+        let until = self.context.shared.clock.now() + SETTLE_MS;
+        self.blocked.extend(vms.into_iter().map(|vm| (vm, until)));
+    }
+
+    /// Whether an earlier owner may have given an order about the VM lately.
+    pub(crate) fn is_blocked(&self, vm: &str) -> bool {
+        let now = self.context.shared.clock.now();
+        self.blocked.get(vm).is_some_and(|until| *until > now)
+    }
+
+    pub(super) fn is_spare(&self) -> bool {
+        let policy = self.context.shared.policy.load();
+        let pools = policy.as_ref().map(|policy| policy.pools.as_slice());
+        let pool = &self.context.pool;
+        pools.is_some_and(|pools| pools.iter().any(|row| row.name == *pool && row.spare))
+    }
+
+    pub(super) fn make_share(
+        &mut self,
+        need: &PoolNeed,
+        vms: Vec<String>,
+        spare: bool,
+        now: Millis,
+    ) -> PoolShare {
+        self.wants.retain(|(at, _)| at + HOLD_MS > now);
+        self.wants.push((now, need.want.steady));
+        let hold = self.wants.iter().map(|(_, want)| *want).max();
+        self.sent.retain(|vm, (_, at)| {
+            // A VM that is listed here no more has left for certain, and is
+            // counted by the other pool once it has arrived there.
+            *at + ARRIVE_MS > now || (vms.contains(vm) && *at + 2 * ARRIVE_MS > now)
+        });
+        let sent = self.sent.iter();
+        let mut vms = vms;
+        vms.sort();
+        // A life that is over may be listed beside its successor.
+        vms.dedup();
+        PoolShare {
+            want: need
+                .want
+                .now
+                .saturating_add(self.expected_rise(need.want.steady, now)),
+            keep: need.want.steady,
+            hold: hold.unwrap_or(need.want.steady),
+            vms,
+            sent: sent.map(|(vm, (to, _))| (vm.clone(), to.clone())).collect(),
+            spare,
+        }
+    }
+
+    /// VMs that will be wanted beyond those of now when a move ordered now is
+    /// made, if the want goes on rising.
+    pub(super) fn expected_rise(&self, steady: u32, now: Millis) -> u32 {
+        let before = self
+            .wants
+            .iter()
+            .find(|(at, _)| at + TREND_MS > now)
+            .map_or(steady, |(_, want)| *want);
+        steady.saturating_sub(before) * RISE_FACTOR
+    }
+
+    /// VMs of a pool whose VMs are off, once they may be ordered about.
+    pub(super) async fn list_idle(&mut self, now: Millis) -> Result<Vec<String>, VmWorkError> {
+        let rows = self.context.platform.vms().list().await?;
+        let own = rows
+            .into_iter()
+            .filter(|row| row.pool == self.context.pool && row.condition == VmCondition::Up);
+        let names: BTreeSet<String> = own.map(|row| row.name).collect();
+        self.idle.retain(|vm, _| names.contains(vm));
+        // What was there before the first look has stayed long enough, or is
+        // blocked.
+        let since = if self.listed { now } else { 0 };
+        self.listed = true;
+        for vm in names {
+            self.idle.entry(vm).or_insert(since);
+        }
+        Ok(self.idle.keys().cloned().collect())
+    }
+
+    pub(super) async fn read_shares(&self) -> Result<BTreeMap<String, PoolShare>, VmWorkError> {
+        let prefix = self.context.keys.all_shares();
+        let values = self.context.platform.store().read_prefix(&prefix).await?;
+        let mut shares = BTreeMap::new();
+        for value in values {
+            let record: ShareRecord = serde_json::from_slice(&value.value)?;
+            let pool = value.key.strip_prefix(prefix.as_str()).unwrap_or_default();
+            shares.insert(pool.to_owned(), record.share);
+        }
+        Ok(shares)
+    }
+
+    /// Writes down that an order about a VM follows; answers with its token.
+    pub(crate) async fn authorize(&mut self, vm: &str) -> Result<u64, VmWorkError> {
+        let now = self.context.shared.clock.now();
+        self.ordered.insert(vm.to_owned(), now);
+        self.publish(self.record.share.clone()).await
+    }
+
+    /// Writes the pool's share; answers with the write's revision.
+    pub(super) async fn publish(&mut self, share: PoolShare) -> Result<u64, VmWorkError> {
+        let now = self.context.shared.clock.now();
+        self.ordered.retain(|_, at| *at + RECENT_MS > now);
+        let record = ShareRecord {
+            epoch: self.context.epoch,
+            sequence: self.record.sequence + 1,
+            share,
+            recent: self.ordered.keys().cloned().collect(),
+        };
+        let key = self.context.keys.share(&self.context.pool);
+        loop {
+            let item = SwapItem {
+                key: key.clone(),
+                expected: self.revision,
+                value: Some(encode(&record)),
+                lease: None,
+            };
+            let written = self.context.platform.store().swap_all(vec![item]).await?;
+            match written {
+                BatchOutcome::Written(revision) => {
+                    self.revision = revision;
+                    self.record = record;
+                    return Ok(u64::try_from(revision.0).unwrap_or(0));
+                }
+                BatchOutcome::Conflict(found) => {
+                    let Some(stored) = found.into_iter().next().flatten() else {
+                        self.revision = StoreRevision::default();
+                        continue;
+                    };
+                    let other: ShareRecord = serde_json::from_slice(&stored.value)?;
+                    if other.epoch > self.context.epoch {
+                        return Err(VmWorkError::Deposed);
+                    }
+                    // An own write whose answer was lost, or an earlier owner's.
+                    self.revision = stored.revision;
+                    if other.epoch < self.context.epoch {
+                        self.block(other.recent);
+                        self.block(other.share.sent.into_keys().collect());
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -4,9 +4,12 @@
 //! they belong to. An owner writes its VM into it before it takes the VM down,
 //! and out of it once the VM is back with a new life of its runner.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    mem::discriminant, //
 };
 
 use hoisthitch_jobs::{
@@ -171,7 +174,29 @@
     async fn ask_row(&mut self, row: &VmRow) -> Option<UpkeepView> {
         let runner = row.runner.clone()?;
         self.leaving.insert(row.name.clone(), runner.clone());
-        self.ask_leave(&runner).await
+        let view = self.ask_leave(&runner).await;
+        self.note_wait(&row.name, &runner, view);
+        view
+    }
+
+    /// Logs why a VM's upkeep waits, when that changes.
+    fn note_wait(&mut self, vm: &str, runner: &str, view: Option<UpkeepView>) {
+        let Some(view) = view.filter(|view| *view != UpkeepView::Free) else {
+            self.waits.remove(vm);
+            return;
+        };
+        let before = self.waits.insert(vm.to_owned(), view);
+        // How many tasks run changes with each look.
+        if before.map(|before| discriminant(&before)) != Some(discriminant(&view)) {
+            event!(
+                Info,
+                "upkeep_waits",
+                vm = vm,
+                runner = runner,
+                pool = self.context.pool,
+                view = format_args!("{view:?}")
+            );
+        }
     }
 
     async fn stay(&mut self, vm: &str) {
