Let only nodes that own pools, or are next to, follow the runners

Cause: each node followed all records of runners, which change with each heartbeat. Change: owners and the first three nodes in order of each pool follow; any other reads the list when it steps in, and its owner waits for it, at most 1.5 s. Lives that were over before that are not known then: their tasks wait for their leases' end, as under a node that has just started.

--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -58,6 +58,11 @@
 /// records of living nodes come back, in milliseconds.
 const SETTLE_MS: Millis = 700;
 
+/// Nodes of each pool that are ready to step in: they follow the runners, whose
+/// records change hundreds of times a second in a large fleet. Others read them
+/// when they step in, if as many nodes are lost at once.
+const STAND_BY: usize = 3;
+
 /// Parts in which the pools of a node are compared with its power.
 const STRAIN_PARTS: usize = 1_000_000;
 
@@ -188,6 +193,15 @@
         wanted
     }
 
+    /// Whether this node is among the first to step in for some pool.
+    pub(crate) fn stands_by(&self, pools: &[String], node: &str) -> bool {
+        let loads = self.loads(pools);
+        pools.iter().any(|pool| {
+            let order = self.order(pool, &loads);
+            order.iter().take(STAND_BY).any(|other| other == node)
+        })
+    }
+
     /// Whether the records name this node. When it does not run the pool, the
     /// answer to its election was lost.
     fn is_own(&self, pool: &str, identity: &NodeIdentity) -> bool {
@@ -213,7 +227,7 @@
     /// Living nodes in the order in which they should step in for a pool.
     fn order(&self, pool: &str, loads: &BTreeMap<String, usize>) -> Vec<String> {
         let mut order: Vec<String> = self.members.keys().cloned().collect();
-        order.sort_by_key(|node| {
+        order.sort_by_cached_key(|node| {
             let load = loads.get(node).copied().unwrap_or(0);
             let power = self.members.get(node).map_or(1, |member| member.power);
             // Load that the node would have for its power, in parts of it.
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -85,7 +85,11 @@
     pub(crate) pools: Vec<String>,
     /// Waves by number.
     pub(crate) waves: BTreeMap<u64, WaveOrder>,
-    /// Lives of runners that were ever listed, by address and by VM.
+    /// Whether the runners are listed; only nodes that own pools, or are the next
+    /// to, follow them.
+    pub(crate) listed: bool,
+    /// Lives of runners that were listed while they were followed, by address and
+    /// by VM.
     lives: HashMap<String, BTreeSet<String>>,
 }
 
@@ -110,14 +114,15 @@
 ) {
     let store = platform.store().clone();
     let codec = platform.codec().clone();
+    let watched = shared.clone();
     let follow = |prefix: String, pause: Duration| {
         let (sender, told) = mpsc::unbounded_channel();
-        let follower = follow_prefix(store.clone(), prefix, pause, shared.clone(), sender);
+        let follower = follow_prefix(store.clone(), prefix, pause, watched.clone(), sender);
         actix_rt::spawn(follower);
         told
     };
     let mut operators = follow(codec.operators_prefix(), Duration::ZERO);
-    let mut runners = follow(codec.runners_prefix(), RUNNERS_PAUSE);
+    let mut runners = None;
     let mut changes = follow(keys.group(), Duration::ZERO);
     let member = keep_member(
         store.clone(),
@@ -142,15 +147,35 @@
     let mut group = GroupView::default();
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stands_by = false;
     while !control.shared.is_stopping() {
+        let mut regroup = false;
         tokio::select! {
-            Some(change) = operators.recv() => control.take_operators(change),
-            Some(change) = runners.recv() => control.take_runners(change),
-            Some(change) = changes.recv() => group.take(&control.keys, change),
+            Some(change) = operators.recv() => {
+                control.take_operators(change);
+                regroup = true;
+            }
+            Some(change) = next_change(&mut runners) => control.take_runners(change),
+            Some(change) = changes.recv() => {
+                group.take(&control.keys, change);
+                regroup = true;
+            }
             Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
             _ = tick.tick() => {}
         }
         control.elect(&mut group);
+        if regroup {
+            let pools = control.fleet.borrow().pools.clone();
+            stands_by = group.stands_by(&pools, &control.identity.node);
+        }
+        let follows = stands_by || !control.running.is_empty();
+        if follows && runners.is_none() {
+            event!(Info, "runners_followed", node = control.identity.node);
+            runners = Some(follow(codec.runners_prefix(), RUNNERS_PAUSE));
+        } else if !follows && runners.take().is_some() {
+            event!(Info, "runners_left", node = control.identity.node);
+            control.forget_runners();
+        }
     }
     control.stop.send_replace(true);
     let handed_over = async {
@@ -166,7 +191,27 @@
     leave_group(&store, &control.keys, &control.identity).await;
 }
 
+/// The next change of what is followed; none comes while nothing is.
+async fn next_change(
+    followed: &mut Option<mpsc::UnboundedReceiver<FollowEvent>>,
+) -> Option<FollowEvent> {
+    match followed {
+        Some(changes) => changes.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl<P: Platform> NodeControl<P> {
+    /// Forgets the runners, which are not followed any more.
+    fn forget_runners(&self) {
+        self.change_fleet(|fleet| {
+            fleet.runners.clear();
+            fleet.lives.clear();
+            fleet.listed = false;
+            true
+        });
+    }
+
     fn take_operators(&mut self, change: FollowEvent) {
         match change {
             FollowEvent::All(values) => values.iter().for_each(|value| self.take_operator(value)),
@@ -232,6 +277,7 @@
         self.change_fleet(|fleet| match change {
             FollowEvent::All(mut values) => {
                 fleet.runners.clear();
+                fleet.listed = true;
                 // A later record at the same address is that of a later life.
                 values.sort_by_key(|value| value.revision);
                 for value in &values {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -43,7 +43,8 @@
     task::JoinHandle,
     time::{
         Instant,
-        sleep_until, //
+        sleep_until,
+        timeout, //
     }, //
 };
 
@@ -86,6 +87,10 @@
 /// they go through all tasks, and events come by the hundred in a second.
 const CHECK_MS: Millis = 50;
 
+/// Longest wait of a new owner for the list of runners: some reads of a slow
+/// store. Without it the owner goes on, and takes runners in as it hears of them.
+const LIST_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Questions of the VM worker that may wait.
 const VM_QUEUE: usize = 16;
 
@@ -198,6 +203,12 @@
     if let Some(all) = channels.inbox.recv().await {
         owner.take_inbox(all, &mut recorded);
     }
+    // A node that did not stand by reads the list of runners only now.
+    let mut fleet = owner.context.fleet.clone();
+    let listed = fleet.wait_for(|fleet| fleet.listed);
+    if timeout(LIST_WAIT, listed).await.is_err() {
+        event!(Warn, "runners_not_listed", pool = owner.context.pool);
+    }
     owner.sync_fleet();
     let end = owner.serve(&mut channels, &mut recorded).await;
     vms.abort();
--- a/crates/hoisthitch-scheduler/tests/ownership.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership.rs
@@ -37,6 +37,7 @@
     cancelled_job_stops_everywhere => cancels();
     start_that_waited_long_for_its_turn_is_not_sent => queued_starts();
     killed_owner_hands_over_without_a_second_run => kills_owner();
+    any_node_that_is_left_takes_over => last_takes_over();
     frozen_owner_that_wakes_starts_nothing => freezes_owner();
     owner_cut_from_the_store_is_replaced => cuts_owner();
     owner_whose_record_was_taken_goes_on_or_is_replaced => revokes_owner();
@@ -320,6 +321,28 @@
     kept(&world)
 }
 
+/// Only the first nodes in order follow the runners; whichever is left alone
+/// reads them when it steps in, and starts nothing twice.
+async fn last_takes_over() -> Result<()> {
+    for left in 0..6 {
+        let world = TestWorld::start(6, 4).await?;
+        world.submit("long", lasting(3, 1)).await?;
+        world.submit("j", job("work 3000", &[8])).await?;
+        sleep_ms(1_500).await;
+        let left = format!("node-{left}");
+        for (name, node) in &world.nodes {
+            if *name != left {
+                node.kill();
+            }
+        }
+        world.wait_phase("j", JobPhase::Completed, 20_000).await?;
+        ensure!((0..8).all(|task| world.fleet.starts(&format!("j.0.0.{task}")) == 1));
+        ensure!((0..3).all(|task| world.fleet.starts(&format!("long.0.0.{task}")) == 1));
+        kept(&world)?;
+    }
+    Ok(())
+}
+
 /// A runner answers no order, so that one waits behind the other; their job is
 /// cancelled meanwhile.
 async fn queued_starts() -> Result<()> {
