--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -342,11 +342,20 @@
         }
         entry.ordered_at = now;
         let ordered = entry.place == TaskPlace::Ordered(order.runner);
+        let unanswered = entry.unanswered;
         match outcome {
             StartOutcome::Started if ordered => {
                 self.set_place(task, TaskPlace::Running(order.runner), now);
                 self.begin_job(task.job);
             }
+            // An earlier copy may still be carried out, until a stop is answered.
+            StartOutcome::NoRoom | StartOutcome::Refused | StartOutcome::NoTicket
+                if ordered && unanswered =>
+            {
+                self.stop_task(task, now);
+                self.break_gang(task, now);
+                self.shun(order.runner, now, REFUSED_SHUN_MS);
+            }
             StartOutcome::NoRoom | StartOutcome::Refused if ordered => {
                 self.set_place(task, TaskPlace::Waiting, now);
                 self.break_gang(task, now);
@@ -359,6 +368,7 @@
             }
             StartOutcome::Unclear | StartOutcome::Old if ordered => {
                 entry.unclear = true;
+                entry.unanswered = true;
                 self.shun(order.runner, now, UNCLEAR_SHUN_MS);
             }
             _ => {}
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -377,6 +377,7 @@
         let after = entry.runner();
         if after.is_none() {
             entry.unclear = false;
+            entry.unanswered = false;
             entry.percent = 0;
             entry.pace = 100;
         }
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -114,6 +114,9 @@
     pub stopped_at: Option<Millis>,
     /// Whether a start was sent whose answer is not known.
     pub unclear: bool,
+    /// Whether some copy of the run's start was not answered: it may be carried
+    /// out late, whatever became of later copies.
+    pub unanswered: bool,
     /// Runner on which the last run failed.
     pub failed_on: Option<RunnerKey>,
     /// Since when the task is away; none while it is at work.
@@ -169,6 +172,7 @@
             ordered_at: 0,
             stopped_at: None,
             unclear: false,
+            unanswered: false,
             failed_on: None,
             away_since: Some(now),
         }
--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions.rs
@@ -51,6 +51,7 @@
     refused_ticket_is_asked_for_again => ticket_refused();
     task_that_stands_still_is_started_elsewhere => stalls();
     task_on_a_silent_runner_is_left_alone => silent();
+    refused_copy_of_an_unanswered_start_is_stopped_first => refused_copy();
     stopped_start_that_never_came_frees_its_room => stopped_start();
     lapsed_lease_frees_the_tasks => lapse();
     runner_that_fails_everything_is_shunned_and_tried_again => shunned();
@@ -441,6 +442,30 @@
     Ok(())
 }
 
+/// A start got no answer and may be carried out late; its second copy is refused.
+/// The task may only be started elsewhere once a stop was answered there.
+async fn refused_copy() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let orders = decide(&mut state, 1_000);
+    let order = orders.first().ok_or_eyre("nothing was ordered")?;
+    state.take_start(order, StartOutcome::Unclear, 1_900);
+    let again = state.take_hold(order.runner, &HoldReport::default(), 1_950, 2_000);
+    ensure!(again.len() == 1, "the same run is sent again");
+    state.take_start(order, StartOutcome::Refused, 2_100);
+    ensure!(
+        decide(&mut state, 2_200).is_empty(),
+        "started elsewhere at once"
+    );
+    let stops = state.take_stops();
+    let stop = stops.first().ok_or_eyre("no stop was sent")?;
+    state.take_stop(stop, 2_300);
+    state.take_hold(order.runner, &HoldReport::default(), 2_350, 2_400);
+    let next = decide(&mut state, 4_000);
+    ensure!(next.first().is_some_and(|next| next.run == 2), "{next:?}");
+    Ok(())
+}
+
 /// A job is cancelled while its start is on its way; the stop comes first, and
 /// the start is refused. No end is ever listed.
 async fn stopped_start() -> Result<()> {
