--- a/crates/hoisthitch-jobs/tests/decisions.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -1,5 +1,7 @@
 //! Decisions of a pool's owner: order of steps, budgets, gangs, leave of an
-//! adviser, tasks that stand still, moves between pools.
+//! adviser, tasks that stand still.
+
+mod pools;
 
 use std::collections::BTreeMap;
 
@@ -14,12 +16,9 @@
     EndedTask,
     HoldReport,
     JobPhase,
-    JobProgress,
     JobSpec,
     JobSubmission,
     NewJob,
-    PoolMove,
-    PoolShare,
     PoolState,
     QueuePolicy,
     RunnerFacts,
@@ -30,11 +29,7 @@
     StartOutcome,
     StepSpec,
     TaskNeed,
-    TaskPhase,
-    TaskPlace,
-    TaskProgress,
-    UpkeepView,
-    plan_moves, //
+    TaskPlace, //
 };
 use hoisthitch_tests::cases;
 use quickcheck::quickcheck;
@@ -58,14 +53,6 @@
     unanswered_start_is_sent_again_under_its_run => unanswered();
     fillers_make_way_for_a_serving_task_and_come_back => paces();
     lasting_tasks_are_spread_and_keep_together => spread();
-    task_that_may_be_at_work_by_now_counts_for_an_upkeep => upkeep_counts_starting();
-    runner_that_is_not_listed_counts_with_its_tasks => upkeep_counts_unlisted();
-    lack_is_met_from_what_is_off_first => balance_off_first();
-    vms_on_their_way_are_counted => balance_counts_sent();
-    floor_is_kept => balance_floor();
-    pools_are_levelled_while_none_lacks_vms => balance_levels();
-    jobs_of_an_earlier_owner_are_no_rise => no_false_rise();
-    pool_that_lacks_vms_gives_none => balance_gives_none();
     bad_specs_are_refused => bad_specs();
 }
 
@@ -536,162 +523,6 @@
     Ok(())
 }
 
-/// A lasting step with one task on each runner, of which one may be away.
-fn lasting_step(count: u32) -> StepSpec {
-    StepSpec {
-        lasting: true,
-        may_miss: 1,
-        spread: 1,
-        ..step(count)
-    }
-}
-
-/// Two tasks were started a moment ago. Each may have come to work since its
-/// runner last told, so that neither VM can go down.
-async fn upkeep_counts_starting() -> Result<()> {
-    let mut state = pool_of(6, 8);
-    state.add_job(new_job("a", vec![lasting_step(4)]), 1_000);
-    let orders = start_all(&mut state, 1_000);
-    for order in &orders {
-        let percent = if order.name.index < 2 { 60 } else { 100 };
-        let report = HoldReport {
-            clock_ms: 1_200,
-            running: running_on(&state, order.runner, None, percent),
-            ended: Vec::new(),
-        };
-        state.take_hold(order.runner, &report, 1_199, 1_200);
-    }
-    for order in &orders {
-        let view = state.upkeep_view(order.runner);
-        ensure!(view == UpkeepView::Held, "{}: {view:?}", order.name);
-    }
-    Ok(())
-}
-
-/// A new owner may hear of the wave before it hears of the runner.
-async fn upkeep_counts_unlisted() -> Result<()> {
-    let mut state = PoolState::new(9_000);
-    let ordered = |runner: &str| TaskProgress {
-        phase: TaskPhase::Ordered,
-        run: 1,
-        runner: runner.to_owned(),
-        ..TaskProgress::default()
-    };
-    let job = NewJob {
-        progress: Some(JobProgress {
-            phase: JobPhase::Running,
-            tasks: vec![ordered("i-0"), ordered("i-1")],
-        }),
-        ..new_job("a", vec![lasting_step(2)])
-    };
-    state.add_job(job, 1_000);
-    ensure!(state.unlisted_view("i-0") == Some(UpkeepView::Held));
-    ensure!(state.unlisted_view("i-5").is_none());
-    state.expire(9_001);
-    ensure!(state.unlisted_view("i-0").is_none());
-    Ok(())
-}
-
-fn share(want: u32, vms: &[&str]) -> PoolShare {
-    PoolShare {
-        want,
-        keep: want,
-        hold: want,
-        vms: vms.iter().map(|vm| (*vm).to_owned()).collect(),
-        ..PoolShare::default()
-    }
-}
-
-async fn balance_off_first() -> Result<()> {
-    let off = PoolShare {
-        spare: true,
-        ..share(0, &["s1", "s2"])
-    };
-    let pools = BTreeMap::from([
-        ("a".to_owned(), share(6, &["a1", "a2", "a3", "a4"])),
-        ("b".to_owned(), share(1, &["b1", "b2", "b3", "b4"])),
-        ("off".to_owned(), off),
-    ]);
-    let moves = plan_moves(&pools);
-    let first = PoolMove {
-        from: "off".to_owned(),
-        to: "a".to_owned(),
-        count: 2,
-    };
-    ensure!(moves.contains(&first), "{moves:?}");
-    Ok(())
-}
-
-async fn balance_counts_sent() -> Result<()> {
-    let mut giver = share(1, &["b1", "b2", "b3", "b4", "b5", "b6"]);
-    giver.sent.insert("b1".to_owned(), "a".to_owned());
-    giver.sent.insert("b2".to_owned(), "a".to_owned());
-    let pools = BTreeMap::from([
-        ("a".to_owned(), share(4, &["a1", "a2"])),
-        ("b".to_owned(), giver),
-    ]);
-    ensure!(plan_moves(&pools).is_empty());
-    Ok(())
-}
-
-async fn balance_floor() -> Result<()> {
-    let pools = BTreeMap::from([
-        ("a".to_owned(), share(50, &["a1", "a2", "a3", "a4", "a5"])),
-        ("b".to_owned(), share(0, &["b1", "b2", "b3", "b4", "b5"])),
-    ]);
-    let given: usize = plan_moves(&pools).iter().map(|order| order.count).sum();
-    ensure!(given == 3, "{given} VMs");
-    Ok(())
-}
-
-/// VMs that are off are given to pools that need none now, up to their level;
-/// what is beyond it is turned off, and no pool gives and gets.
-async fn balance_levels() -> Result<()> {
-    let names: Vec<String> = (0..20).map(|vm| format!("vm-{vm}")).collect();
-    let vms: Vec<&str> = names.iter().map(String::as_str).collect();
-    let off = PoolShare {
-        spare: true,
-        ..share(0, &vms[..6])
-    };
-    let pools = BTreeMap::from([
-        ("a".to_owned(), share(0, &vms[6..8])),
-        ("b".to_owned(), share(0, &vms[8..20])),
-        ("off".to_owned(), off),
-    ]);
-    let moves = plan_moves(&pools);
-    let count = |from: &str, to: &str| -> usize {
-        let between = moves.iter().filter(|m| m.from == from && m.to == to);
-        between.map(|m| m.count).sum()
-    };
-    // An even share is 10 VMs, the level 9.
-    ensure!(count("off", "a") == 6, "{moves:?}");
-    ensure!(count("b", "a") == 1 && count("b", "off") == 2, "{moves:?}");
-    ensure!(moves.len() == 3, "{moves:?}");
-    Ok(())
-}
-
-/// A new owner finds all jobs at once; they came in over a long time.
-async fn no_false_rise() -> Result<()> {
-    let mut state = pool_of(4, 8);
-    for number in 0..200 {
-        state.add_job(new_job(&format!("job-{number}"), vec![step(8)]), 30_000);
-    }
-    let wanted = state.wanted_vms(30_000);
-    ensure!(wanted.steady == 0, "{wanted:?}");
-    Ok(())
-}
-
-/// A pool whose want rises keeps less than it wants; it is no giver for that.
-async fn balance_gives_none() -> Result<()> {
-    let rising = PoolShare {
-        keep: 2,
-        ..share(9, &["a1", "a2", "a3", "a4", "a5", "a6"])
-    };
-    let pools = BTreeMap::from([("a".to_owned(), rising)]);
-    ensure!(plan_moves(&pools).is_empty(), "{:?}", plan_moves(&pools));
-    Ok(())
-}
-
 async fn bad_specs() -> Result<()> {
     let spec = |steps: Vec<StepSpec>| JobSpec {
         payload: "x".to_owned(),
@@ -763,29 +594,4 @@
             && names.len() == orders.len()
             && orders.len() == wanted.min(room)
     }
-
-    /// Moves give only what is there, and never more than is lacked.
-    fn moves_add_up(wants: Vec<(u8, u8, u8)>) -> bool {
-        let pools: BTreeMap<String, PoolShare> = wants
-            .iter()
-            .take(8)
-            .enumerate()
-            .map(|(number, (want, keep, has))| {
-                let vms: Vec<String> = (0..has % 20).map(|vm| format!("{number}-{vm}")).collect();
-                let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
-                let want = u32::from(want % 30);
-                let share = PoolShare {
-                    keep: want.min(u32::from(*keep)),
-                    ..share(want, &vms)
-                };
-                (format!("p{number}"), share)
-            })
-            .collect();
-        let moves = plan_moves(&pools);
-        pools.iter().all(|(pool, share)| {
-            let gives: usize = moves.iter().filter(|m| m.from == *pool).map(|m| m.count).sum();
-            let gets: usize = moves.iter().filter(|m| m.to == *pool).map(|m| m.count).sum();
-            gives <= share.vms.len() && (gives == 0 || gets == 0)
-        })
-    }
 }
