--- a/crates/hoisthitch-cli/src/client.rs
+++ b/crates/hoisthitch-cli/src/client.rs
@@ -1,4 +1,4 @@
-//! Client of an entry's operators' side.
+//! Client of the operators' side of an entry, or of a node of the job service.
 
 use std::time::Duration;
 
@@ -13,10 +13,7 @@
     de::DeserializeOwned, //
 };
 
-use crate::{
-    error::CommandError,
-    settings::OperatorSettings, //
-};
+use crate::error::CommandError;
 
 /// Longest time that a call may take; an entry settles unclear writes for less.
 const CALL_LIMIT: Duration = Duration::from_secs(30);
@@ -24,18 +21,20 @@
 /// Longest answer: the whole table and all hall records.
 const ANSWER_LIMIT: usize = 32 << 20;
 
-/// Client of one entry.
+/// Client of one entry or node.
 pub struct EntryClient {
     http: Client,
-    settings: OperatorSettings,
+    base: String,
+    token: String,
 }
 
 impl EntryClient {
-    /// Client of the entry that the settings name.
-    pub fn new(settings: OperatorSettings) -> Self {
+    /// Client of what listens at the URL `base`.
+    pub fn new(base: &str, token: String) -> Self {
         Self {
             http: Client::builder().timeout(CALL_LIMIT).finish(),
-            settings,
+            base: base.trim_end_matches('/').to_owned(),
+            token,
         }
     }
 
@@ -77,11 +76,11 @@
     }
 
     fn url(&self, path: &str) -> String {
-        format!("{}{path}", self.settings.entry.trim_end_matches('/'))
+        format!("{}{path}", self.base)
     }
 
     fn signed(&self, request: ClientRequest) -> ClientRequest {
-        request.bearer_auth(&self.settings.token)
+        request.bearer_auth(&self.token)
     }
 }
 
--- a/crates/hoisthitch-cli/src/commands/mod.rs
+++ b/crates/hoisthitch-cli/src/commands/mod.rs
@@ -34,7 +34,8 @@
     ///
     /// Reports the faults of the settings.
     pub fn client(&self) -> Result<EntryClient> {
-        Ok(EntryClient::new(OperatorSettings::load(&self.settings)?))
+        let settings = OperatorSettings::load(&self.settings)?;
+        Ok(EntryClient::new(&settings.entry, settings.token))
     }
 
     /// Client of the node of the job service that the settings name.
@@ -43,15 +44,15 @@
     ///
     /// Reports the faults of the settings, or that they name no node.
     pub fn job_client(&self) -> Result<EntryClient> {
-        let mut settings = OperatorSettings::load(&self.settings)?;
-        settings.entry = settings.jobs.clone().ok_or_else(|| {
+        let settings = OperatorSettings::load(&self.settings)?;
+        let node = settings.jobs.ok_or_else(|| {
             let file = self.settings.display();
             let example = "jobs = http://10.0.0.1:9464";
             CommandError::Usage(format!(
                 "{file}: [operator] names no node of the job service; add {example}"
             ))
         })?;
-        Ok(EntryClient::new(settings))
+        Ok(EntryClient::new(&node, settings.token))
     }
 }
 
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -45,7 +45,7 @@
 
 impl FullNeeds {
     fn rule_out(&self, step: &StepSpec) -> bool {
-        let room = room_of(step);
+        let room = step.room();
         self.needs.iter().any(|full| {
             full.cpu_milli <= room.cpu_milli
                 && full.memory_mb <= room.memory_mb
@@ -54,15 +54,6 @@
     }
 }
 
-/// Room that a task of the step takes.
-fn room_of(step: &StepSpec) -> TaskNeed {
-    let cpu_milli = if step.filler { 0 } else { step.need.cpu_milli };
-    TaskNeed {
-        cpu_milli,
-        ..step.need
-    }
-}
-
 /// Whether any runner with room may run a task of the step.
 fn is_unbound(step: &StepSpec) -> bool {
     step.label.is_none() && step.spread == 0
@@ -193,7 +184,7 @@
         let chosen = self.choose_runner(task, None, now);
         let advised = self.jobs.get(task.job)?.policy.advised;
         if chosen.is_none() && !advised && is_unbound(step) {
-            full.needs.push(room_of(step));
+            full.needs.push(step.room());
         }
         chosen
     }
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -105,35 +105,35 @@
     /// Whether a task of the step fits beside what it runs.
     pub fn fits(&self, step: &StepSpec) -> bool {
         let capacity = self.facts.capacity;
-        let cpu = if step.filler { 0 } else { step.need.cpu_milli };
-        self.used.cpu_milli + cpu <= capacity.cpu_milli
-            && self.used.memory_mb + step.need.memory_mb <= capacity.memory_mb
-            && self.used.gpus + step.need.gpus <= capacity.gpus
+        let room = step.room();
+        self.used.cpu_milli + room.cpu_milli <= capacity.cpu_milli
+            && self.used.memory_mb + room.memory_mb <= capacity.memory_mb
+            && self.used.gpus + room.gpus <= capacity.gpus
     }
 
     /// Share of the processors taken once a task of the step is added.
     pub fn load_with(&self, step: &StepSpec) -> f64 {
-        let cpu = if step.filler { 0 } else { step.need.cpu_milli };
-        let taken = as_f64(self.used.cpu_milli + cpu);
+        let taken = as_f64(self.used.cpu_milli + step.room().cpu_milli);
         taken / as_f64(self.facts.capacity.cpu_milli.max(1))
     }
 
     /// Takes room for a task.
     pub fn add(&mut self, task: TaskRef, step: &StepSpec) {
         if self.tasks.insert(task) {
-            self.used.cpu_milli += if step.filler { 0 } else { step.need.cpu_milli };
-            self.used.memory_mb += step.need.memory_mb;
-            self.used.gpus += step.need.gpus;
+            let room = step.room();
+            self.used.cpu_milli += room.cpu_milli;
+            self.used.memory_mb += room.memory_mb;
+            self.used.gpus += room.gpus;
         }
     }
 
     /// Gives room back.
     pub fn remove(&mut self, task: TaskRef, step: &StepSpec) {
         if self.tasks.remove(&task) {
-            let cpu = if step.filler { 0 } else { step.need.cpu_milli };
-            self.used.cpu_milli = self.used.cpu_milli.saturating_sub(cpu);
-            self.used.memory_mb = self.used.memory_mb.saturating_sub(step.need.memory_mb);
-            self.used.gpus = self.used.gpus.saturating_sub(step.need.gpus);
+            let room = step.room();
+            self.used.cpu_milli = self.used.cpu_milli.saturating_sub(room.cpu_milli);
+            self.used.memory_mb = self.used.memory_mb.saturating_sub(room.memory_mb);
+            self.used.gpus = self.used.gpus.saturating_sub(room.gpus);
         }
     }
 
--- a/crates/hoisthitch-jobs/src/spec.rs
+++ b/crates/hoisthitch-jobs/src/spec.rs
@@ -93,6 +93,18 @@
     pub may_miss: u32,
 }
 
+impl StepSpec {
+    /// Room that a task of the step takes on its runner; a filler takes no
+    /// processor.
+    pub(crate) fn room(&self) -> TaskNeed {
+        let cpu_milli = if self.filler { 0 } else { self.need.cpu_milli };
+        TaskNeed {
+            cpu_milli,
+            ..self.need
+        }
+    }
+}
+
 /// Why a job can't be taken.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum SpecError {
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -56,7 +56,9 @@
 /// orders about VMs, in milliseconds.
 const DOUBT_MS: Millis = 1_200;
 
-/// Moves that a pool makes in one look; the platform takes 64 a second of all.
+/// Moves that a pool makes in one look: one with many VMs to spare gives them
+/// within some looks. The platform takes 64 a second of all, or more, and what it
+/// refuses is ordered again.
 pub(crate) const SPARE_LIMIT: usize = 40;
 
 /// What the VM worker asks the owner.
