Say which runners are silent, what may run there, and how long that is waited for

Cause: logs told of a lost runner once, and not that each new owner waited for its lease again; that wait could not be told from want of room. Ruled out: reading it from lease_lapsed, which comes only at the end and not for runs of earlier owners. Change: runner_silent and runner_silence_over, one line each a runner and owner, from a list of silent runners that the pool's state works out; no decision uses it yet.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod record;
 mod report;
 mod runner;
+mod silent;
 mod spec;
 mod stall;
 mod task;
@@ -64,6 +65,7 @@
     RunnerFacts,
     RunnerKey, //
 };
+pub use silent::SilentRuns;
 pub use spec::{
     JobSchedule,
     JobSpec,
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -43,9 +43,10 @@
         asked_at: Millis,
         now: Millis,
     ) -> Vec<StartOrder> {
-        let Some(runner) = self.runners.get(key) else {
+        let Some(runner) = self.runners.get_mut(key) else {
             return Vec::new();
         };
+        runner.silent_since = None;
         let seen = runner.seen;
         let mut present = HashSet::new();
         for row in &report.running {
@@ -72,9 +73,10 @@
     }
 
     /// Takes in that a hold got no answer.
-    pub fn miss_hold(&mut self, key: RunnerKey) {
+    pub fn miss_hold(&mut self, key: RunnerKey, now: Millis) {
         if let Some(runner) = self.runners.get_mut(key) {
             runner.open = false;
+            runner.silent_since = runner.silent_since.or(Some(now));
         }
     }
 
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -397,6 +397,11 @@
         }
     }
 
+    /// Whether it is not known of some task whether it runs.
+    pub(crate) fn has_unlocated(&self) -> bool {
+        self.unlocated > 0
+    }
+
     /// A job by its identifier.
     pub fn job(&self, id: &str) -> Option<&JobEntry> {
         self.jobs.get(*self.job_ids.get(id)?)
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -59,6 +59,8 @@
     /// Until when a lasting task that was moved off it may take to work
     /// elsewhere.
     pub relocating_until: Millis,
+    /// Since when it has not answered; none while it does.
+    pub silent_since: Option<Millis>,
     /// When it was first seen.
     pub known_since: Millis,
     /// Room taken.
@@ -83,6 +85,7 @@
             leaving: false,
             lease_until,
             relocating_until: 0,
+            silent_since: Some(now),
             known_since: now,
             used: TaskNeed::default(),
             tasks: HashSet::new(),
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -7,11 +7,13 @@
 mod advice;
 mod inbox;
 mod runners;
+mod silent;
 mod writes;
 
 use std::{
     cell::Cell,
     collections::{
+        BTreeMap,
         HashMap,
         HashSet, //
     },
@@ -26,6 +28,7 @@
     Millis,
     PoolState,
     RunnerKey,
+    SilentRuns,
     StartOrder,
     StartOutcome, //
 };
@@ -135,6 +138,10 @@
     synced: bool,
     /// Lives of runners that are over, though they may be listed still.
     over: HashSet<String>,
+    /// When this node began to own the pool.
+    owned_since: Millis,
+    /// Runners that do not answer and may run something, as last looked at.
+    silent: BTreeMap<String, SilentRuns>,
     /// When this node was last surely the owner.
     confirmed: Rc<Cell<Millis>>,
     checked_at: Millis,
@@ -189,6 +196,8 @@
         events,
         sessions: HashMap::new(),
         over: HashSet::new(),
+        owned_since: now,
+        silent: BTreeMap::new(),
         synced: false,
         confirmed,
         checked_at: 0,
@@ -356,6 +365,7 @@
         if now >= self.checked_at + CHECK_MS {
             self.checked_at = now;
             self.check_times(now);
+            self.look_for_silence(now);
             self.state.plan(now);
         } else if self.state.needs_plan() {
             self.state.plan(now);
@@ -416,7 +426,7 @@
                     self.send(runner, RunnerOrder::Pace(pace));
                 }
             }
-            SessionEvent::Missed { runner } => self.state.miss_hold(runner),
+            SessionEvent::Missed { runner } => self.state.miss_hold(runner, now),
             SessionEvent::Replaced { runner } => {
                 let name = self.state.runner(runner).map(|r| r.facts.name.clone());
                 self.over.extend(name);
