A lasting task of a lost runner is away too long while owners change (fails)

Seen: a task stayed away for ten to twelve seconds. Cause, by the cases: each new owner waits the longest possible lease from its own election on. Ruled out: want of room (the cases have two free VMs), the drain of the runner (they crash it).

--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -31,6 +31,7 @@
     };
 }
 
+mod silent;
 mod waves;
 
 cases! {
--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/ownership/silent.rs
@@ -0,0 +1,110 @@
+//! Runners that fall silent while owners change.
+//!
+//! Seen: a lasting task stayed away for ten to twelve seconds although there was
+//! room for it. Its runner had left; the nodes were being stopped and started in
+//! turn, so that the pool changed owner twice while the runner's lease ran out.
+//! Cause: what an owner knows of a silent runner's lease ended with that owner.
+//! Each next one could ask nobody and waited the longest possible lease again,
+//! from its own election on. Proof: in both sightings the task was started
+//! within 25 ms of the last election plus that time, with free VMs all along;
+//! the first case here does the same to the code as it was.
+
+use eyre::{
+    Result,
+    ensure, //
+};
+
+use super::{
+    kept,
+    world::{
+        TestWorld,
+        lasting,
+        play,
+        sleep_ms, //
+    }, //
+};
+
+/// Longest time that a lasting task may be away when its runner was lost: the
+/// platform's six seconds, and three to be placed.
+const AWAY_MS: u64 = 9_000;
+
+/// Lasting tasks of the cases.
+const TASKS: u32 = 3;
+
+cases! {
+    lasting_task_is_back_though_owners_stop_in_turn => stops_in_turn();
+    lasting_task_is_back_though_the_owner_is_killed => kills_after_loss();
+    runner_heard_again_is_waited_for_in_full => hears_again();
+}
+
+/// A world with lasting tasks at work; answers also with a runner of one.
+async fn at_work(nodes: usize) -> Result<(TestWorld, String)> {
+    let world = TestWorld::start(nodes, 5).await?;
+    world.submit("long", lasting(TASKS, 1)).await?;
+    sleep_ms(12_000).await;
+    let busy = world.fleet.busy();
+    ensure!(busy.len() == 3, "{busy:?} run something");
+    Ok((world, busy[0].clone()))
+}
+
+/// Ends a runner for good, and its record with it.
+fn lose(world: &TestWorld, runner: &str) {
+    world.fleet.crash(runner);
+    world.store.put(&format!("runner/{runner}"), None, 0);
+}
+
+/// Waits until all lasting tasks run, for `limit_ms` at most.
+async fn wait_back(world: &TestWorld, limit_ms: u64) -> Result<()> {
+    for _ in 0..limit_ms / 50 {
+        if world.fleet.running().len() == TASKS as usize {
+            return Ok(());
+        }
+        sleep_ms(50).await;
+    }
+    eyre::bail!("a lasting task is away after {limit_ms} ms more")
+}
+
+async fn stops_in_turn() -> Result<()> {
+    let (mut world, runner) = at_work(3).await?;
+    lose(&world, &runner);
+    for _ in 0..2 {
+        sleep_ms(2_000).await;
+        let owner = world.owner();
+        world.nodes[&owner].stop();
+        sleep_ms(500).await;
+        world.start_node(&owner)?;
+    }
+    wait_back(&world, AWAY_MS - 5_000).await?;
+    kept(&world)
+}
+
+async fn kills_after_loss() -> Result<()> {
+    let (world, runner) = at_work(3).await?;
+    lose(&world, &runner);
+    sleep_ms(2_000).await;
+    world.nodes[&world.owner()].kill();
+    wait_back(&world, AWAY_MS - 2_000).await?;
+    kept(&world)
+}
+
+/// The lease of a runner that was silent, and was heard again, is a long one
+/// again; whoever is owner next must not go by what was known before.
+async fn hears_again() -> Result<()> {
+    let (world, runner) = at_work(3).await?;
+    let nodes: Vec<String> = world.nodes.keys().cloned().collect();
+    for heard_ms in [20, 60, 100, 200, 400, 1_000] {
+        world.fleet.cut(&runner, &nodes);
+        sleep_ms(2_500).await;
+        world.fleet.cut(&runner, &[]);
+        sleep_ms(heard_ms).await;
+        world.fleet.cut(&runner, &nodes);
+        let owner = world.owner();
+        world.nodes[&owner].freeze(true);
+        sleep_ms(8_000).await;
+        world.nodes[&owner].freeze(false);
+        world.fleet.cut(&runner, &[]);
+        sleep_ms(15_000).await;
+        kept(&world)?;
+    }
+    wait_back(&world, AWAY_MS).await
+}
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -9,7 +9,10 @@
     future::Future,
     pin::Pin,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
     task::{
         Context,
         Poll, //
@@ -246,6 +249,11 @@
     pub fn kill(&self) {
         self.killed.set(true);
     }
+
+    /// Tells the node to hand its pools over and end.
+    pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+    }
 }
 
 /// Everything.
