Lasting tasks are lost with a runner that said that it leaves (fails)

Seen beside the wait for silent runners: the runner had said 4 s before that it leaves, and its lasting task was left there to the end. Ruled out: a full pool (free neighbours in the case and in the sighting).

--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/ownership/drains.rs
@@ -0,0 +1,71 @@
+//! Lasting tasks on runners that say that they leave.
+//!
+//! Seen: a lasting task stayed on its runner to the end, 4 s after the runner had
+//! said that it leaves, and was then away until the runner's lease was over.
+//! Cause: a leaving runner got no more tasks, and nothing moved those that it
+//! had. Proof: the runner was listed as leaving at the owner, had free neighbours
+//! all the time, and no stop was ordered; the case here does the same.
+
+use eyre::{
+    Result,
+    ensure, //
+};
+
+use super::{
+    DRAINING,
+    kept,
+    world::{
+        TestWorld,
+        lasting,
+        play,
+        sleep_ms, //
+    }, //
+};
+
+/// Least time for which a leaving runner serves on.
+const SERVES_ON_MS: u64 = 2_000;
+
+cases! {
+    lasting_tasks_leave_a_draining_runner_before_it_goes => leaves_in_time(5);
+    tasks_of_a_step_leave_a_runner_one_after_the_other => leaves_in_time(1);
+}
+
+/// Has the runner leave that holds the most tasks, of five; `at_first` of them
+/// are there when the jobs come.
+async fn leaves_in_time(at_first: usize) -> Result<()> {
+    let world = TestWorld::start(2, at_first).await?;
+    let mut spec = lasting(3, 1);
+    for step in &mut spec.steps {
+        step.spread = 0;
+    }
+    world.submit("long", spec.clone()).await?;
+    world.submit("long2", spec).await?;
+    sleep_ms(1_000).await;
+    for number in at_first..5 {
+        world.begin_runner(&format!("vm-{number}"));
+    }
+    sleep_ms(1_000).await;
+    let tasks = world.fleet.tasks();
+    let (runner, _) = tasks
+        .iter()
+        .max_by_key(|(_, tasks)| tasks.len())
+        .ok_or_else(|| eyre::eyre!("no runner"))?;
+    let vms = world.fleet.living();
+    let vm = vms.iter().find(|(name, _)| name == runner);
+    let record = format!("{}{DRAINING}", vm.map_or("", |(_, vm)| vm));
+    world
+        .store
+        .put(&format!("runner/{runner}"), Some(record.as_bytes()), 0);
+    for _ in 0..SERVES_ON_MS / 20 {
+        sleep_ms(20).await;
+        let running = world.fleet.running();
+        for job in ["long.", "long2."] {
+            let at_work = running.iter().filter(|task| task.starts_with(job)).count();
+            ensure!(at_work >= 2, "{running:?} run");
+        }
+    }
+    world.fleet.crash(runner);
+    let running = world.fleet.running();
+    ensure!(running.len() == 6, "{running:?} run");
+    kept(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -31,6 +31,7 @@
     };
 }
 
+mod drains;
 mod silent;
 mod waves;
 
