Move lasting tasks off runners that say that they leave

Cause: a leaving runner got no new tasks, and nothing moved the lasting ones that it had; they were lost with it and away until its lease was over. Ruled out: doing so for runners that are merely not listed: records lapse in an outage of the store while the runners live, and all tasks would move at once. Those are told apart now (retired). Change: while a runner drains, its lasting tasks are stopped where their step may miss one and another runner has room; the planner starts them there.

--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -159,7 +159,7 @@
     /// VMs of the pool's runners.
     pub fn vms(&self) -> Vec<String> {
         let runners = self.runners.values();
-        let staying = runners.filter(|runner| !runner.facts.draining);
+        let staying = runners.filter(|runner| !runner.is_going());
         staying.map(|runner| runner.facts.vm.clone()).collect()
     }
 
@@ -168,7 +168,7 @@
         let mut spare: Vec<(bool, u64, RunnerKey)> = self
             .runners
             .iter()
-            .filter(|(_, runner)| runner.open && !runner.facts.draining)
+            .filter(|(_, runner)| runner.open && !runner.is_going())
             .filter(|(_, runner)| runner.known_since + STAY_MS <= now)
             .filter(|(_, runner)| !self.holds_lasting(runner))
             .map(|(key, runner)| (!runner.leaving, runner.used.cpu_milli, key))
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod balance;
 mod demand;
+mod drain;
 mod gang;
 mod job;
 mod observe;
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -258,7 +258,7 @@
             let usable = self
                 .runners
                 .get(runner)
-                .is_some_and(|entry| entry.open && !entry.facts.draining && !entry.leaving);
+                .is_some_and(|entry| entry.open && !entry.is_going() && !entry.leaving);
             if !usable {
                 self.set_place(*task, TaskPlace::Waiting, now);
                 self.break_gang(*task, now);
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -237,6 +237,7 @@
             && let Some(runner) = self.runners.get_mut(key)
         {
             runner.facts = facts;
+            runner.retired = false;
             return key;
         }
         let name = facts.name.clone();
@@ -249,7 +250,7 @@
     /// Gives a runner no more tasks; it is listed no more.
     pub fn retire_runner(&mut self, key: RunnerKey) {
         if let Some(runner) = self.runners.get_mut(key) {
-            runner.facts.draining = true;
+            runner.retired = true;
         }
     }
 
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -52,6 +52,9 @@
     pub facts: RunnerFacts,
     /// Whether it answers, and knows this owner.
     pub open: bool,
+    /// Whether it is listed no more: it may leave, or its record lapsed in an
+    /// outage of the store.
+    pub retired: bool,
     /// Whether it is to be emptied for an upkeep or a move.
     pub leaving: bool,
     /// When everything on it has ended if no hold is answered any more.
@@ -84,6 +87,7 @@
         Self {
             facts,
             open: false,
+            retired: false,
             leaving: false,
             lease_until,
             relocating_until: 0,
@@ -98,9 +102,14 @@
         }
     }
 
+    /// Whether it is about to leave, or is not listed and may be.
+    pub fn is_going(&self) -> bool {
+        self.facts.draining || self.retired
+    }
+
     /// Whether it may get tasks.
     pub fn takes_tasks(&self, now: Millis) -> bool {
-        self.open && !self.facts.draining && !self.leaving && self.shunned_until <= now
+        self.open && !self.is_going() && !self.leaving && self.shunned_until <= now
     }
 
     /// Whether it was shunned and is tried with one task.
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -399,6 +399,7 @@
         let today = self.context.shared.clock.today_ms();
         self.state.begin_rounds(now, today);
         self.state.stop_again(now);
+        self.state.leave_draining(now);
         for runner in self.state.stop_stalled(now) {
             let name = self.state.runner(runner).map(|r| r.facts.name.clone());
             self.count("task_stalled");
