Owners that follow one another take turns about a VM (fails)

Found by looking for the cause of the lasting task's absence elsewhere: an owner's knowledge of its predecessor's orders about VMs is not handed on either. Change: the stand-in of the fleet judges turns of holders within 3 s, also of unanswered orders; a case with two planned stops in 1.4 s, listed.

--- a/crates/hoisthitch-scheduler/tests/ownership/waves.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/waves.rs
@@ -25,6 +25,7 @@
     wave_under_a_new_owner_waits_for_runners_that_are_not_listed => counts_unlisted();
     vm_that_went_down_is_not_counted => counts_down();
     crash_before_the_upkeep_is_no_upkeep => crash_is_no_upkeep();
+    owners_that_follow_one_another_take_no_turns_about_a_vm => takes_no_turns();
 }
 
 async fn wave(world: &TestWorld, vms: usize, limit_ms: u64) -> Result<()> {
@@ -191,3 +192,30 @@
     ensure!(world.fleet.upkeeps().0 == 3, "{:?}", world.fleet.upkeeps());
     kept(&world)
 }
+
+/// Found beside the wait for silent runners, by reading: what an owner knows of a
+/// predecessor's orders ended with that owner. The one after the next gave an
+/// order about a VM within 3 s of the first one's, which the platform takes for
+/// two holders that take turns.
+async fn takes_no_turns() -> Result<()> {
+    let world = TestWorld::start(4, 4).await?;
+    sleep_ms(4_000).await;
+    world.fleet.lose_vm_orders(true);
+    world.store.put("op/wave/1", Some(b"vm-0"), 0);
+    for _ in 0..200 {
+        if world.fleet.was_ordered("vm-0") {
+            break;
+        }
+        sleep_ms(20).await;
+    }
+    ensure!(world.fleet.was_ordered("vm-0"), "no order in 4 s");
+    for _ in 0..2 {
+        world.nodes[&world.owner()].stop();
+        sleep_ms(700).await;
+    }
+    sleep_ms(4_000).await;
+    kept(&world)?;
+    world.fleet.lose_vm_orders(false);
+    wave(&world, 1, 20_000).await?;
+    kept(&world)
+}
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -44,6 +44,9 @@
 /// Time after which a caller gives up.
 const GIVE_UP: Duration = Duration::from_millis(900);
 
+/// Time within which two holders may not give orders about one VM.
+const TURN: Duration = Duration::from_secs(3);
+
 /// Time that an upkeep takes.
 const UPKEEP: Duration = Duration::from_secs(2);
 
@@ -67,6 +70,8 @@
     orders: u64,
     upkeeps: Vec<(String, u64, Instant)>,
     down_most: usize,
+    /// Last order about each VM: its holder, and when it came.
+    vm_orders: HashMap<String, (String, Instant)>,
     /// Orders about VMs are lost.
     vms_lost: bool,
     /// Jobs whose tasks may be stopped as their caller wants.
@@ -474,6 +479,30 @@
     }
 }
 
+impl MemoryFleet {
+    /// Notes an order about a VM, answered or not, and whether two holders took
+    /// turns.
+    fn judge_turn(&self, vm: &str, holder: &str) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let last = state
+            .vm_orders
+            .insert(vm.to_owned(), (holder.to_owned(), now));
+        if let Some((other, at)) = last
+            && other != holder
+            && now < at + TURN
+        {
+            let broken = format!("{vm}: {other} and {holder} take turns");
+            state.broken.push(broken);
+        }
+    }
+
+    /// Whether an order about the VM was given.
+    pub fn was_ordered(&self, vm: &str) -> bool {
+        self.state.borrow().vm_orders.contains_key(vm)
+    }
+}
+
 impl VmControl for MemoryFleet {
     async fn list(&self) -> Result<Vec<VmRow>, VmError> {
         tokio::time::sleep(WAY * 2).await;
@@ -498,8 +527,9 @@
         Ok(rows)
     }
 
-    async fn upkeep(&self, vm: &str, _wave: u64, _holder: &str, epoch: u64) -> Result<(), VmError> {
+    async fn upkeep(&self, vm: &str, _wave: u64, holder: &str, epoch: u64) -> Result<(), VmError> {
         tokio::time::sleep(WAY).await;
+        self.judge_turn(vm, holder);
         if self.state.borrow().vms_lost {
             tokio::time::sleep(GIVE_UP).await;
             return Err(VmError::NoAnswer("lost".to_owned()));
