Hand on which VMs earlier owners may have given orders about

Cause: an owner kept its predecessor's orders about VMs to itself; the owner after it gave its own within 3 s, so that two holders took turns. Ruled out: taking the predecessor's list over as if it were its own, which would begin the wait anew with each owner and stop all upkeeps while nodes are restarted in turn. Change: the pool's share carries the VMs that are still held back, with the time left.

--- a/crates/hoisthitch-scheduler/src/vms/share.rs
+++ b/crates/hoisthitch-scheduler/src/vms/share.rs
@@ -71,6 +71,11 @@
     /// VMs that this owner gives orders about, or lately did.
     #[serde(default)]
     pub(super) recent: Vec<String>,
+    /// VMs that earlier owners may have given orders about, with the time for
+    /// which this one gives none, in milliseconds. The owner after it must not
+    /// either, or two holders of one VM would take turns.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) blocked: BTreeMap<String, Millis>,
 }
 
 impl<P: Platform> VmWorker<P> {
@@ -81,7 +86,7 @@
             if pool != self.context.pool {
                 let sent = share.sent.iter();
                 let here = sent.filter(|(_, to)| **to == self.context.pool);
-                self.block(here.map(|(vm, _)| vm.clone()).collect());
+                self.block(here.map(|(vm, _)| vm.clone()).collect::<Vec<_>>());
             }
         }
         // A write that finds the share of an earlier owner blocks its VMs.
@@ -91,9 +96,27 @@
         Ok(())
     }
 
-    pub(super) fn block(&mut self, vms: Vec<String>) {
-        let until = self.context.shared.clock.now() + SETTLE_MS;
-        self.blocked.extend(vms.into_iter().map(|vm| (vm, until)));
+    /// Gives no orders about these VMs for a while.
+    pub(super) fn block(&mut self, vms: impl IntoIterator<Item = String>) {
+        self.block_for(vms.into_iter().map(|vm| (vm, SETTLE_MS)));
+    }
+
+    /// Gives no orders about VMs, each for the time beside it.
+    fn block_for(&mut self, vms: impl IntoIterator<Item = (String, Millis)>) {
+        let now = self.context.shared.clock.now();
+        for (vm, time) in vms {
+            let until = self.blocked.entry(vm).or_insert(0);
+            *until = (*until).max(now + time);
+        }
+    }
+
+    /// VMs that no order is given about now, with the time left.
+    fn still_blocked(&mut self, now: Millis) -> BTreeMap<String, Millis> {
+        self.blocked.retain(|_, until| *until > now);
+        let blocked = self.blocked.iter();
+        blocked
+            .map(|(vm, until)| (vm.clone(), until - now))
+            .collect()
     }
 
     /// Whether an earlier owner may have given an order about the VM lately.
@@ -190,18 +213,24 @@
         self.publish(self.record.share.clone()).await
     }
 
-    /// Writes the pool's share; answers with the write's revision.
-    pub(super) async fn publish(&mut self, share: PoolShare) -> Result<u64, VmWorkError> {
+    /// What to write down now.
+    fn make_record(&mut self, share: PoolShare) -> ShareRecord {
         let now = self.context.shared.clock.now();
         self.ordered.retain(|_, at| *at + RECENT_MS > now);
-        let record = ShareRecord {
+        ShareRecord {
             epoch: self.context.epoch,
             sequence: self.record.sequence + 1,
             share,
             recent: self.ordered.keys().cloned().collect(),
-        };
+            blocked: self.still_blocked(now),
+        }
+    }
+
+    /// Writes the pool's share; answers with the write's revision.
+    pub(super) async fn publish(&mut self, share: PoolShare) -> Result<u64, VmWorkError> {
         let key = self.context.keys.share(&self.context.pool);
         loop {
+            let record = self.make_record(share.clone());
             let item = SwapItem {
                 key: key.clone(),
                 expected: self.revision,
@@ -228,7 +257,8 @@
                     self.revision = stored.revision;
                     if other.epoch < self.context.epoch {
                         self.block(other.recent);
-                        self.block(other.share.sent.into_keys().collect());
+                        self.block(other.share.sent.into_keys());
+                        self.block_for(other.blocked);
                     }
                 }
             }
