Tell how far an answer came, and of a table that can't be fetched for long

A follower logged its first failure only, and a call without a whole answer said just that: a node that fetched a large table over and over, and never had it whole, looked like one whose store was silent for a moment.

No limit changes.

Ruled out: a line for each failure, which at a try every 150 ms would be most of a log in an outage.

So a large transfer that is cut off can be told from silence in the log.

--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -6,6 +6,7 @@
     time::Duration, //
 };
 
+use hoisthitch_jobs::Millis;
 use hoisthitch_store::{
     StoreClient,
     StoreError,
@@ -22,6 +23,10 @@
 /// Wait after the store could not be followed.
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 
+/// Time between two lines on a prefix that can't be followed, in milliseconds:
+/// lines of some dozen nodes stay few, and an outage of seconds shows.
+const TOLD_MS: Millis = 1_000;
+
 /// What a follower is told.
 #[derive(Clone, Debug)]
 pub(crate) enum FollowEvent {
@@ -33,6 +38,17 @@
     Gone(String),
 }
 
+/// Failures since a prefix could last be followed.
+#[derive(Clone, Copy, Debug)]
+struct FollowLoss {
+    /// When the first came.
+    since: Millis,
+    /// When a line told of one.
+    told: Millis,
+    /// How many came.
+    failures: u32,
+}
+
 /// Follows the keys that start with `prefix` until nobody listens. Between two
 /// waits for changes it pauses, so that changes which come often share a call.
 pub(crate) async fn follow_prefix<S: StoreClient>(
@@ -43,27 +59,51 @@
     events: mpsc::UnboundedSender<FollowEvent>,
 ) {
     let prefix = Rc::new(prefix);
-    let mut lost = false;
+    let mut lost = None;
     while !events.is_closed() {
         let ended = follow_once(&store, &prefix, pause, &shared, &events, &mut lost).await;
         if let Err(err) = ended {
-            shared.store.note_failure(shared.clock.now());
-            if !lost {
-                event!(Warn, "follow_lost", prefix = prefix, error = err);
-            }
-            lost = true;
+            let now = shared.clock.now();
+            shared.store.note_failure(now);
+            note_loss(&mut lost, &prefix, &err, now);
             tokio::time::sleep(RETRY_WAIT).await;
         }
     }
 }
 
+/// Counts a failure; tells of the first, and of those that follow now and then.
+fn note_loss(lost: &mut Option<FollowLoss>, prefix: &str, err: &StoreError, now: Millis) {
+    let Some(loss) = lost else {
+        event!(Warn, "follow_lost", prefix = prefix, error = err);
+        *lost = Some(FollowLoss {
+            since: now,
+            told: now,
+            failures: 1,
+        });
+        return;
+    };
+    loss.failures = loss.failures.saturating_add(1);
+    if now.saturating_sub(loss.told) < TOLD_MS {
+        return;
+    }
+    loss.told = now;
+    event!(
+        Warn,
+        "follow_failing",
+        prefix = prefix,
+        failures = loss.failures,
+        lost_ms = now.saturating_sub(loss.since),
+        error = err
+    );
+}
+
 async fn follow_once<S: StoreClient>(
     store: &S,
     prefix: &str,
     pause: Duration,
     shared: &NodeShared,
     events: &mpsc::UnboundedSender<FollowEvent>,
-    lost: &mut bool,
+    lost: &mut Option<FollowLoss>,
 ) -> Result<(), StoreError> {
     let mut watch = store.watch(prefix, StoreRevision::default()).await?;
     while let Some(change) = watch.next().await {
@@ -72,9 +112,15 @@
         let told = match change {
             WatchEvent::Opened => {
                 let all = store.read_prefix(prefix).await?;
-                if *lost {
-                    event!(Info, "follow_regained", prefix = prefix, values = all.len());
-                    *lost = false;
+                if let Some(loss) = lost.take() {
+                    event!(
+                        Info,
+                        "follow_regained",
+                        prefix = prefix,
+                        values = all.len(),
+                        failures = loss.failures,
+                        lost_ms = shared.clock.now().saturating_sub(loss.since)
+                    );
                 }
                 events.send(FollowEvent::All(all))
             }
--- a/crates/hoisthitch-store/src/error.rs
+++ b/crates/hoisthitch-store/src/error.rs
@@ -23,6 +23,16 @@
         /// Time that was allowed.
         limit: Duration,
     },
+    /// An answer began and was not whole in time; a write may have taken effect.
+    #[error("{call}: the answer was not whole within {limit:?}: {bytes} bytes came")]
+    Unfinished {
+        /// The call.
+        call: &'static str,
+        /// Time that was allowed.
+        limit: Duration,
+        /// What had come of the body.
+        bytes: usize,
+    },
     /// The service answered with an error.
     #[error("{call}: the service answered with status {status}")]
     Status {
