Limit answers by their progress, so that a large table can be fetched

Cause: the time for a call covered its whole answer, 900 ms for values and 1.7 s for a watch with its wait, whatever the size. A table that took the link longer was cut off, and so was each new try, which began from nothing.

A watch that opens gives out what it read then; before, the follower read the whole prefix a second time.

Ruled out: longer times for the whole, which move the size at which a table can't be fetched and make silence be noticed later.

--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -97,6 +97,20 @@
     );
 }
 
+/// Tells of the end of the failures, if there were any.
+fn note_regained(lost: &mut Option<FollowLoss>, prefix: &str, values: usize, now: Millis) {
+    if let Some(loss) = lost.take() {
+        event!(
+            Info,
+            "follow_regained",
+            prefix = prefix,
+            values = values,
+            failures = loss.failures,
+            lost_ms = now.saturating_sub(loss.since)
+        );
+    }
+}
+
 async fn follow_once<S: StoreClient>(
     store: &S,
     prefix: &str,
@@ -112,16 +126,11 @@
         let told = match change {
             WatchEvent::Opened => {
                 let all = store.read_prefix(prefix).await?;
-                if let Some(loss) = lost.take() {
-                    event!(
-                        Info,
-                        "follow_regained",
-                        prefix = prefix,
-                        values = all.len(),
-                        failures = loss.failures,
-                        lost_ms = shared.clock.now().saturating_sub(loss.since)
-                    );
-                }
+                note_regained(lost, prefix, all.len(), shared.clock.now());
+                events.send(FollowEvent::All(all))
+            }
+            WatchEvent::All(all) => {
+                note_regained(lost, prefix, all.len(), shared.clock.now());
                 events.send(FollowEvent::All(all))
             }
             WatchEvent::Put(stored) => events.send(FollowEvent::Put(stored)),
--- a/crates/hoisthitch-store/src/client.rs
+++ b/crates/hoisthitch-store/src/client.rs
@@ -76,8 +76,10 @@
 /// One change seen by a watch.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum WatchEvent {
-    /// The watch is in place.
+    /// The watch is in place; what there is has to be read.
     Opened,
+    /// The watch is in place, and this is all there is.
+    All(Vec<StoredValue>),
     /// Nothing changed for a while; the watch is alive.
     Quiet,
     /// A value was written.
--- a/crates/hoisthitch-store/src/error.rs
+++ b/crates/hoisthitch-store/src/error.rs
@@ -23,6 +23,16 @@
         /// Time that was allowed.
         limit: Duration,
     },
+    /// An answer began, and then nothing more came; a write may have taken effect.
+    #[error("{call}: nothing came for {limit:?} after {bytes} bytes of the answer")]
+    Silent {
+        /// The call.
+        call: &'static str,
+        /// Time that was allowed.
+        limit: Duration,
+        /// What had come of the body.
+        bytes: usize,
+    },
     /// An answer began and was not whole in time; a write may have taken effect.
     #[error("{call}: the answer was not whole within {limit:?}: {bytes} bytes came")]
     Unfinished {
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -408,7 +408,7 @@
             .filter(|(_, event)| match event {
                 WatchEvent::Put(value) => value.key.starts_with(&self.prefix),
                 WatchEvent::Delete { key, .. } => key.starts_with(&self.prefix),
-                WatchEvent::Opened | WatchEvent::Quiet => false,
+                WatchEvent::Opened | WatchEvent::All(_) | WatchEvent::Quiet => false,
             })
             .map(|(_, event)| event.clone())
             .collect();
