Read all there is where the changes since are longer

Cause: a watch goes on from the revision it knows. While a large answer comes in, further versions are written, and the next answer holds each of them whole: five versions of 1 MB take a link of 10 Mbit/s 5.5 s, and only the last matters.

A call's limit now has a length, and a longer answer is given up at its head where that tells the length.

Ruled out: reading anew after each slow answer, which costs a transfer where nothing was written meanwhile; asking first with a transaction that has only a condition, which counts against the store's rate of writes, once a node and change.

--- a/crates/hoisthitch-store/src/error.rs
+++ b/crates/hoisthitch-store/src/error.rs
@@ -43,6 +43,14 @@
         /// What had come of the body.
         bytes: usize,
     },
+    /// The answer is longer than was asked for; a write may have taken effect.
+    #[error("{call}: the answer is longer than {limit} bytes")]
+    TooLong {
+        /// The call.
+        call: &'static str,
+        /// Bytes that were allowed.
+        limit: usize,
+    },
     /// The service answered with an error.
     #[error("{call}: the service answered with status {status}")]
     Status {
