--- a/crates/hoisthitch-scheduler/tests/ownership/silent.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/silent.rs
@@ -38,6 +38,9 @@
     lasting_task_is_back_though_the_owner_is_killed => kills_after_loss();
     runner_heard_again_is_waited_for_in_full => hears_again();
     runner_heard_by_a_cut_off_owner_gets_no_lease => hears_cut_off();
+    owner_that_was_frozen_while_it_took_over_gives_no_long_lease => wakes_in_takeover();
+    word_is_left_of_a_runner_lost_just_before_a_stop => stops_after_loss();
+    word_of_a_silent_runner_outlives_an_owner_that_is_lost_at_once => kills_in_series();
 }
 
 /// A world with lasting tasks at work; answers also with a runner of one.
@@ -136,3 +139,76 @@
     kept(&world)?;
     wait_back(&world, AWAY_MS).await
 }
+
+/// A node is frozen between its election and the first read of the records. It
+/// is replaced, wakes, and is cut off from the store before it can find out.
+async fn wakes_in_takeover() -> Result<()> {
+    let (world, runner) = at_work(3).await?;
+    let first = world.owner();
+    world.store.revoke(&first);
+    let mut winner = first.clone();
+    for _ in 0..3_000 {
+        winner = world.owner();
+        if winner != first {
+            break;
+        }
+        sleep_ms(1).await;
+    }
+    ensure!(winner != first, "nobody else took over");
+    world.nodes[&winner].freeze(true);
+    let others: Vec<String> = world
+        .nodes
+        .keys()
+        .filter(|node| **node != winner)
+        .cloned()
+        .collect();
+    // The node and the runner are in one hall, which is cut off.
+    for (other, _) in world.fleet.living() {
+        world.fleet.cut(&other, std::slice::from_ref(&winner));
+    }
+    world.fleet.cut(&runner, &others);
+    sleep_ms(4_000).await;
+    ensure!(world.owner() != winner, "the frozen node was not replaced");
+    ensure!(world.fleet.busy().contains(&runner), "it lapsed before");
+    world.nodes[&winner].freeze(false);
+    sleep_ms(300).await;
+    world.store.set_faults(StoreFaults {
+        cut: [winner].into_iter().collect(),
+        ..StoreFaults::default()
+    });
+    sleep_ms(10_000).await;
+    kept(&world)
+}
+
+/// The owner is lost after it left word, and so is the next one, as soon as it is
+/// the owner.
+async fn kills_in_series() -> Result<()> {
+    let (world, runner) = at_work(5).await?;
+    lose(&world, &runner);
+    sleep_ms(2_000).await;
+    let first = world.owner();
+    world.nodes[&first].kill();
+    for _ in 0..4_000 {
+        if world.owner() != first {
+            break;
+        }
+        sleep_ms(1).await;
+    }
+    let second = world.owner();
+    ensure!(second != first);
+    sleep_ms(100).await;
+    world.nodes[&second].kill();
+    wait_back(&world, AWAY_MS + 500 - 2_000 - 1_700).await?;
+    kept(&world)
+}
+
+/// The runner is lost without a sign, and the owner is stopped as planned while
+/// its last hold there has no answer yet.
+async fn stops_after_loss() -> Result<()> {
+    let (world, runner) = at_work(3).await?;
+    lose(&world, &runner);
+    sleep_ms(850).await;
+    world.nodes[&world.owner()].stop();
+    wait_back(&world, AWAY_MS - 850).await?;
+    kept(&world)
+}
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -74,6 +74,8 @@
     vm_orders: HashMap<String, (String, Instant)>,
     /// Orders about VMs are lost.
     vms_lost: bool,
+    /// Time that an order about a VM is under way.
+    vms_way: Duration,
     /// Jobs whose tasks may be stopped as their caller wants.
     cancelled: HashSet<String>,
 }
@@ -128,6 +130,11 @@
         self.state.borrow_mut().vms_lost = lost;
     }
 
+    /// Has orders about VMs take that long to arrive.
+    pub fn slow_vm_orders(&self, way: Duration) {
+        self.state.borrow_mut().vms_way = way;
+    }
+
     /// The caller cancels a job: its tasks may be stopped from now on.
     pub fn note_cancel(&self, job: &str) {
         self.state.borrow_mut().cancelled.insert(job.to_owned());
@@ -530,6 +537,8 @@
     async fn upkeep(&self, vm: &str, _wave: u64, holder: &str, epoch: u64) -> Result<(), VmError> {
         tokio::time::sleep(WAY).await;
         self.judge_turn(vm, holder);
+        let way = self.state.borrow().vms_way;
+        tokio::time::sleep(way).await;
         if self.state.borrow().vms_lost {
             tokio::time::sleep(GIVE_UP).await;
             return Err(VmError::NoAnswer("lost".to_owned()));
