Count a new owner as confirmed from the sending of its election on

Cause: the owner's first confirmation was the end of its first read. A node frozen between election and read took the time of its waking, gave leases from then on, and the node that had replaced it started the same task when its bound was over. Ruled out: asking the store again before the first lease, a read more for each takeover that the time of the election makes needless. Change: the election's time of sending goes with the takeover.

--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -181,7 +181,7 @@
     let progress = context.platform.store().read_prefix(&prefix).await?;
     let mut recorded = read_progress(&context, progress);
     let (vm_sender, vm_requests) = mpsc::channel(VM_QUEUE);
-    let confirmed = Rc::new(Cell::new(context.shared.clock.now()));
+    let confirmed = Rc::new(Cell::new(takeover.confirmed_at));
     let vms = start_vm_worker(&context, takeover.epoch, confirmed.clone(), vm_sender);
     let (events, session_events) = mpsc::unbounded_channel();
     let (returns, returned) = mpsc::unbounded_channel();
--- a/crates/hoisthitch-scheduler/src/takeover.rs
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -48,6 +48,9 @@
     pub(crate) journal: PoolJournal<S>,
     /// Fencing token of the owner's orders.
     pub(crate) epoch: u64,
+    /// When the election was sent, at which time nobody else owned the pool. Every
+    /// lease is capped from such a time on.
+    pub(crate) confirmed_at: Millis,
     /// What the last owner left word of: time after which all runs have ended on
     /// silent runners, in milliseconds, by name.
     pub(crate) silent: BTreeMap<String, Millis>,
@@ -97,6 +100,7 @@
             lease: None,
         },
     ];
+    let sent = shared.clock.now();
     let BatchOutcome::Written(revision) = store.swap_all(items).await? else {
         event!(Info, "pool_not_taken", pool = pool, term = head.term);
         return Ok(None);
@@ -113,6 +117,7 @@
     Ok(Some(PoolTakeover {
         journal,
         epoch,
+        confirmed_at: sent,
         silent: last.map(|head| head.silent).unwrap_or_default(),
     }))
 }
