Keep the record of silent runners through an election

Cause: an election wrote a head without the last owner's record. An owner lost within its first 0.3 s, or whose election's answer was lost, left the next one to wait the longest lease anew. Ruled out: working the times out anew in the election: those that count from a later write are only longer. Change: the new head names whom the last one named; a named runner stays so until it is heard, and gets no lease before. Only silences of over 0.3 s are logged, as before.

--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -207,7 +207,7 @@
         stopping: false,
         owned_since: now,
         silent: BTreeMap::new(),
-        notes: SilenceNotes::default(),
+        notes: SilenceNotes::inherited(&takeover.silent),
         synced: false,
         confirmed,
         checked_at: 0,
--- a/crates/hoisthitch-scheduler/src/owner/silent.rs
+++ b/crates/hoisthitch-scheduler/src/owner/silent.rs
@@ -46,10 +46,22 @@
     writing: Option<BTreeSet<String>>,
     /// When it was last written.
     noted_at: Millis,
+    /// Runners whose silence was logged.
+    logged: BTreeSet<String>,
     /// Runners that were heard while they were named, with their silences.
     heard: BTreeMap<RunnerKey, u64>,
 }
 
+impl SilenceNotes {
+    /// Notes of a new owner, whose head names the runners that the last one's did.
+    pub(super) fn inherited(left: &BTreeMap<String, Millis>) -> Self {
+        Self {
+            noted: left.keys().cloned().collect(),
+            ..Self::default()
+        }
+    }
+}
+
 /// What a new owner inherits, from the word that the last one left.
 pub(super) fn inherited_runs(left: &BTreeMap<String, Millis>, now: Millis) -> InheritedRuns {
     InheritedRuns {
@@ -67,23 +79,30 @@
         // The last word that an owner leaves is about all of them.
         let patience = if self.stopping { 0 } else { SILENT_MS };
         let since = now.saturating_sub(patience);
-        let silent = self.state.silent_runs(self.owned_since, since);
-        for (runner, runs) in &silent {
-            if !self.silent.contains_key(runner) {
+        let long = self.state.silent_runs(self.owned_since, since);
+        self.log_silences(&long, now);
+        // One that is named stays so until it is heard, or what an earlier owner
+        // recorded would be lost.
+        let mut silent = self.state.silent_runs(self.owned_since, now);
+        let noted = &self.notes.noted;
+        silent.retain(|runner, _| long.contains_key(runner) || noted.contains(runner));
+        self.silent = silent;
+    }
+
+    /// Logs which silences began, and which are over.
+    fn log_silences(&mut self, long: &BTreeMap<String, SilentRuns>, now: Millis) {
+        for (runner, runs) in long {
+            if self.notes.logged.insert(runner.clone()) {
                 self.log_silence(runner, *runs, now);
             }
         }
-        for runner in self.silent.keys() {
-            if !silent.contains_key(runner) {
-                event!(
-                    Info,
-                    "runner_silence_over",
-                    pool = self.context.pool,
-                    runner = runner
-                );
+        self.notes.logged.retain(|runner| {
+            let goes_on = long.contains_key(runner);
+            if !goes_on {
+                event!(Info, "runner_silence_over", runner = runner);
             }
-        }
-        self.silent = silent;
+            goes_on
+        });
     }
 
     fn log_silence(&self, runner: &str, runs: SilentRuns, now: Millis) {
--- a/crates/hoisthitch-scheduler/src/takeover.rs
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -73,13 +73,16 @@
     let found = store.read(&keys.head(pool)).await?;
     let last = found.as_ref().and_then(decode);
     let term = last.as_ref().map_or(0, |head| head.term) + 1;
+    // An owner may be lost before it writes anything. Times that count from a
+    // later write are only longer.
+    let silent = last.map(|head| head.silent).unwrap_or_default();
     let expected = found.map_or(StoreRevision::default(), |stored| stored.revision);
     let head = HeadRecord {
         node: identity.node.clone(),
         life: identity.life,
         term,
         sequence: 0,
-        silent: BTreeMap::new(),
+        silent: silent.clone(),
     };
     let owner = OwnerRecord {
         node: head.node.clone(),
@@ -118,6 +121,6 @@
         journal,
         epoch,
         confirmed_at: sent,
-        silent: last.map(|head| head.silent).unwrap_or_default(),
+        silent,
     }))
 }
