Find the queue of a request through an index

Cause: each request compared its host and path with all queues of the configuration; with thousands of them that costs a node much which has only a small part of a core.

A configuration is built by a function now, which makes an index: queues by host in lower case and by prefix, and for each host the lengths of its prefixes. A request costs one look-up for each length. Of queues with one host and prefix the last still counts; a quickcheck test compares the index with the look at all queues.

Ruled out: that the view of the fleet is copied whole for each runner's record. It stays as it is.

So a request's cost doesn't grow with the configuration.

--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -55,7 +55,7 @@
         return fault(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
     };
     let mut rows = Vec::new();
-    for queue in &policy.queues {
+    for queue in policy.queues() {
         rows.push(QueueRow {
             queue: queue.name.clone(),
             pool: queue.pool.clone(),
@@ -99,7 +99,7 @@
 
 fn find_queue(shared: &NodeShared, name: &str) -> Option<QueueRoute> {
     let policy = shared.policy.load_full()?;
-    let queue = policy.queues.iter().find(|queue| queue.name == name)?;
+    let queue = policy.queues().iter().find(|queue| queue.name == name)?;
     Some(queue.clone())
 }
 
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod group;
 mod http;
+mod index;
 mod journal;
 mod keys;
 mod metrics;
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -253,7 +253,7 @@
             Info,
             "policy_in_force",
             version = policy.version,
-            queues = policy.queues.len(),
+            queues = policy.queues().len(),
             pools = policy.pools.len()
         );
         let pools = policy.pools.iter().map(|pool| pool.name.clone()).collect();
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -20,6 +20,8 @@
 use hoisthitch_store::StoreClient;
 use thiserror::Error;
 
+use crate::index::QueueIndex;
+
 /// A runner and where it listens.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RunnerRecord {
@@ -207,22 +209,40 @@
 pub struct FleetPolicy {
     /// Version; rises with each change.
     pub version: u64,
-    /// Queues.
-    pub queues: Vec<QueueRoute>,
     /// Pools.
     pub pools: Vec<PoolPolicy>,
     /// Longest body of a request, in bytes.
     pub body_limit: usize,
+    queues: Vec<QueueRoute>,
+    index: QueueIndex,
 }
 
 impl FleetPolicy {
+    /// A configuration.
+    pub fn new(
+        version: u64,
+        queues: Vec<QueueRoute>,
+        pools: Vec<PoolPolicy>,
+        body_limit: usize,
+    ) -> Self {
+        Self {
+            version,
+            pools,
+            body_limit,
+            index: QueueIndex::new(&queues),
+            queues,
+        }
+    }
+
+    /// Queues.
+    pub fn queues(&self) -> &[QueueRoute] {
+        &self.queues
+    }
+
     /// The queue that a request is for, with what follows the queue's prefix.
     pub fn find_queue<'a>(&self, host: &str, path: &'a str) -> Option<(&QueueRoute, &'a str)> {
-        self.queues
-            .iter()
-            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
-            .filter_map(|queue| Some((queue, path.strip_prefix(queue.prefix.as_str())?)))
-            .max_by_key(|(queue, _)| queue.prefix.len())
+        let (place, rest) = self.index.find(host, path)?;
+        Some((self.queues.get(place)?, rest))
     }
 
     /// Policies by name of the queue.
--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/policy.rs
@@ -0,0 +1,77 @@
+//! Which queue a request is for: the index finds what a look at all queues does.
+
+use hoisthitch_jobs::QueuePolicy;
+use hoisthitch_scheduler::platform::{
+    FleetPolicy,
+    QueueRoute, //
+};
+use quickcheck::quickcheck;
+
+/// Hosts of the cases; some differ by case alone.
+const HOSTS: [&str; 5] = [
+    "halls.example",
+    "Halls.Example",
+    "tunes.example",
+    "ü.example",
+    "",
+];
+
+/// Parts of the cases' paths and prefixes, which start with each other often.
+const PARTS: [&str; 6] = ["/", "/hold", "/hold/", "é", "hold", ""];
+
+fn text(parts: &[u8]) -> String {
+    let parts = parts.iter().take(3);
+    parts
+        .map(|part| PARTS[usize::from(*part) % PARTS.len()])
+        .collect()
+}
+
+fn host(number: u8) -> &'static str {
+    HOSTS[usize::from(number) % HOSTS.len()]
+}
+
+fn queue(name: usize, host: &str, prefix: String) -> QueueRoute {
+    QueueRoute {
+        name: format!("queue-{name}"),
+        host: host.to_owned(),
+        prefix,
+        pool: "halls".to_owned(),
+        policy: QueuePolicy {
+            priority: 0,
+            max_attempts: 3,
+            stretch: 1.6,
+            aim_ms: 600,
+            advised: false,
+        },
+    }
+}
+
+/// Looks at all queues; of equal ones the last counts.
+fn scan<'a>(queues: &[QueueRoute], host: &str, path: &'a str) -> Option<(String, &'a str)> {
+    queues
+        .iter()
+        .filter(|queue| queue.host.eq_ignore_ascii_case(host))
+        .filter_map(|queue| Some((queue, path.strip_prefix(queue.prefix.as_str())?)))
+        .max_by_key(|(queue, _)| queue.prefix.len())
+        .map(|(queue, rest)| (queue.name.clone(), rest))
+}
+
+fn policy(queues: Vec<QueueRoute>) -> FleetPolicy {
+    FleetPolicy::new(1, queues, Vec::new(), 262_144)
+}
+
+quickcheck! {
+    fn index_finds_what_a_scan_finds(rows: Vec<(u8, Vec<u8>)>, asks: Vec<(u8, Vec<u8>)>) -> bool {
+        let rows = rows.iter().enumerate();
+        let queues: Vec<QueueRoute> = rows
+            .map(|(name, (number, parts))| queue(name, host(*number), text(parts)))
+            .collect();
+        let policy = policy(queues.clone());
+        asks.iter().all(|(number, parts)| {
+            let path = text(parts);
+            let found = policy.find_queue(host(*number), &path);
+            let found = found.map(|(queue, rest)| (queue.name.clone(), rest));
+            found == scan(&queues, host(*number), &path)
+        })
+    }
+}
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -133,15 +133,11 @@
 }
 
 fn policy(version: u64) -> FleetPolicy {
-    FleetPolicy {
-        version,
-        queues: vec![queue()],
-        pools: vec![PoolPolicy {
-            name: POOL.to_owned(),
-            spare: false,
-        }],
-        body_limit: 262_144,
-    }
+    let pool = PoolPolicy {
+        name: POOL.to_owned(),
+        spare: false,
+    };
+    FleetPolicy::new(version, vec![queue()], vec![pool], 262_144)
 }
 
 /// The queue of the tests.
