--- a/crates/hoisthitch-jobs/tests/decisions/pools.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/pools.rs
@@ -41,6 +41,8 @@
     pools_are_levelled_while_none_lacks_vms => balance_levels();
     jobs_of_an_earlier_owner_are_no_rise => no_false_rise();
     pool_that_lacks_vms_gives_none => balance_gives_none();
+    no_more_tasks_leave_than_have_room => drain_room();
+    tasks_that_may_not_be_missed_leave_too => drain_unmissable();
 }
 
 /// A lasting step with one task on each runner, of which one may be away.
@@ -228,3 +230,54 @@
         })
     }
 }
+
+/// Lasting tasks of `jobs` jobs on the first runner, which then leaves; answers
+/// with the state.
+fn draining(jobs: usize, may_miss: u32, free: u64) -> PoolState {
+    let mut state = pool_of(1, 8);
+    for number in 0..jobs {
+        let lasting = StepSpec {
+            lasting: true,
+            may_miss,
+            ..step(1)
+        };
+        state.add_job(new_job(&format!("l{number}"), vec![lasting]), 1_000);
+    }
+    let orders = start_all(&mut state, 1_000);
+    let leaves = orders[0].runner;
+    let report = HoldReport {
+        clock_ms: 1_500,
+        running: running_on(&state, leaves, None, 100),
+        ended: Vec::new(),
+    };
+    state.take_hold(leaves, &report, 1_499, 1_500);
+    let mut facts = state
+        .runner(leaves)
+        .map(|r| r.facts.clone())
+        .unwrap_or_default();
+    let mut other = facts.clone();
+    other.name = "i-9".to_owned();
+    other.vm = "vm-9".to_owned();
+    other.capacity.cpu_milli = free * 1_000;
+    let key = state.set_runner(other, 1_500);
+    state.open_runner(key);
+    state.extend_lease(key, 1_000_000);
+    facts.draining = true;
+    state.set_runner(facts, 1_500);
+    state.leave_draining(1_600);
+    state
+}
+
+async fn drain_room() -> Result<()> {
+    let mut state = draining(5, 1, 1);
+    let stops = state.take_stops().len();
+    ensure!(stops == 1, "{stops} stops, and room for one elsewhere");
+    Ok(())
+}
+
+async fn drain_unmissable() -> Result<()> {
+    let mut state = draining(2, 0, 8);
+    let stops = state.take_stops().len();
+    ensure!(stops > 0, "no stop though there is room");
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/tests/ownership/drains.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/drains.rs
@@ -28,6 +28,7 @@
 cases! {
     lasting_tasks_leave_a_draining_runner_before_it_goes => leaves_in_time(5);
     tasks_of_a_step_leave_a_runner_one_after_the_other => leaves_in_time(1);
+    no_task_is_moved_while_an_upkeep_is_under_way => meets_upkeep();
 }
 
 /// Has the runner leave that holds the most tasks, of five; `at_first` of them
@@ -69,3 +70,49 @@
     ensure!(running.len() == 6, "{running:?} run");
     kept(&world)
 }
+
+/// The platform takes half a second for an upkeep's order; while it is under way
+/// another runner with a task of the step says that it leaves.
+async fn meets_upkeep() -> Result<()> {
+    for after_ms in [300, 400, 500, 600, 700] {
+        drains_after(after_ms).await?;
+    }
+    Ok(())
+}
+
+async fn drains_after(after_ms: u64) -> Result<()> {
+    let world = TestWorld::start(2, 6).await?;
+    world.submit("long", lasting(3, 1)).await?;
+    sleep_ms(5_000).await;
+    let tasks = world.fleet.tasks();
+    let busy: Vec<String> = tasks
+        .iter()
+        .filter(|(_, tasks)| !tasks.is_empty())
+        .map(|(name, _)| name.clone())
+        .collect();
+    ensure!(busy.len() == 3, "{tasks:?}");
+    let vm_of = |runner: &str| {
+        let living = world.fleet.living();
+        let found = living.iter().find(|(name, _)| name == runner);
+        found.map(|(_, vm)| vm.clone()).unwrap_or_default()
+    };
+    world
+        .fleet
+        .slow_vm_orders(std::time::Duration::from_millis(800));
+    world
+        .store
+        .put("op/wave/1", Some(vm_of(&busy[0]).as_bytes()), 0);
+    for _ in 0..400 {
+        if world.fleet.was_ordered(&vm_of(&busy[0])) {
+            break;
+        }
+        sleep_ms(10).await;
+    }
+    sleep_ms(after_ms).await;
+    let record = format!("{}{DRAINING}", vm_of(&busy[1]));
+    world
+        .store
+        .put(&format!("runner/{}", busy[1]), Some(record.as_bytes()), 0);
+    sleep_ms(3_000).await;
+    kept(&world)
+}
