Move lasting tasks off leaving runners only into room that is there

Cause: room elsewhere was asked for each task by itself; a step that may miss none counted as one that may not move; a task on a runner whose upkeep was ordered counted as at work. Ruled out: one task in a look, which bounds the rate and not the number. Change: a task is stopped while more runners have room for it than lasting tasks are on their way; one at a time where a step may miss none; tasks on runners that are being emptied don't count as at work.

--- a/crates/hoisthitch-jobs/src/drain.rs
+++ b/crates/hoisthitch-jobs/src/drain.rs
@@ -3,8 +3,8 @@
 use crate::{
     Millis,
     pool::PoolState,
-    runner::RunnerKey,
     task::{
+        TaskEntry,
         TaskPlace,
         TaskRef, //
     }, //
@@ -13,38 +13,64 @@
 impl PoolState {
     /// Stops lasting tasks on leaving runners, so that they start elsewhere; of a
     /// step only so many at once as it may miss. Without it they would be away
-    /// until the lease of a runner that is gone is over, some five seconds. Tasks
-    /// for which there is no room elsewhere stay to the end.
+    /// until the lease of a runner that is gone is over. Tasks for which there is
+    /// no room elsewhere stay to the end.
     pub fn leave_draining(&mut self, now: Millis) {
-        let draining: Vec<RunnerKey> = self
+        let leaving: Vec<TaskRef> = self
             .runners
-            .iter()
-            .filter(|(_, runner)| runner.facts.draining && runner.open)
-            .filter(|(_, runner)| !runner.tasks.is_empty())
-            .map(|(key, _)| key)
+            .values()
+            .filter(|runner| runner.facts.draining && runner.open)
+            .flat_map(|runner| runner.tasks.iter().copied())
+            .filter(|task| self.lasts(*task) && !self.is_gang(*task))
             .collect();
-        for key in draining {
-            let tasks: Vec<TaskRef> = self
-                .runners
-                .get(key)
-                .map(|runner| runner.tasks.iter().copied().collect())
-                .unwrap_or_default();
-            for task in tasks {
-                if self.may_move(task, now) {
-                    self.stop_task(task, now);
-                }
+        if leaving.is_empty() {
+            return;
+        }
+        let mut moving = self.tasks_to_place();
+        for task in leaving {
+            let runs = self.task(task).is_some_and(is_running);
+            // Each task on its way may take the whole room of a runner.
+            if runs && self.can_be_missed(task) && self.rooms(task, now) > moving {
+                self.stop_task(task, now);
+                moving += 1;
             }
         }
     }
 
-    /// Whether a task runs, lasts, can be missed now, and has room elsewhere.
-    fn may_move(&self, task: TaskRef, now: Millis) -> bool {
-        let runs = self
-            .task(task)
-            .is_some_and(|entry| matches!(entry.place, TaskPlace::Running(_)));
-        runs && self.lasts(task)
-            && !self.is_gang(task)
-            && self.may_end(&[task])
-            && self.choose_runner(task, None, now).is_some()
+    /// Lasting tasks that are stopped, or wait to be placed.
+    fn tasks_to_place(&self) -> usize {
+        self.active_tasks()
+            .filter(|(task, entry)| {
+                let moves = matches!(entry.place, TaskPlace::Stopping(_) | TaskPlace::Waiting);
+                moves && self.lasts(*task)
+            })
+            .count()
+    }
+
+    /// Whether the task's step can miss it now; one at a time where it may miss
+    /// none, for they all go with their runner in the end.
+    fn can_be_missed(&self, task: TaskRef) -> bool {
+        let Some(job) = self.jobs.get(task.job).filter(|job| !job.phase.is_final()) else {
+            return false;
+        };
+        let (Some(step), Some(entry)) = (job.step_of(task.slot), job.tasks.get(task.slot)) else {
+            return false;
+        };
+        let alike = job.tasks.iter().enumerate().filter(|(slot, other)| {
+            *slot != task.slot && other.round == entry.round && other.step == entry.step
+        });
+        let away = alike.filter(|(_, other)| !self.stays_at_work(other));
+        u32::try_from(away.count()).is_ok_and(|away| away < step.may_miss.max(1))
     }
+
+    /// Whether a task works, on a runner that is not about to go down: an upkeep or
+    /// a move of its VM may have been ordered already.
+    fn stays_at_work(&self, entry: &TaskEntry) -> bool {
+        let runner = entry.runner().and_then(|key| self.runners.get(key));
+        self.is_at_work(entry) && runner.is_some_and(|runner| !runner.leaving)
+    }
+}
+
+fn is_running(entry: &TaskEntry) -> bool {
+    matches!(entry.place, TaskPlace::Running(_))
 }
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -40,18 +40,9 @@
         let job = self.jobs.get(task.job)?;
         let step = job.step_of(task.slot)?;
         let failed_on = job.tasks.get(task.slot)?.failed_on;
-        let fitting = || {
-            self.runners
-                .iter()
-                .filter(|(_, runner)| runner.takes_tasks(now) && runner.fits(step))
-                .filter(|(_, runner)| !runner.is_on_trial() || runner.tasks.is_empty())
-                .filter(|(_, runner)| has_label(runner, step))
-                .filter(|(_, runner)| rack.is_none_or(|rack| runner.facts.rack == rack))
-                .filter(|(_, runner)| self.is_advised(task, runner, now))
-                .filter(|(_, runner)| step.spread == 0 || self.alike(task, runner) < step.spread)
-        };
         let best = |avoid: Option<RunnerKey>| {
-            fitting()
+            self.fitting(task, step, now)
+                .filter(|(_, runner)| rack.is_none_or(|rack| runner.facts.rack == rack))
                 .filter(|(key, _)| Some(*key) != avoid)
                 .map(|(key, runner)| (self.cost(task, runner, step), key))
                 .min_by(|left, right| left.0.total_cmp(&right.0))
@@ -60,6 +51,30 @@
         best(failed_on).or_else(|| failed_on.and_then(|_| best(None)))
     }
 
+    /// Runners that could take a task now.
+    pub(crate) fn rooms(&self, task: TaskRef, now: Millis) -> usize {
+        let step = self
+            .jobs
+            .get(task.job)
+            .and_then(|job| job.step_of(task.slot));
+        step.map_or(0, |step| self.fitting(task, step, now).count())
+    }
+
+    fn fitting<'a>(
+        &'a self,
+        task: TaskRef,
+        step: &'a StepSpec,
+        now: Millis,
+    ) -> impl Iterator<Item = (RunnerKey, &'a RunnerEntry)> {
+        self.runners
+            .iter()
+            .filter(move |(_, runner)| runner.takes_tasks(now) && runner.fits(step))
+            .filter(|(_, runner)| !runner.is_on_trial() || runner.tasks.is_empty())
+            .filter(move |(_, runner)| has_label(runner, step))
+            .filter(move |(_, runner)| self.is_advised(task, runner, now))
+            .filter(move |(_, runner)| step.spread == 0 || self.alike(task, runner) < step.spread)
+    }
+
     /// Tasks of the same step on the runner.
     fn alike(&self, task: TaskRef, runner: &RunnerEntry) -> u32 {
         let Some(entry) = self.task(task) else {
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -92,7 +92,7 @@
     /// Whether these tasks may be ended together, beside those that are away.
     /// Each of them counts, for it may have come to work since its runner last
     /// told.
-    pub(crate) fn may_end(&self, tasks: &[TaskRef]) -> bool {
+    fn may_end(&self, tasks: &[TaskRef]) -> bool {
         let mut ending: HashMap<(JobKey, u32, u32), HashSet<usize>> = HashMap::new();
         for task in tasks {
             let Some(entry) = self.task(*task) else {
@@ -125,7 +125,7 @@
     }
 
     /// Whether a lasting task works, as far as its runner has said of late.
-    fn is_at_work(&self, task: &TaskEntry) -> bool {
+    pub(crate) fn is_at_work(&self, task: &TaskEntry) -> bool {
         let TaskPlace::Running(key) = task.place else {
             return false;
         };
