--- a/crates/hoisthitch-scheduler/tests/histories.rs
+++ b/crates/hoisthitch-scheduler/tests/histories.rs
@@ -8,6 +8,11 @@
 
 mod world;
 
+use std::{
+    collections::BTreeMap,
+    sync::atomic::Ordering, //
+};
+
 use eyre::{
     Result,
     WrapErr,
@@ -18,9 +23,11 @@
 use rand::{
     Rng,
     SeedableRng,
-    rngs::StdRng, //
+    rngs::StdRng,
+    seq::SliceRandom, //
 };
 use world::{
+    DRAINING,
     TestWorld,
     job,
     lasting,
@@ -199,3 +206,180 @@
     sleep_ms(3_000).await;
     Ok(())
 }
+
+/// Series of planned work played where the environment names no number.
+const SERIES: u64 = 12;
+
+/// Lasting tasks of a series, on twice as many VMs.
+const LASTING: u32 = 4;
+
+/// Time between two planned stops of nodes, and from a stop to the next start.
+const STOP_GAP_MS: u64 = 2_000;
+const STOPPED_MS: u64 = 3_800;
+
+/// Time from a runner's notice to its end, and to its successor's begin.
+const NOTICE_MS: u64 = 2_500;
+const SUCCESSOR_MS: u64 = 5_000;
+
+/// Runners that always stay: one VM for each lasting task, and one more.
+const STAYING_LEAST: usize = LASTING as usize + 1;
+
+/// Longest time that a lasting task may be away while there is room for it: the
+/// users' pages allow three seconds, from six after its last run.
+const AWAY_MS: u64 = 9_000;
+
+/// Time between two looks at what runs.
+const LOOK_MS: u64 = 100;
+
+/// Nodes that are slow get one turn of this many looks.
+const SLOW_TURNS: u64 = 4;
+
+/// A step of planned work.
+enum PlannedStep {
+    Stop(String),
+    Start(String),
+    Slow(String, bool),
+    Drain(usize),
+    Leave(String, String),
+    Begin(String),
+}
+
+#[test]
+fn planned_work_in_series_keeps_lasting_tasks_at_work() -> Result<()> {
+    let first = setting("FIRST_SEED", 1);
+    for seed in first..first + setting("SERIES", SERIES) {
+        play(series(seed)).wrap_err_with(|| format!("seed {seed}"))?;
+    }
+    Ok(())
+}
+
+/// All nodes restart one after another, twice, while runners leave, a node is
+/// added and one is slow.
+async fn series(seed: u64) -> Result<()> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut world = TestWorld::start(6, 2 * LASTING as usize).await?;
+    world.submit("long", lasting(LASTING, 1)).await?;
+    sleep_ms(3_000).await;
+    let mut steps = planned_steps(&world, &mut rng);
+    let mut slow = None;
+    let mut last_run = BTreeMap::new();
+    let end = steps.keys().last().copied().unwrap_or(0) + 12_000;
+    for now in (0..end).step_by(LOOK_MS as usize) {
+        for step in steps.remove(&now).unwrap_or_default() {
+            if let Some((then, next)) = take_step(&mut world, step, &mut slow)? {
+                steps.entry(now + then).or_default().push(next);
+            }
+        }
+        if let Some(node) = slow.as_ref().and_then(|name| world.nodes.get(name)) {
+            node.freeze(!(now / LOOK_MS).is_multiple_of(SLOW_TURNS));
+        }
+        sleep_ms(LOOK_MS).await;
+        look(&world, now, &mut last_run)?;
+    }
+    let broken = world.fleet.broken();
+    ensure!(broken.is_empty(), "{broken:?}");
+    Ok(())
+}
+
+/// Steps by their time; what follows from a step is added when it is taken.
+fn planned_steps(world: &TestWorld, rng: &mut StdRng) -> BTreeMap<u64, Vec<PlannedStep>> {
+    let mut steps: BTreeMap<u64, Vec<PlannedStep>> = BTreeMap::new();
+    let mut at = 0;
+    for _ in 0..2 {
+        let mut names: Vec<String> = world.nodes.keys().cloned().collect();
+        names.shuffle(rng);
+        for name in names {
+            steps.entry(at).or_default().push(PlannedStep::Stop(name));
+            at += STOP_GAP_MS;
+            if rng.random_bool(0.5) {
+                let drain = at - rng.random_range(0..STOP_GAP_MS / LOOK_MS) * LOOK_MS;
+                let runner = rng.random_range(0..1_000);
+                let drains = steps.entry(drain).or_default();
+                drains.push(PlannedStep::Drain(runner));
+            }
+        }
+        at += 4_000;
+    }
+    let added = PlannedStep::Start("node-added".to_owned());
+    let half = at / 2 / LOOK_MS * LOOK_MS;
+    steps.entry(half).or_default().push(added);
+    let node = "node-added".to_owned();
+    let turns = [
+        (half + 1_000, PlannedStep::Slow(node.clone(), true)),
+        (half + 7_000, PlannedStep::Slow(node, false)),
+    ];
+    for (time, turn) in turns {
+        steps.entry(time).or_default().push(turn);
+    }
+    steps
+}
+
+/// Takes a step; answers with the one that follows, and when.
+fn take_step(
+    world: &mut TestWorld,
+    step: PlannedStep,
+    slow: &mut Option<String>,
+) -> Result<Option<(u64, PlannedStep)>> {
+    match step {
+        PlannedStep::Stop(name) => {
+            let shared = &world.nodes[&name].shared;
+            shared.stopping.store(true, Ordering::Relaxed);
+            return Ok(Some((STOPPED_MS, PlannedStep::Start(name))));
+        }
+        PlannedStep::Start(name) => {
+            if let Some(node) = world.nodes.get(&name) {
+                node.kill();
+            }
+            world.start_node(&name)?;
+        }
+        PlannedStep::Slow(name, on) => {
+            world.nodes[&name].freeze(false);
+            *slow = on.then_some(name);
+        }
+        PlannedStep::Drain(number) => {
+            let staying = staying(world);
+            if staying.len() <= STAYING_LEAST {
+                return Ok(None);
+            }
+            let (runner, vm) = staying[number % staying.len()].clone();
+            let record = format!("{vm}{DRAINING}");
+            let key = format!("runner/{runner}");
+            world.store.put(&key, Some(record.as_bytes()), 0);
+            return Ok(Some((NOTICE_MS, PlannedStep::Leave(runner, vm))));
+        }
+        PlannedStep::Leave(runner, vm) => {
+            world.fleet.crash(&runner);
+            world.store.put(&format!("runner/{runner}"), None, 0);
+            return Ok(Some((SUCCESSOR_MS, PlannedStep::Begin(vm))));
+        }
+        PlannedStep::Begin(vm) => {
+            world.begin_runner(&vm);
+        }
+    }
+    Ok(None)
+}
+
+/// Living runners that are not about to leave.
+fn staying(world: &TestWorld) -> Vec<(String, String)> {
+    let leaves = |runner: &str| {
+        let record = world.store.get(&format!("runner/{runner}"));
+        record.is_none_or(|record| record.ends_with(DRAINING.as_bytes()))
+    };
+    let living = world.fleet.living().into_iter();
+    living.filter(|(runner, _)| !leaves(runner)).collect()
+}
+
+/// Looks which lasting tasks run, and how long the others have been away.
+fn look(world: &TestWorld, now: u64, last_run: &mut BTreeMap<String, u64>) -> Result<()> {
+    let running = world.fleet.running();
+    for number in 0..LASTING {
+        let task = format!("long.0.0.{number}");
+        let last = last_run.entry(task.clone()).or_insert(now);
+        if running.contains(&task) {
+            *last = now;
+        }
+        let away = now - *last;
+        ensure!(away <= AWAY_MS, "{task} away for {away} ms at {now} ms");
+    }
+    Ok(())
+}
