Take in what sessions told before time is judged

Cause: the owner's loop took any ready event, and could judge a lease as over while the message that it was extended waited behind. Ruled out: an order among the loop's sources, which would starve the others. Change: all waiting events are taken in before each decision.

--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -313,7 +313,7 @@
         loop {
             tokio::select! {
                 Some(event) = channels.events.recv() => {
-                    if self.take_events(event, &mut channels.events) {
+                    if self.take_event(event) {
                         return OwnerEnd::Deposed;
                     }
                 }
@@ -335,6 +335,10 @@
                 _ = stop.changed() => {}
                 () = sleep_until(self.next_wake()) => {}
             }
+            // A lease that was given must be known before time is judged.
+            if self.take_events(&mut channels.events) {
+                return OwnerEnd::Deposed;
+            }
             if *stop.borrow() && self.journal.is_some() {
                 self.begin_leaving(&mut channels.events);
             }
@@ -345,15 +349,10 @@
         }
     }
 
-    /// Takes in an event and those that wait behind it; answers whether one
-    /// shows another owner.
-    fn take_events(
-        &mut self,
-        first: SessionEvent,
-        events: &mut mpsc::UnboundedReceiver<SessionEvent>,
-    ) -> bool {
-        let mut deposed = self.take_event(first);
-        for _ in 1..EVENT_BATCH {
+    /// Takes in events that wait; answers whether one shows another owner.
+    fn take_events(&mut self, events: &mut mpsc::UnboundedReceiver<SessionEvent>) -> bool {
+        let mut deposed = false;
+        for _ in 0..EVENT_BATCH {
             let Ok(event) = events.try_recv() else {
                 break;
             };
--- a/crates/hoisthitch-scheduler/tests/histories.rs
+++ b/crates/hoisthitch-scheduler/tests/histories.rs
@@ -8,10 +8,7 @@
 
 mod world;
 
-use std::{
-    collections::BTreeMap,
-    sync::atomic::Ordering, //
-};
+use std::collections::BTreeMap;
 
 use eyre::{
     Result,
@@ -322,8 +319,7 @@
 ) -> Result<Option<(u64, PlannedStep)>> {
     match step {
         PlannedStep::Stop(name) => {
-            let shared = &world.nodes[&name].shared;
-            shared.stopping.store(true, Ordering::Relaxed);
+            world.nodes[&name].stop();
             return Ok(Some((STOPPED_MS, PlannedStep::Start(name))));
         }
         PlannedStep::Start(name) => {
