Serve the newest jobs first while a queue is overloaded

Cause: jobs went by their latest start; under overload each began when it had no time to spare, and any task longer than the mean made it late. Change: while jobs of a priority pass their latest start without having begun, those that have not begun are served newest first, behind those that have. The order of jobs moves to a file of its own.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -17,6 +17,7 @@
 mod place;
 mod plan;
 mod pool;
+mod rank;
 mod record;
 mod report;
 mod runner;
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -2,11 +2,7 @@
 
 use crate::{
     Millis,
-    job::{
-        JobEntry,
-        JobKey,
-        scale, //
-    },
+    job::JobKey,
     pool::PoolState,
     record::JobProgress,
     runner::RunnerKey,
@@ -21,10 +17,6 @@
     }, //
 };
 
-/// Time of a job beside its tasks', in milliseconds: records, orders, reports
-/// and the caller's question.
-const ANSWER_MS: Millis = 150;
-
 /// Records that are written together, and what may be done once they are.
 #[derive(Clone, Debug, Default)]
 pub struct FlushPlan {
@@ -100,44 +92,6 @@
         planned
     }
 
-    /// Jobs with work, the one to serve first in front: by paid priority, then
-    /// lasting work, then what can still be in time, then by the time at which
-    /// it has to start. What can't be in time earns little more, and goes last:
-    /// otherwise all would be a little late when there is too much.
-    fn plan_order(&self, now: Millis) -> Vec<JobKey> {
-        let mut order: Vec<_> = self
-            .active
-            .iter()
-            .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
-            .filter(|(_, job)| !job.phase.is_final())
-            .map(|(key, job)| {
-                let lasts = job.spec.lasts();
-                let start = self.latest_start(job);
-                let late = !lasts && start < now;
-                ((job.policy.priority, !lasts, late, start), key)
-            })
-            .collect();
-        order.sort_by_key(|(rank, _)| *rank);
-        order.into_iter().map(|(_, key)| key).collect()
-    }
-
-    /// When what is left of a job has to start to be done in time, by the times
-    /// that its queue's tasks take.
-    fn latest_start(&self, job: &JobEntry) -> Millis {
-        let time = self.task_time(&job.queue);
-        let chain = job.spec.chain_of(|_| time);
-        let objective = job.policy.aim_ms + scale(chain, job.policy.stretch);
-        let left = job.spec.chain_of(|step| {
-            let round = job.rounds_begun().saturating_sub(1);
-            if job.open_tasks(round, step) > 0 {
-                time
-            } else {
-                0
-            }
-        });
-        (job.accepted_at + objective).saturating_sub(left + ANSWER_MS)
-    }
-
     fn plan_job(&mut self, key: JobKey, full: &mut FullNeeds, now: Millis) -> usize {
         let Some(job) = self.jobs.get(key) else {
             return 0;
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/rank.rs
@@ -0,0 +1,109 @@
+//! The order in which a pool's jobs are served.
+//!
+//! Jobs go by paid priority, then lasting work, then what can still be in time,
+//! then by the time at which it has to start. What can't be in time earns little
+//! more, and goes last: otherwise all would be a little late when there is too
+//! much.
+//!
+//! Under overload the order by latest start is the worst one: each job gets its
+//! turn when it has no time to spare, and any task that takes longer than the mean
+//! makes it late. So while jobs pass their latest start without having begun, those
+//! that have not begun are served newest first: they have time to spare, as many
+//! are in time as there is room for, and the others are late as they would have
+//! been. Jobs that have begun go before them, for their work is lost if they wait.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    Millis,
+    job::{
+        JobEntry,
+        JobKey,
+        scale, //
+    },
+    pool::PoolState, //
+};
+
+/// Time of a job beside its tasks', in milliseconds: records, orders, reports
+/// and the caller's question.
+const ANSWER_MS: Millis = 150;
+
+/// Time after a job passed its latest start without having begun for which its
+/// priority counts as overloaded, in milliseconds: rises last several seconds, and
+/// jobs come some tens in a second.
+const OVERLOAD_MS: Millis = 1_000;
+
+/// Place of a job; the least is served first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct JobRank {
+    /// Paid priority.
+    priority: u32,
+    /// Whether it ends by itself.
+    short: bool,
+    /// Whether it can't be in time.
+    late: bool,
+    /// Whether it waits for its first task under overload.
+    passed_over: bool,
+    turn: Millis,
+}
+
+impl PoolState {
+    /// Jobs with work, the one to serve first in front.
+    pub(crate) fn plan_order(&self, now: Millis) -> Vec<JobKey> {
+        let jobs: Vec<(JobKey, &JobEntry, Millis)> = self
+            .active
+            .iter()
+            .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
+            .filter(|(_, job)| !job.phase.is_final())
+            .map(|(key, job)| (key, job, self.latest_start(job)))
+            .collect();
+        let missed = jobs.iter().filter(|(_, job, start)| {
+            let lately = *start < now && now < *start + OVERLOAD_MS;
+            lately && !job.spec.lasts() && !job.has_begun()
+        });
+        let overloaded: BTreeSet<u32> = missed.map(|(_, job, _)| job.policy.priority).collect();
+        let mut order: Vec<(JobRank, JobKey)> = jobs
+            .iter()
+            .map(|(key, job, start)| {
+                let overload = overloaded.contains(&job.policy.priority);
+                (rank(job, *start, overload, now), *key)
+            })
+            .collect();
+        order.sort_by_key(|(rank, _)| *rank);
+        order.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// When what is left of a job has to start to be done in time, by the times
+    /// that its queue's tasks take.
+    fn latest_start(&self, job: &JobEntry) -> Millis {
+        let time = self.task_time(&job.queue);
+        let chain = job.spec.chain_of(|_| time);
+        let objective = job.policy.aim_ms + scale(chain, job.policy.stretch);
+        let left = job.spec.chain_of(|step| {
+            let round = job.rounds_begun().saturating_sub(1);
+            if job.open_tasks(round, step) > 0 {
+                time
+            } else {
+                0
+            }
+        });
+        (job.accepted_at + objective).saturating_sub(left + ANSWER_MS)
+    }
+}
+
+fn rank(job: &JobEntry, latest_start: Millis, overload: bool, now: Millis) -> JobRank {
+    let short = !job.spec.lasts();
+    let late = short && latest_start < now;
+    let passed_over = overload && short && !late && !job.has_begun();
+    JobRank {
+        priority: job.policy.priority,
+        short,
+        late,
+        passed_over,
+        turn: if passed_over {
+            Millis::MAX - latest_start
+        } else {
+            latest_start
+        },
+    }
+}
