Keep who a node is and what it sees of the fleet in files below those that use them

Two circles of imports went through the node's control thread: the group, the owner, the takeover and the VM worker took NodeIdentity and FleetView from it, and it starts them.

--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -0,0 +1,120 @@
+//! Operators' and runners' records, as a node last saw them.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap, //
+};
+
+use hoisthitch_jobs::QueuePolicy;
+use hoisthitch_store::StoredValue;
+use hoisthitch_telemetry::event;
+
+use crate::{
+    follow::FollowEvent,
+    platform::{
+        FleetCodec,
+        RunnerRecord,
+        WaveOrder, //
+    }, //
+};
+
+/// Operators' and runners' records, as last seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FleetView {
+    /// Runners by name of their life.
+    pub(crate) runners: HashMap<String, RunnerRecord>,
+    /// Policies by queue.
+    pub(crate) policies: HashMap<String, QueuePolicy>,
+    /// Pools.
+    pub(crate) pools: Vec<String>,
+    /// Waves by number.
+    pub(crate) waves: BTreeMap<u64, WaveOrder>,
+    /// Whether the runners are listed; only nodes that own pools, or are the next
+    /// to, follow them.
+    pub(crate) listed: bool,
+    /// Lives of runners that were listed while they were followed, by address and
+    /// by VM.
+    lives: HashMap<String, BTreeSet<String>>,
+}
+
+impl FleetView {
+    /// Takes in what runners wrote; answers whether it changes anything.
+    pub(crate) fn take_runners<C: FleetCodec>(&mut self, codec: &C, change: FollowEvent) -> bool {
+        match change {
+            FollowEvent::All(mut values) => {
+                self.runners.clear();
+                self.listed = true;
+                // A later record at the same address is that of a later life.
+                values.sort_by_key(|value| value.revision);
+                for value in &values {
+                    self.put_runner(codec, value);
+                }
+                true
+            }
+            FollowEvent::Put(value) => self.put_runner(codec, &value),
+            FollowEvent::Gone(key) => {
+                if let Some(name) = codec.runner_name(&key) {
+                    event!(Info, "runner_unlisted", runner = name);
+                    self.runners.remove(name);
+                }
+                true
+            }
+        }
+    }
+
+    /// Forgets the runners, which are not followed any more.
+    pub(crate) fn forget_runners(&mut self) {
+        self.runners.clear();
+        self.lives.clear();
+        self.listed = false;
+    }
+
+    /// Takes in a runner's record; answers whether it changes anything.
+    fn put_runner<C: FleetCodec>(&mut self, codec: &C, value: &StoredValue) -> bool {
+        let Some(name) = codec.runner_name(&value.key) else {
+            return false;
+        };
+        let record = match codec.runner(name, &value.value) {
+            Ok(record) => record,
+            Err(err) => {
+                event!(Error, "runner_unreadable", runner = name, error = err);
+                return false;
+            }
+        };
+        if self.runners.get(name) == Some(&record) {
+            return false;
+        }
+        event!(
+            Info,
+            "runner_listed",
+            runner = name,
+            pool = record.pool,
+            address = record.address,
+            draining = record.facts.draining
+        );
+        for place in places_of(&record) {
+            self.lives.entry(place).or_default().insert(name.to_owned());
+        }
+        self.runners.insert(name.to_owned(), record);
+        true
+    }
+
+    /// Other lives that were listed at the address or on the VM of a runner.
+    /// Which of them came last no record tells: one of a dead life may be
+    /// written late. While the runner answers, all of them are over.
+    pub(crate) fn rivals(&self, name: &str) -> BTreeSet<String> {
+        let Some(record) = self.runners.get(name) else {
+            return BTreeSet::new();
+        };
+        let places = places_of(record);
+        let lives = places.filter_map(|place| self.lives.get(&place)).flatten();
+        lives.filter(|life| *life != name).cloned().collect()
+    }
+}
+
+/// Where a runner is: its address and its VM.
+fn places_of(record: &RunnerRecord) -> impl Iterator<Item = String> {
+    let places = [record.address.to_string(), record.facts.vm.clone()];
+    places.into_iter().filter(|place| !place.is_empty())
+}
--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -33,11 +33,13 @@
 
 use crate::{
     follow::FollowEvent,
+    identity::{
+        NodeIdentity,
+        OwnerRecord, //
+    },
     journal::encode,
     keys::JobKeys,
-    node::NodeIdentity,
-    shared::NodeShared,
-    takeover::OwnerRecord, //
+    shared::NodeShared, //
 };
 
 /// Time without renewal after which a node counts as gone. It bounds the time
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -10,9 +10,11 @@
 
 mod clock;
 mod desk;
+mod fleet;
 mod follow;
 mod group;
 mod http;
+mod identity;
 mod index;
 mod journal;
 mod keys;
@@ -35,12 +37,10 @@
     SubmitAnswer, //
 };
 pub use http::job_routes;
+pub use identity::NodeIdentity;
 pub use keys::JobKeys;
 pub use metrics::NodeMetrics;
-pub use node::{
-    NodeIdentity,
-    run_node, //
-};
+pub use node::run_node;
 pub use shared::{
     NodeShared,
     StoreWatch, //
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -1,16 +1,11 @@
 //! The control thread of a node.
 
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet,
-        HashMap, //
-    },
+    collections::BTreeSet,
     sync::Arc,
     time::Duration, //
 };
 
-use hoisthitch_jobs::QueuePolicy;
 use hoisthitch_store::{
     StoreRevision,
     StoredValue, //
@@ -22,6 +17,7 @@
 };
 
 use crate::{
+    fleet::FleetView,
     follow::{
         FollowEvent,
         follow_prefix, //
@@ -31,6 +27,7 @@
         keep_member,
         leave_group, //
     },
+    identity::NodeIdentity,
     keys::JobKeys,
     owner::{
         OwnerContext,
@@ -39,9 +36,7 @@
     platform::{
         FleetCodec,
         FleetPolicy,
-        Platform,
-        RunnerRecord,
-        WaveOrder, //
+        Platform, //
     },
     shared::NodeShared,
     takeover::take_over, //
@@ -61,38 +56,6 @@
 /// hold.
 const HAND_OVER: Duration = Duration::from_millis(800);
 
-/// Who a node is.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct NodeIdentity {
-    /// Name of the node.
-    pub node: String,
-    /// Random number of this life of the process.
-    pub life: u64,
-    /// Data hall.
-    pub hall: String,
-    /// Processor time that it has, in thousandths of a core.
-    pub power: u64,
-}
-
-/// Operators' and runners' records, as last seen.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct FleetView {
-    /// Runners by name of their life.
-    pub(crate) runners: HashMap<String, RunnerRecord>,
-    /// Policies by queue.
-    pub(crate) policies: HashMap<String, QueuePolicy>,
-    /// Pools.
-    pub(crate) pools: Vec<String>,
-    /// Waves by number.
-    pub(crate) waves: BTreeMap<u64, WaveOrder>,
-    /// Whether the runners are listed; only nodes that own pools, or are the next
-    /// to, follow them.
-    pub(crate) listed: bool,
-    /// Lives of runners that were listed while they were followed, by address and
-    /// by VM.
-    lives: HashMap<String, BTreeSet<String>>,
-}
-
 struct NodeControl<P: Platform> {
     platform: P,
     shared: Arc<NodeShared>,
@@ -205,9 +168,7 @@
     /// Forgets the runners, which are not followed any more.
     fn forget_runners(&self) {
         self.change_fleet(|fleet| {
-            fleet.runners.clear();
-            fleet.lives.clear();
-            fleet.listed = false;
+            fleet.forget_runners();
             true
         });
     }
@@ -274,26 +235,7 @@
 
     fn take_runners(&mut self, change: FollowEvent) {
         let codec = self.platform.codec().clone();
-        self.change_fleet(|fleet| match change {
-            FollowEvent::All(mut values) => {
-                fleet.runners.clear();
-                fleet.listed = true;
-                // A later record at the same address is that of a later life.
-                values.sort_by_key(|value| value.revision);
-                for value in &values {
-                    fleet.put_runner(&codec, value);
-                }
-                true
-            }
-            FollowEvent::Put(value) => fleet.put_runner(&codec, &value),
-            FollowEvent::Gone(key) => {
-                if let Some(name) = codec.runner_name(&key) {
-                    event!(Info, "runner_unlisted", runner = name);
-                    fleet.runners.remove(name);
-                }
-                true
-            }
-        });
+        self.change_fleet(|fleet| fleet.take_runners(&codec, change));
     }
 
     /// Stands for election where this node should.
@@ -350,53 +292,3 @@
         }
     }
 }
-
-impl FleetView {
-    /// Takes in a runner's record; answers whether it changes anything.
-    fn put_runner<C: FleetCodec>(&mut self, codec: &C, value: &StoredValue) -> bool {
-        let Some(name) = codec.runner_name(&value.key) else {
-            return false;
-        };
-        let record = match codec.runner(name, &value.value) {
-            Ok(record) => record,
-            Err(err) => {
-                event!(Error, "runner_unreadable", runner = name, error = err);
-                return false;
-            }
-        };
-        if self.runners.get(name) == Some(&record) {
-            return false;
-        }
-        event!(
-            Info,
-            "runner_listed",
-            runner = name,
-            pool = record.pool,
-            address = record.address,
-            draining = record.facts.draining
-        );
-        for place in places_of(&record) {
-            self.lives.entry(place).or_default().insert(name.to_owned());
-        }
-        self.runners.insert(name.to_owned(), record);
-        true
-    }
-
-    /// Other lives that were listed at the address or on the VM of a runner.
-    /// Which of them came last no record tells: one of a dead life may be
-    /// written late. While the runner answers, all of them are over.
-    pub(crate) fn rivals(&self, name: &str) -> BTreeSet<String> {
-        let Some(record) = self.runners.get(name) else {
-            return BTreeSet::new();
-        };
-        let places = places_of(record);
-        let lives = places.filter_map(|place| self.lives.get(&place)).flatten();
-        lives.filter(|life| *life != name).cloned().collect()
-    }
-}
-
-/// Where a runner is: its address and its VM.
-fn places_of(record: &RunnerRecord) -> impl Iterator<Item = String> {
-    let places = [record.address.to_string(), record.facts.vm.clone()];
-    places.into_iter().filter(|place| !place.is_empty())
-}
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -58,19 +58,17 @@
 };
 use self::writes::WRITE_GAP_MS;
 use crate::{
+    fleet::FleetView,
     follow::{
         FollowEvent,
         follow_prefix, //
     },
+    identity::NodeIdentity,
     journal::{
         JournalError,
         PoolJournal, //
     },
     keys::JobKeys,
-    node::{
-        FleetView,
-        NodeIdentity, //
-    },
     platform::Platform,
     session::{
         FULL_RUN_MS,
--- a/crates/hoisthitch-scheduler/src/takeover.rs
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -14,12 +14,12 @@
     SwapItem, //
 };
 use hoisthitch_telemetry::event;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 
 use crate::{
+    identity::{
+        NodeIdentity,
+        OwnerRecord, //
+    },
     journal::{
         HeadRecord,
         PoolJournal,
@@ -27,21 +27,9 @@
         encode, //
     },
     keys::JobKeys,
-    node::NodeIdentity,
     shared::NodeShared, //
 };
 
-/// Owner of a pool.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct OwnerRecord {
-    /// Node.
-    pub(crate) node: String,
-    /// Life of the node.
-    pub(crate) life: u64,
-    /// Number of the ownership.
-    pub(crate) term: u64,
-}
-
 /// A won election.
 pub(crate) struct PoolTakeover<S> {
     /// Journal of the pool.
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -38,8 +38,8 @@
 
 use self::share::ShareRecord;
 use crate::{
+    fleet::FleetView,
     keys::JobKeys,
-    node::FleetView,
     platform::{
         Platform,
         VmError,
