Hand pools over to nodes that have much more power for them

Cause: a pool changed its owner only when that was lost. The node that was left alone for a second took all pools and kept them, with 42 others idle. Ruled out: waiting before a lone node takes pools, which would let them stand still. Change: an owner whose strain (pools for its processor time) is two and a half times that of the best other node with one pool more hands one over, after the group was the same for 3 s: it leaves word as at a planned stop and removes its owner record. Logged as pool_offered and pool_released.

--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -68,6 +68,16 @@
 /// Parts in which the pools of a node are compared with its power.
 const STRAIN_PARTS: usize = 1_000_000;
 
+/// Strain of an owner over that of another node with one pool more, in halves,
+/// from which on it hands a pool over. A change costs what a planned stop costs,
+/// some tens of milliseconds in which the pool starts nothing; a node of an eighth
+/// of a core is too slow for a hundred runners, one of half a core is not.
+const RELIEF_HALVES: usize = 5;
+
+/// Time for which the group has to be the same before a pool is handed over, in
+/// milliseconds: nodes that are restarted in turn come each one to two seconds.
+const CALM_MS: Millis = 3_000;
+
 /// Record of a node that is alive.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct MemberRecord {
@@ -101,6 +111,22 @@
     pub(crate) owners: BTreeMap<String, OwnerEntry>,
     /// When a pool was first seen without a living owner.
     vacant_since: BTreeMap<String, Millis>,
+    /// Lives of the members as last looked at.
+    lives: BTreeMap<String, u64>,
+    /// Since when those are the same.
+    same_since: Millis,
+}
+
+/// A pool that another node has much more power for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct PoolRelief {
+    pub(crate) pool: String,
+    /// Pools of this node for its power.
+    pub(crate) strain: usize,
+    /// The other node.
+    pub(crate) node: String,
+    /// What it would have with the pool.
+    pub(crate) its_strain: usize,
 }
 
 impl GroupView {
@@ -162,6 +188,7 @@
         quiet_since: Millis,
         now: Millis,
     ) -> Vec<(String, StoreRevision)> {
+        self.note_members(now);
         let vacant: Vec<&String> = pools
             .iter()
             .filter(|pool| !running.contains(*pool))
@@ -195,6 +222,47 @@
         wanted
     }
 
+    fn note_members(&mut self, now: Millis) {
+        let members = self.members.iter();
+        let lives: BTreeMap<String, u64> = members
+            .map(|(node, member)| (node.clone(), member.life))
+            .collect();
+        if self.lives != lives {
+            self.lives = lives;
+            self.same_since = now;
+        }
+    }
+
+    /// A pool of this node that it should leave to another one, if the group was
+    /// the same for a while.
+    pub(crate) fn relief(
+        &self,
+        pools: &[String],
+        identity: &NodeIdentity,
+        now: Millis,
+    ) -> Option<PoolRelief> {
+        if now < self.same_since + CALM_MS {
+            return None;
+        }
+        let loads = self.loads(pools);
+        let own = loads
+            .get(&identity.node)
+            .copied()
+            .filter(|load| *load > 0)?;
+        let strain = strain_of(own, identity.power);
+        let pool = pools.iter().find(|pool| self.is_own(pool, identity))?;
+        let order = self.order(pool, &loads);
+        let node = order.into_iter().find(|node| *node != identity.node)?;
+        let power = self.members.get(&node)?.power;
+        let its_strain = strain_of(loads.get(&node).copied().unwrap_or(0) + 1, power);
+        (strain * 2 >= its_strain * RELIEF_HALVES).then(|| PoolRelief {
+            pool: pool.clone(),
+            strain,
+            node,
+            its_strain,
+        })
+    }
+
     /// Whether this node is among the first to step in for some pool.
     pub(crate) fn stands_by(&self, pools: &[String], node: &str) -> bool {
         let loads = self.loads(pools);
@@ -232,14 +300,20 @@
         order.sort_by_cached_key(|node| {
             let load = loads.get(node).copied().unwrap_or(0);
             let power = self.members.get(node).map_or(1, |member| member.power);
-            // Load that the node would have for its power, in parts of it.
-            let strain = (load + 1) * STRAIN_PARTS / usize::try_from(power.max(1)).unwrap_or(1);
-            (strain, hash_name(&format!("{pool}/{node}")))
+            (
+                strain_of(load + 1, power),
+                hash_name(&format!("{pool}/{node}")),
+            )
         });
         order
     }
 }
 
+/// Load of a node for its power, in parts of it.
+fn strain_of(load: usize, power: u64) -> usize {
+    load * STRAIN_PARTS / usize::try_from(power.max(1)).unwrap_or(1)
+}
+
 /// Keeps the node's record alive until the node stops, then removes it.
 pub(crate) async fn keep_member<S: StoreClient>(
     store: S,
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -1,14 +1,16 @@
 //! The control thread of a node.
 
 use std::{
-    collections::BTreeSet,
+    collections::BTreeMap,
     sync::Arc,
     time::Duration, //
 };
 
 use hoisthitch_store::{
+    StoreClient,
     StoreRevision,
-    StoredValue, //
+    StoredValue,
+    SwapItem, //
 };
 use hoisthitch_telemetry::event;
 use tokio::sync::{
@@ -31,6 +33,7 @@
     keys::JobKeys,
     owner::{
         OwnerContext,
+        OwnerEnd,
         run_owner, //
     },
     platform::{
@@ -39,7 +42,10 @@
         Platform, //
     },
     shared::NodeShared,
-    takeover::take_over, //
+    takeover::{
+        PoolTakeover,
+        take_over, //
+    }, //
 };
 
 /// Time between two looks at the group.
@@ -62,8 +68,8 @@
     keys: JobKeys,
     identity: NodeIdentity,
     fleet: watch::Sender<Arc<FleetView>>,
-    stop: watch::Sender<bool>,
-    running: BTreeSet<String>,
+    /// Pools that this node owns or stands for, each with its order to stop.
+    running: BTreeMap<String, watch::Sender<bool>>,
     ended: mpsc::UnboundedSender<String>,
 }
 
@@ -95,7 +101,6 @@
     );
     let member = actix_rt::spawn(member);
     let (fleet, _) = watch::channel(Arc::new(FleetView::default()));
-    let (stop, _) = watch::channel(false);
     let (ended, mut ends) = mpsc::unbounded_channel();
     let mut control = NodeControl {
         platform,
@@ -103,8 +108,7 @@
         keys,
         identity,
         fleet,
-        stop,
-        running: BTreeSet::new(),
+        running: BTreeMap::new(),
         ended,
     };
     let mut group = GroupView::default();
@@ -127,6 +131,7 @@
             _ = tick.tick() => {}
         }
         control.elect(&mut group);
+        control.relieve(&group);
         if regroup {
             let pools = control.fleet.borrow().pools.clone();
             stands_by = group.stands_by(&pools, &control.identity.node);
@@ -140,7 +145,9 @@
             control.forget_runners();
         }
     }
-    control.stop.send_replace(true);
+    for stop in control.running.values() {
+        stop.send_replace(true);
+    }
     let handed_over = async {
         while !control.running.is_empty() {
             let Some(pool) = ends.recv().await else { break };
@@ -246,9 +253,11 @@
         }
         let pools = self.fleet.borrow().pools.clone();
         let quiet_since = self.shared.store.last_failure();
-        let wanted = group.wanted(&pools, &self.identity, &self.running, quiet_since, now);
+        let running = self.running.keys().cloned().collect();
+        let wanted = group.wanted(&pools, &self.identity, &running, quiet_since, now);
         for (pool, revision) in wanted {
-            self.running.insert(pool.clone());
+            let (stop, told) = watch::channel(false);
+            self.running.insert(pool.clone(), stop);
             let context = OwnerContext {
                 platform: self.platform.clone(),
                 shared: self.shared.clone(),
@@ -256,7 +265,7 @@
                 identity: self.identity.clone(),
                 pool: pool.clone(),
                 fleet: self.fleet.subscribe(),
-                stop: self.stop.subscribe(),
+                stop: told,
             };
             let ended = self.ended.clone();
             actix_rt::spawn(async move {
@@ -268,6 +277,32 @@
     }
 }
 
+impl<P: Platform> NodeControl<P> {
+    /// Hands a pool over that another node has much more power for.
+    fn relieve(&self, group: &GroupView) {
+        let now = self.shared.clock.now();
+        let pools = &self.fleet.borrow().pools;
+        let Some(relief) = group.relief(pools, &self.identity, now) else {
+            return;
+        };
+        // One after the other, so that each is weighed against the last.
+        if self.running.values().any(|stop| *stop.borrow()) {
+            return;
+        }
+        if let Some(stop) = self.running.get(&relief.pool) {
+            event!(
+                Info,
+                "pool_offered",
+                pool = relief.pool,
+                strain = relief.strain,
+                to = relief.node,
+                its_strain = relief.its_strain
+            );
+            stop.send_replace(true);
+        }
+    }
+}
+
 /// Tries to become the owner of a pool, and owns it if that succeeds.
 async fn stand_for<P: Platform>(context: OwnerContext<P>, seen: StoreRevision) {
     let pool = context.pool.clone();
@@ -280,11 +315,7 @@
         seen,
     );
     match taken.await {
-        Ok(Some(takeover)) => {
-            if let Err(err) = run_owner(context, takeover).await {
-                event!(Error, "pool_not_read", pool = pool, error = err);
-            }
-        }
+        Ok(Some(takeover)) => own(context, takeover).await,
         Ok(None) => tokio::time::sleep(ELECTION_PAUSE).await,
         Err(err) => {
             event!(Warn, "takeover_unclear", pool = pool, error = err);
@@ -292,3 +323,37 @@
         }
     }
 }
+
+/// Owns a pool to the end, and leaves it to another node if this one goes on.
+async fn own<P: Platform>(context: OwnerContext<P>, takeover: PoolTakeover<P::Store>) {
+    let pool = context.pool.clone();
+    let shared = context.shared.clone();
+    let store = context.platform.store().clone();
+    let key = context.keys.owner(&pool);
+    let elected = takeover.elected;
+    match run_owner(context, takeover).await {
+        Ok(OwnerEnd::Stopped) if !shared.is_stopping() => {
+            release(&store, key, elected, &pool).await;
+        }
+        Ok(OwnerEnd::Stopped | OwnerEnd::Deposed) => {}
+        Err(err) => event!(Error, "pool_not_read", pool = pool, error = err),
+    }
+}
+
+/// Removes the record of an owner that goes on as a node, so that others stand for
+/// its pool at once.
+async fn release<S: StoreClient>(store: &S, key: String, elected: StoreRevision, pool: &str) {
+    let item = SwapItem {
+        key,
+        expected: elected,
+        value: None,
+        lease: None,
+    };
+    let released = store.swap_all(vec![item]).await;
+    event!(
+        Info,
+        "pool_released",
+        pool = pool,
+        outcome = format_args!("{released:?}")
+    );
+}
--- a/crates/hoisthitch-scheduler/src/takeover.rs
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -34,6 +34,8 @@
 pub(crate) struct PoolTakeover<S> {
     /// Journal of the pool.
     pub(crate) journal: PoolJournal<S>,
+    /// Revision of the election.
+    pub(crate) elected: StoreRevision,
     /// Fencing token of the owner's orders.
     pub(crate) epoch: u64,
     /// When the election was sent, at which time nobody else owned the pool. Every
@@ -107,6 +109,7 @@
     let journal = PoolJournal::new(store.clone(), shared.clone(), keys, pool, head, revision);
     Ok(Some(PoolTakeover {
         journal,
+        elected: revision,
         epoch,
         confirmed_at: sent,
         silent,
