Stand-ins judge what jobs ask for

Change: the fleet in memory knows what jobs ask for and judges each start by it. Members of a gang work from the moment when all are there, and end alone or broken otherwise; fillers raise the tail of serving tasks beside them by their pace; an adviser gives tickets that run out; calls of a node may be carried out without an answer. A node's time of day can go with the runtime's clock, ahead of the others' or behind.

--- a/crates/hoisthitch-scheduler/src/clock.rs
+++ b/crates/hoisthitch-scheduler/src/clock.rs
@@ -12,6 +12,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct NodeClock {
     start: Instant,
+    day: DaySource,
+}
+
+/// Where a clock takes the time of day from.
+#[derive(Clone, Copy, Debug)]
+enum DaySource {
+    /// The system's clock.
+    System,
+    /// The steady clock, from this time of day at the start on.
+    Steady(u64),
 }
 
 /// Offset of the clock, so that no time before the start is negative.
@@ -22,6 +32,16 @@
     pub fn start() -> Self {
         Self {
             start: Instant::now(),
+            day: DaySource::System,
+        }
+    }
+
+    /// A clock that starts now, whose time of day is `today_ms` now and goes on
+    /// with the runtime's clock, paused or not.
+    pub fn start_at(today_ms: u64) -> Self {
+        Self {
+            start: Instant::now(),
+            day: DaySource::Steady(today_ms),
         }
     }
 
@@ -32,8 +52,11 @@
 
     /// The time of day, in milliseconds since 1970.
     pub fn today_ms(&self) -> u64 {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |time| time.as_millis() as u64)
+        match self.day {
+            DaySource::System => SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |time| time.as_millis() as u64),
+            DaySource::Steady(first) => first + self.start.elapsed().as_millis() as u64,
+        }
     }
 }
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -72,8 +72,13 @@
 impl NodeShared {
     /// State of a node that starts.
     pub fn new(metrics: NodeMetrics) -> Arc<Self> {
+        Self::with_clock(metrics, NodeClock::start())
+    }
+
+    /// State of a node that starts, with a clock.
+    pub fn with_clock(metrics: NodeMetrics, clock: NodeClock) -> Arc<Self> {
         Arc::new(Self {
-            clock: NodeClock::start(),
+            clock,
             policy: ArcSwapOption::empty(),
             store: StoreWatch::default(),
             stopping: AtomicBool::new(false),
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -21,7 +21,6 @@
 };
 
 use hoisthitch_jobs::{
-    AdviceAsk,
     JobPhase,
     JobSpec,
     QueuePolicy,
@@ -33,14 +32,13 @@
     CancelAnswer,
     JobDesk,
     JobKeys,
+    NodeClock,
     NodeIdentity,
     NodeMetrics,
     NodeShared,
     StatusAnswer,
     SubmitAnswer,
     platform::{
-        AdviceAnswer,
-        AdviceSource,
         FleetCodec,
         FleetPolicy,
         Platform,
@@ -52,6 +50,7 @@
     run_node, //
 };
 use hoisthitch_tests::world::{
+    MemoryAdviser,
     MemoryFleet,
     MemoryStore,
     POOL,
@@ -69,6 +68,9 @@
 /// Power of a usual node, in thousandths of a core.
 pub const POWER: u64 = 250;
 
+/// Stands between a VM and a label of its runner in the runner's record.
+pub const LABELLED: &str = " is ";
+
 /// Records of the tests' operators and runners.
 #[derive(Clone)]
 pub struct TestCodec;
@@ -109,20 +111,21 @@
     fn runner(&self, name: &str, value: &[u8]) -> Result<RunnerRecord, String> {
         let text = String::from_utf8_lossy(value);
         let draining = text.ends_with(DRAINING);
-        let vm = text.trim_end_matches(DRAINING).to_owned();
+        let text = text.trim_end_matches(DRAINING);
+        let (vm, label) = text.split_once(LABELLED).unwrap_or((text, ""));
         let number: u16 = vm.trim_start_matches("vm-").parse().unwrap_or(0);
         Ok(RunnerRecord {
             pool: POOL.to_owned(),
             address: ([127, 0, 0, 1], 10_000 + number).into(),
             facts: RunnerFacts {
                 name: name.to_owned(),
-                vm,
+                vm: vm.to_owned(),
                 capacity: TaskNeed {
                     cpu_milli: 8_000,
                     memory_mb: 32_000,
                     gpus: 0,
                 },
-                labels: Vec::new(),
+                labels: vec![label.to_owned()],
                 rack: String::new(),
                 draining,
             },
@@ -140,7 +143,7 @@
         name: POOL.to_owned(),
         spare: false,
     };
-    FleetPolicy::new(version, vec![queue()], vec![pool], 262_144)
+    FleetPolicy::new(version, vec![queue(), advised_queue()], vec![pool], 262_144)
 }
 
 /// The queue of the tests.
@@ -160,14 +163,13 @@
     }
 }
 
-/// Adviser of queues that have none.
-#[derive(Clone)]
-pub struct NoAdvice;
-
-impl AdviceSource for NoAdvice {
-    async fn advise(&self, _ask: &AdviceAsk) -> Result<AdviceAnswer, String> {
-        Err("no adviser".to_owned())
-    }
+/// A queue whose adviser says which runners may run a step.
+pub fn advised_queue() -> QueueRoute {
+    let mut queue = queue();
+    queue.name = "advised".to_owned();
+    queue.prefix = "/advised/".to_owned();
+    queue.policy.advised = true;
+    queue
 }
 
 /// The platform as a node of the tests sees it.
@@ -175,6 +177,7 @@
 pub struct TestPlatform {
     store: MemoryStore,
     fleet: MemoryFleet,
+    adviser: MemoryAdviser,
     codec: TestCodec,
 }
 
@@ -183,7 +186,7 @@
     type Runners = MemoryFleet;
     type Vms = MemoryFleet;
     type Codec = TestCodec;
-    type Advice = NoAdvice;
+    type Advice = MemoryAdviser;
 
     fn store(&self) -> &MemoryStore {
         &self.store
@@ -201,8 +204,8 @@
         &self.codec
     }
 
-    fn advice(&self) -> &NoAdvice {
-        &NoAdvice
+    fn advice(&self) -> &MemoryAdviser {
+        &self.adviser
     }
 }
 
@@ -263,6 +266,9 @@
     pub fleet: MemoryFleet,
     /// The nodes, by name.
     pub nodes: BTreeMap<String, TestNode>,
+    /// How far the time of day of a node is ahead, in milliseconds, by name;
+    /// counts from the node's next start on.
+    pub ahead: BTreeMap<String, i64>,
     lives: u64,
 }
 
@@ -275,6 +281,7 @@
             store,
             fleet,
             nodes: BTreeMap::new(),
+            ahead: BTreeMap::new(),
             lives: 0,
         };
         spawn_local(run_outside());
@@ -306,10 +313,13 @@
     pub fn start_node_with(&mut self, name: &str, power: u64) -> eyre::Result<()> {
         self.lives += 1;
         let metrics = NodeMetrics::new()?;
-        let shared = NodeShared::new(metrics);
+        let ahead = self.ahead.get(name).copied().unwrap_or(0);
+        let clock = NodeClock::start_at(self.fleet.today_ms().saturating_add_signed(ahead));
+        let shared = NodeShared::with_clock(metrics, clock);
         let platform = TestPlatform {
             store: self.store.for_node(name),
             fleet: self.fleet.for_node(name),
+            adviser: self.fleet.adviser(),
             codec: TestCodec,
         };
         let identity = NodeIdentity {
@@ -354,14 +364,19 @@
 
     /// Hands a job in at some node until it is accepted.
     pub async fn submit(&self, id: &str, spec: JobSpec) -> eyre::Result<()> {
+        self.submit_to(&queue(), id, spec).await
+    }
+
+    /// Hands a job in to a queue, at some node until it is accepted.
+    pub async fn submit_to(&self, queue: &QueueRoute, id: &str, spec: JobSpec) -> eyre::Result<()> {
+        self.fleet.note_job(id, &spec, queue.policy.advised);
         for _ in 0..100 {
             for node in self.nodes.values() {
                 if node.frozen.get() || node.killed.get() {
                     continue;
                 }
                 let give_up = node.shared.clock.now() + 1_000;
-                let queue = queue();
-                let answer = node.desk.submit(&queue, id, spec.clone(), give_up);
+                let answer = node.desk.submit(queue, id, spec.clone(), give_up);
                 let answer = tokio::time::timeout(Duration::from_secs(2), answer).await;
                 if matches!(answer, Ok(SubmitAnswer::Accepted)) {
                     return Ok(());
--- /dev/null
+++ b/crates/hoisthitch-tests/src/world/adviser.rs
@@ -0,0 +1,216 @@
+//! An adviser in memory: it says which runners may run a step, and gives
+//! tickets for that.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    AdviceAsk,
+    AdviceTicket,
+    StartOrder, //
+};
+use hoisthitch_scheduler::platform::{
+    AdviceAnswer,
+    AdviceSource, //
+};
+use tokio::time::Instant;
+
+use super::{
+    MemoryFleet,
+    rules::step_name, //
+};
+
+/// Time after which a caller gives up.
+const GIVE_UP: Duration = Duration::from_secs(3);
+
+/// Calls of a node that may wait for their turn.
+const WAITING_LIMIT: usize = 32;
+
+/// How the adviser answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdviserMood {
+    /// After some time for a call, and some for each runner named.
+    Answers {
+        /// Time of a call.
+        call: Duration,
+        /// Time for each runner named.
+        each: Duration,
+    },
+    /// Never.
+    Silent,
+    /// It refuses at once, since too many calls wait.
+    Crowded,
+}
+
+/// What the adviser has said, and how it answers.
+pub(super) struct AdviserState {
+    mood: AdviserMood,
+    valid: Duration,
+    /// VMs whose runners may run the steps.
+    good: HashSet<String>,
+    /// Tickets that were given: step and runner, and until when each holds.
+    tickets: HashMap<(String, String), HashMap<String, Instant>>,
+    given: u64,
+    calls: u64,
+    waiting: usize,
+    most_waiting: usize,
+    /// Starts that were refused for want of a ticket.
+    refused: u64,
+}
+
+impl Default for AdviserState {
+    fn default() -> Self {
+        Self {
+            mood: AdviserMood::Answers {
+                call: Duration::from_millis(40),
+                each: Duration::from_millis(5),
+            },
+            valid: Duration::from_secs(1),
+            good: HashSet::new(),
+            tickets: HashMap::new(),
+            given: 0,
+            calls: 0,
+            waiting: 0,
+            most_waiting: 0,
+            refused: 0,
+        }
+    }
+}
+
+impl AdviserState {
+    /// Whether the order's ticket holds for its step at that runner.
+    pub(super) fn check_ticket(&mut self, runner: &str, order: &StartOrder, now: Instant) -> bool {
+        let key = (step_name(order), runner.to_owned());
+        let tickets = self.tickets.get(&key);
+        let until = tickets.and_then(|tickets| tickets.get(&order.ticket));
+        let holds = until.is_some_and(|until| *until > now);
+        self.refused += u64::from(!holds);
+        holds
+    }
+
+    fn give(&mut self, step: &str, runner: &str, now: Instant) -> AdviceTicket {
+        self.given += 1;
+        let ticket = format!("ticket-{}", self.given);
+        let key = (step.to_owned(), runner.to_owned());
+        let tickets = self.tickets.entry(key).or_default();
+        tickets.insert(ticket.clone(), now + self.valid);
+        AdviceTicket {
+            runner: runner.to_owned(),
+            ticket,
+        }
+    }
+}
+
+/// The adviser.
+#[derive(Clone)]
+pub struct MemoryAdviser {
+    fleet: MemoryFleet,
+}
+
+impl MemoryFleet {
+    /// The fleet's adviser.
+    pub fn adviser(&self) -> MemoryAdviser {
+        MemoryAdviser {
+            fleet: self.clone(),
+        }
+    }
+}
+
+impl MemoryAdviser {
+    /// Changes how the adviser answers.
+    pub fn set_mood(&self, mood: AdviserMood) {
+        self.fleet.state.borrow_mut().rules.adviser.mood = mood;
+    }
+
+    /// Changes for how long tickets hold.
+    pub fn set_validity(&self, valid: Duration) {
+        self.fleet.state.borrow_mut().rules.adviser.valid = valid;
+    }
+
+    /// Sets the VMs whose runners may run the steps.
+    pub fn set_good(&self, vms: &[&str]) {
+        let good = vms.iter().map(|vm| (*vm).to_owned()).collect();
+        self.fleet.state.borrow_mut().rules.adviser.good = good;
+    }
+
+    /// Has all tickets given so far hold no more.
+    pub fn revoke(&self) {
+        self.fleet.state.borrow_mut().rules.adviser.tickets.clear();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.fleet.state.borrow().rules.adviser.calls
+    }
+
+    /// Starts that were refused for want of a ticket.
+    pub fn refused(&self) -> u64 {
+        self.fleet.state.borrow().rules.adviser.refused
+    }
+
+    /// Most calls that waited at once.
+    pub fn most_waiting(&self) -> usize {
+        self.fleet.state.borrow().rules.adviser.most_waiting
+    }
+
+    fn enter(&self) -> Result<AdviserMood, String> {
+        let mut state = self.fleet.state.borrow_mut();
+        let adviser = &mut state.rules.adviser;
+        adviser.calls += 1;
+        if adviser.waiting >= WAITING_LIMIT || adviser.mood == AdviserMood::Crowded {
+            return Err("status 429".to_owned());
+        }
+        adviser.waiting += 1;
+        adviser.most_waiting = adviser.most_waiting.max(adviser.waiting);
+        Ok(adviser.mood)
+    }
+
+    fn answer(&self, ask: &AdviceAsk) -> AdviceAnswer {
+        let now = Instant::now();
+        let mut guard = self.fleet.state.borrow_mut();
+        let state = &mut *guard;
+        let adviser = &mut state.rules.adviser;
+        let runners = &state.runners;
+        let good = ask.runners.iter().filter(|name| {
+            let life = runners.get(*name).filter(|life| life.alive);
+            life.is_some_and(|life| adviser.good.contains(&life.vm))
+        });
+        let good: Vec<&String> = good.collect();
+        let tickets = good
+            .into_iter()
+            .map(|name| adviser.give(&ask.step, name, now));
+        AdviceAnswer {
+            tickets: tickets.collect(),
+            valid: adviser.valid,
+        }
+    }
+}
+
+impl AdviceSource for MemoryAdviser {
+    async fn advise(&self, ask: &AdviceAsk) -> Result<AdviceAnswer, String> {
+        let mood = self.enter()?;
+        let answer = match mood {
+            AdviserMood::Answers { call, each } => {
+                let count = u32::try_from(ask.runners.len()).unwrap_or(u32::MAX);
+                let time = call + each * count;
+                tokio::time::sleep(time.min(GIVE_UP)).await;
+                if time < GIVE_UP {
+                    Ok(self.answer(ask))
+                } else {
+                    Err("no answer".to_owned())
+                }
+            }
+            AdviserMood::Silent | AdviserMood::Crowded => {
+                tokio::time::sleep(GIVE_UP).await;
+                Err("no answer".to_owned())
+            }
+        };
+        self.fleet.state.borrow_mut().rules.adviser.waiting -= 1;
+        answer
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-tests/src/world/gangs.rs
@@ -0,0 +1,126 @@
+//! Gangs on the runners: they work from the moment when all are present.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    EndKind,
+    StartOrder, //
+};
+use tokio::time::Instant;
+
+use super::{
+    MemoryFleet,
+    life::GangPart,
+    rules::step_name,
+    runners::FleetState, //
+};
+
+/// Time for which a member waits for the others.
+const GANG_WAIT: Duration = Duration::from_secs(3);
+
+/// A member that is present: its runner and its name.
+type MemberPlace = (String, String);
+
+impl FleetState {
+    /// Has a gang begin its work if all of it are present.
+    pub(super) fn gather_gang(&mut self, order: &StartOrder, now: Instant) {
+        let step = step_name(order);
+        let mut members: Vec<&mut GangPart> = self
+            .runners
+            .values_mut()
+            .filter(|runner| runner.alive)
+            .flat_map(|runner| runner.running.values_mut())
+            .filter(|run| run.run == order.run)
+            .filter_map(|run| run.gang.as_mut())
+            .filter(|part| part.step == step)
+            .collect();
+        if members
+            .first()
+            .is_some_and(|part| part.size == members.len())
+        {
+            for part in &mut members {
+                part.whole_since = Some(now);
+            }
+        }
+    }
+
+    /// Ends members that waited too long, and those that lost another one.
+    pub(super) fn settle_gangs(&mut self, now: Instant) {
+        let mut gangs: BTreeMap<(String, u32), Vec<MemberPlace>> = BTreeMap::new();
+        for (name, runner) in self.runners.iter().filter(|(_, runner)| runner.alive) {
+            for (task, run) in &runner.running {
+                if let Some(part) = &run.gang {
+                    let members = gangs.entry((part.step.clone(), run.run)).or_default();
+                    members.push((name.clone(), task.clone()));
+                }
+            }
+        }
+        for members in gangs.into_values() {
+            let broken = self.is_broken(&members, now);
+            for (runner, task) in members {
+                self.settle_member(&runner, &task, broken, now);
+            }
+        }
+    }
+
+    /// Whether a gang at work lost a member before its work was done.
+    fn is_broken(&self, members: &[MemberPlace], now: Instant) -> bool {
+        members.iter().any(|(runner, task)| {
+            let Some(life) = self.runners.get(runner) else {
+                return false;
+            };
+            let Some(run) = life.running.get(task) else {
+                return false;
+            };
+            let Some(part) = &run.gang else {
+                return false;
+            };
+            let Some(since) = part.whole_since else {
+                return false;
+            };
+            let lapsed = life.lease <= now && life.lease < since + run.work;
+            members.len() < part.size || lapsed
+        })
+    }
+
+    fn settle_member(&mut self, runner: &str, task: &str, broken: bool, now: Instant) {
+        let Some(life) = self.runners.get_mut(runner) else {
+            return;
+        };
+        let Some(run) = life.running.get(task).cloned() else {
+            return;
+        };
+        let until = now.min(life.lease);
+        let whole = run.work_since().is_some();
+        if whole && broken && life.lease > now {
+            life.end(task, EndKind::Broken);
+            self.rules.broken_runs.push((task.to_owned(), run.run));
+        }
+        if !whole && run.began + GANG_WAIT <= until {
+            life.end(task, EndKind::Alone);
+            self.rules.alone.push((task.to_owned(), run.run));
+            let job = task.split('.').next().unwrap_or_default();
+            if self.rules.is_calm(run.began) && !self.cancelled.contains(job) {
+                let broken = format!("{task} run {} ended alone", run.run);
+                self.broken.push(broken);
+            }
+        }
+    }
+}
+
+impl MemoryFleet {
+    /// Runs that ended since the others of their gang did not come.
+    pub fn alone(&self) -> Vec<(String, u32)> {
+        self.settle();
+        self.state.borrow().rules.alone.clone()
+    }
+
+    /// Runs that ended since another of their gang did.
+    pub fn broken_runs(&self) -> Vec<(String, u32)> {
+        self.settle();
+        self.state.borrow().rules.broken_runs.clone()
+    }
+}
--- a/crates/hoisthitch-tests/src/world/life.rs
+++ b/crates/hoisthitch-tests/src/world/life.rs
@@ -18,6 +18,8 @@
 };
 use tokio::time::Instant;
 
+use super::sharing::SharedRoom;
+
 /// Time after which a lasting task is at work.
 pub(super) const STARTED: Duration = Duration::from_millis(300);
 
@@ -34,6 +36,25 @@
     pub(super) work: Duration,
     pub(super) fails: bool,
     pub(super) lasts: bool,
+    /// The gang that it is of.
+    pub(super) gang: Option<GangPart>,
+    /// Target of a serving task, in milliseconds; zero for others.
+    pub(super) target_ms: u64,
+    /// Whether it is a filler.
+    pub(super) fills: bool,
+    /// Share at which it works, in percent.
+    pub(super) pace: u32,
+}
+
+/// A run's part in a gang.
+#[derive(Clone, Debug)]
+pub(super) struct GangPart {
+    /// Name of the step: job, round, step.
+    pub(super) step: String,
+    /// Members of the gang.
+    pub(super) size: usize,
+    /// Since when all members are present.
+    pub(super) whole_since: Option<Instant>,
 }
 
 pub(super) struct Runner {
@@ -52,6 +73,12 @@
     /// Highest run that was stopped or ended, by task.
     pub(super) over: HashMap<String, u32>,
     pub(super) cut: HashSet<String>,
+    /// Nodes whose calls arrive and whose answers do not.
+    pub(super) unheard: HashSet<String>,
+    /// What its kind is.
+    pub(super) label: String,
+    /// How tasks beside one another fare.
+    pub(super) sharing: SharedRoom,
 }
 
 impl Run {
@@ -60,15 +87,33 @@
         Self {
             run: order.run,
             began: now,
-            work: Duration::from_millis(work_ms(&order.payload)),
+            work: Duration::from_millis(work_ms(&order.payload)) * work_share(order),
             fails: order.payload.contains("fail"),
             lasts: order.payload.contains("lasts"),
+            gang: None,
+            target_ms: 0,
+            fills: false,
+            pace: 100,
         }
     }
 
+    /// When it went to work; a member of a gang waits for the others.
+    pub(super) fn work_since(&self) -> Option<Instant> {
+        let part = self.gang.as_ref();
+        part.map_or(Some(self.began), |part| part.whole_since)
+    }
+
+    fn is_over(&self, now: Instant) -> bool {
+        let since = self.work_since().filter(|_| !self.lasts);
+        since.is_some_and(|since| since + self.work <= now)
+    }
+
     pub(super) fn percent(&self, now: Instant) -> u32 {
         let work = if self.lasts { STARTED } else { self.work };
-        let done = now.duration_since(self.began).as_millis() * 100;
+        let Some(since) = self.work_since() else {
+            return 0;
+        };
+        let done = now.duration_since(since).as_millis() * 100;
         let percent = done / work.as_millis().max(1);
         u32::try_from(percent).unwrap_or(100).min(100)
     }
@@ -90,6 +135,9 @@
             void: 0,
             over: HashMap::new(),
             cut: HashSet::new(),
+            unheard: HashSet::new(),
+            label: String::new(),
+            sharing: SharedRoom::default(),
         }
     }
 
@@ -126,7 +174,7 @@
         let over: Vec<(String, Run)> = self
             .running
             .iter()
-            .filter(|(_, run)| !run.lasts && run.began + run.work <= now.min(lapse))
+            .filter(|(_, run)| run.is_over(now.min(lapse)))
             .map(|(task, run)| (task.clone(), run.clone()))
             .collect();
         for (task, run) in over {
@@ -156,7 +204,11 @@
             run: run.run,
             checkpoint: String::new(),
             percent: run.percent(now),
-            load: 0,
+            load: if run.target_ms > 0 {
+                self.sharing.reported(now)
+            } else {
+                0
+            },
         });
         HoldReport {
             clock_ms: CLOCK_START + now.duration_since(self.began).as_millis() as u64,
@@ -171,3 +223,12 @@
     let digits: String = payload.chars().filter(char::is_ascii_digit).collect();
     digits.parse().unwrap_or(300)
 }
+
+/// How often an uneven task does the work of the first of its step.
+fn work_share(order: &StartOrder) -> u32 {
+    if order.payload.contains("uneven") {
+        order.name.index + 1
+    } else {
+        1
+    }
+}
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -3,8 +3,12 @@
 //! They keep to what the service's traits promise, fail as told, and a judge
 //! looks at what runners are told.
 
+mod adviser;
+mod gangs;
 mod life;
+mod rules;
 mod runners;
+mod sharing;
 mod store;
 
 use std::{
@@ -14,7 +18,13 @@
     time::Duration, //
 };
 
+pub use adviser::{
+    AdviserMood,
+    MemoryAdviser, //
+};
+pub use rules::StartNote;
 pub use runners::MemoryFleet;
+pub use sharing::PaceFate;
 pub use store::{
     MemoryStore,
     StoreFaults, //
--- /dev/null
+++ b/crates/hoisthitch-tests/src/world/rules.rs
@@ -0,0 +1,305 @@
+//! What jobs ask for, and the judge of starts that go against it.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    time::Duration, //
+};
+
+use hoisthitch_jobs::{
+    JobSpec,
+    StartOrder,
+    StepSpec, //
+};
+use tokio::time::Instant;
+
+use super::{
+    MemoryFleet,
+    adviser::AdviserState,
+    life::{
+        GangPart,
+        Run,
+        Runner, //
+    },
+    runners::FleetState,
+    sharing::PaceFate, //
+};
+
+/// Time of day when a fleet begins, in milliseconds since 1970; any will do.
+const FIRST_DAY_MS: u64 = 1_800_000_000_000;
+
+/// Time by which a task may start before it is due, in milliseconds.
+const EARLY_MS: u64 = 250;
+
+/// Time within which nothing of a cancelled job starts any more.
+const CANCEL_TIME: Duration = Duration::from_secs(3);
+
+/// Time after a disturbance in which rules with a time bound do not hold.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// A start that a runner carried out.
+#[derive(Clone, Debug)]
+pub struct StartNote {
+    /// Name of the task.
+    pub task: String,
+    /// Number of the run.
+    pub run: u32,
+    /// Life of the runner.
+    pub runner: String,
+    /// Time of day, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+/// What jobs ask for.
+pub(super) struct RuleBook {
+    first: Instant,
+    jobs: HashMap<String, JobSpec>,
+    /// Jobs of queues that have an adviser.
+    advised: HashSet<String>,
+    cancelled: HashMap<String, Instant>,
+    disturbed: Option<Instant>,
+    /// Nodes that get no answer about VMs.
+    unheard: HashSet<String>,
+    starts: Vec<StartNote>,
+    /// Whether the order at hand was under way for long.
+    late: bool,
+    pub(super) adviser: AdviserState,
+    pub(super) pace_fates: Vec<PaceFate>,
+    pub(super) longest_harm: Duration,
+    /// Runs that ended since the others of their gang did not come.
+    pub(super) alone: Vec<(String, u32)>,
+    /// Runs that ended since another of their gang did.
+    pub(super) broken_runs: Vec<(String, u32)>,
+}
+
+impl Default for RuleBook {
+    fn default() -> Self {
+        Self {
+            first: Instant::now(),
+            jobs: HashMap::new(),
+            advised: HashSet::new(),
+            cancelled: HashMap::new(),
+            disturbed: None,
+            unheard: HashSet::new(),
+            starts: Vec::new(),
+            late: false,
+            adviser: AdviserState::default(),
+            pace_fates: Vec::new(),
+            longest_harm: Duration::ZERO,
+            alone: Vec::new(),
+            broken_runs: Vec::new(),
+        }
+    }
+}
+
+impl RuleBook {
+    fn today_ms(&self) -> u64 {
+        FIRST_DAY_MS + self.first.elapsed().as_millis() as u64
+    }
+
+    pub(super) fn note_cancel(&mut self, job: &str) {
+        let now = Instant::now();
+        self.cancelled.entry(job.to_owned()).or_insert(now);
+    }
+
+    /// Tells whether the order at hand was under way for long; bounds on time do
+    /// not hold for it.
+    pub(super) fn set_late(&mut self, late: bool) {
+        self.late = late;
+    }
+
+    pub(super) fn is_unheard(&self, node: &str) -> bool {
+        self.unheard.contains(node)
+    }
+
+    /// Whether nothing has disturbed the nodes since some time before `since`.
+    pub(super) fn is_calm(&self, since: Instant) -> bool {
+        let disturbed = self.disturbed;
+        disturbed.is_none_or(|disturbed| disturbed + CONTACT_TIME < since)
+    }
+
+    /// Since when rules with a time bound hold, if that is later than `since`.
+    pub(super) fn calm_since(&self, since: Instant) -> Instant {
+        let calm = self.disturbed.map(|disturbed| disturbed + CONTACT_TIME);
+        calm.map_or(since, |calm| calm.max(since))
+    }
+
+    fn step(&self, order: &StartOrder) -> Option<&StepSpec> {
+        let job = self.jobs.get(&order.name.job)?;
+        job.steps.get(order.name.step as usize)
+    }
+
+    /// Whether the order brings leave for that runner, or needs none.
+    pub(super) fn has_ticket(&mut self, runner: &str, order: &StartOrder, now: Instant) -> bool {
+        let advised = self.advised.contains(&order.name.job);
+        !advised || self.adviser.check_ticket(runner, order, now)
+    }
+
+    /// A run with what its step asks for.
+    pub(super) fn fit_out(&self, mut run: Run, order: &StartOrder) -> Run {
+        let Some(step) = self.step(order) else {
+            return run;
+        };
+        run.target_ms = step.target_ms;
+        run.fills = step.filler;
+        run.gang = step.gang.then(|| GangPart {
+            step: step_name(order),
+            size: step.count as usize,
+            whole_since: None,
+        });
+        run
+    }
+
+    /// What is wrong with the time of a start.
+    fn judge_time(&self, order: &StartOrder, now: Instant) -> Option<String> {
+        let name = &order.name;
+        if let Some(cancelled) = self.cancelled.get(&name.job)
+            && *cancelled + CANCEL_TIME < now
+            && !self.late
+        {
+            return Some(format!("{name} began after its job was cancelled"));
+        }
+        let times = self.jobs.get(&name.job)?.schedule?;
+        let due = times.first_ms + u64::from(name.round) * times.interval_ms;
+        let today = self.today_ms();
+        (today + EARLY_MS < due).then(|| format!("{name} began {} ms before its time", due - today))
+    }
+}
+
+impl FleetState {
+    /// Judges a start that was just carried out by what its job asks for.
+    pub(super) fn judge_terms(&mut self, runner: &str, order: &StartOrder, now: Instant) {
+        let note = StartNote {
+            task: order.name.to_string(),
+            run: order.run,
+            runner: runner.to_owned(),
+            at_ms: self.rules.today_ms(),
+        };
+        self.rules.starts.push(note);
+        let found = [
+            self.rules.judge_time(order, now),
+            self.judge_order(order),
+            self.judge_place(runner, order),
+            self.judge_members(order),
+        ];
+        self.broken.extend(found.into_iter().flatten());
+    }
+
+    /// Whether a step before the task's is not done.
+    fn judge_order(&self, order: &StartOrder) -> Option<String> {
+        let name = &order.name;
+        let job = self.rules.jobs.get(&name.job)?;
+        let after = self.rules.step(order)?.after.iter();
+        let mut before = after.flat_map(|step| {
+            let count = job.steps.get(*step as usize).map_or(0, |step| step.count);
+            (0..count).map(move |index| format!("{}.{}.{step}.{index}", name.job, name.round))
+        });
+        let open = before.find(|task| !self.done.contains(task))?;
+        Some(format!("{name} began before {open} was done"))
+    }
+
+    /// Whether the runner has another label, or too many tasks of the step.
+    fn judge_place(&self, runner: &str, order: &StartOrder) -> Option<String> {
+        let name = &order.name;
+        let step = self.rules.step(order)?;
+        let life = self.runners.get(runner)?;
+        if let Some(label) = step.label.as_ref().filter(|label| **label != life.label) {
+            return Some(format!("{name} began on a runner that is not {label}"));
+        }
+        let alike = format!("{}.", step_name(order));
+        let alike = life.running.keys().filter(|task| task.starts_with(&alike));
+        let count = alike.count();
+        (step.spread > 0 && count > step.spread as usize)
+            .then(|| format!("{name} began as number {count} of its step on {runner}"))
+    }
+
+    /// Whether other members of the gang are of another run, or done.
+    fn judge_members(&self, order: &StartOrder) -> Option<String> {
+        let name = &order.name;
+        self.rules.step(order).filter(|step| step.gang)?;
+        let alike = format!("{}.", step_name(order));
+        if self.noted.iter().any(|task| task.starts_with(&alike)) {
+            return Some(format!("{name} began after its gang was done"));
+        }
+        let living = self.runners.values().filter(|runner| runner.alive);
+        let mut runs = living.flat_map(|runner| &runner.running);
+        let (other, run) =
+            runs.find(|(task, run)| task.starts_with(&alike) && run.run != order.run)?;
+        let (mine, theirs) = (order.run, run.run);
+        Some(format!(
+            "{name} began run {mine} beside {other} of run {theirs}"
+        ))
+    }
+}
+
+impl MemoryFleet {
+    /// The time of day, in milliseconds since 1970.
+    pub fn today_ms(&self) -> u64 {
+        self.state.borrow().rules.today_ms()
+    }
+
+    /// Notes what a job asks for.
+    pub fn note_job(&self, id: &str, spec: &JobSpec, advised: bool) {
+        let mut state = self.state.borrow_mut();
+        state.rules.jobs.insert(id.to_owned(), spec.clone());
+        if advised {
+            state.rules.advised.insert(id.to_owned());
+        }
+    }
+
+    /// Notes that something disturbs nodes or runners now.
+    pub fn disturb(&self) {
+        self.state.borrow_mut().rules.disturbed = Some(Instant::now());
+    }
+
+    /// Begins a life of a VM's runner of a kind; answers with its name.
+    pub fn begin_kind(&self, vm: &str, label: &str) -> String {
+        let name = self.begin(vm);
+        if let Some(runner) = self.state.borrow_mut().runners.get_mut(&name) {
+            label.clone_into(&mut runner.label);
+        }
+        name
+    }
+
+    /// Has calls of nodes to runners and about VMs be carried out without an
+    /// answer.
+    pub fn unhear(&self, nodes: &[String]) {
+        let nodes: HashSet<String> = nodes.iter().cloned().collect();
+        let mut state = self.state.borrow_mut();
+        for runner in state.runners.values_mut() {
+            runner.unheard.clone_from(&nodes);
+        }
+        state.rules.unheard = nodes;
+    }
+
+    /// Starts so far, in order.
+    pub fn start_notes(&self) -> Vec<StartNote> {
+        self.state.borrow().rules.starts.clone()
+    }
+
+    /// Whether a task ended done.
+    pub fn is_done(&self, task: &str) -> bool {
+        self.settle();
+        self.state.borrow().done.contains(task)
+    }
+
+    /// Living runners that run something of a job.
+    pub fn runners_of(&self, job: &str) -> Vec<String> {
+        let runs = |runner: &&Runner| {
+            let mut tasks = runner.running.keys();
+            runner.alive && tasks.any(|task| task.split('.').next() == Some(job))
+        };
+        self.settle();
+        let state = self.state.borrow();
+        let runners = state.runners.iter().filter(|(_, runner)| runs(runner));
+        runners.map(|(name, _)| name.clone()).collect()
+    }
+}
+
+/// Name of the step of an order's task.
+pub(super) fn step_name(order: &StartOrder) -> String {
+    let name = &order.name;
+    format!("{}.{}.{}", name.job, name.round, name.step)
+}
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -37,6 +37,8 @@
     Runner,
     STARTED, //
 };
+use super::rules::RuleBook;
+use super::sharing::PaceFate;
 
 /// Time of a call, one way.
 const WAY: Duration = Duration::from_millis(1);
@@ -52,19 +54,19 @@
 
 /// What the fleet was told, and what broke a promise.
 #[derive(Default)]
-struct FleetState {
-    runners: BTreeMap<String, Runner>,
+pub(super) struct FleetState {
+    pub(super) runners: BTreeMap<String, Runner>,
     /// Down for upkeep: VM, until when.
     upkeep: HashMap<String, Instant>,
     lives: u64,
     /// Tasks whose end `done` was acknowledged.
-    noted: HashSet<String>,
+    pub(super) noted: HashSet<String>,
     /// Tasks that ended `done`.
-    done: HashSet<String>,
+    pub(super) done: HashSet<String>,
     /// Failed ends that were acknowledged, by task.
     failed: HashMap<String, u32>,
     starts: HashMap<String, u32>,
-    broken: Vec<String>,
+    pub(super) broken: Vec<String>,
     /// Each order of this many is not answered and carried out later.
     late_every: u64,
     orders: u64,
@@ -77,13 +79,15 @@
     /// Time that an order about a VM is under way.
     vms_way: Duration,
     /// Jobs whose tasks may be stopped as their caller wants.
-    cancelled: HashSet<String>,
+    pub(super) cancelled: HashSet<String>,
+    /// What jobs ask for, and the judge of that.
+    pub(super) rules: RuleBook,
 }
 
 /// The fleet.
 #[derive(Clone, Default)]
 pub struct MemoryFleet {
-    state: Rc<RefCell<FleetState>>,
+    pub(super) state: Rc<RefCell<FleetState>>,
     node: String,
 }
 
@@ -107,6 +111,7 @@
 
     /// Ends a life at once.
     pub fn crash(&self, name: &str) {
+        self.settle();
         if let Some(runner) = self.state.borrow_mut().runners.get_mut(name) {
             runner.alive = false;
             runner.running.clear();
@@ -137,7 +142,9 @@
 
     /// The caller cancels a job: its tasks may be stopped from now on.
     pub fn note_cancel(&self, job: &str) {
-        self.state.borrow_mut().cancelled.insert(job.to_owned());
+        let mut state = self.state.borrow_mut();
+        state.cancelled.insert(job.to_owned());
+        state.rules.note_cancel(job);
     }
 
     /// Living runners.
@@ -225,9 +232,11 @@
     }
 
     /// Lets time pass on all runners.
-    fn settle(&self) {
+    pub(super) fn settle(&self) {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
+        state.settle_gangs(now);
+        state.judge_harm(now);
         let mut done = Vec::new();
         for runner in state.runners.values_mut().filter(|runner| runner.alive) {
             done.extend(runner.settle(now));
@@ -266,7 +275,13 @@
                 StartOutcome::Old
             };
         }
-        runner.running.insert(task.clone(), Run::begin(order, now));
+        if !state.rules.has_ticket(name, order, now) {
+            return StartOutcome::NoTicket;
+        }
+        let run = state.rules.fit_out(Run::begin(order, now), order);
+        runner.running.insert(task.clone(), run);
+        state.judge_terms(name, order, now);
+        state.gather_gang(order, now);
         let copies = state
             .runners
             .values()
@@ -361,6 +376,13 @@
         listens && !runner.cut.contains(&self.node)
     }
 
+    /// Whether answers of the runner reach the node.
+    fn answers(&self, name: &str) -> bool {
+        let state = self.state.borrow();
+        let runner = state.runners.get(name);
+        self.reaches(name) && runner.is_some_and(|runner| !runner.unheard.contains(&self.node))
+    }
+
     fn is_late(&self) -> bool {
         let mut state = self.state.borrow_mut();
         state.orders += 1;
@@ -421,13 +443,19 @@
             let late = Duration::from_millis(2_000 + u64::from(order.run) * 700);
             super::spawn_outside(async move {
                 tokio::time::sleep(late).await;
+                fleet.state.borrow_mut().rules.set_late(true);
                 fleet.start(&name, &order, terms);
+                fleet.state.borrow_mut().rules.set_late(false);
             });
             tokio::time::sleep(GIVE_UP).await;
             return StartOutcome::Unclear;
         }
         let outcome = MemoryFleet::start(self, &runner.name, order, terms);
         tokio::time::sleep(WAY).await;
+        if !self.answers(&runner.name) {
+            tokio::time::sleep(GIVE_UP).await;
+            return StartOutcome::Unclear;
+        }
         outcome
     }
 
@@ -444,6 +472,10 @@
         }
         let stopped = MemoryFleet::stop(self, &runner.name, order, epoch);
         tokio::time::sleep(WAY).await;
+        if !self.answers(&runner.name) {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(RunnerError::NoAnswer("unheard".to_owned()));
+        }
         stopped
     }
 
@@ -468,7 +500,7 @@
             },
         );
         tokio::time::sleep(WAY).await;
-        if !self.reaches(&runner.name) {
+        if !self.answers(&runner.name) {
             tokio::time::sleep(GIVE_UP).await;
             return Err(RunnerError::NoAnswer("cut".to_owned()));
         }
@@ -477,12 +509,33 @@
 
     async fn pace(
         &self,
-        _runner: &RunnerAddress,
-        _order: &PaceOrder,
-        _epoch: u64,
+        runner: &RunnerAddress,
+        order: &PaceOrder,
+        epoch: u64,
     ) -> Result<(), RunnerError> {
         tokio::time::sleep(WAY).await;
-        Ok(())
+        let fate = self.next_pace_fate();
+        if !self.reaches(&runner.name) || fate == PaceFate::Lost {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(RunnerError::NoAnswer("lost".to_owned()));
+        }
+        if let PaceFate::Late(late) = fate {
+            let (fleet, name, order) = (self.clone(), runner.name.clone(), order.clone());
+            super::spawn_outside(async move {
+                tokio::time::sleep(late).await;
+                // Nobody waits for the answer any more.
+                let _ = fleet.set_pace(&name, &order, epoch);
+            });
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(RunnerError::NoAnswer("late".to_owned()));
+        }
+        let paced = self.set_pace(&runner.name, order, epoch);
+        tokio::time::sleep(WAY).await;
+        if !self.answers(&runner.name) {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(RunnerError::NoAnswer("unheard".to_owned()));
+        }
+        paced
     }
 }
 
@@ -513,6 +566,10 @@
 impl VmControl for MemoryFleet {
     async fn list(&self) -> Result<Vec<VmRow>, VmError> {
         tokio::time::sleep(WAY * 2).await;
+        if self.state.borrow().rules.is_unheard(&self.node) {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(VmError::NoAnswer("unheard".to_owned()));
+        }
         let state = self.state.borrow();
         let mut rows: Vec<VmRow> = state
             .runners
@@ -539,10 +596,32 @@
         self.judge_turn(vm, holder);
         let way = self.state.borrow().vms_way;
         tokio::time::sleep(way).await;
+        if self.state.borrow().rules.is_unheard(&self.node) {
+            let _ = self.take_down(vm, epoch);
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(VmError::NoAnswer("unheard".to_owned()));
+        }
         if self.state.borrow().vms_lost {
             tokio::time::sleep(GIVE_UP).await;
             return Err(VmError::NoAnswer("lost".to_owned()));
         }
+        self.take_down(vm, epoch)
+    }
+
+    async fn reassign(
+        &self,
+        _vm: &str,
+        _pool: &str,
+        _holder: &str,
+        _token: u64,
+    ) -> Result<(), VmError> {
+        Err(VmError::NotListed)
+    }
+}
+
+impl MemoryFleet {
+    /// Takes a VM down for its upkeep.
+    fn take_down(&self, vm: &str, epoch: u64) -> Result<(), VmError> {
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let last = state.upkeeps.iter().rev().find(|row| row.0 == vm);
@@ -575,14 +654,4 @@
         state.down_most = state.down_most.max(state.upkeep.len());
         Ok(())
     }
-
-    async fn reassign(
-        &self,
-        _vm: &str,
-        _pool: &str,
-        _holder: &str,
-        _token: u64,
-    ) -> Result<(), VmError> {
-        Err(VmError::NotListed)
-    }
 }
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -50,6 +50,8 @@
     pub down: bool,
     /// These nodes get no answer.
     pub cut: HashSet<String>,
+    /// Calls of these nodes are carried out, and get no answer.
+    pub unheard: HashSet<String>,
     /// Each write of this many is done and not answered; zero for none.
     pub lose_every: u64,
     /// Lost writes are done this much later.
@@ -189,6 +191,19 @@
         state.faults.down || state.faults.cut.contains(&self.node)
     }
 
+    fn is_unheard(&self) -> bool {
+        self.state.borrow().faults.unheard.contains(&self.node)
+    }
+
+    /// Keeps the answer back from a node that is cut off one way.
+    async fn leave(&self, call: &'static str) -> Result<(), StoreError> {
+        if self.is_unheard() {
+            tokio::time::sleep(GIVE_UP).await;
+            return Err(timeout(call));
+        }
+        Ok(())
+    }
+
     fn expire(&self) {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
@@ -289,11 +304,13 @@
 
     async fn read(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
         self.enter("read").await?;
+        self.leave("read").await?;
         Ok(self.state.borrow().stored(key))
     }
 
     async fn read_prefix(&self, prefix: &str) -> Result<Vec<StoredValue>, StoreError> {
         self.enter("read_prefix").await?;
+        self.leave("read_prefix").await?;
         let state = self.state.borrow();
         let keys = state.values.keys().filter(|key| key.starts_with(prefix));
         Ok(keys.filter_map(|key| state.stored(key)).collect())
@@ -345,7 +362,9 @@
             )
         };
         if !lost {
-            return Ok(self.apply(&items));
+            let outcome = self.apply(&items);
+            self.leave("swap_all").await?;
+            return Ok(outcome);
         }
         if late.is_zero() {
             self.apply(&items);
@@ -363,25 +382,33 @@
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         self.enter("grant_lease").await?;
-        let mut state = self.state.borrow_mut();
-        state.next_lease += 1;
-        let id = state.next_lease;
-        state.leases.insert(id, (ttl, Instant::now() + ttl));
+        let id = {
+            let mut state = self.state.borrow_mut();
+            state.next_lease += 1;
+            let id = state.next_lease;
+            state.leases.insert(id, (ttl, Instant::now() + ttl));
+            id
+        };
+        self.leave("grant_lease").await?;
         Ok(LeaseId(id))
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<bool, StoreError> {
         self.enter("keep_alive").await?;
-        let mut state = self.state.borrow_mut();
-        let Some(entry) = state.leases.get_mut(&lease.0) else {
-            return Ok(false);
+        let kept = {
+            let mut state = self.state.borrow_mut();
+            let lease = state.leases.get_mut(&lease.0);
+            lease
+                .map(|lease| lease.1 = Instant::now() + lease.0)
+                .is_some()
         };
-        entry.1 = Instant::now() + entry.0;
-        Ok(true)
+        self.leave("keep_alive").await?;
+        Ok(kept)
     }
 
     async fn watch(&self, prefix: &str, _from: StoreRevision) -> Result<MemoryWatch, StoreError> {
         self.enter("watch").await?;
+        self.leave("watch").await?;
         Ok(MemoryWatch {
             store: self.clone(),
             prefix: prefix.to_owned(),
@@ -427,7 +454,7 @@
         let until = Instant::now() + WATCH_TIME;
         loop {
             changed.borrow_and_update();
-            if self.store.is_cut() {
+            if self.store.is_cut() || self.store.is_unheard() {
                 tokio::time::sleep_until(until).await;
                 return Some(Err(timeout("watch")));
             }
