--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -31,6 +31,7 @@
     };
 }
 
+mod gang;
 mod order;
 mod route;
 
--- a/crates/hoisthitch-tests/src/world/life.rs
+++ b/crates/hoisthitch-tests/src/world/life.rs
@@ -36,6 +36,8 @@
     pub(super) work: Duration,
     pub(super) fails: bool,
     pub(super) lasts: bool,
+    /// When it has stopped, as it was told to.
+    pub(super) stops_at: Option<Instant>,
     /// The gang that it is of.
     pub(super) gang: Option<GangPart>,
     /// Target of a serving task, in milliseconds; zero for others.
@@ -75,6 +77,10 @@
     pub(super) cut: HashSet<String>,
     /// Nodes whose calls arrive and whose answers do not.
     pub(super) unheard: HashSet<String>,
+    /// Whether it refuses each start.
+    pub(super) sick: bool,
+    /// Time that a stop takes.
+    pub(super) stop_time: Duration,
     /// What its kind is.
     pub(super) label: String,
     /// How tasks beside one another fare.
@@ -90,6 +96,7 @@
             work: Duration::from_millis(work_ms(&order.payload)) * work_share(order),
             fails: order.payload.contains("fail"),
             lasts: order.payload.contains("lasts"),
+            stops_at: None,
             gang: None,
             target_ms: 0,
             fills: false,
@@ -136,6 +143,8 @@
             over: HashMap::new(),
             cut: HashSet::new(),
             unheard: HashSet::new(),
+            sick: false,
+            stop_time: Duration::ZERO,
             label: String::new(),
             sharing: SharedRoom::default(),
         }
@@ -188,6 +197,12 @@
             }
             self.end(&task, kind);
         }
+        let stopped = self.running.iter();
+        let stopped = stopped.filter(|(_, run)| run.stops_at.is_some_and(|at| at <= now));
+        let stopped: Vec<String> = stopped.map(|(task, _)| task.clone()).collect();
+        for task in stopped {
+            self.end(&task, EndKind::Stopped);
+        }
         if lapse <= now {
             self.void = self.last_end;
             let lapsed: Vec<String> = self.running.keys().cloned().collect();
--- a/crates/hoisthitch-tests/src/world/rules.rs
+++ b/crates/hoisthitch-tests/src/world/rules.rs
@@ -263,6 +263,20 @@
         name
     }
 
+    /// Has a runner refuse each start, or not.
+    pub fn set_sick(&self, name: &str, sick: bool) {
+        if let Some(runner) = self.state.borrow_mut().runners.get_mut(name) {
+            runner.sick = sick;
+        }
+    }
+
+    /// Has stops take that long on all runners.
+    pub fn set_stop_time(&self, time: Duration) {
+        for runner in self.state.borrow_mut().runners.values_mut() {
+            runner.stop_time = time;
+        }
+    }
+
     /// Has calls of nodes to runners and about VMs be carried out without an
     /// answer.
     pub fn unhear(&self, nodes: &[String]) {
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -257,7 +257,7 @@
             return StartOutcome::Fenced;
         }
         runner.fence = terms.epoch;
-        if runner.at(terms.lease_ms) <= now {
+        if runner.sick || runner.at(terms.lease_ms) <= now {
             return StartOutcome::Refused;
         }
         runner.extend(terms.lease_ms, now);
@@ -320,13 +320,12 @@
         };
         let over = runner.over.entry(task.clone()).or_insert(0);
         *over = (*over).max(order.run);
-        if runner
-            .running
-            .get(&task)
-            .is_some_and(|run| run.run == order.run)
-        {
-            runner.end(&task, EndKind::Stopped);
+        let time = runner.stop_time;
+        let run = runner.running.get_mut(&task);
+        if let Some(run) = run.filter(|run| run.run == order.run) {
+            run.stops_at.get_or_insert(Instant::now() + time);
         }
+        runner.settle(Instant::now());
         Ok(())
     }
 
