A gang finds a way around a runner that refuses its member (fails)

Aim: a sick runner refuses each start while there are well ones for the whole gang.

What happens: the member on the sick runner is refused, and its runner gets no tasks for 300 ms. The other members are stopped, which takes 700 ms. By then the sick runner counts as well again; it is empty and first in the list, so that the next run has a member there too. Job j is still queued 20 s after the fifth well runner came.

Change: the case, as it fails.

Test run: runner_that_refuses_a_member_leaves_none_alone fails; with stops that take no time it passes.

--- a/crates/hoisthitch-scheduler/tests/contracts/gang.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/gang.rs
@@ -37,6 +37,7 @@
     gang_with_a_runner_that_is_cut_off_starts_anew => cuts_runner();
     gang_with_a_runner_that_crashes_starts_anew => crashes_runner();
     gang_on_a_runner_that_leaves_ends_there => drains_runner();
+    runner_that_refuses_a_member_leaves_none_alone => refuses_member();
     orders_done_late_mix_no_runs => orders_late();
     writes_done_late_mix_no_runs => writes_late();
     cancel_in_the_middle_of_a_start_ends_all_members => cancels();
@@ -259,6 +260,22 @@
     Ok(())
 }
 
+/// One runner is sick and refuses each start; another comes later. The others
+/// must not be left to wait for a member that is not there.
+async fn refuses_member() -> Result<()> {
+    let world = TestWorld::start(3, MEMBERS as usize).await?;
+    world.fleet.set_stop_time(STOP_TIME);
+    let sick = world.fleet.living()[0].0.clone();
+    world.fleet.set_sick(&sick, true);
+    let spec = gang("work 800");
+    world.submit("j", spec.clone()).await?;
+    sleep_ms(8_000).await;
+    world.begin_runner("vm-9");
+    world.wait_phase("j", JobPhase::Completed, 20_000).await?;
+    ran_together(&world, "j", &spec)?;
+    kept(&world)
+}
+
 /// Some orders are carried out seconds late, after newer ones.
 async fn orders_late() -> Result<()> {
     for every in [3, 4, 5, 7] {
