A runner that refuses again and again gets no tasks for longer

Cause: 300 ms without tasks are over before the other members of a gang have stopped, and the sick runner was chosen anew each time.

Change: from the second refusal in a row on the time is 0.6 s, doubled with each that follows up to 4.8 s, until a start is carried out. Refusals of starts sent together count once, and want of room does not count.

Tests run: contracts 40 of 40 (runner_that_refuses_a_member_leaves_none_alone failed before), ownership 41, histories 2, hoisthitch-jobs 32 pass.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -354,6 +354,9 @@
         let unanswered = entry.unanswered;
         match outcome {
             StartOutcome::Started if ordered => {
+                if let Some(runner) = self.runners.get_mut(order.runner) {
+                    runner.note_accepted();
+                }
                 self.set_place(task, TaskPlace::Running(order.runner), now);
                 self.begin_job(task.job);
             }
@@ -363,12 +366,12 @@
             {
                 self.stop_task(task, now);
                 self.break_gang(task, now);
-                self.shun(order.runner, now, REFUSED_SHUN_MS);
+                self.shun_refusing(order.runner, outcome, now);
             }
             StartOutcome::NoRoom | StartOutcome::Refused if ordered => {
                 self.set_place(task, TaskPlace::Waiting, now);
                 self.break_gang(task, now);
-                self.shun(order.runner, now, REFUSED_SHUN_MS);
+                self.shun_refusing(order.runner, outcome, now);
             }
             StartOutcome::NoTicket if ordered => {
                 self.set_place(task, TaskPlace::Waiting, now);
@@ -384,6 +387,17 @@
         }
     }
 
+    fn shun_refusing(&mut self, key: RunnerKey, outcome: StartOutcome, now: Millis) {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return;
+        };
+        // Want of room is no sickness, and is over with the next end.
+        if outcome == StartOutcome::Refused {
+            runner.note_refused(now);
+        }
+        runner.shun(now, REFUSED_SHUN_MS);
+    }
+
     fn shun(&mut self, key: RunnerKey, now: Millis, time: Millis) {
         if let Some(runner) = self.runners.get_mut(key) {
             runner.shun(now, time);
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -23,6 +23,15 @@
 /// tried again with one; troubles of runners last five seconds and more.
 const SHUN_MS: Millis = 4_000;
 
+/// Time for which a runner that refused twice in a row gets no tasks, in
+/// milliseconds, doubled with each refusal that follows: a gang that is planned
+/// anew once its other members have stopped would have a member there again.
+const REFUSALS_SHUN_MS: Millis = 600;
+
+/// How often that time is doubled at most: up to 4.8 s, about the time that
+/// troubles of runners last.
+const REFUSALS_DOUBLED: u32 = 3;
+
 new_key_type! {
     /// Key of a runner in a pool's state.
     pub struct RunnerKey;
@@ -76,6 +85,8 @@
     pub seen: u64,
     /// Runs in a row that failed.
     failures: u32,
+    /// Starts in a row that it refused; those sent together count once.
+    refusals: u32,
     /// Until when it gets no tasks.
     shunned_until: Millis,
 }
@@ -98,6 +109,7 @@
             tasks: HashSet::new(),
             seen: 0,
             failures: 0,
+            refusals: 0,
             shunned_until: 0,
         }
     }
@@ -167,6 +179,23 @@
         self.failures >= FAILURE_STREAK
     }
 
+    /// Takes in that it carried out a start.
+    pub fn note_accepted(&mut self) {
+        self.refusals = 0;
+    }
+
+    /// Takes in that it refused a start though it has room.
+    pub fn note_refused(&mut self, now: Millis) {
+        if self.shunned_until > now {
+            return;
+        }
+        if let Some(doublings) = self.refusals.checked_sub(1) {
+            let doublings = doublings.min(REFUSALS_DOUBLED);
+            self.shun(now, REFUSALS_SHUN_MS << doublings);
+        }
+        self.refusals += 1;
+    }
+
     /// Gives the runner no tasks for a while.
     pub fn shun(&mut self, now: Millis, time: Millis) {
         self.shunned_until = self.shunned_until.max(now + time);
