--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -32,6 +32,7 @@
 }
 
 mod gang;
+mod harm;
 mod order;
 mod route;
 
