Fillers stand at the pace that is in force, also after lost orders and owners

Cause: an owner took a filler that it found at work to be at 100, whatever the owner before had set, and ordered nothing that it thought was so already. An order without an answer may be carried out seconds later, after a newer one.

Change: the pace of a filler that is found at work is not known, so that the next decision is ordered. For 10 s after an order without an answer the pace is ordered with each report. From an unknown pace a filler stands still near the target: half of it could be more than it is.

Tests run: contracts 52 of 52 (five of harm failed before), ownership 41, histories 2, hoisthitch-jobs 32 pass.

--- a/crates/hoisthitch-jobs/src/pace.rs
+++ b/crates/hoisthitch-jobs/src/pace.rs
@@ -5,6 +5,7 @@
 //! at once; when it is far below, they are let on in small steps.
 
 use crate::{
+    Millis,
     pool::PoolState,
     runner::RunnerKey,
     task::{
@@ -24,9 +25,15 @@
 /// Step by which fillers are let on, in percent.
 const RISE_PERCENT: u32 = 20;
 
-/// Stands for a share that is not known, since an order had no answer; no
-/// decision comes out at it, so that the next one is ordered.
-const UNKNOWN_PACE: u32 = 101;
+/// Stands for a share that is not known, since an order had no answer or an
+/// earlier owner set it; no decision comes out at it, so that the next one is
+/// ordered.
+pub(crate) const UNKNOWN_PACE: u32 = 101;
+
+/// Time after an order without an answer in which it may still be carried out,
+/// after newer ones, in milliseconds; the platform speaks of seconds. Until then
+/// the share is ordered anew with each report.
+const LATE_MS: Millis = 10_000;
 
 /// Share at which a filler is set at least before it is set to nothing.
 const LEAST_PERCENT: u32 = 10;
@@ -48,7 +55,7 @@
 
 impl PoolState {
     /// Decides the pace of a runner's fillers, after a fresh report of it.
-    pub fn pace(&mut self, key: RunnerKey) -> Vec<PaceOrder> {
+    pub fn pace(&mut self, key: RunnerKey, now: Millis) -> Vec<PaceOrder> {
         let Some(runner) = self.runners.get(key) else {
             return Vec::new();
         };
@@ -64,7 +71,8 @@
                 continue;
             };
             let percent = next_pace(entry.pace, strain);
-            if percent != entry.pace {
+            let doubtful = now < entry.pace_doubt_until && percent != UNKNOWN_PACE;
+            if percent != entry.pace || doubtful {
                 orders.extend(self.set_pace(key, task, percent));
             }
         }
@@ -104,11 +112,12 @@
     }
 
     /// Takes in that a pace was not set, so that it is decided anew.
-    pub fn fail_pace(&mut self, order: &PaceOrder) {
+    pub fn fail_pace(&mut self, order: &PaceOrder, now: Millis) {
         if let Some(entry) = self.task_mut(order.task)
             && entry.run == order.run
         {
             entry.pace = UNKNOWN_PACE;
+            entry.pace_doubt_until = now + LATE_MS;
         }
     }
 }
@@ -118,6 +127,8 @@
     match strain {
         None => 100,
         Some(strain) if strain >= 100 => 0,
+        // Half of an unknown share may be more than it is.
+        Some(strain) if strain >= HIGH_PERCENT && pace == UNKNOWN_PACE => 0,
         Some(strain) if strain >= HIGH_PERCENT => {
             let half = pace / 2;
             if half < LEAST_PERCENT { 0 } else { half }
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -11,6 +11,7 @@
         JobEntry,
         JobKey, //
     },
+    pace::UNKNOWN_PACE,
     record::{
         JobPhase,
         JobProgress,
@@ -139,6 +140,7 @@
                 TaskPhase::Ordered => {
                     let until = self.inherited.until_on(&recorded.runner);
                     let runner = recorded.runner;
+                    task.pace = UNKNOWN_PACE;
                     task.place = TaskPlace::Unlocated { runner, until };
                 }
                 TaskPhase::Done => {
@@ -379,6 +381,7 @@
             entry.unanswered = false;
             entry.percent = 0;
             entry.pace = 100;
+            entry.pace_doubt_until = 0;
         }
         match entry.place {
             TaskPlace::Running(_) if entry.percent >= 100 => entry.away_since = None,
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -108,6 +108,8 @@
     pub load: u64,
     /// Share at which a filler may work.
     pub pace: u32,
+    /// Until when an earlier order about that share may still be carried out.
+    pub pace_doubt_until: Millis,
     /// When a start or stop was last sent.
     pub ordered_at: Millis,
     /// When the runner answered a stop; none while it did not.
@@ -169,6 +171,7 @@
             began_at: now,
             load: 0,
             pace: 100,
+            pace_doubt_until: 0,
             ordered_at: 0,
             stopped_at: None,
             unclear: false,
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -511,7 +511,7 @@
             ended: Vec::new(),
         };
         state.take_hold(runner, &report, now - 1, now);
-        let paced = state.pace(runner);
+        let paced = state.pace(runner, now);
         paced.iter().map(|order| order.percent).collect::<Vec<_>>()
     };
     ensure!(pace_at(20, 2_000).is_empty(), "nothing is disturbed");
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -439,7 +439,7 @@
                 }
                 self.end_rivals(runner, asked_at);
                 self.start_all(again);
-                for pace in self.state.pace(runner) {
+                for pace in self.state.pace(runner, now) {
                     self.send(runner, RunnerOrder::Pace(pace));
                 }
             }
@@ -466,7 +466,7 @@
                 }
             }
             SessionEvent::Stopped(order) => self.state.take_stop(&order, now),
-            SessionEvent::PaceFailed(order) => self.state.fail_pace(&order),
+            SessionEvent::PaceFailed(order) => self.state.fail_pace(&order, now),
         }
         false
     }
