--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/contracts/advice.rs
@@ -0,0 +1,276 @@
+//! Queues with an adviser: tasks start only with leave that holds, and their jobs
+//! go on whatever becomes of the adviser.
+
+use std::time::Duration;
+
+use eyre::{
+    Result,
+    ensure, //
+};
+use hoisthitch_jobs::{
+    JobPhase,
+    JobSpec, //
+};
+use hoisthitch_tests::world::{
+    AdviserMood,
+    MemoryAdviser,
+    StoreFaults, //
+};
+
+use crate::{
+    kept,
+    ran_once,
+    trace,
+    world::{
+        TestWorld,
+        advised_queue,
+        job,
+        lasting,
+        play,
+        sleep_ms, //
+    }, //
+};
+
+cases! {
+    tasks_start_only_with_leave => starts_with_leave();
+    each_step_needs_leave_of_its_own => asks_each_step();
+    tickets_that_run_out_are_asked_for_again => runs_out();
+    slow_store_lets_tickets_run_out_and_the_job_goes_on => runs_out_under_way();
+    refused_ticket_is_asked_for_again => refuses_tickets();
+    silent_adviser_holds_up_its_own_queue_only => goes_silent();
+    crowded_adviser_is_asked_again_at_leisure => is_crowded();
+    slow_adviser_is_asked_one_thing_at_a_time => is_slow();
+    new_life_of_a_runner_needs_leave_of_its_own => changes_life();
+    new_owner_asks_anew => kills_owner();
+    owner_killed_while_the_adviser_thinks_loses_nothing => kills_owner_that_asks();
+    gang_starts_with_leave_for_all_members => starts_gang();
+    lasting_task_finds_leave_elsewhere_when_its_runner_leaves => drains();
+}
+
+/// VMs of the cases, and those whose runners have leave.
+const VMS: usize = 6;
+const GOOD: [&str; 3] = ["vm-1", "vm-3", "vm-5"];
+
+/// Calls for advice that a job of one step may cost where nothing is wrong.
+const CALLS_MOST: u64 = 12;
+
+async fn advised_world() -> Result<(TestWorld, MemoryAdviser)> {
+    let world = TestWorld::start(3, VMS).await?;
+    let adviser = world.fleet.adviser();
+    adviser.set_good(&GOOD);
+    Ok((world, adviser))
+}
+
+async fn submit(world: &TestWorld, spec: &JobSpec) -> Result<()> {
+    world.submit_to(&advised_queue(), "j", spec.clone()).await
+}
+
+/// Waits for the end of the job; it ran once, where there was leave.
+async fn finish(world: &TestWorld, spec: &JobSpec, limit_ms: u64) -> Result<()> {
+    world.wait_phase("j", JobPhase::Completed, limit_ms).await?;
+    ran_once(world, "j", spec)?;
+    kept(world)
+}
+
+async fn starts_with_leave() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    let spec = job("work 300", &[20]);
+    submit(&world, &spec).await?;
+    finish(&world, &spec, 5_000).await?;
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    ensure!(adviser.calls() <= CALLS_MOST, "{} calls", adviser.calls());
+    Ok(())
+}
+
+async fn asks_each_step() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    let mut spec = job("work 200", &[4, 4, 4]);
+    spec.schedule = Some(hoisthitch_jobs::JobSchedule {
+        first_ms: world.fleet.today_ms() + 200,
+        interval_ms: 300,
+        repetitions: 3,
+    });
+    submit(&world, &spec).await?;
+    finish(&world, &spec, 15_000).await?;
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    Ok(())
+}
+
+/// Tasks take longer than a ticket holds, and there is no room for all at once.
+async fn runs_out() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    adviser.set_validity(Duration::from_millis(600));
+    let spec = job("work 1500", &[60]);
+    submit(&world, &spec).await?;
+    finish(&world, &spec, 20_000).await?;
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    Ok(())
+}
+
+/// Records take longer than what is left of a ticket.
+async fn runs_out_under_way() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    adviser.set_validity(Duration::from_millis(500));
+    world.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(600),
+        ..StoreFaults::default()
+    });
+    let spec = job("work 300", &[6]);
+    submit(&world, &spec).await?;
+    sleep_ms(4_000).await;
+    world.store.set_faults(StoreFaults::default());
+    finish(&world, &spec, 10_000).await
+}
+
+/// All tickets given so far hold no more, and a runner refuses what brings them.
+async fn refuses_tickets() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    adviser.set_validity(Duration::from_secs(30));
+    let spec = job("work 800", &[60]);
+    submit(&world, &spec).await?;
+    sleep_ms(600).await;
+    adviser.revoke();
+    finish(&world, &spec, 15_000).await?;
+    ensure!(adviser.refused() > 0, "nothing was refused");
+    ensure!(
+        adviser.refused() <= 30,
+        "{} were refused",
+        adviser.refused()
+    );
+    Ok(())
+}
+
+async fn goes_silent() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    adviser.set_mood(AdviserMood::Silent);
+    let spec = job("work 300", &[6]);
+    submit(&world, &spec).await?;
+    let other = job("work 300", &[6, 6]);
+    world.submit("other", other.clone()).await?;
+    world
+        .wait_phase("other", JobPhase::Completed, 2_500)
+        .await?;
+    sleep_ms(8_000).await;
+    let tasks = trace(&world, "j");
+    ensure!(tasks.is_empty(), "{tasks:?}");
+    adviser.set_mood(AdviserMood::Answers {
+        call: Duration::from_millis(40),
+        each: Duration::from_millis(5),
+    });
+    finish(&world, &spec, 6_000).await
+}
+
+/// The adviser refuses every call for seconds.
+async fn is_crowded() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    adviser.set_mood(AdviserMood::Crowded);
+    let spec = job("work 300", &[6]);
+    submit(&world, &spec).await?;
+    sleep_ms(7_000).await;
+    let calls = adviser.calls();
+    ensure!((4..=14).contains(&calls), "{calls} calls in 7 s");
+    adviser.set_mood(AdviserMood::Answers {
+        call: Duration::from_millis(40),
+        each: Duration::from_millis(5),
+    });
+    finish(&world, &spec, 3_000).await
+}
+
+/// Forty jobs ask an adviser that takes half a second for each step.
+async fn is_slow() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    adviser.set_mood(AdviserMood::Answers {
+        call: Duration::from_millis(500),
+        each: Duration::from_millis(10),
+    });
+    let spec = job("work 300", &[1]);
+    for number in 0..40 {
+        let id = format!("j{number}");
+        world.submit_to(&advised_queue(), &id, spec.clone()).await?;
+    }
+    for number in 0..40 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 60_000).await?;
+        ran_once(&world, &id, &spec)?;
+    }
+    ensure!(adviser.most_waiting() <= 1, "{}", adviser.most_waiting());
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    kept(&world)
+}
+
+/// Runners with leave crash and come back; leave for the earlier life is none.
+async fn changes_life() -> Result<()> {
+    for pause_ms in [0, 50, 1_000] {
+        let (world, adviser) = advised_world().await?;
+        adviser.set_validity(Duration::from_secs(30));
+        let spec = job("work 1000", &[60]);
+        submit(&world, &spec).await?;
+        sleep_ms(500).await;
+        world.fleet.disturb();
+        for (runner, vm) in world.fleet.living() {
+            if GOOD.contains(&vm.as_str()) {
+                world.fleet.crash(&runner);
+                sleep_ms(pause_ms).await;
+                world.begin_runner(&vm);
+            }
+        }
+        world.wait_phase("j", JobPhase::Completed, 20_000).await?;
+        ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+        kept(&world)?;
+    }
+    Ok(())
+}
+
+async fn kills_owner() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    let spec = job("work 1000", &[60]);
+    submit(&world, &spec).await?;
+    sleep_ms(1_300).await;
+    world.kill_owner();
+    finish(&world, &spec, 30_000).await?;
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    Ok(())
+}
+
+async fn kills_owner_that_asks() -> Result<()> {
+    for offset in [0, 20, 50, 75, 85, 100] {
+        let (world, _) = advised_world().await?;
+        let spec = job("work 500", &[6, 2]);
+        submit(&world, &spec).await?;
+        sleep_ms(offset).await;
+        world.kill_owner();
+        finish(&world, &spec, 30_000).await?;
+    }
+    Ok(())
+}
+
+/// Only three of six runners may run it, each with one member.
+async fn starts_gang() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    adviser.set_validity(Duration::from_millis(600));
+    let mut spec = job("work 800", &[3]);
+    spec.steps[0].gang = true;
+    spec.steps[0].spread = 1;
+    submit(&world, &spec).await?;
+    finish(&world, &spec, 8_000).await
+}
+
+/// A runner with leave says that it leaves; another one with leave has room.
+async fn drains() -> Result<()> {
+    let (world, adviser) = advised_world().await?;
+    submit(&world, &lasting(2, 1)).await?;
+    sleep_ms(3_000).await;
+    let before = world.fleet.runners_of("j");
+    ensure!(before.len() == 2, "{before:?}");
+    world.drain(&before[0]);
+    sleep_ms(2_500).await;
+    let after = world.fleet.runners_of("j");
+    let moved = after.len() == 2 && !after.contains(&before[0]);
+    ensure!(
+        moved,
+        "{before:?}, then {after:?}; {:?}",
+        trace(&world, "j")
+    );
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    kept(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -31,6 +31,7 @@
     };
 }
 
+mod advice;
 mod gang;
 mod harm;
 mod order;
