Leave is asked for lasting tasks whose runner is about to leave

Cause: room elsewhere counts only with a ticket, and tickets were asked for tasks that wait only.

Change: a lasting task on a draining runner needs leave as well.

--- a/crates/hoisthitch-jobs/src/advice.rs
+++ b/crates/hoisthitch-jobs/src/advice.rs
@@ -10,6 +10,7 @@
         RunnerKey, //
     },
     task::{
+        TaskEntry,
         TaskPlace,
         TaskRef, //
     }, //
@@ -84,6 +85,14 @@
         })
     }
 
+    /// Whether a task needs leave for some runner now: it waits, or it lasts and
+    /// its runner is about to leave.
+    fn needs_leave(&self, task: TaskRef, entry: &TaskEntry) -> bool {
+        let runner = entry.runner().and_then(|key| self.runners.get(key));
+        let leaves = runner.is_some_and(|runner| runner.facts.draining);
+        entry.place == TaskPlace::Waiting || (leaves && self.lasts(task))
+    }
+
     /// A task of a step that waits for leave, and how many wait with it.
     fn unadvised(&self, now: Millis) -> Option<(TaskRef, usize)> {
         let jobs = self.active.iter();
@@ -92,17 +101,21 @@
         let mut open = advised.flat_map(|(key, job)| {
             let tasks = job.tasks.iter().enumerate();
             tasks
-                .filter(|(slot, task)| task.place == TaskPlace::Waiting && job.is_ready(*slot))
+                .filter(|(slot, _)| job.is_ready(*slot))
                 .map(move |(slot, task)| (TaskRef { job: key, slot }, task))
+                .filter(|(task, entry)| self.needs_leave(*task, entry))
         });
         let (task, entry) = open.find(|(task, entry)| {
             let advice = self.advice.get(&(task.job, entry.round, entry.step));
             advice.is_none_or(|advice| advice.asked_at + ASK_AGAIN_MS <= now)
         })?;
-        let waiting = self.jobs.get(task.job)?.tasks.iter();
-        let waiting = waiting
-            .filter(|other| other.step == entry.step && other.round == entry.round)
-            .filter(|other| other.place == TaskPlace::Waiting);
+        let tasks = self.jobs.get(task.job)?.tasks.iter().enumerate();
+        let waiting = tasks
+            .filter(|(_, other)| other.step == entry.step && other.round == entry.round)
+            .filter(|(slot, other)| {
+                let job = task.job;
+                self.needs_leave(TaskRef { job, slot: *slot }, other)
+            });
         Some((task, waiting.count()))
     }
 
