--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -36,6 +36,7 @@
 mod harm;
 mod order;
 mod route;
+mod turns;
 
 /// Checks that nothing broke a rule.
 fn kept(world: &TestWorld) -> Result<()> {
--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/contracts/turns.rs
@@ -0,0 +1,226 @@
+//! Orders about a VM: they never come from two holders in turn, whatever becomes
+//! of an owner that has one under way.
+
+use std::time::Duration;
+
+use eyre::{
+    Result,
+    ensure, //
+};
+use hoisthitch_jobs::JobPhase;
+use hoisthitch_tests::world::StoreFaults;
+
+use crate::{
+    kept,
+    world::{
+        TestWorld,
+        job,
+        lasting,
+        play,
+        sleep_ms, //
+    }, //
+};
+
+cases! {
+    owner_killed_with_an_order_under_way_takes_no_turns => kills_owner();
+    owners_killed_in_series_take_no_turns => kills_in_series();
+    owner_frozen_with_an_order_under_way_takes_no_turns => freezes_owner();
+    owner_frozen_before_its_order_takes_no_turns => freezes_before();
+    owner_cut_off_from_the_store_takes_no_turns => cuts_owner();
+    owner_that_hears_no_answers_takes_no_turns => unhears_owner();
+    owner_that_hears_no_answers_does_not_hold_jobs_up => unhears_with_jobs();
+    owner_that_hears_none_from_the_store_does_not_hold_jobs_up => unhears_store();
+}
+
+/// VMs of the cases.
+const VMS: usize = 4;
+
+/// Longest time that a job may stand still while its owner hears no answers:
+/// some leases of members, and an election.
+const STILL_MS: u64 = 12_000;
+
+/// A world with a wave of all VMs that is about to begin.
+async fn waving() -> Result<TestWorld> {
+    let world = TestWorld::start(4, VMS).await?;
+    world.submit("long", lasting(2, 1)).await?;
+    sleep_ms(4_000).await;
+    world
+        .store
+        .put("op/wave/1", Some(b"vm-0,vm-1,vm-2,vm-3"), 0);
+    Ok(world)
+}
+
+/// Waits until an order about some VM was given.
+async fn wait_order(world: &TestWorld) -> Result<()> {
+    for _ in 0..2_000 {
+        if (0..VMS).any(|vm| world.fleet.was_ordered(&format!("vm-{vm}"))) {
+            return Ok(());
+        }
+        sleep_ms(2).await;
+    }
+    eyre::bail!("no order in 4 s")
+}
+
+/// Lets the wave end; each VM has had its upkeep and no rule was broken.
+async fn finish(world: &TestWorld) -> Result<()> {
+    for _ in 0..900 {
+        sleep_ms(100).await;
+        world.revive();
+        if world.store.get("status/wave/1").as_deref() == Some(b"completed") {
+            break;
+        }
+    }
+    let (vms, most) = world.fleet.upkeeps();
+    ensure!(vms == VMS && most <= 2, "{vms} VMs, {most} at once");
+    sleep_ms(3_000).await;
+    let at_work = world.fleet.runners_of("long").len();
+    ensure!(at_work == 2, "{at_work} at work");
+    kept(world)
+}
+
+/// The order takes long to arrive, is lost, or is done without an answer.
+async fn kills_owner() -> Result<()> {
+    for (way_ms, lost) in [(0, false), (0, true), (300, false), (800, false)] {
+        let world = waving().await?;
+        world.fleet.slow_vm_orders(Duration::from_millis(way_ms));
+        world.fleet.lose_vm_orders(lost);
+        wait_order(&world).await?;
+        world.kill_owner();
+        world.fleet.lose_vm_orders(false);
+        finish(&world).await?;
+    }
+    Ok(())
+}
+
+async fn kills_in_series() -> Result<()> {
+    let mut world = waving().await?;
+    world.fleet.lose_vm_orders(true);
+    wait_order(&world).await?;
+    for _ in 0..3 {
+        let owner = world.kill_owner();
+        world.wait_owner(&owner).await?;
+        sleep_ms(300).await;
+        world.start_node(&owner)?;
+    }
+    world.fleet.lose_vm_orders(false);
+    finish(&world).await
+}
+
+/// The owner stands still right after it gave an order, and wakes before or
+/// after it is replaced.
+async fn freezes_owner() -> Result<()> {
+    for frozen_ms in [500, 1_500, 2_200, 3_000, 5_000] {
+        let world = waving().await?;
+        world.fleet.slow_vm_orders(Duration::from_millis(200));
+        wait_order(&world).await?;
+        let owner = world.owner();
+        world.nodes[&owner].freeze(true);
+        world.fleet.disturb();
+        sleep_ms(frozen_ms).await;
+        world.nodes[&owner].freeze(false);
+        finish(&world).await?;
+    }
+    Ok(())
+}
+
+/// The owner stands still at moments around its first order; its successor gives
+/// its own, and the first one wakes.
+async fn freezes_before() -> Result<()> {
+    let first = first_order_ms().await?;
+    for before in [1, 2, 3, 5, 6, 8, 10, 12, 20, 60, 150] {
+        let world = waving().await?;
+        sleep_ms(first.saturating_sub(before)).await;
+        let owner = world.owner();
+        world.nodes[&owner].freeze(true);
+        world.fleet.disturb();
+        world.wait_owner(&owner).await?;
+        sleep_ms(3_500).await;
+        world.nodes[&owner].freeze(false);
+        finish(&world).await?;
+    }
+    Ok(())
+}
+
+/// Time from the wave's order to the first order about a VM.
+async fn first_order_ms() -> Result<u64> {
+    let world = waving().await?;
+    let from = world.fleet.today_ms();
+    wait_order(&world).await?;
+    Ok(world.fleet.today_ms() - from)
+}
+
+/// The owner reaches the VMs' side and not the store.
+async fn cuts_owner() -> Result<()> {
+    for offset in [0, 100, 400, 1_000] {
+        let world = waving().await?;
+        sleep_ms(offset).await;
+        let owner = world.owner();
+        world.store.set_faults(StoreFaults {
+            cut: [owner].into_iter().collect(),
+            ..StoreFaults::default()
+        });
+        world.fleet.disturb();
+        sleep_ms(7_000).await;
+        world.store.set_faults(StoreFaults::default());
+        finish(&world).await?;
+    }
+    Ok(())
+}
+
+/// What the owner sends arrives, and no answer comes back: neither from the
+/// store nor from runners, nor about VMs.
+fn unhear(world: &TestWorld, nodes: &[String]) {
+    world.fleet.unhear(nodes);
+    world.fleet.disturb();
+    world.store.set_faults(StoreFaults {
+        unheard: nodes.iter().cloned().collect(),
+        ..StoreFaults::default()
+    });
+}
+
+async fn unhears_owner() -> Result<()> {
+    for offset in [0, 100, 400, 700, 1_000, 1_500] {
+        let world = waving().await?;
+        sleep_ms(offset).await;
+        unhear(&world, &[world.owner()]);
+        for _ in 0..80 {
+            sleep_ms(100).await;
+            world.revive();
+        }
+        unhear(&world, &[]);
+        finish(&world).await?;
+    }
+    Ok(())
+}
+
+/// Whoever asks another node finds the job completed though the owner hears
+/// nothing for all that time.
+async fn unhears_with_jobs() -> Result<()> {
+    for offset in [0, 10, 100, 500] {
+        let world = TestWorld::start(4, VMS).await?;
+        world.submit("j", job("work 500", &[6, 3])).await?;
+        sleep_ms(offset).await;
+        unhear(&world, &[world.owner()]);
+        world.wait_phase("j", JobPhase::Completed, STILL_MS).await?;
+        unhear(&world, &[]);
+        sleep_ms(3_000).await;
+        kept(&world)?;
+    }
+    Ok(())
+}
+
+/// Only the store's answers are lost; runners are heard.
+async fn unhears_store() -> Result<()> {
+    let world = TestWorld::start(4, VMS).await?;
+    world.submit("j", job("work 500", &[6, 3])).await?;
+    sleep_ms(100).await;
+    world.store.set_faults(StoreFaults {
+        unheard: [world.owner()].into_iter().collect(),
+        ..StoreFaults::default()
+    });
+    world.fleet.disturb();
+    world.wait_phase("j", JobPhase::Completed, STILL_MS).await?;
+    world.store.set_faults(StoreFaults::default());
+    sleep_ms(3_000).await;
+    kept(&world)
+}
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -30,7 +30,10 @@
     VmError,
     VmRow, //
 };
-use tokio::time::Instant;
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
 
 use super::life::{
     Run,
@@ -591,20 +594,29 @@
     }
 
     async fn upkeep(&self, vm: &str, _wave: u64, holder: &str, epoch: u64) -> Result<(), VmError> {
-        tokio::time::sleep(WAY).await;
-        self.judge_turn(vm, holder);
-        let way = self.state.borrow().vms_way;
-        tokio::time::sleep(way).await;
+        let (done, answer) = oneshot::channel();
+        let (fleet, vm, holder) = (self.clone(), vm.to_owned(), holder.to_owned());
+        // Not a task of the node: the order is under way whatever becomes of it.
+        super::spawn_outside(async move {
+            tokio::time::sleep(WAY).await;
+            fleet.judge_turn(&vm, &holder);
+            let way = fleet.state.borrow().vms_way;
+            tokio::time::sleep(way).await;
+            if !fleet.state.borrow().vms_lost {
+                // A node that is gone needs no answer.
+                let _ = done.send(fleet.take_down(&vm, epoch));
+            }
+        });
+        let outcome = answer.await;
         if self.state.borrow().rules.is_unheard(&self.node) {
-            let _ = self.take_down(vm, epoch);
             tokio::time::sleep(GIVE_UP).await;
             return Err(VmError::NoAnswer("unheard".to_owned()));
         }
-        if self.state.borrow().vms_lost {
+        let Ok(outcome) = outcome else {
             tokio::time::sleep(GIVE_UP).await;
             return Err(VmError::NoAnswer("lost".to_owned()));
-        }
-        self.take_down(vm, epoch)
+        };
+        outcome
     }
 
     async fn reassign(
