A node that hears no answers from the store lets its record lapse

Cause: where only the answers are lost, renewals of a node's record arrive all the same. Its pools stood still as long as that lasted, for nobody else could own them.

Change: after two renewals in a row without an answer a node renews only once the store has answered a read. Its record lapses then, and the next node takes over; its own orders are fenced as ever.

Tests run: contracts 73 of 73 (two of turns failed before), ownership 41, histories 2, hoisthitch-jobs 32 pass.

--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -52,6 +52,11 @@
 /// Wait after a renewal that failed.
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 
+/// Renewals in a row without an answer after which a node first makes sure that
+/// it is answered at all. Where only the answers are lost, further renewals would
+/// keep its record alive while it can't do anything for its pools.
+const UNANSWERED_MOST: u32 = 2;
+
 /// Time that the next node in order waits for the one before it, in
 /// milliseconds: the time of a takeover with slow answers.
 const STEP_MS: Millis = 1_200;
@@ -322,13 +327,13 @@
     identity: NodeIdentity,
 ) {
     let mut lease = None;
-    let mut lost = false;
+    let mut unanswered = 0;
     while !shared.is_stopping() {
         let sent = shared.clock.now();
-        match renew(&store, &keys, &identity, lease).await {
+        match renew_if_heard(&store, &keys, &identity, lease, unanswered).await {
             Ok(renewed) => {
                 shared.store.note_success(sent);
-                if lost || lease != renewed {
+                if unanswered > 0 || lease != renewed {
                     event!(
                         Info,
                         "member_recorded",
@@ -336,13 +341,13 @@
                         life = identity.life
                     );
                 }
-                lost = false;
+                unanswered = 0;
                 lease = renewed;
                 tokio::time::sleep(RENEW_TIME).await;
             }
             Err(err) => {
                 shared.store.note_failure(shared.clock.now());
-                if !lost {
+                if unanswered == 0 {
                     event!(
                         Warn,
                         "member_not_renewed",
@@ -350,13 +355,28 @@
                         error = err
                     );
                 }
-                lost = true;
+                unanswered += 1;
                 tokio::time::sleep(RETRY_WAIT).await;
             }
         }
     }
 }
 
+/// Renews the lease; after some renewals without an answer only once the store
+/// has answered a read.
+async fn renew_if_heard<S: StoreClient>(
+    store: &S,
+    keys: &JobKeys,
+    identity: &NodeIdentity,
+    lease: Option<LeaseId>,
+    unanswered: u32,
+) -> Result<Option<LeaseId>, StoreError> {
+    if unanswered >= UNANSWERED_MOST {
+        store.read(&keys.member(&identity.node)).await?;
+    }
+    renew(store, keys, identity, lease).await
+}
+
 /// Renews the lease, or makes a new one; none where it has just lapsed.
 async fn renew<S: StoreClient>(
     store: &S,
