Tell a start that came late from one that a sick runner refused

Cause: both were one outcome. With longer times for runners that refuse in a row, an owner that is slow itself, whose starts come when their lease is over, would shun all its runners for seconds. Ruled out: giving such runners tasks again at once, which a slow owner could do even less. Change: an outcome of its own; the runner gets no tasks for 0.3 s, as before, and no longer.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -361,14 +361,17 @@
                 self.begin_job(task.job);
             }
             // An earlier copy may still be carried out, until a stop is answered.
-            StartOutcome::NoRoom | StartOutcome::Refused | StartOutcome::NoTicket
+            StartOutcome::NoRoom
+            | StartOutcome::Refused
+            | StartOutcome::Late
+            | StartOutcome::NoTicket
                 if ordered && unanswered =>
             {
                 self.stop_task(task, now);
                 self.break_gang(task, now);
                 self.shun_refusing(order.runner, outcome, now);
             }
-            StartOutcome::NoRoom | StartOutcome::Refused if ordered => {
+            StartOutcome::NoRoom | StartOutcome::Refused | StartOutcome::Late if ordered => {
                 self.set_place(task, TaskPlace::Waiting, now);
                 self.break_gang(task, now);
                 self.shun_refusing(order.runner, outcome, now);
@@ -391,7 +394,8 @@
         let Some(runner) = self.runners.get_mut(key) else {
             return;
         };
-        // Want of room is no sickness, and is over with the next end.
+        // Want of room is over with the next end, and a late order is the owner's
+        // slowness: neither is a sickness of the runner.
         if outcome == StartOutcome::Refused {
             runner.note_refused(now);
         }
--- a/crates/hoisthitch-jobs/src/report.rs
+++ b/crates/hoisthitch-jobs/src/report.rs
@@ -66,8 +66,10 @@
     Started,
     /// The runner has no room; nothing was started.
     NoRoom,
-    /// The runner is not well, or the order came too late; nothing was started.
+    /// The runner is not well; nothing was started.
     Refused,
+    /// The order came when the lease that it names was over; nothing was started.
+    Late,
     /// The adviser's leave is missing or over; nothing was started.
     NoTicket,
     /// The runner ended that run, or a later one, before.
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -49,6 +49,7 @@
     task_that_stands_still_is_started_elsewhere => stalls();
     task_on_a_silent_runner_is_left_alone => silent();
     refused_copy_of_an_unanswered_start_is_stopped_first => refused_copy();
+    late_starts_shun_no_runner_for_long => late_start();
     stopped_start_that_never_came_frees_its_room => stopped_start();
     lapsed_lease_frees_the_tasks => lapse();
     runner_that_fails_everything_is_shunned_and_tried_again => shunned();
@@ -455,6 +456,22 @@
     Ok(())
 }
 
+/// A slow owner's orders come when the lease that they name is over. The runners
+/// are well, and a pool that shunned them all would stand still.
+async fn late_start() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    for turn in 0..5 {
+        let now = 1_000 + turn * 400;
+        let orders = decide(&mut state, now);
+        let order = orders
+            .first()
+            .ok_or_eyre("the runner gets no tasks after a late start")?;
+        state.take_start(order, StartOutcome::Late, now + 50);
+    }
+    Ok(())
+}
+
 /// A job is cancelled while its start is on its way; the stop comes first, and
 /// the start is refused. No end is ever listed.
 async fn stopped_start() -> Result<()> {
