Tell the story of a job from the nodes' logs

Aim: an engineer on call has an id and the logs of all nodes, and had to join them by hand: the lines that explain a failure (a pool without an owner, a runner that went away, a lost store) don't name the job. Weighed: two passes over the files would keep less, but can't read a pipe; one pass that keeps the latest 100,000 events of the job and as many of its surroundings reads both, and says when it dropped some. No line tells of a job's end, so the end names the command that does, and a loss without a later start is called away only with that doubt. A runner that missed one answer counts as lost only when its task was started again. Lines become typed events by one rule a kind; the choice of lines and the judgment read and write nothing.

--- a/crates/hoisthitch-cli/src/commands/mod.rs
+++ b/crates/hoisthitch-cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Commands, one per file.
 
 mod check;
+mod explain;
 mod job;
 mod keys;
 mod status;
@@ -62,6 +63,8 @@
 pub enum OperatorCommand {
     /// Checks a settings file.
     Check(check::CheckCommand),
+    /// Tells a job's story from logs.
+    Explain(explain::ExplainCommand),
     /// Hands jobs in, follows and cancels them.
     Job(job::JobCommand),
     /// Makes keys for tests.
@@ -85,6 +88,7 @@
     pub async fn run(self, context: &CommandContext) -> Result<()> {
         match self {
             Self::Check(command) => command.run(),
+            Self::Explain(command) => command.run(context),
             Self::Job(command) => command.run(context).await,
             Self::Keys(command) => command.run(),
             Self::Status(command) => command.run(context).await,
--- a/crates/hoisthitch-cli/src/error.rs
+++ b/crates/hoisthitch-cli/src/error.rs
@@ -37,6 +37,19 @@
     /// The command's words are off.
     #[error("{0}")]
     Usage(String),
+    /// No line that was read names the id.
+    #[error(
+        "no line names {id}, of {read} lines read, {broken} of them not log lines; check the id and \
+         give the logs of all nodes: a call that matched no queue or had a bad body leaves no line"
+    )]
+    NotInLogs {
+        /// Identifier.
+        id: String,
+        /// Lines that were read.
+        read: u64,
+        /// Lines that are not whole log lines.
+        broken: u64,
+    },
     /// A job that was watched has failed or was cancelled.
     #[error("job {id} has ended: {phase:?}")]
     Ended {
--- a/crates/hoisthitch-cli/src/main.rs
+++ b/crates/hoisthitch-cli/src/main.rs
@@ -10,6 +10,7 @@
 mod error;
 mod render;
 mod settings;
+mod story;
 
 use std::{
     path::PathBuf,
--- /dev/null
+++ b/crates/hoisthitch-cli/src/story/cause.rs
@@ -0,0 +1,308 @@
+//! What became of a job, and the likeliest cause, by the three kinds of
+//! failure that `docs/OPERATIONS.md` tells apart.
+
+use serde::Serialize;
+
+use super::{
+    delay::{
+        JobDelay,
+        ownerless,
+        wait_cause, //
+    },
+    event::{
+        EventKind,
+        StoryEvent,
+        SubmitOutcome,
+        show_time, //
+    },
+    runs::{
+        LossCause,
+        RunLoss,
+        RunLosses, //
+    },
+    window::{
+        is_taken,
+        may_run, //
+    }, //
+};
+
+/// Delay from which a job counts as late, in milliseconds: a lost owner is
+/// replaced within it.
+const LATE_MS: u64 = 2_000;
+
+/// Runs of one task that ended by themselves, from which the task is suspect.
+const SUSPECT_RUNS: usize = 2;
+
+/// Kind of a failure.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FailureKind {
+    /// The submission was refused or had no clear answer.
+    Refused,
+    /// The job is late, or has not begun.
+    Late,
+    /// A lasting task was away, or the job was shown as failed.
+    Away,
+}
+
+impl FailureKind {
+    /// The kind's heading in the operators' page.
+    pub fn title(self) -> &'static str {
+        match self {
+            Self::Refused => "1, a submission was refused or had no clear answer",
+            Self::Late => "2, a job is late, or has not begun",
+            Self::Away => "3, a lasting task was away, or a job was shown as failed",
+        }
+    }
+}
+
+/// What became of a job.
+#[derive(Clone, Debug, Serialize)]
+pub struct StoryEnd {
+    /// Kind of the failure, if there is one.
+    pub kind: Option<FailureKind>,
+    /// What became of it.
+    pub became: String,
+    /// The likeliest cause, in a sentence.
+    pub cause: String,
+}
+
+/// Judges a story; both lists are in order of time.
+pub fn judge(id: &str, own: &[StoryEvent], around: &[StoryEvent]) -> StoryEnd {
+    let losses = RunLosses::find(own, around);
+    let delay = JobDelay::of(own);
+    let became = became(id, own, &losses);
+    let (kind, cause) = if !is_taken(own) {
+        judge_submission(own, around, &delay)
+    } else if !losses.losses.is_empty() {
+        (Some(FailureKind::Away), loss_cause(&losses, around))
+    } else if is_cancelled(own) {
+        (None, "a cancel was handed in.".to_owned())
+    } else if losses.tasks == 0 && had_begun(own) {
+        (None, "it had begun before these lines.".to_owned())
+    } else if losses.tasks == 0 || delay.total_ms() >= LATE_MS {
+        (Some(FailureKind::Late), wait_cause(own, around, &delay))
+    } else {
+        (None, calm_cause(around))
+    };
+    StoryEnd {
+        kind,
+        became,
+        cause,
+    }
+}
+
+fn is_cancelled(own: &[StoryEvent]) -> bool {
+    own.iter().any(|event| event.kind == EventKind::Cancelled)
+}
+
+/// Whether an owner found the job begun by an earlier one.
+fn had_begun(own: &[StoryEvent]) -> bool {
+    let mut kinds = own.iter().map(|event| &event.kind);
+    kinds.any(|kind| matches!(kind, EventKind::Taken { restored: true, .. }))
+}
+
+fn calm_cause(around: &[StoryEvent]) -> String {
+    ownerless(around).map_or_else(
+        || "these lines show no failure.".to_owned(),
+        |event| {
+            format!(
+                "these lines show no failure, but no owner of its pool after {}; add the logs of all nodes.",
+                event.clock()
+            )
+        },
+    )
+}
+
+fn became(id: &str, own: &[StoryEvent], losses: &RunLosses) -> String {
+    if !may_run(own) {
+        return "refused: it never ran.".to_owned();
+    }
+    let asked = format!("'hoisthitch job status {id}' tells its state");
+    if is_cancelled(own) {
+        return format!("cancelled, with {}.", count(losses.tasks, "task started"));
+    }
+    if !is_taken(own) {
+        let answer = match last_outcome(own) {
+            Some((SubmitOutcome::Accepted | SubmitOutcome::Present, _)) => "accepted",
+            Some(_) => "perhaps kept",
+            None => "not known",
+        };
+        return format!("{answer}, and not taken in by an owner in these lines; {asked}.");
+    }
+    if losses.tasks == 0 && had_begun(own) {
+        return format!("begun before these lines, and no task started in them; {asked}.");
+    }
+    if losses.tasks == 0 {
+        return format!("taken in, and no task started in these lines; {asked}.");
+    }
+    let lost = losses.losses.len();
+    let away = losses.losses.iter();
+    let away = away.filter(|loss| loss.again_ms.is_none()).count();
+    format!(
+        "{}, {}, {away} of them not started again; {asked}.",
+        count(losses.tasks, "task started"),
+        count(lost, "run lost"),
+    )
+}
+
+/// A number with what it counts; the first word takes the plural.
+fn count(number: usize, what: &str) -> String {
+    match what.split_once(' ') {
+        Some((noun, rest)) if number != 1 => format!("{number} {noun}s {rest}"),
+        _ => format!("{number} {what}"),
+    }
+}
+
+fn last_outcome(own: &[StoryEvent]) -> Option<(SubmitOutcome, &StoryEvent)> {
+    own.iter().rev().find_map(|event| match &event.kind {
+        EventKind::Submitted { outcome, .. } => Some((*outcome, event)),
+        _ => None,
+    })
+}
+
+fn judge_submission(
+    own: &[StoryEvent],
+    around: &[StoryEvent],
+    delay: &JobDelay,
+) -> (Option<FailureKind>, String) {
+    let Some((outcome, event)) = last_outcome(own) else {
+        let cause = "no line tells of its submission; add the logs of all nodes.";
+        return (None, cause.to_owned());
+    };
+    let node = &event.node;
+    let cause = match outcome {
+        SubmitOutcome::Accepted | SubmitOutcome::Present => {
+            return (Some(FailureKind::Late), wait_cause(own, around, delay));
+        }
+        SubmitOutcome::StoreLost => store_cause(node, around),
+        SubmitOutcome::Refused => format!(
+            "every write of {node} was answered with an error{}.",
+            write_error(node, around)
+        ),
+        SubmitOutcome::Unknown => format!(
+            "a write of {node} had no answer{}; the job may run.",
+            write_error(node, around)
+        ),
+    };
+    (Some(FailureKind::Refused), cause)
+}
+
+fn store_cause(node: &str, around: &[StoryEvent]) -> String {
+    let mut lost = around
+        .iter()
+        .filter(|event| event.node == node && matches!(event.kind, EventKind::StoreLost { .. }));
+    let since = lost.next().map_or_else(
+        || "; no line tells since when".to_owned(),
+        |event| format!(" since {}", event.clock()),
+    );
+    format!("{node} had no answer from the store{since}, and refused at once.")
+}
+
+fn write_error(node: &str, around: &[StoryEvent]) -> String {
+    let error = around.iter().find_map(|event| match &event.kind {
+        EventKind::CreateFailed { error } if event.node == node => Some(error),
+        _ => None,
+    });
+    error.map_or_else(String::new, |error| format!(" ({error})"))
+}
+
+/// The cause of the losses: a task whose runs end by themselves, else the loss
+/// that lasted longest.
+fn loss_cause(losses: &RunLosses, around: &[StoryEvent]) -> String {
+    if let Some(cause) = failing_cause(losses) {
+        return cause;
+    }
+    // The earliest of equal ones.
+    let longest = losses.losses.iter().rev().max_by_key(|loss| away_ms(loss));
+    longest.map_or_else(String::new, |loss| {
+        format!(
+            "{}{}; {}.",
+            sign(loss),
+            owner_change(loss, around),
+            return_of(loss)
+        )
+    })
+}
+
+fn away_ms(loss: &RunLoss) -> u64 {
+    loss.again_ms
+        .map_or(u64::MAX, |again| again.saturating_sub(loss.at_ms))
+}
+
+fn failing_cause(losses: &RunLosses) -> Option<String> {
+    let ended = |loss: &&RunLoss| loss.cause == LossCause::Ended;
+    let ended: Vec<&RunLoss> = losses.losses.iter().filter(ended).collect();
+    let worst = ended.iter().max_by_key(|loss| {
+        let same = ended.iter().filter(|other| other.run.task == loss.run.task);
+        same.count()
+    })?;
+    let of_task = |loss: &&&RunLoss| loss.run.task == worst.run.task;
+    let runs: Vec<&&RunLoss> = ended.iter().filter(of_task).collect();
+    if runs.len() < SUSPECT_RUNS {
+        return None;
+    }
+    let task = &worst.run.task;
+    let number = runs.len();
+    let first = &worst.run.runner;
+    let same = runs.iter().all(|loss| loss.run.runner == *first);
+    Some(if same {
+        format!("{number} runs of task {task} ended by themselves, all on {first}: look at it.")
+    } else {
+        format!("{number} runs of task {task} ended on several runners: look at the job itself.")
+    })
+}
+
+fn sign(loss: &RunLoss) -> String {
+    let task = &loss.run.task;
+    let runner = &loss.run.runner;
+    let at = show_time(loss.at_ms);
+    let what = match loss.cause {
+        LossCause::Ended => return format!("a run of task {task} on {runner} ended by itself"),
+        LossCause::Stopped => return format!("the owner stopped task {task} on {runner} at {at}"),
+        LossCause::Unanswered => "gave no answer",
+        LossCause::Silent => "fell silent, and its lease was waited for",
+        LossCause::Stalled => "let the task stand still",
+        LossCause::Lapsed => "gave no answer until its lease lapsed",
+        LossCause::Gone(why) => gone(why),
+    };
+    format!("runner {runner} of task {task} {what} (first sign at {at})")
+}
+
+fn gone(why: &str) -> &'static str {
+    match why {
+        "down" => "went down with its VM, for maintenance or a move",
+        "ended" => "ended, and a later life came on its VM",
+        "silent" => "stayed silent until its lease was over",
+        "replaced" => "was replaced by a later life at its address",
+        _ => "was given up by the owner",
+    }
+}
+
+/// A change of owner between the loss and the next start, which delays it.
+fn owner_change(loss: &RunLoss, around: &[StoryEvent]) -> String {
+    let until = loss.again_ms.unwrap_or(u64::MAX);
+    let mut taken = around.iter().filter(|event| {
+        event.kind == EventKind::PoolTaken && (loss.at_ms..=until).contains(&event.time_ms)
+    });
+    if let Some(event) = taken.next_back() {
+        let (node, at) = (&event.node, event.clock());
+        return format!(", while the pool changed its owner ({node} took it at {at})");
+    }
+    match ownerless(around) {
+        Some(event) if loss.again_ms.is_none() => {
+            format!(", and no owner of its pool shows after {}", event.clock())
+        }
+        _ => String::new(),
+    }
+}
+
+fn return_of(loss: &RunLoss) -> String {
+    match loss.again_ms {
+        Some(again) => format!(
+            "the task was started again {} ms later",
+            again.saturating_sub(loss.at_ms)
+        ),
+        None => "no later start shows, so the task is away unless it was done before".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -0,0 +1,76 @@
+//! What happened, in words: one phrase for each kind of event.
+
+use super::event::{
+    EventKind,
+    OrderOutcome,
+    SubmitOutcome, //
+};
+
+/// What happened, for a line of the story.
+pub fn happened(kind: &EventKind) -> &'static str {
+    match kind {
+        EventKind::Submitted { outcome, .. } => submitted(*outcome),
+        EventKind::CancelAnswered => "cancel answered",
+        EventKind::CancelUnknown => "cancel without a clear answer",
+        EventKind::StatusUnknown => "state could not be read",
+        EventKind::Taken { .. } => "taken in by the pool's owner",
+        EventKind::Cancelled => "cancelled by the pool's owner",
+        EventKind::Unreadable => "record could not be read",
+        EventKind::Ordered { outcome, .. } => ordered(*outcome),
+        EventKind::StartDropped => "start not sent: it waited too long",
+        EventKind::Stopped { done: true, .. } => "task stopped",
+        EventKind::Stopped { done: false, .. } => "task not stopped: the order failed",
+        EventKind::Paced => "task throttled",
+        EventKind::RunnerTaken => "runner reached by the owner",
+        EventKind::RunnerLost => "runner gave no answer",
+        EventKind::LeaseLapsed => "runner's lease lapsed",
+        EventKind::RunnerSilent => "runner silent: it may still run tasks",
+        EventKind::SilenceOver => "runner's silence is over",
+        EventKind::RunnerGone { .. } => "runner given up",
+        EventKind::LifeOver => "runner replaced by a later life",
+        EventKind::RunnerUnlisted => "runner no longer listed",
+        EventKind::TaskStalled => "a task stood still on the runner",
+        EventKind::PoolTaken => "pool taken: this node owns it now",
+        EventKind::PoolLeft { deposed: true } => "pool left: another node owned it already",
+        EventKind::PoolLeft { deposed: false } => "pool left by its owner",
+        EventKind::PoolNotTaken => "pool not taken: another node was first",
+        EventKind::PoolHandedOn => "pool handed on to the next owner",
+        EventKind::TakeoverUnclear => "takeover of the pool without a clear answer",
+        EventKind::Fenced => "runners obey a later owner",
+        EventKind::VmWorkStalled => "work on the pool's VMs stalled",
+        EventKind::PoolNeeds { .. } => "pool published its needs",
+        EventKind::UpkeepWaits { .. } => "maintenance of the VM waits",
+        EventKind::UpkeepOrdered => "VM taken down for maintenance",
+        EventKind::VmMoved { .. } => "VM moved to another pool",
+        EventKind::NodeGone => "another node is gone",
+        EventKind::NodeStarted => "node started",
+        EventKind::NodeStopping => "node stopping",
+        EventKind::NodeStopped => "node stopped",
+        EventKind::StoreLost { .. } => "store lost",
+        EventKind::StoreRegained { .. } => "store regained",
+        EventKind::MemberNotRenewed => "membership not renewed",
+        EventKind::CreateFailed { .. } => "records not written",
+        EventKind::JournalUnclear => "journal not written",
+        EventKind::OwnerUnconfirmed => "ownership not confirmed",
+    }
+}
+
+fn submitted(outcome: SubmitOutcome) -> &'static str {
+    match outcome {
+        SubmitOutcome::Accepted => "submission accepted",
+        SubmitOutcome::Present => "submission accepted: it was kept before",
+        SubmitOutcome::StoreLost => "submission refused: the store was lost",
+        SubmitOutcome::Refused => "submission refused: the writes failed",
+        SubmitOutcome::Unknown => "submission without a clear answer",
+    }
+}
+
+fn ordered(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Started => "task started",
+        OrderOutcome::NoRoom => "start refused: the runner has no room",
+        OrderOutcome::Refused => "start refused by the runner",
+        OrderOutcome::Unclear => "start without an answer",
+        OrderOutcome::Superseded => "start refused: another owner or life",
+    }
+}
--- a/crates/hoisthitch-tests/src/lib.rs
+++ b/crates/hoisthitch-tests/src/lib.rs
@@ -4,6 +4,7 @@
 //! by side never meet on a port. Processes are ended when the fleet is dropped.
 
 mod cases;
+mod command;
 mod fleet;
 mod http;
 mod load;
@@ -17,6 +18,11 @@
 pub mod world;
 
 pub use cases::run_case;
+pub use command::{
+    CommandRun,
+    run_command,
+    run_command_on, //
+};
 pub use fleet::Fleet;
 pub use http::{
     HttpAnswer,
--- a/crates/hoisthitch-tests/src/process.rs
+++ b/crates/hoisthitch-tests/src/process.rs
@@ -38,11 +38,20 @@
     ///
     /// Fails when the binary is not built or the log can't be written.
     pub fn start(binary: &str, args: &[String], log: &Path) -> Result<Self> {
+        Self::start_with(binary, args, log, Stdio::null())
+    }
+
+    /// Starts a binary as [`ChildProcess::start`] does, with standard input.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the binary is not built or the log can't be written.
+    pub fn start_with(binary: &str, args: &[String], log: &Path, input: Stdio) -> Result<Self> {
         let path = binary_path(binary)?;
         let out = File::create(log).wrap_err_with(|| log.display().to_string())?;
         let child = Command::new(&path)
             .args(args)
-            .stdin(Stdio::null())
+            .stdin(input)
             .stderr(out.try_clone()?)
             .stdout(out)
             .spawn()
--- a/crates/hoisthitch-tests/tests/command_line.rs
+++ b/crates/hoisthitch-tests/tests/command_line.rs
@@ -6,10 +6,6 @@
     path::{
         Path,
         PathBuf, //
-    },
-    sync::atomic::{
-        AtomicU32,
-        Ordering, //
     }, //
 };
 
@@ -19,16 +15,13 @@
     ensure, //
 };
 use hoisthitch_tests::{
-    ChildProcess,
     Fleet,
     FleetPlan,
     HttpAsk,
-    cases, //
+    cases,
+    run_command, //
 };
 
-/// Runs made by this process so far.
-static RUNS: AtomicU32 = AtomicU32::new(0);
-
 cases! {
     all_example_settings_check => examples_check();
     example_tables_keep_the_rules => example_tables();
@@ -39,27 +32,6 @@
     table_goes_out_as_csv_and_comes_back => csv_round_trip();
 }
 
-/// What a command did.
-struct CommandRun {
-    code: Option<i32>,
-    text: String,
-}
-
-async fn run_command(args: &[&str]) -> Result<CommandRun> {
-    let number = RUNS.fetch_add(1, Ordering::Relaxed);
-    let name = format!("hoisthitch-cli-{}-{number}.log", std::process::id());
-    let log = std::env::temp_dir().join(name);
-    let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
-    let mut child = ChildProcess::start("hoisthitch", &args, &log)?;
-    let status = child.ended().await?;
-    let text = child.log()?;
-    fs::remove_file(&log)?;
-    Ok(CommandRun {
-        code: status.code(),
-        text,
-    })
-}
-
 fn examples() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
 }
