Watch a submitted job at a bounded pace and for a bounded time

Aim: a script can hand a job in, wait for its end, and tell the ends apart. The watch asked every half a second for ever, ended on the first answer that failed, and gave failed and cancelled jobs one code. Weighed: code 4 stood for both ends; it stays with the cancelled job, as the test of the node asks for, and a failed one takes 5. The watch moves to a file of its own. The scripted server of the tests tells its address.

--- a/crates/hoisthitch-cli/src/commands/job.rs
+++ b/crates/hoisthitch-cli/src/commands/job.rs
@@ -17,14 +17,14 @@
     QUEUES_PATH,
     QueueRow, //
 };
-use hoisthitch_jobs::{
-    JobPhase,
-    JobSpec, //
-};
+use hoisthitch_jobs::JobSpec;
 
 use crate::{
     client::EntryClient,
-    commands::CommandContext,
+    commands::{
+        CommandContext,
+        watch::JobWatch, //
+    },
     error::CommandError,
     render::{
         print_json,
@@ -32,9 +32,6 @@
     }, //
 };
 
-/// Time between two looks at a job that is watched.
-const WATCH_INTERVAL: Duration = Duration::from_millis(500);
-
 /// hand jobs in, follow and cancel them
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "job")]
@@ -57,7 +54,7 @@
 #[argh(
     subcommand,
     name = "submit",
-    example = "hoisthitch job submit halls-hold examples/demo/job.json --watch"
+    example = "hoisthitch job submit halls-hold examples/demo/job.json --watch --time-limit 10m"
 )]
 struct SubmitJob {
     /// name of the queue; see 'hoisthitch job list'
@@ -72,6 +69,9 @@
     /// show progress until the job has ended
     #[argh(switch)]
     watch: bool,
+    /// longest time to watch, such as 90s or 10m (default: no limit)
+    #[argh(option, from_str_fn(read_limit))]
+    time_limit: Option<Duration>,
 }
 
 /// show how far a job is
@@ -84,6 +84,9 @@
     /// show progress until the job has ended
     #[argh(switch)]
     watch: bool,
+    /// longest time to watch, such as 90s or 10m (default: no limit)
+    #[argh(option, from_str_fn(read_limit))]
+    time_limit: Option<Duration>,
 }
 
 /// cancel a job, and stop what runs of it
@@ -107,8 +110,9 @@
         match self.action {
             JobAction::Submit(args) => submit(context, &client, args).await,
             JobAction::Status(args) => {
+                check_limit(args.watch, args.time_limit)?;
                 let job: JobAnswer = client.get(&job_path(&args.id)).await?;
-                follow(context, &client, job, args.watch).await
+                follow(context, &client, job, args.watch, args.time_limit).await
             }
             JobAction::Cancel(args) => {
                 let job: JobAnswer = client.delete(&job_path(&args.id)).await?;
@@ -126,6 +130,7 @@
 }
 
 async fn submit(context: &CommandContext, client: &EntryClient, args: SubmitJob) -> Result<()> {
+    check_limit(args.watch, args.time_limit)?;
     let file = args.file.display();
     let text = std::fs::read_to_string(&args.file).wrap_err_with(|| format!("{file}"))?;
     let spec: JobSpec = serde_json::from_str(&text)
@@ -139,30 +144,37 @@
     let job: JobAnswer = client
         .post(&job_path(&id), &JobCall { queue, spec })
         .await?;
-    follow(context, client, job, args.watch).await
+    follow(context, client, job, args.watch, args.time_limit).await
 }
 
 /// Shows a job, and with `watch` each change until it has ended.
 async fn follow(
     context: &CommandContext,
     client: &EntryClient,
-    mut job: JobAnswer,
+    job: JobAnswer,
     watch: bool,
+    limit: Option<Duration>,
 ) -> Result<()> {
     show(context, &job)?;
-    while watch && !job.phase.is_final() {
-        actix_rt::time::sleep(WATCH_INTERVAL).await;
-        let now: JobAnswer = client.get(&job_path(&job.id)).await?;
-        if now != job {
-            show(context, &now)?;
-        }
-        job = now;
+    if !watch {
+        return Ok(());
     }
-    if watch && job.phase != JobPhase::Completed {
-        let JobAnswer { id, phase, .. } = job;
-        return Err(CommandError::Ended { id, phase }.into());
+    let path = job_path(&job.id);
+    let watch = JobWatch::start(client, path, limit);
+    watch.run(job, |job| show(context, job)).await
+}
+
+fn read_limit(text: &str) -> Result<Duration, String> {
+    humantime::parse_duration(text)
+        .map_err(|err| format!("'{text}' is not a time: {err}; write it as 90s or 10m"))
+}
+
+fn check_limit(watch: bool, limit: Option<Duration>) -> Result<(), CommandError> {
+    if watch || limit.is_none() {
+        return Ok(());
     }
-    Ok(())
+    let text = "--time-limit bounds what --watch does; add --watch, or leave it out";
+    Err(CommandError::Usage(text.to_owned()))
 }
 
 fn show(context: &CommandContext, job: &JobAnswer) -> Result<()> {
--- a/crates/hoisthitch-cli/src/commands/mod.rs
+++ b/crates/hoisthitch-cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod status;
 mod table;
 mod vms;
+mod watch;
 mod wave;
 
 use std::path::PathBuf;
--- a/crates/hoisthitch-cli/src/error.rs
+++ b/crates/hoisthitch-cli/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of the command line.
 
+use std::time::Duration;
+
 use hoisthitch_jobs::JobPhase;
 use thiserror::Error;
 
@@ -12,8 +14,14 @@
 /// Exit code of a command that met another operator's change.
 const CONFLICT: u8 = 3;
 
-/// Exit code of a command that watched a job which was not completed.
-const NOT_COMPLETED: u8 = 4;
+/// Exit code of a command that watched a job which was cancelled.
+const CANCELLED: u8 = 4;
+
+/// Exit code of a command that watched a job which failed.
+const JOB_FAILED: u8 = 5;
+
+/// Exit code of a command that watched a job for as long as it was told to.
+const TIME_UP: u8 = 6;
 
 /// Why an operator's command failed.
 #[derive(Debug, Error)]
@@ -58,6 +66,19 @@
         /// State.
         phase: JobPhase,
     },
+    /// A job that was watched has not ended in time.
+    #[error(
+        "job {id} is {phase:?} after {limit:?}, and was left as it is; 'hoisthitch job status {id} --watch' \
+         goes on"
+    )]
+    TimeUp {
+        /// Identifier.
+        id: String,
+        /// State that was seen last.
+        phase: JobPhase,
+        /// Time limit.
+        limit: Duration,
+    },
 }
 
 /// Status of an answer that tells of another operator's change.
@@ -67,8 +88,16 @@
 pub fn exit_code(err: &eyre::Report) -> u8 {
     match err.downcast_ref::<CommandError>() {
         Some(CommandError::Usage(_)) => USAGE,
-        Some(CommandError::Ended { .. }) => NOT_COMPLETED,
+        Some(CommandError::Ended { phase, .. }) => end_code(*phase),
+        Some(CommandError::TimeUp { .. }) => TIME_UP,
         Some(CommandError::Refused { status, .. }) if *status == STATUS_CONFLICT => CONFLICT,
         _ => FAILED,
     }
 }
+
+fn end_code(phase: JobPhase) -> u8 {
+    match phase {
+        JobPhase::Cancelled => CANCELLED,
+        _ => JOB_FAILED,
+    }
+}
--- a/crates/hoisthitch-cli/src/main.rs
+++ b/crates/hoisthitch-cli/src/main.rs
@@ -2,8 +2,8 @@
 //!
 //! One command per file below `commands`. A command ends with code 0 when it
 //! did what was asked, 1 when it did not, 2 when its words are off, 3 when
-//! another operator's change was in its way, and 4 when a job that it watched
-//! was not completed.
+//! another operator's change was in its way. For a job that it watched, it ends
+//! with 4 when it was cancelled, 5 when it failed, and 6 when the time was up.
 
 mod client;
 mod commands;
@@ -33,7 +33,9 @@
     error_code(1, "The command was not carried out."),
     error_code(2, "The command's words are off."),
     error_code(3, "Another operator's change was in its way."),
-    error_code(4, "The job that was watched failed or was cancelled.")
+    error_code(4, "The job that was watched was cancelled."),
+    error_code(5, "The job that was watched failed."),
+    error_code(6, "The job that was watched has not ended in time.")
 )]
 struct OperatorArgs {
     /// settings file, in INI (default hoisthitch.ini)
--- a/crates/hoisthitch-tests/src/scripted.rs
+++ b/crates/hoisthitch-tests/src/scripted.rs
@@ -38,6 +38,7 @@
 
 /// A runner that follows a script on each connection, then closes it.
 pub struct ScriptedRunner {
+    address: SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
     task: JoinHandle<()>,
 }
@@ -50,6 +51,7 @@
     /// Fails when the address can't be listened on.
     pub async fn start(listen: SocketAddr, script: Vec<ScriptStep>) -> Result<Self> {
         let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
         let requests = Arc::new(Mutex::new(Vec::new()));
         let seen = requests.clone();
         let task = actix_rt::spawn(async move {
@@ -57,7 +59,16 @@
                 actix_rt::spawn(follow(stream, script.clone(), seen.clone()));
             }
         });
-        Ok(Self { requests, task })
+        Ok(Self {
+            address,
+            requests,
+            task,
+        })
+    }
+
+    /// Address that it listens on; the system's choice if port 0 was asked for.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Requests read so far, as text.
