Tell in a job's story of pools that move to stronger nodes

Weighed: unknown events are passed over, so nothing was wrong; a handover is an owner change like others. Change: rules and words for pool_offered and pool_released, with a case.

--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -99,8 +99,12 @@
     },
     /// Another node was faster.
     PoolNotTaken,
-    /// The owner handed the pool to the next one.
+    /// The owner told the next one what it knows of the runners.
     PoolHandedOn,
+    /// The owner hands the pool to a node with more processor time.
+    PoolOffered,
+    /// The owner gave the pool back for another node to take.
+    PoolReleased,
     /// Whether a node became the owner is not known.
     TakeoverUnclear,
     /// A runner obeys a later owner.
@@ -323,6 +327,8 @@
         "pool_taken" => EventKind::PoolTaken,
         "pool_not_taken" => EventKind::PoolNotTaken,
         "pool_handed_on" => EventKind::PoolHandedOn,
+        "pool_offered" => EventKind::PoolOffered,
+        "pool_released" => EventKind::PoolReleased,
         "takeover_unclear" => EventKind::TakeoverUnclear,
         "runner_fenced" => EventKind::Fenced,
         "vm_work_stalled" => EventKind::VmWorkStalled,
@@ -359,10 +365,9 @@
             let (job, _) = line.text("task")?.split_once('.')?;
             EventSubject::Job(job.to_owned())
         }
-        "pool_taken" | "pool_left" | "pool_not_taken" | "pool_handed_on" | "takeover_unclear"
-        | "runner_fenced" | "vm_work_stalled" | "pool_needs" => {
-            EventSubject::Pool(line.owned("pool")?)
-        }
+        "pool_taken" | "pool_left" | "pool_not_taken" | "pool_handed_on" | "pool_offered"
+        | "pool_released" | "takeover_unclear" | "runner_fenced" | "vm_work_stalled"
+        | "pool_needs" => EventSubject::Pool(line.owned("pool")?),
         "runner_taken"
         | "runner_lost"
         | "lease_lapsed"
--- a/crates/hoisthitch-cli/src/story/words.rs
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -35,6 +35,8 @@
         EventKind::PoolLeft { deposed: false } => "pool left by its owner",
         EventKind::PoolNotTaken => "pool not taken: another node was first",
         EventKind::PoolHandedOn => "pool handed on to the next owner",
+        EventKind::PoolOffered => "pool offered to a node with more processor time",
+        EventKind::PoolReleased => "pool released for another node to take",
         EventKind::TakeoverUnclear => "takeover of the pool without a clear answer",
         EventKind::Fenced => "runners obey a later owner",
         EventKind::VmWorkStalled => "work on the pool's VMs stalled",
--- a/crates/hoisthitch-tests/tests/explain.rs
+++ b/crates/hoisthitch-tests/tests/explain.rs
@@ -26,6 +26,7 @@
     unclear_answer_of_a_job_that_ran_is_no_failure => unclear_but_taken();
     late_job_names_the_new_owner => late_without_owner();
     job_of_an_ownerless_pool_is_not_taken => never_taken();
+    pool_that_is_handed_over_shows_both_nodes => handed_over();
     job_without_room_names_what_the_pool_lacked => no_room();
     starts_without_answer_explain_a_wait => unclear_starts();
     start_sent_again_is_one_run => start_sent_again();
@@ -264,6 +265,29 @@
     Ok(())
 }
 
+async fn handed_over() -> Result<()> {
+    let log = [
+        begun(),
+        line(
+            6_000,
+            "node-2",
+            "pool_offered pool=p strain=9 to=node-3 its_strain=2",
+        ),
+        line(6_010, "node-2", "pool_left pool=p epoch=11 end=Stopped"),
+        line(6_020, "node-2", "pool_released pool=p outcome=Ok(())"),
+        line(6_100, "node-3", "pool_taken pool=p term=2 epoch=20"),
+    ]
+    .concat();
+    let wanted = [
+        "node-2  pool offered to a node with more processor time  pool=p strain=9 to=node-3",
+        "node-2  pool released for another node to take  pool=p",
+        "node-3  pool taken: this node owns it now  pool=p term=2 epoch=20",
+        "Likeliest cause: these lines show no failure.",
+    ];
+    check("handed-over", &log, &wanted).await?;
+    Ok(())
+}
+
 async fn no_room() -> Result<()> {
     let log = [
         line(1_000, "node-2", "pool_taken pool=p term=1 epoch=11"),
