A start that was not sent counts as late, not as refused by its runner

Cause: a start that waits over a second for its turn is dropped by this node, and counted as a refusal of the runner. Change: the outcome that says so.

--- a/crates/hoisthitch-scheduler/src/session.rs
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -439,7 +439,7 @@
             waited_ms = self.shared.clock.now() - decided
         );
         self.count("start", "not_sent");
-        let outcome = StartOutcome::Refused;
+        let outcome = StartOutcome::Late;
         self.tell(SessionEvent::Started { order, outcome });
     }
 
