Histories with troubles that come together: losses, takeovers, waves, starts, outages

Their troubles come one after the other, no runner is lost for good, no VM order is slow or lost, no start is refused, and nothing asks how long a task was away or a caller waited. Change: five kinds of histories. Runners are lost with notice and without while owners are stopped or killed in series; nodes are frozen right after their election and cut off with a runner; waves have slow and lost orders while runners leave; starts are late and refused and jobs cancelled, and all room must be free in the end; callers must be answered soon when the store is lost. The runners' stand-in can refuse starts, and notes a start over 2 s after its job's cancel. The store's stand-in answered watches that were under way when it was lost, 1.2 s later; it does not any more. Not run in the debug profile.

--- a/crates/hoisthitch-scheduler/tests/histories.rs
+++ b/crates/hoisthitch-scheduler/tests/histories.rs
@@ -6,6 +6,7 @@
 //! seeds is set by `HISTORIES`, and the first one by `FIRST_SEED`. A seed fixes
 //! the troubles; the order of tasks that are ready at once is the runtime's.
 
+mod draws;
 mod world;
 
 use std::collections::BTreeMap;
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -252,6 +252,18 @@
         self.killed.set(true);
     }
 
+    /// Hands a job in, for which the caller has that time.
+    pub async fn submit(
+        &self,
+        queue: &QueueRoute,
+        id: &str,
+        spec: JobSpec,
+        time_ms: u64,
+    ) -> SubmitAnswer {
+        let give_up = self.shared.clock.now() + time_ms;
+        self.desk.submit(queue, id, spec, give_up).await
+    }
+
     /// Tells the node to hand its pools over and end.
     pub fn stop(&self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
@@ -375,8 +387,7 @@
                 if node.frozen.get() || node.killed.get() {
                     continue;
                 }
-                let give_up = node.shared.clock.now() + 1_000;
-                let answer = node.desk.submit(queue, id, spec.clone(), give_up);
+                let answer = node.submit(queue, id, spec.clone(), 1_000);
                 let answer = tokio::time::timeout(Duration::from_secs(2), answer).await;
                 if matches!(answer, Ok(SubmitAnswer::Accepted)) {
                     return Ok(());
@@ -396,6 +407,7 @@
             }
             let give_up = node.shared.clock.now() + 2_000;
             if node.desk.cancel(id, give_up).await == CancelAnswer::Accepted {
+                self.fleet.note_cancel_answer(id);
                 return Ok(());
             }
         }
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -52,6 +52,10 @@
 /// Time within which two holders may not give orders about one VM.
 const TURN: Duration = Duration::from_secs(3);
 
+/// Time after the answer to a cancel from which on no task of the job may be
+/// started: the platform's limit.
+const CANCEL: Duration = Duration::from_secs(2);
+
 /// Time that an upkeep takes.
 const UPKEEP: Duration = Duration::from_secs(2);
 
@@ -73,6 +77,9 @@
     /// Each order of this many is not answered and carried out later.
     late_every: u64,
     orders: u64,
+    /// Each start of this many is refused for want of room.
+    refuse_every: u64,
+    asked: u64,
     upkeeps: Vec<(String, u64, Instant)>,
     down_most: usize,
     /// Last order about each VM: its holder, and when it came.
@@ -85,6 +92,8 @@
     pub(super) cancelled: HashSet<String>,
     /// What jobs ask for, and the judge of that.
     pub(super) rules: RuleBook,
+    /// When their cancels were answered.
+    cancel_answers: HashMap<String, Instant>,
 }
 
 /// The fleet.
@@ -133,6 +142,11 @@
         self.state.borrow_mut().late_every = every;
     }
 
+    /// Each start of this many is refused for want of room.
+    pub fn set_refusing(&self, every: u64) {
+        self.state.borrow_mut().refuse_every = every;
+    }
+
     /// Has orders about VMs be lost, or not.
     pub fn lose_vm_orders(&self, lost: bool) {
         self.state.borrow_mut().vms_lost = lost;
@@ -391,6 +405,31 @@
         state.late_every > 0 && state.orders.is_multiple_of(state.late_every)
     }
 
+    fn is_refused(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.asked += 1;
+        state.refuse_every > 0 && state.asked.is_multiple_of(state.refuse_every)
+    }
+
+    /// The cancel of a job was answered: its tasks may not be started for long.
+    pub fn note_cancel_answer(&self, job: &str) {
+        let mut state = self.state.borrow_mut();
+        state.cancel_answers.insert(job.to_owned(), Instant::now());
+    }
+
+    /// Notes a start long after its job's cancel was answered. One that was sent
+    /// in time and carried out late doesn't come here.
+    fn judge_cancel(&self, order: &StartOrder) {
+        let task = order.name.to_string();
+        let mut state = self.state.borrow_mut();
+        let job = task.split('.').next().unwrap_or_default();
+        let answered = state.cancel_answers.get(job);
+        if answered.is_some_and(|at| *at + CANCEL < Instant::now()) {
+            let broken = format!("{task} began long after its cancel");
+            state.broken.push(broken);
+        }
+    }
+
     /// Whether an end waits to be told.
     fn has_end(&self, name: &str, recorded: u64) -> bool {
         self.settle();
@@ -452,7 +491,16 @@
             tokio::time::sleep(GIVE_UP).await;
             return StartOutcome::Unclear;
         }
+        if self.is_refused() {
+            tokio::time::sleep(WAY).await;
+            return StartOutcome::NoRoom;
+        }
+        let task = order.name.to_string();
+        let before = self.starts(&task);
         let outcome = MemoryFleet::start(self, &runner.name, order, terms);
+        if self.starts(&task) > before {
+            self.judge_cancel(order);
+        }
         tokio::time::sleep(WAY).await;
         if !self.answers(&runner.name) {
             tokio::time::sleep(GIVE_UP).await;
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -467,6 +467,10 @@
                 .await
                 .is_err()
             {
+                // The store may have been lost during the wait.
+                if self.store.is_cut() {
+                    return Some(Err(timeout("watch")));
+                }
                 self.store.expire();
                 self.gather();
                 return Some(Ok(self.ready.pop_front().unwrap_or(WatchEvent::Quiet)));
