Turns: an owner is frozen between the record of its order and the order

Aim: the case of the owner frozen before its order did not show that doubt is needed: in the stand-in no time passed between the two.

Change: answers of the store can take time on their way; twelve moments before the order, with answers that take 40 ms.

--- a/crates/hoisthitch-scheduler/tests/contracts/turns.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/turns.rs
@@ -123,12 +123,27 @@
     Ok(())
 }
 
-/// The owner stands still at moments around its first order; its successor gives
+/// Time that answers of the store are under way, in milliseconds: an owner can be
+/// frozen between the record of an order and the order.
+const BACK_MS: u64 = 40;
+
+/// A world with a wave that is about to begin, where the store's answers take
+/// their time.
+async fn waving_slowly() -> Result<TestWorld> {
+    let world = waving().await?;
+    world.store.set_faults(StoreFaults {
+        back: Duration::from_millis(BACK_MS),
+        ..StoreFaults::default()
+    });
+    Ok(world)
+}
+
+/// The owner stands still at moments before its first order; its successor gives
 /// its own, and the first one wakes.
 async fn freezes_before() -> Result<()> {
     let first = first_order_ms().await?;
-    for before in [1, 2, 3, 5, 6, 8, 10, 12, 20, 60, 150] {
-        let world = waving().await?;
+    for before in [1, 4, 8, 15, 22, 30, 38, 45, 55, 70, 90, 150] {
+        let world = waving_slowly().await?;
         sleep_ms(first.saturating_sub(before)).await;
         let owner = world.owner();
         world.nodes[&owner].freeze(true);
@@ -143,7 +158,7 @@
 
 /// Time from the wave's order to the first order about a VM.
 async fn first_order_ms() -> Result<u64> {
-    let world = waving().await?;
+    let world = waving_slowly().await?;
     let from = world.fleet.today_ms();
     wait_order(&world).await?;
     Ok(world.fleet.today_ms() - from)
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -58,6 +58,8 @@
     pub late: Duration,
     /// Added to each call.
     pub delay: Duration,
+    /// Time that answers take on their way.
+    pub back: Duration,
 }
 
 #[derive(Default)]
@@ -195,12 +197,17 @@
         self.state.borrow().faults.unheard.contains(&self.node)
     }
 
-    /// Keeps the answer back from a node that is cut off one way.
+    /// Lets the answer take its way; keeps it back from a node that is cut off
+    /// one way.
     async fn leave(&self, call: &'static str) -> Result<(), StoreError> {
         if self.is_unheard() {
             tokio::time::sleep(GIVE_UP).await;
             return Err(timeout(call));
         }
+        let back = self.state.borrow().faults.back;
+        if !back.is_zero() {
+            tokio::time::sleep(back).await;
+        }
         Ok(())
     }
 
