--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 //! adviser, tasks that stand still.
 
 mod order;
+mod outcomes;
 mod pools;
 
 use std::collections::BTreeMap;
@@ -47,13 +48,7 @@
     queue_with_an_adviser_starts_only_with_a_ticket => advised();
     refused_ticket_is_asked_for_again => ticket_refused();
     task_that_stands_still_is_started_elsewhere => stalls();
-    task_on_a_silent_runner_is_left_alone => silent();
-    refused_copy_of_an_unanswered_start_is_stopped_first => refused_copy();
-    late_starts_shun_no_runner_for_long => late_start();
-    stopped_start_that_never_came_frees_its_room => stopped_start();
-    lapsed_lease_frees_the_tasks => lapse();
     runner_that_fails_everything_is_shunned_and_tried_again => shunned();
-    unanswered_start_is_sent_again_under_its_run => unanswered();
     fillers_make_way_for_a_serving_task_and_come_back => paces();
     lasting_tasks_are_spread_and_keep_together => spread();
     bad_specs_are_refused => bad_specs();
@@ -355,28 +350,6 @@
     Ok(())
 }
 
-async fn silent() -> Result<()> {
-    let mut state = pool_of(2, 8);
-    state.add_job(new_job("a", vec![step(1)]), 1_000);
-    let orders = start_all(&mut state, 1_000);
-    state.miss_hold(orders[0].runner, 1_000);
-    ensure!(state.stop_stalled(60_000).is_empty());
-    ensure!(decide(&mut state, 60_000).is_empty());
-    Ok(())
-}
-
-async fn lapse() -> Result<()> {
-    let mut state = pool_of(2, 8);
-    state.add_job(new_job("a", vec![step(1)]), 1_000);
-    let orders = start_all(&mut state, 1_000);
-    state.miss_hold(orders[0].runner, 1_000);
-    ensure!(state.expire(999_999).is_empty());
-    ensure!(state.expire(1_000_001) == [orders[0].runner]);
-    let again = start_all(&mut state, 1_000_002);
-    ensure!(again.len() == 1 && again[0].runner != orders[0].runner);
-    Ok(())
-}
-
 async fn shunned() -> Result<()> {
     let mut state = pool_of(2, 2);
     let broken = state.runner_key("i-0");
@@ -401,19 +374,6 @@
     Ok(())
 }
 
-async fn unanswered() -> Result<()> {
-    let mut state = pool_of(1, 8);
-    state.add_job(new_job("a", vec![step(1)]), 1_000);
-    let orders = decide(&mut state, 1_000);
-    state.take_start(&orders[0], StartOutcome::Unclear, 1_900);
-    let report = HoldReport::default();
-    let early = state.take_hold(orders[0].runner, &report, 1_800, 2_000);
-    ensure!(early.is_empty(), "the hold was sent before the start ended");
-    let again = state.take_hold(orders[0].runner, &report, 2_100, 2_101);
-    ensure!(again.len() == 1 && again[0].run == orders[0].run);
-    Ok(())
-}
-
 async fn spread() -> Result<()> {
     let mut state = pool_of(6, 8);
     let lasting = StepSpec {
@@ -432,76 +392,6 @@
     Ok(())
 }
 
-/// A start got no answer and may be carried out late; its second copy is refused.
-/// The task may only be started elsewhere once a stop was answered there.
-async fn refused_copy() -> Result<()> {
-    let mut state = pool_of(2, 8);
-    state.add_job(new_job("a", vec![step(1)]), 1_000);
-    let orders = decide(&mut state, 1_000);
-    let order = orders.first().ok_or_eyre("nothing was ordered")?;
-    state.take_start(order, StartOutcome::Unclear, 1_900);
-    let again = state.take_hold(order.runner, &HoldReport::default(), 1_950, 2_000);
-    ensure!(again.len() == 1, "the same run is sent again");
-    state.take_start(order, StartOutcome::Refused, 2_100);
-    ensure!(
-        decide(&mut state, 2_200).is_empty(),
-        "started elsewhere at once"
-    );
-    let stops = state.take_stops();
-    let stop = stops.first().ok_or_eyre("no stop was sent")?;
-    state.take_stop(stop, 2_300);
-    state.take_hold(order.runner, &HoldReport::default(), 2_350, 2_400);
-    let next = decide(&mut state, 4_000);
-    ensure!(next.first().is_some_and(|next| next.run == 2), "{next:?}");
-    Ok(())
-}
-
-/// A slow owner's orders come when the lease that they name is over. The runners
-/// are well, and a pool that shunned them all would stand still.
-async fn late_start() -> Result<()> {
-    let mut state = pool_of(1, 8);
-    state.add_job(new_job("a", vec![step(1)]), 1_000);
-    for turn in 0..5 {
-        let now = 1_000 + turn * 400;
-        let orders = decide(&mut state, now);
-        let order = orders
-            .first()
-            .ok_or_eyre("the runner gets no tasks after a late start")?;
-        state.take_start(order, StartOutcome::Late, now + 50);
-    }
-    Ok(())
-}
-
-/// A job is cancelled while its start is on its way; the stop comes first, and
-/// the start is refused. No end is ever listed.
-async fn stopped_start() -> Result<()> {
-    let mut state = pool_of(1, 8);
-    state.add_job(new_job("a", vec![step(1)]), 1_000);
-    let orders = decide(&mut state, 1_000);
-    let order = orders.first().ok_or_eyre("nothing was ordered")?;
-    state.cancel("a", 1_100);
-    let look = |state: &mut PoolState, now: u64| {
-        state.stop_again(now);
-        let stops = state.take_stops();
-        state.take_hold(order.runner, &HoldReport::default(), now - 1, now);
-        let runner = state.runner(order.runner);
-        (stops, runner.is_some_and(|runner| runner.tasks.is_empty()))
-    };
-    // While no stop is answered, the start may still come.
-    let mut last = Vec::new();
-    for now in (1_200..9_000).step_by(100) {
-        let (stops, free) = look(&mut state, now);
-        ensure!(!free, "free at {now}");
-        last.extend(stops);
-    }
-    let stop = last.last().ok_or_eyre("no stop was sent")?;
-    state.take_stop(stop, 9_000);
-    state.take_start(order, StartOutcome::Old, 9_010);
-    let (_, free) = look(&mut state, 9_100);
-    ensure!(free, "the room is not free");
-    Ok(())
-}
-
 /// The tail of a serving task over its target stops the filler beside it within
 /// two reports, and lets it work again step by step.
 async fn paces() -> Result<()> {
--- a/crates/hoisthitch-scheduler/src/journal.rs
+++ b/crates/hoisthitch-scheduler/src/journal.rs
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Writes values, and what is known of silent runners; answers when the write that succeeded was sent, at which
-    /// time this node owned the pool.
+    /// Writes values, and what is known of silent runners; answers when the write
+    /// that succeeded was sent, at which time this node owned the pool.
     ///
     /// # Errors
     ///
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -1,5 +1,7 @@
 //! Runners and VMs in memory, and a judge that looks at what they are told.
 
+mod vms;
+
 use std::{
     cell::RefCell,
     collections::{
@@ -24,16 +26,9 @@
     OrderTerms,
     RunnerAddress,
     RunnerControl,
-    RunnerError,
-    VmCondition,
-    VmControl,
-    VmError,
-    VmRow, //
-};
-use tokio::{
-    sync::oneshot,
-    time::Instant, //
+    RunnerError, //
 };
+use tokio::time::Instant;
 
 use super::life::{
     Run,
@@ -49,16 +44,10 @@
 /// Time after which a caller gives up.
 const GIVE_UP: Duration = Duration::from_millis(900);
 
-/// Time within which two holders may not give orders about one VM.
-const TURN: Duration = Duration::from_secs(3);
-
 /// Time after the answer to a cancel from which on no task of the job may be
 /// started: the platform's limit.
 const CANCEL: Duration = Duration::from_secs(2);
 
-/// Time that an upkeep takes.
-const UPKEEP: Duration = Duration::from_secs(2);
-
 /// What the fleet was told, and what broke a promise.
 #[derive(Default)]
 pub(super) struct FleetState {
@@ -588,129 +577,3 @@
         paced
     }
 }
-
-impl MemoryFleet {
-    /// Notes an order about a VM, answered or not, and whether two holders took
-    /// turns.
-    fn judge_turn(&self, vm: &str, holder: &str) {
-        let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        let last = state
-            .vm_orders
-            .insert(vm.to_owned(), (holder.to_owned(), now));
-        if let Some((other, at)) = last
-            && other != holder
-            && now < at + TURN
-        {
-            let broken = format!("{vm}: {other} and {holder} take turns");
-            state.broken.push(broken);
-        }
-    }
-
-    /// Whether an order about the VM was given.
-    pub fn was_ordered(&self, vm: &str) -> bool {
-        self.state.borrow().vm_orders.contains_key(vm)
-    }
-}
-
-impl VmControl for MemoryFleet {
-    async fn list(&self) -> Result<Vec<VmRow>, VmError> {
-        tokio::time::sleep(WAY * 2).await;
-        if self.state.borrow().rules.is_unheard(&self.node) {
-            tokio::time::sleep(GIVE_UP).await;
-            return Err(VmError::NoAnswer("unheard".to_owned()));
-        }
-        let state = self.state.borrow();
-        let mut rows: Vec<VmRow> = state
-            .runners
-            .iter()
-            .filter(|(_, runner)| runner.alive)
-            .map(|(name, runner)| VmRow {
-                name: runner.vm.clone(),
-                pool: super::POOL.to_owned(),
-                condition: VmCondition::Up,
-                runner: Some(name.clone()),
-            })
-            .collect();
-        rows.extend(state.upkeep.keys().map(|vm| VmRow {
-            name: vm.clone(),
-            pool: super::POOL.to_owned(),
-            condition: VmCondition::Upkeep,
-            runner: None,
-        }));
-        Ok(rows)
-    }
-
-    async fn upkeep(&self, vm: &str, _wave: u64, holder: &str, epoch: u64) -> Result<(), VmError> {
-        let (done, answer) = oneshot::channel();
-        let (fleet, vm, holder) = (self.clone(), vm.to_owned(), holder.to_owned());
-        // Not a task of the node: the order is under way whatever becomes of it.
-        super::spawn_outside(async move {
-            tokio::time::sleep(WAY).await;
-            fleet.judge_turn(&vm, &holder);
-            let way = fleet.state.borrow().vms_way;
-            tokio::time::sleep(way).await;
-            if !fleet.state.borrow().vms_lost {
-                // A node that is gone needs no answer.
-                let _ = done.send(fleet.take_down(&vm, epoch));
-            }
-        });
-        let outcome = answer.await;
-        if self.state.borrow().rules.is_unheard(&self.node) {
-            tokio::time::sleep(GIVE_UP).await;
-            return Err(VmError::NoAnswer("unheard".to_owned()));
-        }
-        let Ok(outcome) = outcome else {
-            tokio::time::sleep(GIVE_UP).await;
-            return Err(VmError::NoAnswer("lost".to_owned()));
-        };
-        outcome
-    }
-
-    async fn reassign(
-        &self,
-        _vm: &str,
-        _pool: &str,
-        _holder: &str,
-        _token: u64,
-    ) -> Result<(), VmError> {
-        Err(VmError::NotListed)
-    }
-}
-
-impl MemoryFleet {
-    /// Takes a VM down for its upkeep.
-    fn take_down(&self, vm: &str, epoch: u64) -> Result<(), VmError> {
-        let mut guard = self.state.borrow_mut();
-        let state = &mut *guard;
-        let last = state.upkeeps.iter().rev().find(|row| row.0 == vm);
-        if let Some((_, token, _)) = last {
-            if *token > epoch {
-                state
-                    .broken
-                    .push(format!("{vm}: a lower token after a higher"));
-            }
-            return Ok(());
-        }
-        let ends: Vec<String> = state
-            .runners
-            .values()
-            .filter(|runner| runner.vm == vm && runner.alive)
-            .flat_map(|runner| runner.running.keys().cloned())
-            .collect();
-        for task in &ends {
-            state.judge_end(task);
-        }
-        for runner in state.runners.values_mut() {
-            if runner.vm == vm {
-                runner.alive = false;
-                runner.running.clear();
-            }
-        }
-        let now = Instant::now();
-        state.upkeeps.push((vm.to_owned(), epoch, now));
-        state.upkeep.insert(vm.to_owned(), now + UPKEEP);
-        state.down_most = state.down_most.max(state.upkeep.len());
-        Ok(())
-    }
-}
