--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -8,6 +8,7 @@
 };
 use hoisthitch_jobs::{
     HoldReport,
+    PoolState,
     StartOutcome, //
 };
 use hoisthitch_tests::cases;
