--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -17,6 +17,13 @@
 /// ones are used when enough jobs came in them to tell a trend from a lump.
 const ARRIVAL_WINDOWS_MS: [Millis; 3] = [500, 1_000, 4_000];
 
+/// Time over which a fall of the work that comes in is looked at, in milliseconds.
+const FALL_MS: Millis = 1_000;
+
+/// Standard deviations of the number of jobs within which a smaller number may be
+/// chance.
+const FALL_SPREADS: u64 = 2;
+
 /// Jobs that tell a trend: the mean of as many is off by a third or so.
 const TREND_JOBS: usize = 10;
 
@@ -97,9 +104,23 @@
             let (jobs, work) = recent.fold((0, 0), |(jobs, sum), (_, work)| (jobs + 1, sum + work));
             (jobs, work / window)
         });
-        let [.., (_, longest)] = rates;
+        let [.., (jobs, longest)] = rates;
         let trends = rates.iter().filter(|(jobs, _)| *jobs >= TREND_JOBS);
-        trends.map(|(_, rate)| *rate).max().unwrap_or(longest)
+        let risen = trends.map(|(_, rate)| *rate).max().unwrap_or(longest);
+        self.fallen_rate(jobs, longest, now)
+            .map_or(risen, |rate| rate.min(risen))
+    }
+
+    /// The rate of work after a fall, if fewer jobs came lately than chance explains.
+    /// The longest window alone shows it only seconds after the end of a turn.
+    fn fallen_rate(&self, jobs: usize, rate: u64, now: Millis) -> Option<u64> {
+        let [.., longest] = ARRIVAL_WINDOWS_MS;
+        let jobs = u64::try_from(jobs).unwrap_or(0);
+        let lately = self.arrivals.iter().filter(|(at, _)| at + FALL_MS > now);
+        let lately = u64::try_from(lately.count()).unwrap_or(0);
+        let likely_most = lately + FALL_SPREADS * lately.isqrt().max(1);
+        let usual = jobs * FALL_MS / longest;
+        (likely_most < usual).then(|| rate * likely_most / usual)
     }
 
     fn add_demand(&self, sums: &mut DemandSums, job: &JobEntry) {
--- a/crates/hoisthitch-jobs/tests/decisions/packing.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/packing.rs
@@ -11,6 +11,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    NewJob,
     RunnerKey,
     StartOrder, //
 };
@@ -25,6 +26,7 @@
 
 cases! {
     short_tasks_leave_other_vms_empty => packs();
+    end_of_a_turn_shows_within_a_second => falls();
 }
 
 fn runners_of(orders: &[StartOrder]) -> BTreeSet<RunnerKey> {
@@ -47,3 +49,23 @@
     ensure!(free.iter().all(|key| !used.contains(key)));
     Ok(())
 }
+
+/// Ten jobs a second come for four seconds, and then none.
+async fn falls() -> Result<()> {
+    let mut state = pool_of(4, 8);
+    for number in 0..40 {
+        let at = 1_000 + number * 100;
+        let id = format!("j{number}");
+        let job = NewJob {
+            accepted_at: at,
+            ..new_job(&id, vec![step(8)])
+        };
+        state.add_job(job, at);
+        state.cancel(&id, at);
+    }
+    let before = state.wanted_vms(5_000).steady;
+    let after = state.wanted_vms(6_000).steady;
+    ensure!(before >= 10, "{before} VMs in the turn");
+    ensure!(after * 3 <= before, "{after} of {before} VMs after it");
+    Ok(())
+}
