Give VMs to a pool that lacks far more, above the giver's steady work

Cause: a pool that wanted one VM more than it had gave none, whatever others lacked: with 31 VMs, 26 of them for steady work, it held them while another had 6 of 29. Ruled out: giving whenever steady work allows it, which sends VMs to and fro between two pools that both lack some; so the taker has to lack a quarter of its want more. Choosing taker and giver are functions of their own now.

--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -59,6 +59,11 @@
 /// is wanted: measured, see docs/MEASURED.md.
 const LEVEL_PERCENT: usize = 95;
 
+/// How much more of its want a pool has to lack than one that gives it VMs though
+/// it lacks some itself, in thousandths: VMs must not go to and fro. Such gifts buy
+/// half of 1 in 100 of what is owed (40 plays, docs/decisions.md).
+const LACK_MARGIN: usize = 250;
+
 /// A pool while moves are worked out.
 struct PoolLevel<'a> {
     name: &'a String,
@@ -72,7 +77,7 @@
 }
 
 impl PoolLevel<'_> {
-    /// VMs that it needs for its work; a pool that lacks VMs gives none.
+    /// VMs that it needs for its work.
     fn needed(&self) -> usize {
         to_usize(self.share.keep.max(self.share.want))
     }
@@ -104,9 +109,10 @@
         &mut moves,
         |pool| to_usize(pool.share.want).max(floor),
         |pool| pool.needed().max(floor),
+        floor,
     );
     let held = |pool: &PoolLevel<'_>| pool.needed().max(to_usize(pool.share.hold)).max(level);
-    fill(&mut levels, &mut moves, |_| level, held);
+    fill(&mut levels, &mut moves, |_| level, held, usize::MAX);
     park(&levels, &mut moves, held);
     moves
 }
@@ -120,30 +126,21 @@
 
 /// Gives one VM after the other to the pool that has the smallest part of what is
 /// wanted, so that none takes all. VMs that are off are given first, then those
-/// of the pool with the most to spare.
+/// of the pool with the most to spare, then, above `least`, those of pools that lack
+/// far less than the taker.
 fn fill(
     levels: &mut [PoolLevel<'_>],
     moves: &mut Vec<PoolMove>,
     wanted: impl Fn(&PoolLevel<'_>) -> usize,
     kept: impl Fn(&PoolLevel<'_>) -> usize,
+    least: usize,
 ) {
-    let surplus = |pool: &PoolLevel<'_>| {
-        let kept = if pool.share.spare { 0 } else { kept(pool) };
-        pool.staying.saturating_sub(kept)
-    };
-    loop {
-        let places = levels.iter().enumerate();
-        let to = places
-            .clone()
-            .filter(|(_, pool)| !pool.share.spare && !pool.gives && wanted(pool) > pool.have)
-            .max_by_key(|(_, pool)| (pool.missing_part(wanted(pool)), pool.name));
-        let from = places
-            .filter(|(_, pool)| surplus(pool) > 0)
-            .max_by_key(|(_, pool)| (pool.share.spare, surplus(pool), pool.name));
-        let (Some((to, taker)), Some((from, giver))) = (to, from) else {
+    while let Some(to) = most_lacking(levels, &wanted) {
+        let from = most_spare(levels, &kept);
+        let Some(from) = from.or_else(|| least_lacking(levels, to, &wanted, least)) else {
             return;
         };
-        add_move(moves, giver.name, taker.name);
+        add_move(moves, levels[from].name, levels[to].name);
         levels[from].gives = true;
         levels[from].staying -= 1;
         levels[from].have = levels[from].have.saturating_sub(1);
@@ -151,6 +148,51 @@
     }
 }
 
+/// The pool that lacks the largest part of what it wants.
+fn most_lacking(
+    levels: &[PoolLevel<'_>],
+    wanted: impl Fn(&PoolLevel<'_>) -> usize,
+) -> Option<usize> {
+    let places = levels.iter().enumerate();
+    let lacking =
+        places.filter(|(_, pool)| !pool.share.spare && !pool.gives && wanted(pool) > pool.have);
+    lacking
+        .max_by_key(|(_, pool)| (pool.missing_part(wanted(pool)), pool.name))
+        .map(|(place, _)| place)
+}
+
+/// The pool with the most VMs beyond what it keeps; one whose VMs are off first.
+fn most_spare(levels: &[PoolLevel<'_>], kept: impl Fn(&PoolLevel<'_>) -> usize) -> Option<usize> {
+    let surplus = |pool: &PoolLevel<'_>| {
+        let kept = if pool.share.spare { 0 } else { kept(pool) };
+        pool.staying.saturating_sub(kept)
+    };
+    let places = levels.iter().enumerate();
+    places
+        .filter(|(_, pool)| surplus(pool) > 0)
+        .max_by_key(|(_, pool)| (pool.share.spare, surplus(pool), pool.name))
+        .map(|(place, _)| place)
+}
+
+/// The pool that lacks least, where it has VMs beyond its steady work and lacks far
+/// less than the taker.
+fn least_lacking(
+    levels: &[PoolLevel<'_>],
+    taker: usize,
+    wanted: impl Fn(&PoolLevel<'_>) -> usize,
+    least: usize,
+) -> Option<usize> {
+    let lack = |pool: &PoolLevel<'_>| pool.missing_part(wanted(pool));
+    let missing = lack(levels.get(taker)?);
+    let places = levels.iter().enumerate();
+    places
+        .filter(|(place, pool)| *place != taker && !pool.share.spare)
+        .filter(|(_, pool)| pool.staying > to_usize(pool.share.keep).max(least))
+        .filter(|(_, pool)| lack(pool) + LACK_MARGIN < missing)
+        .min_by_key(|(_, pool)| (lack(pool), pool.name))
+        .map(|(place, _)| place)
+}
+
 fn add_move(moves: &mut Vec<PoolMove>, from: &str, to: &str) {
     let same = moves
         .iter_mut()
--- a/crates/hoisthitch-jobs/tests/decisions/pools.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/pools.rs
@@ -41,6 +41,7 @@
     pools_are_levelled_while_none_lacks_vms => balance_levels();
     jobs_of_an_earlier_owner_are_no_rise => no_false_rise();
     pool_that_lacks_vms_gives_none => balance_gives_none();
+    pool_that_lacks_far_more_gets_vms_of_one_that_lacks_some => balance_lacks();
     no_more_tasks_leave_than_have_room => drain_room();
     tasks_that_may_not_be_missed_leave_too => drain_unmissable();
 }
@@ -281,3 +282,31 @@
     ensure!(stops > 0, "no stop though there is room");
     Ok(())
 }
+
+/// A pool at the end of its turn lacks some VMs, the pool whose turn begins nearly
+/// all. The first one keeps what its steady work needs, and nothing goes back.
+async fn balance_lacks() -> Result<()> {
+    let names: Vec<String> = (0..37).map(|number| format!("v{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let ending = PoolShare {
+        keep: 24,
+        ..share(36, &names[..31])
+    };
+    let beginning = PoolShare {
+        keep: 5,
+        ..share(30, &names[31..])
+    };
+    let mut pools = BTreeMap::from([("a".to_owned(), ending), ("b".to_owned(), beginning)]);
+    let moves = plan_moves(&pools);
+    ensure!(moves.len() == 1, "{moves:?}");
+    ensure!(moves[0].from == "a" && moves[0].count == 7, "{moves:?}");
+    // Once both lack about as much, neither gives.
+    if let Some(ending) = pools.get_mut("a") {
+        ending.vms.truncate(24);
+    }
+    if let Some(beginning) = pools.get_mut("b") {
+        beginning.vms = names[18..].iter().map(|vm| (*vm).to_owned()).collect();
+    }
+    ensure!(plan_moves(&pools).is_empty());
+    Ok(())
+}
