Let tasks that save their progress go on elsewhere when a VM is given

Change: tasks of a leaving runner that save their progress, run on for 0.7 s or more, and find room elsewhere are stopped and resume there; only for moves, not for upkeep. Ruled out: stopping what does not save, which loses its work. Two log lines tell when a VM is being emptied and when it stays after all (vm_emptying, vm_kept).

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod stall;
 mod task;
 mod upkeep;
+mod vacate;
 
 pub use advice::{
     AdviceAsk,
--- a/crates/hoisthitch-jobs/tests/decisions/packing.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/packing.rs
@@ -7,13 +7,15 @@
 use std::collections::BTreeSet;
 
 use eyre::{
+    OptionExt,
     Result,
     ensure, //
 };
 use hoisthitch_jobs::{
     NewJob,
     RunnerKey,
-    StartOrder, //
+    StartOrder,
+    StepSpec, //
 };
 use hoisthitch_tests::cases;
 
@@ -27,6 +29,9 @@
 cases! {
     short_tasks_leave_other_vms_empty => packs();
     work_that_is_late_wants_fewer_vms => late_backlog();
+    tasks_that_save_leave_a_vm_that_is_given => vacates(true, 4, 4);
+    tasks_that_do_not_save_stay_to_their_end => vacates(false, 4, 0);
+    tasks_stay_where_there_is_no_room_elsewhere => vacates(true, 1, 0);
     end_of_a_turn_shows_within_a_second => falls();
 }
 
@@ -90,3 +95,24 @@
     ensure!(late >= 1 && late * 3 <= timely, "{late} and {timely} VMs");
     Ok(())
 }
+
+/// A VM with four tasks of two seconds each is given away: so many are stopped, to
+/// go on elsewhere.
+async fn vacates(checkpoints: bool, runners: u32, stopped: usize) -> Result<()> {
+    let mut state = pool_of(runners, 8);
+    let work = StepSpec {
+        checkpoints,
+        estimate_ms: 2_000,
+        ..step(4)
+    };
+    state.add_job(new_job("a", vec![work]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let runner = orders.first().ok_or_eyre("nothing was started")?.runner;
+    state.vacate(runner, 1_100);
+    ensure!(state.take_stops().is_empty(), "it does not leave yet");
+    state.set_leaving(runner, true);
+    state.vacate(runner, 1_100);
+    let stops = state.take_stops();
+    ensure!(stops.len() == stopped, "{} are stopped", stops.len());
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -34,8 +34,12 @@
     pub(super) fn take_vm_request(&mut self, request: VmRequest) {
         let now = self.now();
         match request {
-            VmRequest::Leave { runner, reply } => {
-                let view = self.prepare_leave(&runner, now);
+            VmRequest::Leave {
+                runner,
+                vacate,
+                reply,
+            } => {
+                let view = self.prepare_leave(&runner, vacate, now);
                 // A worker that is gone asks again.
                 let _ = reply.send(view);
             }
@@ -77,11 +81,14 @@
 
     /// Has a runner emptied; answers how far that is, or nothing when the runner
     /// is not known and nothing was recorded on it.
-    fn prepare_leave(&mut self, runner: &str, now: Millis) -> Option<UpkeepView> {
+    fn prepare_leave(&mut self, runner: &str, vacate: bool, now: Millis) -> Option<UpkeepView> {
         let Some(key) = self.state.runner_key(runner) else {
             return self.state.unlisted_view(runner);
         };
         self.state.set_leaving(key, true);
+        if vacate {
+            self.state.vacate(key, now);
+        }
         let view = self.state.upkeep_view(key);
         if view == UpkeepView::Held && self.state.relocate_one(key, now) {
             return Some(UpkeepView::Busy(1));
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -68,6 +68,8 @@
     /// runner is not known.
     Leave {
         runner: String,
+        /// Whether its tasks are to go on elsewhere where they can.
+        vacate: bool,
         reply: oneshot::Sender<Option<UpkeepView>>,
     },
     /// The runner goes on.
@@ -214,10 +216,11 @@
     }
 
     /// Asks the owner to empty a runner.
-    pub(crate) async fn ask_leave(&self, runner: &str) -> Option<UpkeepView> {
+    pub(crate) async fn ask_leave(&self, runner: &str, vacate: bool) -> Option<UpkeepView> {
         let (reply, answer) = oneshot::channel();
         let request = VmRequest::Leave {
             runner: runner.to_owned(),
+            vacate,
             reply,
         };
         if self.context.owner.send(request).await.is_err() {
--- a/crates/hoisthitch-scheduler/src/vms/moves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/moves.rs
@@ -107,8 +107,16 @@
         }
         let mut emptied = Vec::new();
         for (runner, vm) in candidates {
-            self.giving.insert(vm.clone(), runner.clone());
-            if self.ask_leave(&runner).await == Some(UpkeepView::Free) {
+            if self.giving.insert(vm.clone(), runner.clone()).is_none() {
+                event!(
+                    Info,
+                    "vm_emptying",
+                    vm = vm,
+                    runner = runner,
+                    pool = self.context.pool
+                );
+            }
+            if self.ask_leave(&runner, true).await == Some(UpkeepView::Free) {
                 emptied.push(vm);
             }
         }
@@ -118,6 +126,13 @@
     /// Lets a runner go on that was to be given away.
     pub(super) async fn keep_vm(&mut self, vm: &str) {
         if let Some(runner) = self.giving.remove(vm) {
+            event!(
+                Info,
+                "vm_kept",
+                vm = vm,
+                runner = runner,
+                pool = self.context.pool
+            );
             // An owner that is gone keeps no runner.
             let _ = self.context.owner.send(VmRequest::Stay { runner }).await;
         }
--- a/crates/hoisthitch-scheduler/src/waves.rs
+++ b/crates/hoisthitch-scheduler/src/waves.rs
@@ -174,7 +174,7 @@
     async fn ask_row(&mut self, row: &VmRow) -> Option<UpkeepView> {
         let runner = row.runner.clone()?;
         self.leaving.insert(row.name.clone(), runner.clone());
-        let view = self.ask_leave(&runner).await;
+        let view = self.ask_leave(&runner, false).await;
         self.note_wait(&row.name, &runner, view);
         view
     }
