--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Millis,
+    account::TimeAccount,
     record::{
         JobPhase,
         JobProgress,
@@ -48,6 +49,8 @@
     pub ended_at: Option<Millis>,
     /// Tasks of the rounds that have begun.
     pub tasks: Vec<TaskEntry>,
+    /// Where its time went.
+    pub account: TimeAccount,
     /// Tasks that are not done, by round and step.
     open: Vec<u32>,
 }
@@ -71,6 +74,7 @@
             dirty: false,
             ended_at: None,
             tasks: Vec::new(),
+            account: TimeAccount::default(),
             open: Vec::new(),
         }
     }
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! acknowledged. Nothing here does input or output; times are milliseconds of
 //! the owner's steady clock.
 
+mod account;
 mod advice;
 mod balance;
 mod demand;
@@ -28,6 +29,10 @@
 mod upkeep;
 mod vacate;
 
+pub use account::{
+    EndedJob,
+    TimeAccount, //
+};
 pub use advice::{
     AdviceAsk,
     AdviceTicket, //
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -243,6 +243,7 @@
         if job.is_done() && !job.phase.is_final() {
             job.phase = JobPhase::Completed;
             job.ended_at = Some(now);
+            self.note_ended(task.job, now);
         }
         self.plan_needed = true;
     }
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Millis,
+    account::EndedJob,
     advice::StepAdvice,
     job::{
         JobEntry,
@@ -70,6 +71,8 @@
     pub(crate) task_times: HashMap<String, Millis>,
     /// Leave of the advisers, by job, round and step.
     pub(crate) advice: HashMap<(JobKey, u32, u32), StepAdvice>,
+    /// Jobs that ended and were not taken yet.
+    pub(crate) ended_jobs: Vec<EndedJob>,
     /// Work that came in of late, in thousandths of a core times milliseconds.
     pub(crate) arrivals: Vec<(Millis, u64)>,
 }
@@ -112,6 +115,7 @@
             // What a new owner finds came in before it.
             self.note_arrival(&job, accepted_at.min(now), now);
         }
+        job.keep_account(now);
         self.unlocated += count_unlocated(&job);
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
@@ -176,6 +180,7 @@
         for slot in 0..job.tasks.len() {
             self.stop_task(TaskRef { job: key, slot }, now);
         }
+        self.note_ended(key, now);
     }
 
     /// Stops a task wherever it is.
@@ -362,6 +367,7 @@
         let Some(step) = job.step_of(task.slot).cloned() else {
             return;
         };
+        job.keep_account(now);
         let Some(entry) = job.tasks.get_mut(task.slot) else {
             return;
         };
--- a/crates/hoisthitch-jobs/src/rank.rs
+++ b/crates/hoisthitch-jobs/src/rank.rs
@@ -18,8 +18,7 @@
     Millis,
     job::{
         JobEntry,
-        JobKey,
-        scale, //
+        JobKey, //
     },
     pool::PoolState, //
 };
@@ -77,8 +76,7 @@
     /// that its queue's tasks take.
     pub(crate) fn latest_start(&self, job: &JobEntry) -> Millis {
         let time = self.task_time(&job.queue);
-        let chain = job.spec.chain_of(|_| time);
-        let objective = job.policy.aim_ms + scale(chain, job.policy.stretch);
+        let objective = job.objective(time);
         let left = job.spec.chain_of(|step| {
             let round = job.rounds_begun().saturating_sub(1);
             if job.open_tasks(round, step) > 0 {
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of a pool's owner: order of steps, budgets, gangs, leave of an
 //! adviser, tasks that stand still.
 
+mod account;
 mod order;
 mod outcomes;
 mod packing;
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -387,6 +387,7 @@
         for stop in self.state.take_stops() {
             self.send(stop.runner, RunnerOrder::Stop(stop));
         }
+        self.log_ended();
         self.write(now);
         self.share_terms();
     }
@@ -409,6 +410,27 @@
         }
     }
 
+    /// Tells of the jobs that ended, and where their time went.
+    fn log_ended(&mut self) {
+        for ended in self.state.take_ended_jobs() {
+            event!(
+                Info,
+                "job_ended",
+                job = ended.id,
+                queue = ended.queue,
+                pool = self.context.pool,
+                phase = format_args!("{:?}", ended.phase),
+                took_ms = ended.took,
+                objective_ms = ended.objective,
+                taking_ms = ended.account.taking,
+                waiting_ms = ended.account.waiting,
+                ordering_ms = ended.account.ordering,
+                running_ms = ended.account.running,
+                reruns = ended.reruns
+            );
+        }
+    }
+
     fn send(&self, runner: RunnerKey, order: RunnerOrder) {
         let sent = self
             .sessions
