Keep what a pool wants, and will want, in one room

The want was made in demand.rs, stretched by its rise in the scheduler's vms/share.rs and cut in balance.rs; share.rs publishes alone now, and WantHistory does the rest, without input or output, so that a model of the decisions can use it. Behaviour as before.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod balance;
 mod demand;
 mod drain;
+mod forecast;
 mod gang;
 mod job;
 mod observe;
@@ -43,6 +44,10 @@
     plan_moves, //
 };
 pub use demand::WantedVms;
+pub use forecast::{
+    VmForecast,
+    WantHistory, //
+};
 pub use job::{
     JobEntry,
     JobKey, //
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -22,6 +22,7 @@
 use hoisthitch_jobs::{
     Millis,
     UpkeepView,
+    WantHistory,
     WantedVms, //
 };
 use hoisthitch_store::{
@@ -134,8 +135,8 @@
     pub(crate) missing: BTreeMap<String, Millis>,
     record: ShareRecord,
     revision: StoreRevision,
-    /// Steady wants of the last seconds.
-    wants: Vec<(Millis, u32)>,
+    /// What the pool wanted in the last seconds.
+    wants: WantHistory,
     /// VMs that orders were given about, and when.
     ordered: BTreeMap<String, Millis>,
     /// VMs that an earlier owner may have given orders about, and until when
@@ -164,7 +165,7 @@
         missing: BTreeMap::new(),
         record: ShareRecord::default(),
         revision: StoreRevision::default(),
-        wants: Vec::new(),
+        wants: WantHistory::default(),
         ordered: BTreeMap::new(),
         blocked: BTreeMap::new(),
         settled: false,
--- a/crates/hoisthitch-scheduler/src/vms/share.rs
+++ b/crates/hoisthitch-scheduler/src/vms/share.rs
@@ -44,17 +44,6 @@
 /// time above, with some to spare.
 const RECENT_MS: Millis = 4_000;
 
-/// Time for which VMs are left on after they were wanted, in milliseconds: one
-/// that goes off and comes back costs two moves of one and a half seconds.
-const HOLD_MS: Millis = 3_000;
-
-/// Time over which a rise of what is wanted is looked at, in milliseconds.
-const TREND_MS: Millis = 1_000;
-
-/// How far a rise is carried on: a move takes about twice the time over which
-/// the rise is looked at, from the decision to the first task.
-const RISE_FACTOR: u32 = 2;
-
 /// Time after which a VM that was sent away and did not arrive is counted no
 /// more, in milliseconds; a move takes one and a half seconds.
 const ARRIVE_MS: Millis = 6_000;
@@ -139,9 +128,7 @@
         spare: bool,
         now: Millis,
     ) -> PoolShare {
-        self.wants.retain(|(at, _)| at + HOLD_MS > now);
-        self.wants.push((now, need.want.steady));
-        let hold = self.wants.iter().map(|(_, want)| *want).max();
+        let forecast = self.wants.forecast(need.want, now);
         self.sent.retain(|vm, (_, at)| {
             // A VM that is listed here no more has left for certain, and is
             // counted by the other pool once it has arrived there.
@@ -153,29 +140,15 @@
         // A life that is over may be listed beside its successor.
         vms.dedup();
         PoolShare {
-            want: need
-                .want
-                .now
-                .saturating_add(self.expected_rise(need.want.steady, now)),
-            keep: need.want.steady,
-            hold: hold.unwrap_or(need.want.steady),
+            want: forecast.want,
+            keep: forecast.keep,
+            hold: forecast.hold,
             vms,
             sent: sent.map(|(vm, (to, _))| (vm.clone(), to.clone())).collect(),
             spare,
         }
     }
 
-    /// VMs that will be wanted beyond those of now when a move ordered now is
-    /// made, if the want goes on rising.
-    pub(super) fn expected_rise(&self, steady: u32, now: Millis) -> u32 {
-        let before = self
-            .wants
-            .iter()
-            .find(|(at, _)| at + TREND_MS > now)
-            .map_or(steady, |(_, want)| *want);
-        steady.saturating_sub(before) * RISE_FACTOR
-    }
-
     /// VMs of a pool whose VMs are off, once they may be ordered about.
     pub(super) async fn list_idle(&mut self, now: Millis) -> Result<Vec<String>, VmWorkError> {
         let rows = self.context.platform.vms().list().await?;
