See the begin of a turn after some jobs

Cause: a mean over half a second or one counted only from ten jobs on. Queues of larger jobs bring five or six a second in their turn, so that their rate was told by the last four seconds for nearly two seconds (a quarter of it after one second). Change: five windows from 0.25 to 4 s, each by the part of its jobs that chance doesn't explain (one standard deviation below). A test fails without it (2 VMs wanted a second after the begin), another holds that two jobs by chance are no turn. Tests of demand have a file of their own.

--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -13,9 +13,11 @@
 /// waits for a VM is late.
 const HEADROOM_PERCENT: u64 = 130;
 
-/// Times over which the work that comes in is averaged, in milliseconds. Short
-/// ones are used when enough jobs came in them to tell a trend from a lump.
-const ARRIVAL_WINDOWS_MS: [Millis; 3] = [500, 1_000, 4_000];
+/// Times over which the work that comes in is averaged, in milliseconds. Short ones
+/// count as far as chance does not explain their jobs, so that the begin of a turn shows
+/// after some of them: 2 in 100 more of what is owed where demand goes from pool to pool
+/// (40 plays, docs/decisions.md).
+const ARRIVAL_WINDOWS_MS: [Millis; 5] = [250, 500, 1_000, 2_000, 4_000];
 
 /// Time over which a fall of the work that comes in is looked at, in milliseconds.
 const FALL_MS: Millis = 1_000;
@@ -24,8 +26,8 @@
 /// chance.
 const FALL_SPREADS: u64 = 2;
 
-/// Jobs that tell a trend: the mean of as many is off by a third or so.
-const TREND_JOBS: usize = 10;
+/// Jobs whose mean is taken as it is: that of as many is off by a third or so.
+const TREND_JOBS: u64 = 10;
 
 /// Time beside the work itself within which work that waits is to be done, in
 /// milliseconds; objectives leave about as much.
@@ -69,6 +71,15 @@
     spread: u32,
 }
 
+/// The rate of work that chance alone does not explain: that of as many jobs less
+/// one standard deviation.
+fn certain_rate(jobs: u64, rate: u64) -> u64 {
+    if jobs >= TREND_JOBS {
+        return rate;
+    }
+    rate * jobs.saturating_sub(jobs.isqrt() + 1) / jobs.max(1)
+}
+
 impl PoolState {
     /// VMs that the pool needs: for lasting work, for the short work that
     /// comes in, and for what waits.
@@ -110,17 +121,16 @@
             (jobs, work / window)
         });
         let [.., (jobs, longest)] = rates;
-        let trends = rates.iter().filter(|(jobs, _)| *jobs >= TREND_JOBS);
-        let risen = trends.map(|(_, rate)| *rate).max().unwrap_or(longest);
+        let certain = rates.iter().map(|(jobs, rate)| certain_rate(*jobs, *rate));
+        let risen = certain.max().unwrap_or(0).max(longest);
         self.fallen_rate(jobs, longest, now)
             .map_or(risen, |rate| rate.min(risen))
     }
 
     /// The rate of work after a fall, if fewer jobs came lately than chance explains.
     /// The longest window alone shows it only seconds after the end of a turn.
-    fn fallen_rate(&self, jobs: usize, rate: u64, now: Millis) -> Option<u64> {
+    fn fallen_rate(&self, jobs: u64, rate: u64, now: Millis) -> Option<u64> {
         let [.., longest] = ARRIVAL_WINDOWS_MS;
-        let jobs = u64::try_from(jobs).unwrap_or(0);
         let lately = self.arrivals.iter().filter(|(at, _)| at + FALL_MS > now);
         let lately = u64::try_from(lately.count()).unwrap_or(0);
         let likely_most = lately + FALL_SPREADS * lately.isqrt().max(1);
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 //! adviser, tasks that stand still.
 
 mod account;
+mod demand;
 mod order;
 mod outcomes;
 mod packing;
--- a/crates/hoisthitch-jobs/tests/decisions/packing.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/packing.rs
@@ -12,7 +12,6 @@
     ensure, //
 };
 use hoisthitch_jobs::{
-    NewJob,
     PoolState,
     RunnerKey,
     StartOrder,
@@ -30,11 +29,9 @@
 cases! {
     short_tasks_leave_other_vms_empty => packs();
     short_tasks_go_beside_lasting_ones => beside_lasting();
-    work_that_is_late_wants_fewer_vms => late_backlog();
     tasks_that_save_leave_a_vm_that_is_given => vacates(true, 4, 4);
     tasks_that_do_not_save_stay_to_their_end => vacates(false, 4, 0);
     tasks_stay_where_there_is_no_room_elsewhere => vacates(true, 1, 0);
-    end_of_a_turn_shows_within_a_second => falls();
 }
 
 fn runners_of(orders: &[StartOrder]) -> BTreeSet<RunnerKey> {
@@ -58,46 +55,6 @@
     Ok(())
 }
 
-/// Ten jobs a second come for four seconds, and then none.
-async fn falls() -> Result<()> {
-    let mut state = pool_of(4, 8);
-    for number in 0..40 {
-        let at = 1_000 + number * 100;
-        let id = format!("j{number}");
-        let job = NewJob {
-            accepted_at: at,
-            ..new_job(&id, vec![step(8)])
-        };
-        state.add_job(job, at);
-        state.cancel(&id, at);
-    }
-    let before = state.wanted_vms(5_000).steady;
-    let after = state.wanted_vms(6_000).steady;
-    ensure!(before >= 10, "{before} VMs in the turn");
-    ensure!(after * 3 <= before, "{after} of {before} VMs after it");
-    Ok(())
-}
-
-/// The same work waits in two pools; in one of them it can't be in time any more.
-async fn late_backlog() -> Result<()> {
-    let wanted = |accepted_at: u64| {
-        let mut state = pool_of(4, 8);
-        for number in 0..20 {
-            let job = NewJob {
-                accepted_at,
-                ..new_job(&format!("j{number}"), vec![step(8)])
-            };
-            state.add_job(job, 60_000);
-        }
-        state.begin_rounds(60_000, 0);
-        state.wanted_vms(60_000)
-    };
-    let (timely, late) = (wanted(60_000), wanted(50_000));
-    let (timely, late) = (timely.now - timely.steady, late.now - late.steady);
-    ensure!(late >= 1 && late * 3 <= timely, "{late} and {timely} VMs");
-    Ok(())
-}
-
 /// A VM with four tasks of two seconds each is given away: so many are stopped, to
 /// go on elsewhere.
 async fn vacates(checkpoints: bool, runners: u32, stopped: usize) -> Result<()> {
