Hand pools to nodes that started last

Cause: restarts in turn. Change: nodes record when they started; among those of one strain the last one goes first. Ruled out: sparing pools by leaving later, for the grace time is short. The test restarts whoever owns the pool next: 3 changes of owner before, 2 now.

--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -6,6 +6,7 @@
 //! election is a compare-and-swap, and its revision fences all orders.
 
 use std::{
+    cmp::Reverse,
     collections::{
         BTreeMap,
         BTreeSet, //
@@ -83,6 +84,10 @@
 /// milliseconds: nodes that are restarted in turn come each one to two seconds.
 const CALM_MS: Millis = 3_000;
 
+/// Time within which nodes that started count as started together, in milliseconds:
+/// all start within a third of a second, by clocks that differ.
+const START_MS: u64 = 2_000;
+
 /// Record of a node that is alive.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct MemberRecord {
@@ -93,6 +98,10 @@
     /// Processor time that the node has, in thousandths of a core.
     #[serde(default = "usual_power")]
     pub(crate) power: u64,
+    /// Time of day at which the node started, in milliseconds since 1970; zero where
+    /// it does not tell.
+    #[serde(default)]
+    pub(crate) started_ms: u64,
 }
 
 /// Power of a node that does not tell, in thousandths of a core.
@@ -299,14 +308,20 @@
         loads
     }
 
-    /// Living nodes in the order in which they should step in for a pool.
+    /// Living nodes in the order in which they should step in for a pool: the least
+    /// strained, and among those alike the one that started last. Nodes are restarted in
+    /// turn, and one that was not yet would hand the pool on again, which takes three
+    /// seconds where the store is slow.
     fn order(&self, pool: &str, loads: &BTreeMap<String, usize>) -> Vec<String> {
         let mut order: Vec<String> = self.members.keys().cloned().collect();
         order.sort_by_cached_key(|node| {
             let load = loads.get(node).copied().unwrap_or(0);
-            let power = self.members.get(node).map_or(1, |member| member.power);
+            let member = self.members.get(node);
+            let power = member.map_or(1, |member| member.power);
+            let started_ms = member.map_or(0, |member| member.started_ms);
             (
                 strain_of(load + 1, power),
+                Reverse(started_ms / START_MS),
                 hash_name(&format!("{pool}/{node}")),
             )
         });
@@ -328,9 +343,16 @@
 ) {
     let mut lease = None;
     let mut unanswered = 0;
+    let key = keys.member(&identity.node);
+    let record = MemberRecord {
+        life: identity.life,
+        hall: identity.hall.clone(),
+        power: identity.power,
+        started_ms: shared.clock.today_ms(),
+    };
     while !shared.is_stopping() {
         let sent = shared.clock.now();
-        match renew_if_heard(&store, &keys, &identity, lease, unanswered).await {
+        match renew_if_heard(&store, &key, &record, lease, unanswered).await {
             Ok(renewed) => {
                 shared.store.note_success(sent);
                 if unanswered > 0 || lease != renewed {
@@ -366,22 +388,22 @@
 /// has answered a read.
 async fn renew_if_heard<S: StoreClient>(
     store: &S,
-    keys: &JobKeys,
-    identity: &NodeIdentity,
+    key: &str,
+    record: &MemberRecord,
     lease: Option<LeaseId>,
     unanswered: u32,
 ) -> Result<Option<LeaseId>, StoreError> {
     if unanswered >= UNANSWERED_MOST {
-        store.read(&keys.member(&identity.node)).await?;
+        store.read(key).await?;
     }
-    renew(store, keys, identity, lease).await
+    renew(store, key, record, lease).await
 }
 
 /// Renews the lease, or makes a new one; none where it has just lapsed.
 async fn renew<S: StoreClient>(
     store: &S,
-    keys: &JobKeys,
-    identity: &NodeIdentity,
+    key: &str,
+    record: &MemberRecord,
     lease: Option<LeaseId>,
 ) -> Result<Option<LeaseId>, StoreError> {
     if let Some(lease) = lease
@@ -390,15 +412,10 @@
         return Ok(Some(lease));
     }
     let lease = store.grant_lease(MEMBER_TTL).await?;
-    let record = MemberRecord {
-        life: identity.life,
-        hall: identity.hall.clone(),
-        power: identity.power,
-    };
     let item = SwapItem {
-        key: keys.member(&identity.node),
+        key: key.to_owned(),
         expected: StoreRevision::ANY,
-        value: Some(encode(&record)),
+        value: Some(encode(record)),
         lease: Some(lease),
     };
     match store.swap_all(vec![item]).await? {
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -33,6 +33,7 @@
 
 mod drains;
 mod power;
+mod restarts;
 mod silent;
 mod waves;
 
