Tests: late starts of cancelled jobs end, also after their starter was removed

Five cases on the paused clock: the starter stays, is killed or removed, before the late start or beside it.

--- /dev/null
+++ b/crates/hoisthitch-scheduler/tests/ownership/cancels.rs
@@ -0,0 +1,84 @@
+//! Tasks of cancelled jobs that a runner starts late.
+//!
+//! An order that got no answer may be carried out seconds later, when its job was cancelled
+//! meanwhile, and the node that gave it may be gone. The run has to end all the same: three
+//! seconds after its start, the time after which a node counts as in touch, and the time of
+//! a stop later it must be gone.
+
+use eyre::{
+    Result,
+    ensure, //
+};
+
+use super::{
+    kept,
+    world::{
+        TestWorld,
+        lasting,
+        play,
+        sleep_ms, //
+    }, //
+};
+
+/// Time in which a late run has to be gone again, in milliseconds: three seconds, and nine
+/// tenths for the stop.
+const GONE_MS: u64 = 3_900;
+/// Time after which the runner carries a first order out that it does not answer, in
+/// milliseconds.
+const LATE_MS: u64 = 2_700;
+/// Time after the cancel in which stops get no answer either, in milliseconds: one that is
+/// answered keeps the late start from being carried out.
+const LOST_MS: u64 = 2_700;
+const TASKS: u32 = 4;
+const STEP_MS: u64 = 50;
+
+/// What becomes of the node that ordered the starts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StarterFate {
+    Stays,
+    /// Killed so long after the orders, in milliseconds, and never back.
+    Killed(u64),
+    /// Told to stop, and never back.
+    Removed(u64),
+}
+
+cases! {
+    late_start_of_a_cancelled_job_ends => ends_late(StarterFate::Stays);
+    late_start_by_a_node_killed_before_it_ends => ends_late(StarterFate::Killed(400));
+    late_start_by_a_node_killed_beside_it_ends => ends_late(StarterFate::Killed(2_700));
+    late_start_by_a_removed_node_ends => ends_late(StarterFate::Removed(400));
+    late_start_by_a_node_removed_beside_it_ends => ends_late(StarterFate::Removed(2_700));
+}
+
+async fn ends_late(fate: StarterFate) -> Result<()> {
+    let world = TestWorld::start(3, 5).await?;
+    let starter = world.owner();
+    world.fleet.set_late(1);
+    world.submit("long", lasting(TASKS, 1)).await?;
+    sleep_ms(200).await;
+    world.cancel("long").await?;
+    let fate_at = match fate {
+        StarterFate::Stays => LOST_MS,
+        StarterFate::Killed(after) | StarterFate::Removed(after) => after,
+    };
+    sleep_ms(fate_at).await;
+    match fate {
+        StarterFate::Stays => {}
+        StarterFate::Killed(_) => world.nodes[&starter].kill(),
+        StarterFate::Removed(_) => world.nodes[&starter].stop(),
+    }
+    sleep_ms(LOST_MS - fate_at).await;
+    world.fleet.set_late(0);
+    let mut ran_for = 0;
+    let mut ran = false;
+    for _ in 0..(LATE_MS + 3 * GONE_MS) / STEP_MS {
+        sleep_ms(STEP_MS).await;
+        let runs = !world.fleet.running().is_empty();
+        ran |= runs;
+        ran_for = if runs { ran_for + STEP_MS } else { 0 };
+        ensure!(ran_for <= GONE_MS, "a cancelled job runs for {ran_for} ms");
+    }
+    ensure!(ran || fate_at < LOST_MS, "no order was carried out late");
+    ensure!(world.fleet.running().is_empty());
+    kept(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -31,6 +31,7 @@
     };
 }
 
+mod cancels;
 mod drains;
 mod power;
 mod restarts;
