Keep the work that comes in in a room of its own

demand.rs held the log of arrivals, its windows, rises and falls beside the pool's needs; they are ArrivalLog now, as before in behaviour.

--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -13,22 +13,6 @@
 /// waits for a VM is late.
 const HEADROOM_PERCENT: u64 = 130;
 
-/// Times over which the work that comes in is averaged, in milliseconds. Short ones
-/// count as far as chance does not explain their jobs, so that the begin of a turn shows
-/// after some of them: 2 in 100 more of what is owed where demand goes from pool to pool
-/// (40 plays, docs/decisions.md).
-const ARRIVAL_WINDOWS_MS: [Millis; 5] = [250, 500, 1_000, 2_000, 4_000];
-
-/// Time over which a fall of the work that comes in is looked at, in milliseconds.
-const FALL_MS: Millis = 1_000;
-
-/// Standard deviations of the number of jobs within which a smaller number may be
-/// chance.
-const FALL_SPREADS: u64 = 2;
-
-/// Jobs whose mean is taken as it is: that of as many is off by a third or so.
-const TREND_JOBS: u64 = 10;
-
 /// Time beside the work itself within which work that waits is to be done, in
 /// milliseconds; objectives leave about as much.
 const BACKLOG_MS: Millis = 1_500;
@@ -72,15 +56,6 @@
     spread: u32,
 }
 
-/// The rate of work that chance alone does not explain: that of as many jobs less
-/// one standard deviation.
-fn certain_rate(jobs: u64, rate: u64) -> u64 {
-    if jobs >= TREND_JOBS {
-        return rate;
-    }
-    rate * jobs.saturating_sub(jobs.isqrt() + 1) / jobs.max(1)
-}
-
 impl PoolState {
     /// VMs that the pool needs: for lasting work, for the short work that
     /// comes in, and for what waits.
@@ -93,7 +68,7 @@
                 self.add_demand(&mut sums, job, now);
             }
         }
-        let arriving = self.arriving_cores(now) * HEADROOM_PERCENT / 100;
+        let arriving = self.arrivals.rate(now) * HEADROOM_PERCENT / 100;
         let steady = sums.running.max(arriving);
         let cores = steady + sums.lasting;
         let capacity = self
@@ -113,32 +88,6 @@
         }
     }
 
-    /// Work that comes in, in thousandths of a core.
-    fn arriving_cores(&self, now: Millis) -> u64 {
-        let rates = ARRIVAL_WINDOWS_MS.map(|window| {
-            let recent = self.arrivals.iter();
-            let recent = recent.filter(|(at, _)| at + window > now);
-            let (jobs, work) = recent.fold((0, 0), |(jobs, sum), (_, work)| (jobs + 1, sum + work));
-            (jobs, work / window)
-        });
-        let [.., (jobs, longest)] = rates;
-        let certain = rates.iter().map(|(jobs, rate)| certain_rate(*jobs, *rate));
-        let risen = certain.max().unwrap_or(0).max(longest);
-        self.fallen_rate(jobs, longest, now)
-            .map_or(risen, |rate| rate.min(risen))
-    }
-
-    /// The rate of work after a fall, if fewer jobs came lately than chance explains.
-    /// The longest window alone shows it only seconds after the end of a turn.
-    fn fallen_rate(&self, jobs: u64, rate: u64, now: Millis) -> Option<u64> {
-        let [.., longest] = ARRIVAL_WINDOWS_MS;
-        let lately = self.arrivals.iter().filter(|(at, _)| at + FALL_MS > now);
-        let lately = u64::try_from(lately.count()).unwrap_or(0);
-        let likely_most = lately + FALL_SPREADS * lately.isqrt().max(1);
-        let usual = jobs * FALL_MS / longest;
-        (likely_most < usual).then(|| rate * likely_most / usual)
-    }
-
     fn add_demand(&self, sums: &mut DemandSums, job: &JobEntry, now: Millis) {
         let time = self.task_time(&job.queue);
         let late = self.latest_start(job) < now;
@@ -196,10 +145,7 @@
         let time = self.task_time(&job.queue);
         let steps = job.spec.steps.iter().filter(|step| !step.lasting);
         let work = steps.map(|step| u64::from(step.count) * step.need.cpu_milli * time);
-        let work = work.sum();
-        let [.., longest] = ARRIVAL_WINDOWS_MS;
-        self.arrivals.retain(|(at, _)| at + longest > now);
-        self.arrivals.push((at, work));
+        self.arrivals.note(at, work.sum(), now);
     }
 
     /// VMs of the pool's runners.
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod advice;
+mod arrivals;
 mod balance;
 mod demand;
 mod drain;
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -8,6 +8,7 @@
     Millis,
     account::EndedJob,
     advice::StepAdvice,
+    arrivals::ArrivalLog,
     job::{
         JobEntry,
         JobKey, //
@@ -73,8 +74,8 @@
     pub(crate) advice: HashMap<(JobKey, u32, u32), StepAdvice>,
     /// Jobs that ended and were not taken yet.
     pub(crate) ended_jobs: Vec<EndedJob>,
-    /// Work that came in of late, in thousandths of a core times milliseconds.
-    pub(crate) arrivals: Vec<(Millis, u64)>,
+    /// Work that came in of late.
+    pub(crate) arrivals: ArrivalLog,
 }
 
 impl PoolState {
