--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -145,7 +145,12 @@
 
 impl GroupView {
     /// Takes in a change.
-    pub(crate) fn take(&mut self, keys: &JobKeys, change: FollowEvent) {
+    pub(crate) fn take(&mut self, keys: &JobKeys, change: FollowEvent, now: Millis) {
+        self.take_change(keys, change);
+        self.note_members(now);
+    }
+
+    fn take_change(&mut self, keys: &JobKeys, change: FollowEvent) {
         match change {
             FollowEvent::All(values) => {
                 self.members.clear();
@@ -202,7 +207,6 @@
         quiet_since: Millis,
         now: Millis,
     ) -> Vec<(String, StoreRevision)> {
-        self.note_members(now);
         let vacant: Vec<&String> = pools
             .iter()
             .filter(|pool| !running.contains(*pool))
@@ -236,15 +240,20 @@
         wanted
     }
 
+    /// Notes when the members last changed.
     fn note_members(&mut self, now: Millis) {
+        let lives = self
+            .members
+            .iter()
+            .map(|(node, member)| (node, member.life));
+        if lives.eq(self.lives.iter().map(|(node, life)| (node, *life))) {
+            return;
+        }
         let members = self.members.iter();
-        let lives: BTreeMap<String, u64> = members
+        self.lives = members
             .map(|(node, member)| (node.clone(), member.life))
             .collect();
-        if self.lives != lives {
-            self.lives = lives;
-            self.same_since = now;
-        }
+        self.same_since = now;
     }
 
     /// A pool of this node that it should leave to another one, if the group was
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -124,14 +124,13 @@
             }
             Some(change) = next_change(&mut runners) => control.take_runners(change),
             Some(change) = changes.recv() => {
-                group.take(&control.keys, change);
+                group.take(&control.keys, change, control.shared.clock.now());
                 regroup = true;
             }
             Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
-            _ = tick.tick() => {}
+            _ = tick.tick() => control.relieve(&group),
         }
         control.elect(&mut group);
-        control.relieve(&group);
         if regroup {
             let pools = control.fleet.borrow().pools.clone();
             stands_by = group.stands_by(&pools, &control.identity.node);
