--- a/crates/hoisthitch-jobs/src/drain.rs
+++ b/crates/hoisthitch-jobs/src/drain.rs
@@ -56,10 +56,9 @@
         let (Some(step), Some(entry)) = (job.step_of(task.slot), job.tasks.get(task.slot)) else {
             return false;
         };
-        let alike = job.tasks.iter().enumerate().filter(|(slot, other)| {
-            *slot != task.slot && other.round == entry.round && other.step == entry.step
-        });
-        let away = alike.filter(|(_, other)| !self.stays_at_work(other));
+        let others = job.tasks_of(entry.round, entry.step);
+        let others = others.filter(|(slot, _)| *slot != task.slot);
+        let away = others.filter(|(_, other)| !self.stays_at_work(other));
         u32::try_from(away.count()).is_ok_and(|away| away < step.may_miss.max(1))
     }
 
--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -101,6 +101,16 @@
         self.spec.steps.get(usize::try_from(task.step).ok()?)
     }
 
+    /// Tasks of a step, with their numbers in the list.
+    pub(crate) fn tasks_of(
+        &self,
+        round: u32,
+        step: u32,
+    ) -> impl Iterator<Item = (usize, &TaskEntry)> {
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter(move |(_, task)| task.round == round && task.step == step)
+    }
+
     /// Number of a task in the list.
     pub fn slot_of(&self, name: &TaskName) -> Option<usize> {
         let before: u32 = self
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -113,11 +113,8 @@
             let Some(spec) = spec.filter(|spec| spec.lasting) else {
                 return true;
             };
-            let away = job
-                .tasks
-                .iter()
-                .enumerate()
-                .filter(|(_, task)| task.round == round && task.step == step)
+            let tasks = job.tasks_of(round, step);
+            let away = tasks
                 .filter(|(slot, task)| slots.contains(slot) || !self.is_at_work(task))
                 .count();
             job.phase.is_final() || u32::try_from(away).is_ok_and(|away| away <= spec.may_miss)
--- a/crates/hoisthitch-jobs/src/vacate.rs
+++ b/crates/hoisthitch-jobs/src/vacate.rs
@@ -4,7 +4,8 @@
 //! was. That costs its job the stop and a start, and brings the VM the time that
 //! the task would have run on: 1 in 100 more of what is owed where demand goes from
 //! pool to pool (40 plays, docs/decisions.md). Tasks for which no room is free
-//! elsewhere stay, and so do those that would begin anew.
+//! elsewhere stay, unless their job is late anyway, and so do those that would begin
+//! anew.
 
 use crate::{
     Millis,
