--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -70,6 +70,8 @@
     },
     /// The owner took a cancel in.
     Cancelled,
+    /// A job ended, and where its time went.
+    Ended,
     /// The owner can't read the job.
     Unreadable,
     /// A start was sent to a runner.
@@ -321,6 +323,7 @@
         "cancel_unknown" => EventKind::CancelUnknown,
         "status_unknown" => EventKind::StatusUnknown,
         "job_cancelled" => EventKind::Cancelled,
+        "job_ended" => EventKind::Ended,
         "job_unreadable" | "progress_unreadable" => EventKind::Unreadable,
         "start_not_sent" => EventKind::StartDropped,
         "task_paced" => EventKind::Paced,
@@ -359,6 +362,7 @@
         | "status_unknown"
         | "job_taken"
         | "job_cancelled"
+        | "job_ended"
         | "job_unreadable"
         | "progress_unreadable" => EventSubject::Job(line.owned("job")?),
         "task_ordered" | "task_stopped" | "task_paced" | "start_not_sent" => {
--- a/crates/hoisthitch-cli/src/story/window.rs
+++ b/crates/hoisthitch-cli/src/story/window.rs
@@ -102,7 +102,10 @@
     kinds.any(|kind| {
         matches!(
             kind,
-            EventKind::Taken { .. } | EventKind::Ordered { .. } | EventKind::Cancelled
+            EventKind::Taken { .. }
+                | EventKind::Ordered { .. }
+                | EventKind::Cancelled
+                | EventKind::Ended
         )
     })
 }
--- a/crates/hoisthitch-cli/src/story/words.rs
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -15,6 +15,7 @@
         EventKind::StatusUnknown => "state could not be read",
         EventKind::Taken { .. } => "taken in by the pool's owner",
         EventKind::Cancelled => "cancelled by the pool's owner",
+        EventKind::Ended => "ended; this is where its time went",
         EventKind::Unreadable => "record could not be read",
         EventKind::Ordered { outcome, .. } => ordered(*outcome),
         EventKind::StartDropped => "start not sent: it waited too long",
--- a/crates/hoisthitch-tests/tests/explain.rs
+++ b/crates/hoisthitch-tests/tests/explain.rs
@@ -36,6 +36,7 @@
     runs_that_fail_on_one_runner_point_at_it => failing_runner();
     runs_that_fail_on_several_runners_point_at_the_job => failing_job();
     cancelled_job_says_so => cancelled();
+    ended_job_shows_where_its_time_went => ended();
     job_that_began_before_the_logs_is_not_late => begun_before();
     lines_of_others_stay_out => others_stay_out();
     lines_of_all_nodes_go_by_time => ordered_by_time();
@@ -121,6 +122,18 @@
     Ok(run.text)
 }
 
+/// A job that ended late, after it had waited for room.
+async fn ended() -> Result<()> {
+    let event = format!(
+        "job_ended job={JOB} queue=q pool=p phase=Completed took_ms=4000 objective_ms=2000 \
+         taking_ms=20 waiting_ms=3000 ordering_ms=30 running_ms=950 reruns=0"
+    );
+    let log = begun() + &line(9_000, "node-2", &event);
+    let wanted = ["ended; this is where its time went", "waiting_ms=3000"];
+    check("ended", &log, &wanted).await?;
+    Ok(())
+}
+
 async fn refused_store_lost() -> Result<()> {
     let log = [
         line(
