--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -19,8 +19,9 @@
 
 /// The same for jobs that can't be in time any more, and for what runs of those that
 /// were not, in milliseconds: VMs go to pools whose jobs can, which earn some fourteen
-/// times as much. It buys 1 in 100 of what is owed for what waits, and another for what
-/// runs (40 plays each, docs/decisions.md).
+/// times as much. With the falls that [`crate::arrivals`] sees it buys 2 in 100 of what is
+/// owed, and 10 where pools have two hundred VMs; each of the two stands in for the
+/// other (50 plays, docs/decisions.md).
 const LATE_BACKLOG_MS: Millis = 10_000;
 
 /// Time of a task of a queue that none is known of, in milliseconds.
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -21,9 +21,8 @@
 const TOGETHER_COST: f64 = 4.0;
 
 /// What a task costs on a runner without lasting ones: lasting tasks stay together,
-/// short ones go beside them, and other runners can leave the pool. The latter
-/// buys about 1 in 100 of what is owed where demand goes from pool to pool (40 plays,
-/// docs/decisions.md).
+/// short ones go beside them, and other runners can leave the pool. The latter buys
+/// less than 1 in 100 of what is owed, within chance (80 plays, docs/decisions.md).
 const APART_COST: f64 = 1.0;
 
 /// What each filler beside a serving task costs, in shares of a runner's load:
@@ -99,8 +98,8 @@
             .is_some_and(|rack| *rack != runner.facts.rack);
         let load = runner.load_with(step);
         // Short tasks are packed, so that other VMs are empty when a pool needs
-        // them: 4 in 100 more of what is owed is earned where demand goes from
-        // pool to pool, 1 to 3 elsewhere (40 and 30 plays, docs/decisions.md).
+        // them: 1 to 4 in 100 more of what is owed is earned (70 plays before what
+        // else empties VMs, 40 after, docs/decisions.md).
         let mut cost = if step.lasting { load } else { 1.0 - load };
         if far {
             cost += FAR_COST;
