Read the change once more: one piece of code where two or more stood

Now in one place: - a task that could run and has no runner (JobEntry::waits_for_runner: account, demand, plan); - a task that runs (TaskEntry::is_running: leaving runners, moves of tasks, pace, reports); - the tasks of a step (JobEntry::tasks_of now also for gangs and advisers); - when a job is due (due_at, of which latest start and missed both count); - the end of a contract's job (finish stood three times in the tests of contracts); - starts of a job in the cases of packing. Less work: the longest window of arrivals was summed twice in each look; its part that chance does not explain is never above its mean, so it left the short windows. The limit usize::MAX that meant "nobody lacks" is an Option.

--- a/crates/hoisthitch-jobs/src/account.rs
+++ b/crates/hoisthitch-jobs/src/account.rs
@@ -86,12 +86,14 @@
     fn time_use(&self) -> TimeUse {
         let mut held = TimeUse::Running;
         for (slot, task) in self.tasks.iter().enumerate() {
-            match task.place {
-                TaskPlace::Waiting if self.is_ready(slot) => return TimeUse::Waiting,
-                TaskPlace::Planned(_) | TaskPlace::Ordered(_) | TaskPlace::Unlocated { .. } => {
-                    held = TimeUse::Ordering;
-                }
-                _ => {}
+            if self.waits_for_runner(slot) {
+                return TimeUse::Waiting;
+            }
+            if matches!(
+                task.place,
+                TaskPlace::Planned(_) | TaskPlace::Ordered(_) | TaskPlace::Unlocated { .. }
+            ) {
+                held = TimeUse::Ordering;
             }
         }
         held
--- a/crates/hoisthitch-jobs/src/advice.rs
+++ b/crates/hoisthitch-jobs/src/advice.rs
@@ -109,13 +109,11 @@
             let advice = self.advice.get(&(task.job, entry.round, entry.step));
             advice.is_none_or(|advice| advice.asked_at + ASK_AGAIN_MS <= now)
         })?;
-        let tasks = self.jobs.get(task.job)?.tasks.iter().enumerate();
-        let waiting = tasks
-            .filter(|(_, other)| other.step == entry.step && other.round == entry.round)
-            .filter(|(slot, other)| {
-                let job = task.job;
-                self.needs_leave(TaskRef { job, slot: *slot }, other)
-            });
+        let tasks = self.jobs.get(task.job)?.tasks_of(entry.round, entry.step);
+        let waiting = tasks.filter(|(slot, other)| {
+            let job = task.job;
+            self.needs_leave(TaskRef { job, slot: *slot }, other)
+        });
         Some((task, waiting.count()))
     }
 
--- a/crates/hoisthitch-jobs/src/arrivals.rs
+++ b/crates/hoisthitch-jobs/src/arrivals.rs
@@ -5,13 +5,13 @@
 
 use crate::Millis;
 
-/// Times over which the work that comes in is averaged, in milliseconds. Short ones
+/// Short times over which the work that comes in is averaged, in milliseconds. They
 /// count as far as chance does not explain their jobs, so that the begin of a turn shows
 /// after some of them: 2 in 100 more of what is owed where demand goes from pool to pool
 /// (40 plays, docs/decisions.md).
-const WINDOWS_MS: [Millis; 5] = [250, 500, 1_000, 2_000, LONGEST_MS];
+const WINDOWS_MS: [Millis; 4] = [250, 500, 1_000, 2_000];
 
-/// The longest of them.
+/// The longest time over which it is averaged, which counts in full.
 const LONGEST_MS: Millis = 4_000;
 
 /// Time over which a fall of the work that comes in is looked at, in milliseconds.
--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -107,32 +107,32 @@
         &mut moves,
         |pool| to_usize(pool.share.want).max(floor),
         |pool| pool.needed().max(floor),
-        floor,
+        Some(floor),
     );
     fill(
         &mut levels,
         &mut moves,
         |_| level,
         |pool| pool.needed().max(level),
-        usize::MAX,
+        None,
     );
     moves
 }
 
 /// Gives one VM after the other to the pool that has the smallest part of what is
 /// wanted, so that none takes all. VMs that are off are given first, then those
-/// of the pool with the most to spare, then, above `least`, those of pools that lack
-/// far less than the taker.
+/// of the pool with the most to spare, then, where `least` tells what a pool keeps then,
+/// those of pools that lack far less than the taker.
 fn fill(
     levels: &mut [PoolLevel<'_>],
     moves: &mut Vec<PoolMove>,
     wanted: impl Fn(&PoolLevel<'_>) -> usize,
     kept: impl Fn(&PoolLevel<'_>) -> usize,
-    least: usize,
+    least: Option<usize>,
 ) {
     while let Some(to) = most_lacking(levels, &wanted) {
-        let from = most_spare(levels, &kept);
-        let Some(from) = from.or_else(|| least_lacking(levels, to, &wanted, least)) else {
+        let lacking = || least_lacking(levels, to, &wanted, least?);
+        let Some(from) = most_spare(levels, &kept).or_else(lacking) else {
             return;
         };
         add_move(moves, levels[from].name, levels[to].name);
--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -4,8 +4,7 @@
     Millis,
     job::JobEntry,
     pool::PoolState,
-    runner::RunnerKey,
-    task::TaskPlace, //
+    runner::RunnerKey, //
 };
 
 /// Room wanted for each core of work that comes in, in percent: a VM-second
@@ -104,7 +103,7 @@
             };
             let cpu = step.need.cpu_milli;
             let runs = task.runner().is_some();
-            let waits = task.place == TaskPlace::Waiting && job.is_ready(slot);
+            let waits = job.waits_for_runner(slot);
             match (step.lasting, runs, waits) {
                 (true, true, _) | (true, _, true) => sums.lasting += cpu,
                 (false, true, _) if missed => sums.backlog += cpu * time / (wait + time),
@@ -115,11 +114,6 @@
         }
     }
 
-    /// Whether the job was not done in time.
-    pub(crate) fn is_missed(&self, job: &JobEntry, now: Millis) -> bool {
-        job.accepted_at + job.objective(self.task_time(&job.queue)) < now
-    }
-
     /// Mean time of a queue's tasks, as seen so far.
     pub(crate) fn task_time(&self, queue: &str) -> Millis {
         self.task_times.get(queue).copied().unwrap_or(USUAL_TASK_MS)
--- a/crates/hoisthitch-jobs/src/drain.rs
+++ b/crates/hoisthitch-jobs/src/drain.rs
@@ -28,7 +28,7 @@
         }
         let mut moving = self.tasks_to_place();
         for task in leaving {
-            let runs = self.task(task).is_some_and(is_running);
+            let runs = self.task(task).is_some_and(TaskEntry::is_running);
             // Each task on its way may take the whole room of a runner.
             if runs && self.can_be_missed(task) && self.rooms(task, now) > moving {
                 self.stop_task(task, now);
@@ -69,7 +69,3 @@
         self.is_at_work(entry) && runner.is_some_and(|runner| !runner.leaving)
     }
 }
-
-fn is_running(entry: &TaskEntry) -> bool {
-    matches!(entry.place, TaskPlace::Running(_))
-}
--- a/crates/hoisthitch-jobs/src/gang.rs
+++ b/crates/hoisthitch-jobs/src/gang.rs
@@ -30,9 +30,7 @@
         let Some(entry) = job.tasks.get(task.slot) else {
             return Vec::new();
         };
-        let tasks = job.tasks.iter().enumerate();
-        tasks
-            .filter(|(_, other)| other.step == entry.step && other.round == entry.round)
+        job.tasks_of(entry.round, entry.step)
             .map(|(slot, _)| TaskRef {
                 job: task.job,
                 slot,
--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -153,6 +153,12 @@
             .all(|after| self.open_tasks(task.round, *after) == 0)
     }
 
+    /// Whether a task could run and has no runner.
+    pub(crate) fn waits_for_runner(&self, slot: usize) -> bool {
+        let task = self.tasks.get(slot);
+        task.is_some_and(|task| task.place == TaskPlace::Waiting) && self.is_ready(slot)
+    }
+
     /// Tasks of a step that are not done.
     pub fn open_tasks(&self, round: u32, step: u32) -> u32 {
         self.open_index(round, step)
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -135,7 +135,7 @@
         }
         let entry = self.task_mut(task)?;
         entry.moved_at = entry.moved_at.max(moved_at);
-        if row.percent >= 100 && matches!(entry.place, TaskPlace::Running(_)) {
+        if row.percent >= 100 && entry.is_running() {
             entry.away_since = None;
         }
         if job_ended {
--- a/crates/hoisthitch-jobs/src/pace.rs
+++ b/crates/hoisthitch-jobs/src/pace.rs
@@ -9,8 +9,8 @@
     pool::PoolState,
     runner::RunnerKey,
     task::{
+        TaskEntry,
         TaskName,
-        TaskPlace,
         TaskRef, //
     }, //
 };
@@ -83,7 +83,7 @@
     fn strain(&self, task: TaskRef) -> Option<u64> {
         let step = self.jobs.get(task.job)?.step_of(task.slot)?;
         let entry = self.task(task)?;
-        let serving = step.target_ms > 0 && matches!(entry.place, TaskPlace::Running(_));
+        let serving = step.target_ms > 0 && entry.is_running();
         serving.then(|| entry.load * 100 / step.target_ms)
     }
 
@@ -92,9 +92,7 @@
             .jobs
             .get(task.job)
             .and_then(|job| job.step_of(task.slot));
-        let running = self
-            .task(task)
-            .is_some_and(|entry| matches!(entry.place, TaskPlace::Running(_)));
+        let running = self.task(task).is_some_and(TaskEntry::is_running);
         running && step.is_some_and(|step| step.filler)
     }
 
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -100,7 +100,7 @@
             .tasks
             .iter()
             .enumerate()
-            .filter(|(slot, task)| task.place == TaskPlace::Waiting && job.is_ready(*slot))
+            .filter(|(slot, _)| job.waits_for_runner(*slot))
             .map(|(slot, _)| TaskRef { job: key, slot })
             .collect();
         let mut planned = self.plan_gangs(key, now);
--- a/crates/hoisthitch-jobs/src/rank.rs
+++ b/crates/hoisthitch-jobs/src/rank.rs
@@ -76,7 +76,6 @@
     /// that its queue's tasks take.
     pub(crate) fn latest_start(&self, job: &JobEntry) -> Millis {
         let time = self.task_time(&job.queue);
-        let objective = job.objective(time);
         let left = job.spec.chain_of(|step| {
             let round = job.rounds_begun().saturating_sub(1);
             if job.open_tasks(round, step) > 0 {
@@ -85,7 +84,17 @@
                 0
             }
         });
-        (job.accepted_at + objective).saturating_sub(left + ANSWER_MS)
+        self.due_at(job).saturating_sub(left + ANSWER_MS)
+    }
+
+    /// When a job has to be done to be in time.
+    fn due_at(&self, job: &JobEntry) -> Millis {
+        job.accepted_at + job.objective(self.task_time(&job.queue))
+    }
+
+    /// Whether a job that has not ended is not in time any more.
+    pub(crate) fn is_missed(&self, job: &JobEntry, now: Millis) -> bool {
+        self.due_at(job) < now
     }
 }
 
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Whether its runner said that it runs.
+    pub(crate) fn is_running(&self) -> bool {
+        matches!(self.place, TaskPlace::Running(_))
+    }
+
     /// Whether the task is done.
     pub fn is_done(&self) -> bool {
         self.place == TaskPlace::Done
--- a/crates/hoisthitch-jobs/src/vacate.rs
+++ b/crates/hoisthitch-jobs/src/vacate.rs
@@ -67,8 +67,8 @@
         let (Some(step), Some(entry)) = (job.step_of(task.slot), job.tasks.get(task.slot)) else {
             return false;
         };
-        let runs = matches!(entry.place, TaskPlace::Running(_));
-        runs && step.checkpoints
+        entry.is_running()
+            && step.checkpoints
             && !step.lasting
             && !step.gang
             && time_left(entry, self.expected_time(job), now) > LEFT_MS
--- a/crates/hoisthitch-jobs/tests/decisions/packing.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/packing.rs
@@ -45,8 +45,7 @@
     let mut state = pool_of(4, 8);
     let mut used = BTreeSet::new();
     for id in ["a", "b", "c", "d"] {
-        state.add_job(new_job(id, vec![step(2)]), 1_000);
-        used.extend(runners_of(&start_all(&mut state, 1_000)));
+        used.extend(runners_of(&start_all_of(&mut state, id, step(2))));
     }
     ensure!(used.len() == 1, "{} VMs are used", used.len());
     let spare = state.spare_runners(10_000, 4);
@@ -65,8 +64,7 @@
         estimate_ms: 2_000,
         ..step(4)
     };
-    state.add_job(new_job("a", vec![work]), 1_000);
-    let orders = start_all(&mut state, 1_000);
+    let orders = start_all_of(&mut state, "a", work);
     let runner = orders.first().ok_or_eyre("nothing was started")?.runner;
     state.vacate(runner, 1_100);
     ensure!(state.take_stops().is_empty(), "it does not leave yet");
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -141,7 +141,7 @@
     pub(crate) missing: BTreeMap<String, Millis>,
     record: ShareRecord,
     revision: StoreRevision,
-    /// What the pool wanted in the last seconds.
+    /// What the pool wanted in the last second.
     wants: WantHistory,
     /// VMs that orders were given about, and when.
     ordered: BTreeMap<String, Millis>,
--- a/crates/hoisthitch-scheduler/tests/contracts/advice.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/advice.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    finish,
     kept,
     ran_once,
     trace,
@@ -65,13 +66,6 @@
     world.submit_to(&advised_queue(), "j", spec.clone()).await
 }
 
-/// Waits for the end of the job; it ran once, where there was leave.
-async fn finish(world: &TestWorld, spec: &JobSpec, limit_ms: u64) -> Result<()> {
-    world.wait_phase("j", JobPhase::Completed, limit_ms).await?;
-    ran_once(world, "j", spec)?;
-    kept(world)
-}
-
 async fn starts_with_leave() -> Result<()> {
     let (world, adviser) = advised_world().await?;
     let spec = job("work 300", &[20]);
--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -11,7 +11,10 @@
     Result,
     ensure, //
 };
-use hoisthitch_jobs::JobSpec;
+use hoisthitch_jobs::{
+    JobPhase,
+    JobSpec, //
+};
 use world::{
     DRAINING,
     LABELLED,
@@ -66,6 +69,13 @@
     Ok(())
 }
 
+/// Waits for the end of the job `j`, and checks that all of it ran once.
+async fn finish(world: &TestWorld, spec: &JobSpec, limit_ms: u64) -> Result<()> {
+    world.wait_phase("j", JobPhase::Completed, limit_ms).await?;
+    ran_once(world, "j", spec)?;
+    kept(world)
+}
+
 /// Starts of each run of a job's tasks, by runner: what the trace of a failure
 /// needs.
 fn trace(world: &TestWorld, id: &str) -> BTreeMap<u64, Vec<String>> {
--- a/crates/hoisthitch-scheduler/tests/contracts/order.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/order.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
+    finish,
     kept,
-    ran_once,
     trace,
     world::{
         TestWorld,
@@ -58,13 +58,6 @@
     spec
 }
 
-/// Waits for the end of a job, and checks that all of it ran once.
-async fn finish(world: &TestWorld, spec: &JobSpec, limit_ms: u64) -> Result<()> {
-    world.wait_phase("j", JobPhase::Completed, limit_ms).await?;
-    ran_once(world, "j", spec)?;
-    kept(world)
-}
-
 /// Nothing is wrong: every time begins when it is due.
 async fn runs_times() -> Result<()> {
     let world = TestWorld::start(3, 4).await?;
--- a/crates/hoisthitch-scheduler/tests/contracts/route.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/route.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
+    finish,
     kept,
-    ran_once,
     trace,
     world::{
         TestWorld,
@@ -65,12 +65,6 @@
     spec
 }
 
-async fn finish(world: &TestWorld, spec: &JobSpec, limit_ms: u64) -> Result<()> {
-    world.wait_phase("j", JobPhase::Completed, limit_ms).await?;
-    ran_once(world, "j", spec)?;
-    kept(world)
-}
-
 /// More tasks than the kind has room for, beside idle runners of the other.
 async fn runs_labelled() -> Result<()> {
     let world = kinds().await?;
