--- a/crates/hoisthitch-scheduler/tests/ownership/waves.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/waves.rs
@@ -1,10 +1,13 @@
 //! Waves: VMs go down one after the other, and no lasting step loses more tasks
 //! than it may.
 
+use std::time::Duration;
+
 use eyre::{
     Result,
     ensure, //
 };
+use hoisthitch_tests::world::StoreFaults;
 
 use crate::{
     kept,
@@ -26,6 +29,9 @@
     vm_that_went_down_is_not_counted => counts_down();
     crash_before_the_upkeep_is_no_upkeep => crash_is_no_upkeep();
     owners_that_follow_one_another_take_no_turns_about_a_vm => takes_no_turns();
+    owners_that_collide_on_a_wave_order_each_vm_once => orders_once();
+    wave_of_a_large_pool_is_in_time_though_the_store_is_slow => is_in_time();
+    moves_of_a_pool_do_not_wait_for_its_wave => looks_beside_wave();
 }
 
 async fn wave(world: &TestWorld, vms: usize, limit_ms: u64) -> Result<()> {
@@ -219,3 +225,94 @@
     wave(&world, 1, 20_000).await?;
     kept(&world)
 }
+
+/// Seen on a fleet of 1,100 VMs whose five owners share a wave's record: one VM was
+/// ordered down 31 times by one owner, once a second. The write that notes that the
+/// platform has confirmed an upkeep met another owner's, and what it had to say was
+/// dropped. Logs of that owner show `upkeep_ordered` without a `wave_written` after it,
+/// and none of it where one owner had the record for itself. Here another owner's
+/// writes come every few milliseconds.
+async fn orders_once() -> Result<()> {
+    let world = TestWorld::start(2, 12).await?;
+    sleep_ms(2_000).await;
+    let own: Vec<String> = (0..12).map(|vm| format!("vm-{vm}")).collect();
+    let others: Vec<String> = (0..400).map(|vm| format!("other-{vm}")).collect();
+    let order = format!("4:{},{}", own.join(","), others.join(","));
+    world.store.put("op/wave/1", Some(order.as_bytes()), 0);
+    for other in &others {
+        sleep_ms(7).await;
+        world.revive();
+        note_done(&world, other)?;
+    }
+    for _ in 0..100 {
+        sleep_ms(100).await;
+        world.revive();
+    }
+    let most = world.fleet.most_upkeep_orders();
+    ensure!(most == 1, "a VM was ordered down {most} times");
+    ensure!(world.fleet.upkeeps().0 == 12, "{:?}", world.fleet.upkeeps());
+    kept(&world)
+}
+
+/// Notes in a wave's record that another pool's VM had its upkeep.
+fn note_done(world: &TestWorld, vm: &str) -> Result<()> {
+    let Some(record) = world.store.get("test/wave/1") else {
+        return Ok(());
+    };
+    let mut record: serde_json::Value = serde_json::from_slice(&record)?;
+    if let Some(done) = record["done"].as_array_mut() {
+        done.push(vm.into());
+    }
+    let record = serde_json::to_vec(&record)?;
+    world.store.put("test/wave/1", Some(&record), 0);
+    Ok(())
+}
+
+/// A pool with half of its VMs due in 26 s, a fifth of them at once, while each
+/// call to the store takes a quarter of a second: as on a large fleet, but smaller.
+async fn is_in_time() -> Result<()> {
+    let world = TestWorld::start(2, 80).await?;
+    sleep_ms(2_000).await;
+    let list: Vec<String> = (0..42).map(|vm| format!("vm-{vm}")).collect();
+    world.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(250),
+        ..StoreFaults::default()
+    });
+    let order = format!("16:{}", list.join(","));
+    world.store.put("op/wave/1", Some(order.as_bytes()), 0);
+    for tenth in 0..260 {
+        sleep_ms(100).await;
+        world.revive();
+        if world.store.get("status/wave/1").as_deref() == Some(b"completed") {
+            let (vms, most) = world.fleet.upkeeps();
+            ensure!(vms == 42 && most <= 16, "{vms}, {most}, {tenth} tenths");
+            return kept(&world);
+        }
+    }
+    eyre::bail!("{} upkeeps in 26 s", world.fleet.upkeeps().0)
+}
+
+/// Seen on the same fleet: an owner looked at its pool's needs each six seconds while a
+/// wave was under way, for moves waited in one loop for the upkeeps' calls; 788 VMs
+/// stayed where 112 were needed. Here each order for upkeep is under way for long, and
+/// what the pool publishes has to follow its runners all the same.
+async fn looks_beside_wave() -> Result<()> {
+    let world = TestWorld::start(2, 40).await?;
+    sleep_ms(3_000).await;
+    world.fleet.slow_vm_orders(Duration::from_millis(800));
+    let list: Vec<String> = (0..30).map(|vm| format!("vm-{vm}")).collect();
+    let order = format!("30:{}", list.join(","));
+    world.store.put("op/wave/1", Some(order.as_bytes()), 0);
+    sleep_ms(1_000).await;
+    for vm in 100..110 {
+        let vm = format!("vm-{vm}");
+        world.begin_runner(&vm);
+        sleep_ms(1_000).await;
+        world.revive();
+        let share = world.store.get("test/share/halls").unwrap_or_default();
+        let share: serde_json::Value = serde_json::from_slice(&share)?;
+        let vms = share["share"]["vms"].to_string();
+        ensure!(vms.contains(&vm), "{vm} is not told of after a second");
+    }
+    kept(&world)
+}
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -73,6 +73,8 @@
     down_most: usize,
     /// Last order about each VM: its holder, and when it came.
     vm_orders: HashMap<String, (String, Instant)>,
+    /// Orders for upkeep that came, by VM.
+    upkeep_orders: HashMap<String, usize>,
     /// Orders about VMs are lost.
     vms_lost: bool,
     /// Time that an order about a VM is under way.
--- a/crates/hoisthitch-tests/src/world/runners/vms.rs
+++ b/crates/hoisthitch-tests/src/world/runners/vms.rs
@@ -47,6 +47,17 @@
         }
     }
 
+    fn count_upkeep(&self, vm: &str) {
+        let mut state = self.state.borrow_mut();
+        *state.upkeep_orders.entry(vm.to_owned()).or_insert(0) += 1;
+    }
+
+    /// Most orders for upkeep that came about one VM.
+    pub fn most_upkeep_orders(&self) -> usize {
+        let state = self.state.borrow();
+        state.upkeep_orders.values().copied().max().unwrap_or(0)
+    }
+
     /// Whether an order about the VM was given.
     pub fn was_ordered(&self, vm: &str) -> bool {
         self.state.borrow().vm_orders.contains_key(vm)
@@ -88,6 +99,7 @@
         spawn_outside(async move {
             tokio::time::sleep(WAY).await;
             fleet.judge_turn(&vm, &holder);
+            fleet.count_upkeep(&vm);
             let way = fleet.state.borrow().vms_way;
             tokio::time::sleep(way).await;
             if !fleet.state.borrow().vms_lost {
