--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::{
     Histogram,
     HistogramOpts,
+    HistogramVec,
     IntCounterVec,
     Opts,
     Registry, //
@@ -23,6 +24,12 @@
     pub first_start: Histogram,
     /// Seconds that a write of an owner's journal took.
     pub journal: Histogram,
+    /// Seconds of a look of an owner's loop, by loop.
+    pub looks: HistogramVec,
+    /// Calls to the platform and to runners, by purpose.
+    pub platform_calls: IntCounterVec,
+    /// Bytes of those calls' paths and bodies, by purpose and direction.
+    pub platform_bytes: IntCounterVec,
 }
 
 impl NodeMetrics {
@@ -38,13 +45,35 @@
             registry.register(Box::new(counter.clone()))?;
             prometheus::Result::Ok(counter)
         };
-        let histogram = |name: &str, help: &str| {
+        let timed = |name: &str, help: &str| {
             let buckets = vec![0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
-            let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
+            HistogramOpts::new(name, help).buckets(buckets)
+        };
+        let histogram = |name: &str, help: &str| {
+            let histogram = Histogram::with_opts(timed(name, help))?;
             registry.register(Box::new(histogram.clone()))?;
             prometheus::Result::Ok(histogram)
         };
+        let looks = HistogramVec::new(
+            timed(
+                "hoisthitch_owner_look_seconds",
+                "Time of a look of an owner's loop",
+            ),
+            &["loop"],
+        )?;
+        registry.register(Box::new(looks.clone()))?;
         Ok(Self {
+            looks,
+            platform_calls: counter(
+                "hoisthitch_platform_calls_total",
+                "Calls to the platform and to runners",
+                &["purpose"],
+            )?,
+            platform_bytes: counter(
+                "hoisthitch_platform_bytes_total",
+                "Bytes of the paths and bodies of those calls",
+                &["purpose", "direction"],
+            )?,
             calls: counter(
                 "hoisthitch_job_calls_total",
                 "Calls of clients",
