--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -72,6 +72,13 @@
         }
     }
 
+    /// Takes in until when the runner has a lease of this owner for certain.
+    pub fn cover_runner(&mut self, key: RunnerKey, until: Millis) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.covered_until = Some(until);
+        }
+    }
+
     /// Takes in that a hold got no answer.
     pub fn miss_hold(&mut self, key: RunnerKey, now: Millis) {
         if let Some(runner) = self.runners.get_mut(key) {
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -28,6 +28,12 @@
 /// anew once its other members have stopped would have a member there again.
 const REFUSALS_SHUN_MS: Millis = 600;
 
+/// Time for which a lease has to last when a start is decided on, in milliseconds: the
+/// start is recorded and waits for its turn. A runner refuses starts under a lease that
+/// is over, and an owner that goes on sending them has no time to renew any: of 9,000
+/// starts a second that one sent so, none ran.
+const START_TIME_MS: Millis = 1_000;
+
 /// How often that time is doubled at most: up to 4.8 s, about the time that
 /// troubles of runners last.
 const REFUSALS_DOUBLED: u32 = 3;
@@ -68,6 +74,8 @@
     pub leaving: bool,
     /// When everything on it has ended if no hold is answered any more.
     pub lease_until: Millis,
+    /// Until when it has a lease of its owner for certain; none where it was never told.
+    pub covered_until: Option<Millis>,
     /// Until when a lasting task that was moved off it may take to work
     /// elsewhere.
     pub relocating_until: Millis,
@@ -101,6 +109,7 @@
             retired: false,
             leaving: false,
             lease_until,
+            covered_until: None,
             relocating_until: 0,
             fenced: false,
             silent_since: Some(now),
@@ -121,7 +130,15 @@
 
     /// Whether it may get tasks.
     pub fn takes_tasks(&self, now: Millis) -> bool {
-        self.open && !self.is_going() && !self.leaving && self.shunned_until <= now
+        self.is_usable(now) && self.shunned_until <= now
+    }
+
+    /// Whether a task that is decided on now can be started: the runner stays, and its
+    /// lease outlasts the record and the order of the start.
+    pub fn is_usable(&self, now: Millis) -> bool {
+        let covered = self.covered_until;
+        let covered = covered.is_none_or(|until| until > now + START_TIME_MS);
+        self.open && !self.is_going() && !self.leaving && covered
     }
 
     /// Whether it was shunned and is tried with one task.
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -26,6 +26,7 @@
     lapsed_lease_frees_the_tasks => lapse();
     refused_copy_of_an_unanswered_start_is_stopped_first => refused_copy();
     late_starts_shun_no_runner_for_long => late_start();
+    runner_without_a_lease_gets_nothing_until_it_has_one => late_lease();
     stopped_start_that_never_came_frees_its_room => stopped_start();
     unanswered_start_is_sent_again_under_its_run => unanswered();
 }
@@ -92,6 +93,21 @@
     Ok(())
 }
 
+/// Seen on a fleet of 1,100 VMs: an owner whose leases had lapsed ordered 2,500 starts a
+/// second, all of which were refused as late, and its link had no room left for the
+/// holds that renew leases. Nothing is decided on for a runner whose lease is about to
+/// end, and it gets tasks again with the next one.
+async fn late_lease() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    let key = state.runner_key("i-0").ok_or_eyre("no runner")?;
+    state.cover_runner(key, 2_000);
+    state.add_job(new_job("a", vec![step(1)]), 1_500);
+    ensure!(decide(&mut state, 1_500).is_empty());
+    state.cover_runner(key, 6_500);
+    ensure!(decide(&mut state, 1_600).len() == 1);
+    Ok(())
+}
+
 /// A job is cancelled while its start is on its way; the stop comes first, and
 /// the start is refused. No end is ever listed.
 async fn stopped_start() -> Result<()> {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -450,13 +450,14 @@
                 runner,
                 report,
                 asked_at,
-                leased,
+                leased_until,
                 silences,
             } => {
                 self.state.fence_runner(runner, now + FULL_RUN_MS);
                 let again = self.state.take_hold(runner, &report, asked_at, now);
                 self.take_answer(runner, silences);
-                if leased {
+                if let Some(until) = leased_until {
+                    self.state.cover_runner(runner, until);
                     self.state.open_runner(runner);
                 }
                 self.end_rivals(runner, asked_at);
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -205,16 +205,13 @@
             runners: self.context.platform.runners().clone(),
             shared: self.context.shared.clone(),
             epoch: self.epoch,
+            confirmed: self.confirmed.clone(),
             key,
             address,
             events: self.events.clone(),
         };
-        let terms = SessionTerms {
-            recorded: 0,
-            confirmed_at: self.confirmed.get(),
-        };
-        self.sessions
-            .insert(key, RunnerSession::open(context, terms));
+        let session = RunnerSession::open(context, SessionTerms::default());
+        self.sessions.insert(key, session);
     }
 
     pub(super) fn drop_runner(&mut self, key: RunnerKey, why: &'static str) {
@@ -228,18 +225,15 @@
         }
     }
 
-    /// Tells sessions what is recorded, and since when this node is surely the
-    /// owner.
+    /// Tells sessions what is recorded.
     pub(super) fn share_terms(&mut self) {
         if self.journal.is_none() || self.state.needs_flush() {
             return;
         }
         for (key, session) in &self.sessions {
             if let Some(runner) = self.state.runner(*key) {
-                session.set_terms(SessionTerms {
-                    recorded: runner.seen,
-                    confirmed_at: self.confirmed.get(),
-                });
+                let recorded = runner.seen;
+                session.set_terms(SessionTerms { recorded });
             }
         }
     }
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -112,10 +112,8 @@
         self.start_all(starts);
         for (runner, seen) in &plan.seen {
             if let Some(session) = self.sessions.get(runner) {
-                session.set_terms(SessionTerms {
-                    recorded: *seen,
-                    confirmed_at: self.confirmed.get(),
-                });
+                let recorded = *seen;
+                session.set_terms(SessionTerms { recorded });
             }
         }
         Ok(())
--- a/crates/hoisthitch-scheduler/src/session.rs
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -99,8 +99,9 @@
         runner: RunnerKey,
         report: HoldReport,
         asked_at: Millis,
-        /// Whether it gave a lease, under which starts can be ordered.
-        leased: bool,
+        /// End of the lease that it gave, under which starts can be ordered; none
+        /// where it gave none.
+        leased_until: Option<Millis>,
         /// Silences of the runner so far.
         silences: u64,
     },
@@ -135,8 +136,6 @@
 pub(crate) struct SessionTerms {
     /// Last end that is recorded.
     pub(crate) recorded: u64,
-    /// When the owner last made sure that it is the owner.
-    pub(crate) confirmed_at: Millis,
 }
 
 /// The owner's end of a session; the session ends with it.
@@ -152,6 +151,10 @@
     pub(crate) runners: R,
     pub(crate) shared: Arc<NodeShared>,
     pub(crate) epoch: u64,
+    /// When the owner last made sure that it is the owner. Read for each lease: told
+    /// with the terms it stood still while the owner had more to record than it could
+    /// write, and after eight seconds all leases lapsed.
+    pub(crate) confirmed: Rc<Cell<Millis>>,
     pub(crate) key: RunnerKey,
     pub(crate) address: RunnerAddress,
     pub(crate) events: mpsc::UnboundedSender<SessionEvent>,
@@ -164,6 +167,17 @@
     offset: Cell<Option<i64>>,
     /// End of the lease last given, by the runner's clock.
     granted: Cell<u64>,
+    /// The same by this node's clock.
+    granted_here: Cell<Millis>,
+}
+
+/// The lease that a hold gives.
+#[derive(Clone, Copy)]
+struct HoldLease {
+    /// Its end by the runner's clock.
+    lease_ms: u64,
+    /// Its end by this node's clock.
+    until: Millis,
 }
 
 impl RunnerSession {
@@ -221,12 +235,12 @@
         let terms = *told.borrow_and_update();
         let asked_at = context.shared.clock.now();
         let may_run = answered && *settled.borrow() >= silences;
-        let lease_ms = context.lease(&clock, terms, asked_at, may_run);
+        let lease = context.lease(&clock, asked_at, may_run);
         let ask = HoldAsk {
             epoch: context.epoch,
             recorded: terms.recorded,
-            lease_ms,
-            wait: if lease_ms.is_some() {
+            lease_ms: lease.map(|lease| lease.lease_ms),
+            wait: if lease.is_some() {
                 HOLD_WAIT
             } else {
                 Duration::ZERO
@@ -241,7 +255,7 @@
                     runner: context.key,
                     report,
                     asked_at,
-                    leased: lease_ms.is_some(),
+                    leased_until: lease.map(|lease| lease.until),
                     silences,
                 });
                 if let Some(last) = last.filter(|last| *last > terms.recorded) {
@@ -293,15 +307,9 @@
     ///
     /// A runner that did not answer the last hold gets no longer lease, or its
     /// tasks could never be given up; `may_run` tells.
-    fn lease(
-        &self,
-        clock: &LeaseClock,
-        terms: SessionTerms,
-        now: Millis,
-        may_run: bool,
-    ) -> Option<u64> {
+    fn lease(&self, clock: &LeaseClock, now: Millis, may_run: bool) -> Option<HoldLease> {
         let offset = clock.offset.get().filter(|_| may_run)?;
-        let until = (now + LEASE_MS).min(terms.confirmed_at + LEASE_CAP_MS);
+        let until = (now + LEASE_MS).min(self.confirmed.get() + LEASE_CAP_MS);
         if until <= now {
             return None;
         }
@@ -309,9 +317,10 @@
             runner: self.key,
             until: now + longest_run(until - now),
         });
-        let lease = until.checked_add_signed(offset)?;
-        clock.granted.set(clock.granted.get().max(lease));
-        Some(lease)
+        let lease_ms = until.checked_add_signed(offset)?;
+        clock.granted.set(clock.granted.get().max(lease_ms));
+        clock.granted_here.set(clock.granted_here.get().max(until));
+        Some(HoldLease { lease_ms, until })
     }
 }
 
@@ -336,7 +345,9 @@
 ) {
     while let Some(order) = queue.recv().await {
         match order {
-            RunnerOrder::Start(order, decided) if context.is_stale(decided) => {
+            RunnerOrder::Start(order, decided)
+                if context.is_stale(decided) || context.is_lapsed(&clock) =>
+            {
                 context.drop_start(order, decided);
             }
             RunnerOrder::Start(order, _) => start(&context, &clock, order).await,
@@ -427,8 +438,13 @@
         self.shared.clock.now() > decided + START_AGE_MS
     }
 
-    /// Does not send a start that waited too long, and says so: it is decided
-    /// anew.
+    /// Whether the lease that a start would name is over: the runner would refuse it.
+    fn is_lapsed(&self, clock: &LeaseClock) -> bool {
+        clock.granted_here.get() <= self.shared.clock.now()
+    }
+
+    /// Does not send a start that waited too long, or whose lease is over, and says so:
+    /// it is decided anew.
     fn drop_start(&self, order: StartOrder, decided: Millis) {
         event!(
             Info,
