--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -1,5 +1,7 @@
 //! Plans starts, and gathers what has to be recorded before they are ordered.
 
+use std::collections::HashSet;
+
 use crate::{
     Millis,
     job::JobKey,
@@ -27,6 +29,17 @@
     starts: Vec<(TaskRef, u32)>,
 }
 
+/// Records that were behind at a time, and the ends that runners had listed by then.
+/// Under load some records are always behind; without rounds runners would list the
+/// same ends again and again.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FlushRound {
+    /// Jobs that are to be written yet.
+    left: HashSet<JobKey>,
+    /// Last end taken in, by runner.
+    seen: Vec<(RunnerKey, u64)>,
+}
+
 /// Needs for which no runner has room. Room only shrinks while a plan is made, so
 /// that whatever needs as much finds none either, and under a backlog the
 /// runners need not be looked through for each task that waits.
@@ -162,29 +175,57 @@
             .any(|key| self.jobs.get(*key).is_some_and(|job| job.dirty))
     }
 
-    /// Gathers records to write, at most `limit`.
+    /// Whether more has to be written than `limit` records.
+    pub fn is_behind(&self, limit: usize) -> bool {
+        let dirty = self.active.iter().filter(|key| self.is_dirty(**key));
+        dirty.take(limit + 1).count() > limit
+    }
+
+    fn is_dirty(&self, key: JobKey) -> bool {
+        self.jobs.get(key).is_some_and(|job| job.dirty)
+    }
+
+    /// Gathers records to write, at most `limit`, the longest behind in front.
     pub fn begin_flush(&mut self, limit: usize) -> FlushPlan {
         let dirty: Vec<JobKey> = self
             .active
             .iter()
-            .filter(|key| self.jobs.get(**key).is_some_and(|job| job.dirty))
+            .filter(|key| self.is_dirty(**key))
             .copied()
             .collect();
+        let mut round = self.begin_round_of(&dirty);
+        let (first, later): (Vec<JobKey>, Vec<JobKey>) =
+            dirty.into_iter().partition(|key| round.left.contains(key));
         let mut plan = FlushPlan::default();
-        for key in dirty.iter().take(limit) {
-            self.add_record(&mut plan, *key);
+        for key in first.into_iter().chain(later).take(limit) {
+            self.add_record(&mut plan, key);
+            round.left.remove(&key);
         }
-        // Ends count as recorded once no record is behind any more.
-        if dirty.len() <= limit {
-            plan.seen = self
-                .runners
-                .iter()
-                .map(|(key, runner)| (key, runner.seen))
-                .collect();
+        // Ends count as recorded once no record that they changed is behind any more.
+        if round.left.is_empty() {
+            plan.seen = round.seen;
+        } else {
+            self.flush_round = Some(round);
         }
         plan
     }
 
+    /// The round of records that is under way, or a new one of all that are behind.
+    fn begin_round_of(&mut self, dirty: &[JobKey]) -> FlushRound {
+        let jobs = &self.jobs;
+        if let Some(mut round) = self.flush_round.take() {
+            round
+                .left
+                .retain(|key| jobs.get(*key).is_some_and(|job| job.dirty));
+            return round;
+        }
+        let runners = self.runners.iter();
+        FlushRound {
+            left: dirty.iter().copied().collect(),
+            seen: runners.map(|(key, runner)| (key, runner.seen)).collect(),
+        }
+    }
+
     fn add_record(&mut self, plan: &mut FlushPlan, key: JobKey) {
         let runners = &self.runners;
         let Some(job) = self.jobs.get_mut(key) else {
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -14,6 +14,7 @@
         JobKey, //
     },
     pace::UNKNOWN_PACE,
+    plan::FlushRound,
     record::{
         JobPhase,
         JobProgress,
@@ -76,6 +77,8 @@
     pub(crate) ended_jobs: Vec<EndedJob>,
     /// Work that came in of late.
     pub(crate) arrivals: ArrivalLog,
+    /// Records that are being written, where one write does not take them all.
+    pub(crate) flush_round: Option<FlushRound>,
 }
 
 impl PoolState {
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -7,6 +7,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    EndKind,
     HoldReport,
     PoolState,
     StartOutcome, //
@@ -15,6 +16,7 @@
 
 use crate::{
     decide,
+    end_all,
     new_job,
     pool_of,
     start_all,
@@ -27,6 +29,7 @@
     refused_copy_of_an_unanswered_start_is_stopped_first => refused_copy();
     late_starts_shun_no_runner_for_long => late_start();
     runner_without_a_lease_gets_nothing_until_it_has_one => late_lease();
+    ends_are_acknowledged_though_some_records_are_always_behind => flush_rounds();
     stopped_start_that_never_came_frees_its_room => stopped_start();
     unanswered_start_is_sent_again_under_its_run => unanswered();
 }
@@ -108,6 +111,31 @@
     Ok(())
 }
 
+/// Under load each write leaves some records out, and what changes meanwhile is behind
+/// again. The ends of a time are recorded once all that they changed was written.
+async fn flush_rounds() -> Result<()> {
+    let mut state = pool_of(1, 512);
+    for number in 0..4 {
+        state.add_job(new_job(&format!("j{number}"), vec![step(40)]), 1_000);
+    }
+    let first = start_all(&mut state, 1_000);
+    let mut acknowledged = 0;
+    for (turn, now) in (1..30).zip((1_010..).step_by(10)) {
+        // In each turn a task of each job ends, so that all are behind again.
+        let ended = first.iter().filter(|order| order.name.index == turn);
+        let ended: Vec<_> = ended.cloned().collect();
+        end_all(&mut state, &ended, EndKind::Done, now);
+        let plan = state.begin_flush(2);
+        for (_, seen) in &plan.seen {
+            ensure!(*seen >= acknowledged, "{seen} after {acknowledged}");
+            acknowledged = *seen;
+        }
+        state.finish_flush(&plan, now);
+    }
+    ensure!(acknowledged > 10, "{acknowledged} ends were acknowledged");
+    Ok(())
+}
+
 /// A job is cancelled while its start is on its way; the stop comes first, and
 /// the start is refused. No end is ever listed.
 async fn stopped_start() -> Result<()> {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -56,7 +56,6 @@
     SilenceNotes,
     inherited_runs, //
 };
-use self::writes::WRITE_GAP_MS;
 use crate::{
     fleet::FleetView,
     follow::{
@@ -365,7 +364,7 @@
         if self.journal.is_none() || !wanted {
             return Instant::now() + TICK;
         }
-        let wait = (self.wrote_at + WRITE_GAP_MS).saturating_sub(self.now());
+        let wait = self.next_write().saturating_sub(self.now());
         Instant::now() + Duration::from_millis(wait.max(1))
     }
 
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -26,8 +26,13 @@
 };
 
 /// Least time between two writes of the journal, in milliseconds: what comes
-/// meanwhile shares a write.
-pub(super) const WRITE_GAP_MS: Millis = 25;
+/// meanwhile shares a write. What one write does not take goes into the next at once:
+/// with the gap, an owner writes a thousand records a second at most, and the turns of
+/// large pools bring more.
+const WRITE_GAP_MS: Millis = 25;
+
+/// Jobs whose records go into one write.
+const FLUSH_LIMIT: usize = BATCH_LIMIT - 1;
 
 /// Time without a write after which the owner makes sure that it is the owner,
 /// in milliseconds.
@@ -44,14 +49,22 @@
 const FORGET_ENTRIES: usize = 4;
 
 impl<P: Platform> PoolOwner<P> {
+    /// When the journal may be written again.
+    pub(super) fn next_write(&self) -> Millis {
+        if self.state.is_behind(FLUSH_LIMIT) {
+            return self.wrote_at;
+        }
+        self.wrote_at + WRITE_GAP_MS
+    }
+
     pub(super) fn write(&mut self, now: Millis) {
-        if now < self.wrote_at + WRITE_GAP_MS {
+        if self.journal.is_none() || now < self.next_write() {
             return;
         }
         let Some(journal) = self.journal.take() else {
             return;
         };
-        let plan = self.state.begin_flush(BATCH_LIMIT - 1);
+        let plan = self.state.begin_flush(FLUSH_LIMIT);
         let mut items: Vec<SwapItem> = plan
             .records
             .iter()
