--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -157,7 +157,7 @@
             .iter()
             .filter(|(_, runner)| runner.open && !runner.is_going())
             .filter(|(_, runner)| runner.known_since + STAY_MS <= now)
-            .filter(|(_, runner)| !self.holds_lasting(runner))
+            .filter(|(_, runner)| !runner.holds_lasting())
             .map(|(key, runner)| (!runner.leaving, runner.used.cpu_milli, key))
             .collect();
         spare.sort();
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -107,16 +107,12 @@
         if step.lasting && self.alike(task, runner) >= step.most_together() {
             cost += TOGETHER_COST;
         }
-        if !self.holds_lasting(runner) {
+        if !runner.holds_lasting() {
             cost += APART_COST;
         }
         cost + MIXED_COST * f64::from(self.mixed_neighbours(runner, step))
     }
 
-    pub(crate) fn holds_lasting(&self, runner: &RunnerEntry) -> bool {
-        runner.tasks.iter().any(|task| self.lasts(*task))
-    }
-
     /// Tasks on the runner that would disturb the step's, or be disturbed.
     fn mixed_neighbours(&self, runner: &RunnerEntry, step: &StepSpec) -> u32 {
         let serves = step.target_ms > 0;
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -89,6 +89,9 @@
     pub used: TaskNeed,
     /// Tasks that take room.
     pub tasks: HashSet<TaskRef>,
+    /// Those of them that last. Counted here, for each choice of a runner asks it of all
+    /// runners.
+    lasting: u32,
     /// Number of the last end that was taken in.
     pub seen: u64,
     /// Runs in a row that failed.
@@ -116,6 +119,7 @@
             known_since: now,
             used: TaskNeed::default(),
             tasks: HashSet::new(),
+            lasting: 0,
             seen: 0,
             failures: 0,
             refusals: 0,
@@ -161,9 +165,15 @@
         taken / as_f64(self.facts.capacity.cpu_milli.max(1))
     }
 
+    /// Whether it holds tasks that last.
+    pub fn holds_lasting(&self) -> bool {
+        self.lasting > 0
+    }
+
     /// Takes room for a task.
     pub fn add(&mut self, task: TaskRef, step: &StepSpec) {
         if self.tasks.insert(task) {
+            self.lasting += u32::from(step.lasting);
             let room = step.room();
             self.used.cpu_milli += room.cpu_milli;
             self.used.memory_mb += room.memory_mb;
@@ -174,6 +184,7 @@
     /// Gives room back.
     pub fn remove(&mut self, task: TaskRef, step: &StepSpec) {
         if self.tasks.remove(&task) {
+            self.lasting = self.lasting.saturating_sub(u32::from(step.lasting));
             let room = step.room();
             self.used.cpu_milli = self.used.cpu_milli.saturating_sub(room.cpu_milli);
             self.used.memory_mb = self.used.memory_mb.saturating_sub(room.memory_mb);
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -360,7 +360,7 @@
 
     /// When something is to be done without an event.
     fn next_wake(&self) -> Instant {
-        let wanted = self.state.needs_flush() || !self.is_noted();
+        let wanted = self.state.needs_plan() || self.state.needs_flush() || !self.is_noted();
         if self.journal.is_none() || !wanted {
             return Instant::now() + TICK;
         }
@@ -374,12 +374,17 @@
         if self.leaving {
             return self.write(now);
         }
+        let mut due = self.state.needs_plan();
         if now >= self.checked_at + CHECK_MS {
             self.checked_at = now;
             self.check_times(now);
             self.look_for_silence(now);
-            self.state.plan(now);
-        } else if self.state.needs_plan() {
+            due = true;
+        }
+        // Nothing is ordered before it is recorded. To plan at each event, with the
+        // order of a thousand jobs and the room of hundreds of runners, took a large
+        // pool's owner the processor time that its starts need.
+        if due && self.may_write(now) {
             self.state.plan(now);
         }
         self.ask_advice(now);
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -57,8 +57,13 @@
         self.wrote_at + WRITE_GAP_MS
     }
 
+    /// Whether the journal may be written now.
+    pub(super) fn may_write(&self, now: Millis) -> bool {
+        self.journal.is_some() && now >= self.next_write()
+    }
+
     pub(super) fn write(&mut self, now: Millis) {
-        if self.journal.is_none() || now < self.next_write() {
+        if !self.may_write(now) {
             return;
         }
         let Some(journal) = self.journal.take() else {
