--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -116,11 +116,11 @@
             return None;
         };
         let job_ended = self.jobs.get(task.job)?.phase.is_final();
-        let name = self.runners.get(key)?.facts.name.clone();
+        let name = &self.runners.get(key)?.facts.name;
         let entry = self.task(task)?;
         let expected = match &entry.place {
             TaskPlace::Ordered(at) | TaskPlace::Running(at) | TaskPlace::Stopping(at) => *at == key,
-            TaskPlace::Unlocated { runner, .. } => *runner == name,
+            TaskPlace::Unlocated { runner, .. } => runner == name,
             TaskPlace::Waiting | TaskPlace::Planned(_) | TaskPlace::Done => false,
         };
         if !expected || entry.run != row.run {
@@ -168,13 +168,13 @@
 
     fn take_ended(&mut self, key: RunnerKey, row: &EndedTask, now: Millis) -> Option<TaskRef> {
         let task = self.locate(&row.name)?;
-        let name = self.runners.get(key)?.facts.name.clone();
+        let name = &self.runners.get(key)?.facts.name;
         let entry = self.task(task)?;
         if entry.is_done() {
             return None;
         }
         let here = match &entry.place {
-            TaskPlace::Unlocated { runner, .. } => *runner == name,
+            TaskPlace::Unlocated { runner, .. } => runner == name,
             _ => entry.runner() == Some(key),
         };
         let current = here && entry.run == row.run;
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -135,6 +135,8 @@
     asking: bool,
     events: mpsc::UnboundedSender<SessionEvent>,
     sessions: HashMap<RunnerKey, RunnerSession>,
+    /// How many they are.
+    open_sessions: Rc<Cell<u32>>,
     /// Whether the list of runners was taken in.
     synced: bool,
     /// Lives of runners that are over, though they may be listed still.
@@ -200,6 +202,7 @@
         asking: false,
         events,
         sessions: HashMap::new(),
+        open_sessions: Rc::default(),
         over: HashSet::new(),
         leaving: false,
         owned_since: now,
@@ -379,6 +382,7 @@
             self.checked_at = now;
             self.check_times(now);
             self.look_for_silence(now);
+            self.share_terms();
             due = true;
         }
         // Nothing is ordered before it is recorded. To plan at each event, with the
@@ -393,7 +397,6 @@
         }
         self.log_ended();
         self.write(now);
-        self.share_terms();
     }
 
     /// Looks at what time alone changes.
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -206,18 +206,26 @@
             shared: self.context.shared.clone(),
             epoch: self.epoch,
             confirmed: self.confirmed.clone(),
+            sessions: self.open_sessions.clone(),
             key,
             address,
             events: self.events.clone(),
         };
         let session = RunnerSession::open(context, SessionTerms::default());
         self.sessions.insert(key, session);
+        self.count_sessions();
+    }
+
+    fn count_sessions(&self) {
+        let sessions = u32::try_from(self.sessions.len());
+        self.open_sessions.set(sessions.unwrap_or(u32::MAX));
     }
 
     pub(super) fn drop_runner(&mut self, key: RunnerKey, why: &'static str) {
         let now = self.now();
         let name = self.state.runner(key).map(|r| r.facts.name.clone());
         self.sessions.remove(&key);
+        self.count_sessions();
         if let Some(name) = name {
             self.count("runner_gone");
             event!(Info, "runner_gone", runner = name, why = why);
--- a/crates/hoisthitch-scheduler/src/session.rs
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -70,6 +70,11 @@
 /// together.
 const HOLD_GAP: Duration = Duration::from_millis(15);
 
+/// The same for each runner of the pool: an owner of hundreds of them otherwise spends
+/// on holds, one for each end, the processor time that its starts need. With 700 runners
+/// an end is read up to 70 ms later.
+const HOLD_GAP_EACH: Duration = Duration::from_micros(100);
+
 /// Wait after a hold that failed.
 const RETRY_WAIT: Duration = Duration::from_millis(250);
 
@@ -155,6 +160,8 @@
     /// with the terms it stood still while the owner had more to record than it could
     /// write, and after eight seconds all leases lapsed.
     pub(crate) confirmed: Rc<Cell<Millis>>,
+    /// Sessions that the owner has.
+    pub(crate) sessions: Rc<Cell<u32>>,
     pub(crate) key: RunnerKey,
     pub(crate) address: RunnerAddress,
     pub(crate) events: mpsc::UnboundedSender<SessionEvent>,
@@ -263,7 +270,7 @@
                     // The next hold reports the same ends if they are not.
                     let _ = timeout(RECORD_WAIT, recorded).await;
                 } else {
-                    tokio::time::sleep(HOLD_GAP).await;
+                    tokio::time::sleep(context.hold_gap()).await;
                 }
                 // Without a lease to give there is nothing to hold for.
                 let may_run = settled.wait_for(|settled| *settled >= silences);
@@ -303,6 +310,10 @@
         let _ = self.events.send(event);
     }
 
+    fn hold_gap(&self) -> Duration {
+        HOLD_GAP.max(HOLD_GAP_EACH * self.sessions.get())
+    }
+
     /// End of the lease to give with the next hold, by the runner's clock.
     ///
     /// A runner that did not answer the last hold gets no longer lease, or its
