Tests: changes of a wave's record, and runners that may go down together

Four cases without input or output: changes put on another owner's record, the limit of VMs that are down, a VM that had its upkeep, and lasting tasks of which one may be away.

--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod outcomes;
 mod packing;
 mod pools;
+mod waves;
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/hoisthitch-jobs/tests/decisions/waves.rs
@@ -0,0 +1,101 @@
+//! Waves: changes of owners that write one record, and runners that may go down
+//! together.
+
+use eyre::{
+    Result,
+    ensure, //
+};
+use hoisthitch_jobs::{
+    HoldReport,
+    RunnerKey,
+    StepSpec,
+    UpkeepView,
+    WaveChange,
+    WaveProgress, //
+};
+use hoisthitch_tests::cases;
+
+use crate::{
+    new_job,
+    pool_of,
+    running_on,
+    start_all,
+    step, //
+};
+
+cases! {
+    change_is_put_on_what_another_owner_wrote => merges();
+    no_more_are_down_than_may_be_at_once => limits();
+    vm_that_had_its_upkeep_is_not_taken_down_again => keeps_done();
+    runners_that_are_free_may_go_down_together => goes_together();
+}
+
+fn down(vms: &[&str]) -> WaveChange {
+    let lives = vms
+        .iter()
+        .map(|vm| ((*vm).to_owned(), format!("life-{vm}")));
+    WaveChange {
+        down: lives.collect(),
+        ..WaveChange::default()
+    }
+}
+
+async fn merges() -> Result<()> {
+    let first = WaveProgress::default().with(&down(&["a", "b"]), 10);
+    let mut change = down(&["c"]);
+    change.begun.insert("a".to_owned());
+    change.done.insert("b".to_owned());
+    let other = first.with(&down(&["x"]), 10);
+    let both = other.with(&change, 10);
+    ensure!(both.down.keys().eq(["a", "c", "x"]), "{:?}", both.down);
+    ensure!(both.begun.contains("a") && both.done.contains("b"));
+    ensure!(both.with(&change, 10) == both, "the same change, once more");
+    Ok(())
+}
+
+async fn limits() -> Result<()> {
+    let first = WaveProgress::default().with(&down(&["a", "b"]), 3);
+    let next = first.with(&down(&["c", "d"]), 3);
+    ensure!(next.down.len() == 3, "{:?}", next.down);
+    Ok(())
+}
+
+async fn keeps_done() -> Result<()> {
+    let mut change = WaveChange::default();
+    change.done.insert("a".to_owned());
+    let done = WaveProgress::default().with(&change, 3);
+    let again = done.with(&down(&["a"]), 3);
+    ensure!(again.down.is_empty() && !again.is_due("a"));
+    ensure!(again.is_completed(&["a".to_owned()]));
+    Ok(())
+}
+
+/// Three tasks of a lasting step, one of which may be away: each of their runners could
+/// go down by itself, but only one of them at once.
+async fn goes_together() -> Result<()> {
+    let mut state = pool_of(4, 8);
+    let lasting = StepSpec {
+        lasting: true,
+        spread: 1,
+        may_miss: 1,
+        ..step(3)
+    };
+    state.add_job(new_job("long", vec![lasting]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    for order in &orders {
+        let report = HoldReport {
+            running: running_on(&state, order.runner, None, 100),
+            ..HoldReport::default()
+        };
+        state.take_hold(order.runner, &report, 1_500, 1_501);
+    }
+    let keys: Vec<RunnerKey> = state.runners().map(|(key, _)| key).collect();
+    for key in &keys {
+        ensure!(state.upkeep_view(*key) == UpkeepView::Free);
+    }
+    let views = state.upkeep_views(&keys);
+    let free = views.iter().filter(|view| **view == UpkeepView::Free);
+    // The empty one, and one with a task.
+    ensure!(free.count() == 2, "{views:?}");
+    Ok(())
+}
