--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -459,8 +459,8 @@
         let jobs = &self.jobs;
         self.active.retain(|key| {
             jobs.get(*key).is_some_and(|job| {
-                let settled = job.tasks.iter().all(|task| is_settled(&task.place));
-                job.dirty || !job.phase.is_final() || !settled
+                let settled = || job.tasks.iter().all(|task| is_settled(&task.place));
+                job.dirty || !job.phase.is_final() || !settled()
             })
         });
     }
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -141,6 +141,10 @@
     synced: bool,
     /// Lives of runners that are over, though they may be listed still.
     over: HashSet<String>,
+    /// Changes of the list of runners so far.
+    fleet_changes: u64,
+    /// Change up to which other lives at a runner's place were looked for.
+    rivals_sought: HashMap<RunnerKey, u64>,
     /// Whether the pool is being handed on.
     leaving: bool,
     /// When this node began to own the pool.
@@ -204,6 +208,8 @@
         sessions: HashMap::new(),
         open_sessions: Rc::default(),
         over: HashSet::new(),
+        fleet_changes: 0,
+        rivals_sought: HashMap::new(),
         leaving: false,
         owned_since: now,
         silent: BTreeMap::new(),
@@ -363,8 +369,8 @@
 
     /// When something is to be done without an event.
     fn next_wake(&self) -> Instant {
-        let wanted = self.state.needs_plan() || self.state.needs_flush() || !self.is_noted();
-        if self.journal.is_none() || !wanted {
+        let wanted = || self.state.needs_plan() || self.state.needs_flush() || !self.is_noted();
+        if self.journal.is_none() || !wanted() {
             return Instant::now() + TICK;
         }
         let wait = self.next_write().saturating_sub(self.now());
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -121,6 +121,7 @@
         // the VM worker knows better.
         let since = if self.synced { now } else { 0 };
         self.synced = true;
+        self.fleet_changes += 1;
         let fleet = self.context.fleet.borrow().clone();
         self.state.set_policies(&fleet.policies);
         let own: Vec<_> = fleet
@@ -161,13 +162,17 @@
     /// at its place are over.
     pub(super) fn end_rivals(&mut self, key: RunnerKey, asked_at: Millis) {
         let now = self.now();
-        let Some(name) = self.state.runner(key).map(|r| r.facts.name.clone()) else {
-            return;
-        };
         // An answer that waited long here proves nothing about now.
         if asked_at + PROOF_MS < now {
             return;
         }
+        let sought = self.rivals_sought.insert(key, self.fleet_changes);
+        if sought == Some(self.fleet_changes) {
+            return;
+        }
+        let Some(name) = self.state.runner(key).map(|r| r.facts.name.clone()) else {
+            return;
+        };
         let rivals = self.context.fleet.borrow().rivals(&name);
         for rival in rivals {
             if !self.over.insert(rival.clone()) {
@@ -225,6 +230,7 @@
         let now = self.now();
         let name = self.state.runner(key).map(|r| r.facts.name.clone());
         self.sessions.remove(&key);
+        self.rivals_sought.remove(&key);
         self.count_sessions();
         if let Some(name) = name {
             self.count("runner_gone");
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -59,7 +59,8 @@
 
     /// Whether the journal may be written now.
     pub(super) fn may_write(&self, now: Millis) -> bool {
-        self.journal.is_some() && now >= self.next_write()
+        let due = || now >= self.wrote_at + WRITE_GAP_MS || now >= self.next_write();
+        self.journal.is_some() && due()
     }
 
     pub(super) fn write(&mut self, now: Millis) {
