--- a/crates/hoisthitch-scheduler/src/vms/ledger.rs
+++ b/crates/hoisthitch-scheduler/src/vms/ledger.rs
@@ -110,7 +110,8 @@
         }
     }
 
-    fn now(&self) -> Millis {
+    /// Now.
+    pub(super) fn now(&self) -> Millis {
         self.context.shared.clock.now()
     }
 
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -9,6 +9,7 @@
 mod list;
 mod moves;
 mod share;
+mod wave_state;
 mod waves;
 
 use std::{
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/vms/wave_state.rs
@@ -0,0 +1,184 @@
+//! A wave as one owner knows it: the record that all owners share, what is to be written
+//! into it, and the orders that this owner gave.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use hoisthitch_jobs::{
+    Millis,
+    WaveChange,
+    WaveProgress, //
+};
+use hoisthitch_store::{
+    BatchOutcome,
+    StoreClient,
+    StoreRevision,
+    StoredValue,
+    SwapItem, //
+};
+use hoisthitch_telemetry::event;
+
+use super::{
+    VmWorkError,
+    ledger::VmLedger, //
+};
+use crate::{
+    journal::encode,
+    platform::{
+        FleetCodec,
+        Platform,
+        VmCondition,
+        VmRow,
+        WaveOrder, //
+    }, //
+};
+
+/// Time after an order for upkeep in which the list shows the VM as down, in
+/// milliseconds; an upkeep takes two seconds.
+pub(super) const BACK_MS: Millis = 1_500;
+
+/// Time for which a VM is missing from the list before it counts as gone, in
+/// milliseconds: longer than any way back takes.
+const GONE_MS: Millis = 10_000;
+
+/// Age up to which a wave's record is gone by, in milliseconds: others' VMs come back
+/// within it, and a write that finds a later record is made anew on that.
+const RECORD_AGE_MS: Millis = 600;
+
+/// A wave as this owner knows it.
+#[derive(Debug, Default)]
+pub(super) struct WaveState {
+    /// The record as last written or read.
+    pub(super) progress: WaveProgress,
+    revision: StoreRevision,
+    /// When it was; none before the first time.
+    known_at: Option<Millis>,
+    /// What is to be written yet.
+    pub(super) pending: WaveChange,
+    /// VMs that were told to go down, and when.
+    pub(super) ordered: BTreeMap<String, Millis>,
+    /// Those of them that the platform has confirmed.
+    pub(super) confirmed: BTreeSet<String>,
+    /// VMs that are missing from the list, and since when.
+    pub(super) missing: BTreeMap<String, Millis>,
+}
+
+impl WaveState {
+    /// Takes in the record as it was found.
+    fn take_record(&mut self, found: Option<StoredValue>, now: Millis) -> Result<(), VmWorkError> {
+        (self.progress, self.revision) = match found {
+            Some(stored) => (serde_json::from_slice(&stored.value)?, stored.revision),
+            None => Default::default(),
+        };
+        self.known_at = Some(now);
+        Ok(())
+    }
+
+    /// Whether the platform has confirmed a VM's upkeep.
+    pub(super) fn has_begun(&self, vm: &str) -> bool {
+        self.progress.begun.contains(vm) || self.confirmed.contains(vm)
+    }
+
+    /// Whether a VM that is up again has been through its upkeep: with a new life of its
+    /// runner, or, where that can't tell, some time after the order. A list that was
+    /// asked for before tells nothing.
+    pub(super) fn is_back(&self, row: &VmRow, asked_at: Millis) -> bool {
+        let Some(before) = self.progress.down.get(&row.name) else {
+            return false;
+        };
+        if row.condition != VmCondition::Up || !self.has_begun(&row.name) {
+            return false;
+        }
+        let ordered = self.ordered.get(&row.name).copied();
+        if asked_at < ordered.or(self.known_at).unwrap_or(0) {
+            return false;
+        }
+        let renewed = row.runner.as_deref().is_some_and(|now| now != before);
+        renewed || ordered.is_none_or(|at| at + BACK_MS <= asked_at)
+    }
+
+    /// Whether a VM has been missing from the list for long.
+    pub(super) fn is_gone(&mut self, vm: &str, now: Millis) -> bool {
+        let since = self.missing.entry(vm.to_owned()).or_insert(now);
+        *since + GONE_MS <= now
+    }
+
+    /// Reads the wave's record, if it is not known of late.
+    pub(super) async fn read_if_old<P: Platform>(
+        &mut self,
+        ledger: &VmLedger<P>,
+        order: &WaveOrder,
+    ) -> Result<(), VmWorkError> {
+        let now = ledger.now();
+        if self.known_at.is_some_and(|at| at + RECORD_AGE_MS > now) {
+            return Ok(());
+        }
+        let context = &ledger.context;
+        let key = context.keys.wave(order.wave);
+        let found = context.platform.store().read(&key).await?;
+        self.take_record(found, now)
+    }
+
+    /// Writes what is pending into the wave's record, on top of what others wrote.
+    pub(super) async fn write<P: Platform>(
+        &mut self,
+        ledger: &VmLedger<P>,
+        order: &WaveOrder,
+    ) -> Result<(), VmWorkError> {
+        let context = &ledger.context;
+        loop {
+            let now = ledger.now();
+            let next = self.progress.with(&self.pending, order.at_once.max(1));
+            if next == self.progress {
+                self.pending = WaveChange::default();
+                return Ok(());
+            }
+            let completed = next.is_completed(&order.vms);
+            let (status, told) = context.platform.codec().wave_status(order.wave, completed);
+            let items = vec![
+                SwapItem {
+                    key: context.keys.wave(order.wave),
+                    expected: self.revision,
+                    value: Some(encode(&next)),
+                    lease: None,
+                },
+                SwapItem {
+                    key: status,
+                    expected: StoreRevision::ANY,
+                    value: Some(told),
+                    lease: None,
+                },
+            ];
+            match context.platform.store().swap_all(items).await? {
+                BatchOutcome::Written(revision) => {
+                    self.log_written(&context.pool, order, &next);
+                    self.progress = next;
+                    self.revision = revision;
+                    self.known_at = Some(now);
+                    self.pending = WaveChange::default();
+                    return Ok(());
+                }
+                BatchOutcome::Conflict(found) => {
+                    self.take_record(found.into_iter().next().flatten(), now)?;
+                }
+            }
+        }
+    }
+
+    fn log_written(&self, pool: &str, order: &WaveOrder, next: &WaveProgress) {
+        for vm in &self.pending.done {
+            event!(Info, "upkeep_done", wave = order.wave, vm = vm);
+        }
+        event!(
+            Info,
+            "wave_written",
+            wave = order.wave,
+            pool = pool,
+            done = next.done.len(),
+            due = order.vms.len(),
+            down = next.down.len()
+        );
+    }
+}
--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -15,19 +15,7 @@
 };
 
 use futures_util::future::join_all;
-use hoisthitch_jobs::{
-    Millis,
-    UpkeepView,
-    WaveChange,
-    WaveProgress, //
-};
-use hoisthitch_store::{
-    BatchOutcome,
-    StoreClient,
-    StoreRevision,
-    StoredValue,
-    SwapItem, //
-};
+use hoisthitch_jobs::UpkeepView;
 use hoisthitch_telemetry::event;
 
 use super::{
@@ -41,19 +29,19 @@
     list::{
         VmList,
         VmRows, //
+    },
+    wave_state::{
+        BACK_MS,
+        WaveState, //
     }, //
 };
-use crate::{
-    journal::encode,
-    platform::{
-        FleetCodec,
-        Platform,
-        VmCondition,
-        VmControl,
-        VmError,
-        VmRow,
-        WaveOrder, //
-    }, //
+use crate::platform::{
+    Platform,
+    VmCondition,
+    VmControl,
+    VmError,
+    VmRow,
+    WaveOrder, //
 };
 
 /// Part of the VMs of a pool that are emptied at once: one in this many, and one
@@ -65,36 +53,6 @@
 /// pool, of the six hundred that large platforms take of all pools.
 const UPKEEP_LIMIT: usize = 20;
 
-/// Time after an order for upkeep in which the list shows the VM as down, in
-/// milliseconds; an upkeep takes two seconds.
-const BACK_MS: Millis = 1_500;
-
-/// Time for which a VM is missing from the list before it counts as gone, in
-/// milliseconds: longer than any way back takes.
-const GONE_MS: Millis = 10_000;
-
-/// Age up to which a wave's record is gone by, in milliseconds: others' VMs come back
-/// within it, and a write that finds a later record is made anew on that.
-const RECORD_AGE_MS: Millis = 600;
-
-/// A wave as this owner knows it.
-#[derive(Debug, Default)]
-struct WaveState {
-    /// The record as last written or read.
-    progress: WaveProgress,
-    revision: StoreRevision,
-    /// When it was; none before the first time.
-    known_at: Option<Millis>,
-    /// What is to be written yet.
-    pending: WaveChange,
-    /// VMs that were told to go down, and when.
-    ordered: BTreeMap<String, Millis>,
-    /// Those of them that the platform has confirmed.
-    confirmed: BTreeSet<String>,
-    /// VMs that are missing from the list, and since when.
-    missing: BTreeMap<String, Millis>,
-}
-
 /// Takes the VMs of a pool through waves.
 pub(super) struct WaveWorker<P> {
     ledger: Rc<VmLedger<P>>,
@@ -147,17 +105,13 @@
         }
     }
 
-    fn now(&self) -> Millis {
-        self.ledger.context.shared.clock.now()
-    }
-
     /// Takes a wave further.
     async fn advance(
         &mut self,
         order: &WaveOrder,
         state: &mut WaveState,
     ) -> Result<(), VmWorkError> {
-        self.read_if_old(order, state).await?;
+        state.read_if_old(&self.ledger, order).await?;
         if state.progress.is_completed(&order.vms) {
             return Ok(());
         }
@@ -173,7 +127,7 @@
             let before = row.runner.clone().unwrap_or_default();
             state.pending.down.insert(row.name.clone(), before);
         }
-        self.write(order, state).await?;
+        state.write(&self.ledger, order).await?;
         ready.extend(fresh);
         ready.retain(|row| state.progress.down.contains_key(&row.name));
         ready.truncate(UPKEEP_LIMIT);
@@ -189,7 +143,7 @@
 
     /// Notes which VMs had their upkeep, or are no more.
     fn note_done(&mut self, due: &[String], rows: &VmRows, state: &mut WaveState) {
-        let now = self.now();
+        let now = self.ledger.now();
         for vm in due {
             if state.progress.done.contains(vm) {
                 continue;
@@ -385,7 +339,7 @@
         row: &VmRow,
         outcome: &Result<(), VmError>,
     ) {
-        state.ordered.insert(row.name.clone(), self.now());
+        state.ordered.insert(row.name.clone(), self.ledger.now());
         // An order that was done before leaves a later life as it is.
         let same_life = state.progress.down.get(&row.name) == row.runner.as_ref();
         if let Some(runner) = row.runner.clone() {
@@ -404,118 +358,4 @@
             self.leaving.remove(&row.name);
         }
     }
-
-    /// Reads the wave's record, if it is not known of late.
-    async fn read_if_old(
-        &self,
-        order: &WaveOrder,
-        state: &mut WaveState,
-    ) -> Result<(), VmWorkError> {
-        let now = self.now();
-        if state.known_at.is_some_and(|at| at + RECORD_AGE_MS > now) {
-            return Ok(());
-        }
-        let context = &self.ledger.context;
-        let key = context.keys.wave(order.wave);
-        let found = context.platform.store().read(&key).await?;
-        state.take_record(found, now)
-    }
-
-    /// Writes what is pending into the wave's record, on top of what others wrote.
-    async fn write(&self, order: &WaveOrder, state: &mut WaveState) -> Result<(), VmWorkError> {
-        let context = &self.ledger.context;
-        loop {
-            let now = self.now();
-            let next = state.progress.with(&state.pending, order.at_once.max(1));
-            if next == state.progress {
-                state.pending = WaveChange::default();
-                return Ok(());
-            }
-            let completed = next.is_completed(&order.vms);
-            let (status, told) = context.platform.codec().wave_status(order.wave, completed);
-            let items = vec![
-                SwapItem {
-                    key: context.keys.wave(order.wave),
-                    expected: state.revision,
-                    value: Some(encode(&next)),
-                    lease: None,
-                },
-                SwapItem {
-                    key: status,
-                    expected: StoreRevision::ANY,
-                    value: Some(told),
-                    lease: None,
-                },
-            ];
-            match context.platform.store().swap_all(items).await? {
-                BatchOutcome::Written(revision) => {
-                    self.log_written(order, &next, &state.pending);
-                    state.progress = next;
-                    state.revision = revision;
-                    state.known_at = Some(now);
-                    state.pending = WaveChange::default();
-                    return Ok(());
-                }
-                BatchOutcome::Conflict(found) => {
-                    state.take_record(found.into_iter().next().flatten(), now)?;
-                }
-            }
-        }
-    }
-
-    fn log_written(&self, order: &WaveOrder, next: &WaveProgress, change: &WaveChange) {
-        for vm in &change.done {
-            event!(Info, "upkeep_done", wave = order.wave, vm = vm);
-        }
-        event!(
-            Info,
-            "wave_written",
-            wave = order.wave,
-            pool = self.ledger.context.pool,
-            done = next.done.len(),
-            due = order.vms.len(),
-            down = next.down.len()
-        );
-    }
-}
-
-impl WaveState {
-    /// Takes in the record as it was found.
-    fn take_record(&mut self, found: Option<StoredValue>, now: Millis) -> Result<(), VmWorkError> {
-        (self.progress, self.revision) = match found {
-            Some(stored) => (serde_json::from_slice(&stored.value)?, stored.revision),
-            None => Default::default(),
-        };
-        self.known_at = Some(now);
-        Ok(())
-    }
-
-    /// Whether the platform has confirmed a VM's upkeep.
-    fn has_begun(&self, vm: &str) -> bool {
-        self.progress.begun.contains(vm) || self.confirmed.contains(vm)
-    }
-
-    /// Whether a VM that is up again has been through its upkeep: with a new life of its
-    /// runner, or, where that can't tell, some time after the order. A list that was
-    /// asked for before tells nothing.
-    fn is_back(&self, row: &VmRow, asked_at: Millis) -> bool {
-        let Some(before) = self.progress.down.get(&row.name) else {
-            return false;
-        };
-        if row.condition != VmCondition::Up || !self.has_begun(&row.name) {
-            return false;
-        }
-        let ordered = self.ordered.get(&row.name).copied();
-        if asked_at < ordered.or(self.known_at).unwrap_or(0) {
-            return false;
-        }
-        let renewed = row.runner.as_deref().is_some_and(|now| now != before);
-        renewed || ordered.is_none_or(|at| at + BACK_MS <= asked_at)
-    }
-
-    /// Whether a VM has been missing from the list for long.
-    fn is_gone(&mut self, vm: &str, now: Millis) -> bool {
-        let since = self.missing.entry(vm.to_owned()).or_insert(now);
-        *since + GONE_MS <= now
-    }
 }
