Test: a VM whose upkeep was not answered takes tasks again

Fails: of three runners with room for eight tasks each, the one that had its upkeep gets none of 24. Found by reading, also in the code of before. The stand-in can lose the answers of orders about VMs that are carried out.

--- a/crates/hoisthitch-scheduler/tests/ownership/waves.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/waves.rs
@@ -13,6 +13,7 @@
     kept,
     world::{
         TestWorld,
+        job,
         lasting,
         play,
         sleep_ms, //
@@ -32,6 +33,7 @@
     owners_that_collide_on_a_wave_order_each_vm_once => orders_once();
     wave_of_a_large_pool_is_in_time_though_the_store_is_slow => is_in_time();
     moves_of_a_pool_do_not_wait_for_its_wave => looks_beside_wave();
+    vm_whose_upkeep_was_not_answered_takes_tasks_again => takes_tasks_again();
 }
 
 async fn wave(world: &TestWorld, vms: usize, limit_ms: u64) -> Result<()> {
@@ -316,3 +318,24 @@
     }
     kept(&world)
 }
+
+/// Found by reading: an upkeep whose answer was lost is ordered again once its VM is
+/// back. The new life is emptied for that, and was never told to go on.
+async fn takes_tasks_again() -> Result<()> {
+    let world = TestWorld::start(2, 3).await?;
+    sleep_ms(2_000).await;
+    world.fleet.lose_vm_answers(true);
+    world.store.put("op/wave/1", Some(b"vm-0"), 0);
+    for _ in 0..35 {
+        sleep_ms(100).await;
+        world.revive();
+    }
+    world.fleet.lose_vm_answers(false);
+    wave(&world, 1, 20_000).await?;
+    world.submit("all", job("work 5000", &[24])).await?;
+    sleep_ms(2_500).await;
+    let tasks = world.fleet.tasks();
+    let busy = tasks.iter().filter(|(_, tasks)| tasks.len() == 8);
+    ensure!(busy.count() == 3, "{tasks:?}");
+    kept(&world)
+}
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -77,6 +77,8 @@
     upkeep_orders: HashMap<String, usize>,
     /// Orders about VMs are lost.
     vms_lost: bool,
+    /// Orders about VMs are carried out, and their answers are lost.
+    vm_answers_lost: bool,
     /// Time that an order about a VM is under way.
     vms_way: Duration,
     /// Jobs whose tasks may be stopped as their caller wants.
@@ -143,6 +145,11 @@
         self.state.borrow_mut().vms_lost = lost;
     }
 
+    /// Has orders about VMs be carried out without an answer, or not.
+    pub fn lose_vm_answers(&self, lost: bool) {
+        self.state.borrow_mut().vm_answers_lost = lost;
+    }
+
     /// Has orders about VMs take that long to arrive.
     pub fn slow_vm_orders(&self, way: Duration) {
         self.state.borrow_mut().vms_way = way;
--- a/crates/hoisthitch-tests/src/world/runners/vms.rs
+++ b/crates/hoisthitch-tests/src/world/runners/vms.rs
@@ -18,6 +18,7 @@
         POOL,
         spawn_outside, //
     },
+    FleetState,
     GIVE_UP,
     MemoryFleet,
     WAY, //
@@ -108,7 +109,9 @@
             }
         });
         let outcome = answer.await;
-        if self.state.borrow().rules.is_unheard(&self.node) {
+        let unheard =
+            |state: &FleetState| state.vm_answers_lost || state.rules.is_unheard(&self.node);
+        if unheard(&self.state.borrow()) {
             tokio::time::sleep(GIVE_UP).await;
             return Err(VmError::NoAnswer("unheard".to_owned()));
         }
