Tell a runner to go on once its VM had its upkeep

Cause: an upkeep whose answer was lost is ordered again when its VM is back; the new life is emptied for that and stayed marked as leaving, so that it got no task any more. Change: the runner of a VM that is done is told to go on.

--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -118,7 +118,7 @@
         let context = &self.ledger.context;
         let rows = self.list.read(&context.platform, &context.shared).await?;
         let due = self.own_vms(order, &rows);
-        self.note_done(&due, &rows, state);
+        self.note_done(&due, &rows, state).await;
         let mut ready = self.unconfirmed(&due, &rows, state);
         let fresh = self.empty_next(order, &due, &rows, state).await;
         // Of a write that failed; what could go then need not be able to now.
@@ -141,14 +141,17 @@
         order.vms.iter().filter(own).cloned().collect()
     }
 
-    /// Notes which VMs had their upkeep, or are no more.
-    fn note_done(&mut self, due: &[String], rows: &VmRows, state: &mut WaveState) {
+    /// Notes which VMs had their upkeep, or are no more. Where the upkeep was ordered
+    /// again, the life that is there now was emptied for it, and has to be told to go on.
+    async fn note_done(&mut self, due: &[String], rows: &VmRows, state: &mut WaveState) {
         let now = self.ledger.now();
+        let mut runners = Vec::new();
         for vm in due {
             if state.progress.done.contains(vm) {
                 continue;
             }
-            let over = match rows.find(vm) {
+            let row = rows.find(vm);
+            let over = match row {
                 None => state.is_gone(vm, now),
                 Some(row) => {
                     state.missing.remove(vm);
@@ -158,8 +161,12 @@
             if over && state.pending.done.insert(vm.clone()) {
                 self.leaving.remove(vm);
                 self.ledger.release(vm, VmClaim::Upkeep);
+                runners.extend(row.and_then(|row| row.runner.clone()));
             }
         }
+        if !runners.is_empty() {
+            self.ledger.tell(VmRequest::Stay { runners }).await;
+        }
     }
 
     /// VMs that are up though they are noted as down, and whose upkeep the platform has
