Read the change once more: state that is derived, one piece for twins

Ruled out: counting what is to be written in place of looking for it, for a job that ended may be marked after it left the active ones; that would change behaviour.

Change: a wave's confirmed upkeeps are told by what is pending and recorded; sessions hear a number in place of a struct of one field; runners whose rivals were looked for are a set, cleared with the list; one let_stay, may_go, may_order, most_down, is_staying and staying for two or three twins each; authorize takes the share, and serves moves too; the list of VMs is read with the context; VMs that stay are counted by lookups, not by going through hundreds of names for each of hundreds. Nothing is decided otherwise.

--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -9,7 +9,10 @@
 //! percent of an even share that buys 1 to 2 in 100 of what is owed (80 plays,
 //! docs/decisions.md).
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    HashSet, //
+};
 
 use serde::{
     Deserialize,
@@ -33,10 +36,10 @@
 }
 
 impl PoolShare {
-    /// VMs that are counted in the pool still though they were sent away.
-    pub fn sent_here(&self) -> usize {
-        let sent = self.sent.keys();
-        sent.filter(|vm| self.vms.contains(*vm)).count()
+    /// VMs of the pool that were not sent away.
+    pub fn staying(&self) -> usize {
+        let sent = |vm: &&String| self.sent.contains_key(*vm);
+        self.vms.len() - self.vms.iter().filter(sent).count()
     }
 }
 
@@ -92,7 +95,7 @@
         .map(|(name, share)| PoolLevel {
             name,
             share,
-            staying: share.vms.len() - share.sent_here(),
+            staying: share.staying(),
             have: count_vms(pools, name),
             gives: false,
         })
@@ -208,13 +211,14 @@
     let Some(share) = pools.get(pool) else {
         return 0;
     };
+    let here: HashSet<&String> = share.vms.iter().collect();
     let coming = pools
         .iter()
         .filter(|(from, _)| *from != pool)
         .flat_map(|(_, other)| &other.sent)
-        .filter(|(vm, to)| *to == pool && !share.vms.contains(vm))
+        .filter(|(vm, to)| *to == pool && !here.contains(vm))
         .count();
-    share.vms.len() - share.sent_here() + coming
+    share.staying() + coming
 }
 
 fn to_usize(count: u32) -> usize {
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -7,7 +7,10 @@
     job::JobKey,
     pool::PoolState,
     record::JobProgress,
-    runner::RunnerKey,
+    runner::{
+        RunnerEntry,
+        RunnerKey, //
+    },
     spec::{
         StepSpec,
         TaskNeed, //
@@ -262,11 +265,11 @@
             if entry.run != *run {
                 continue;
             }
-            let usable = self
+            let stays = self
                 .runners
                 .get(runner)
-                .is_some_and(|entry| entry.open && !entry.is_going() && !entry.leaving);
-            if !usable {
+                .is_some_and(RunnerEntry::is_staying);
+            if !stays {
                 self.set_place(*task, TaskPlace::Waiting, now);
                 self.break_gang(*task, now);
                 continue;
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -132,17 +132,17 @@
         self.facts.draining || self.retired
     }
 
-    /// Whether it may get tasks.
-    pub fn takes_tasks(&self, now: Millis) -> bool {
-        self.is_usable(now) && self.shunned_until <= now
+    /// Whether it answers, and neither leaves nor is emptied.
+    pub fn is_staying(&self) -> bool {
+        self.open && !self.is_going() && !self.leaving
     }
 
-    /// Whether a task that is decided on now can be started: the runner stays, and its
-    /// lease outlasts the record and the order of the start.
-    pub fn is_usable(&self, now: Millis) -> bool {
+    /// Whether it may get tasks: its lease has to outlast the record and the order of
+    /// their starts.
+    pub fn takes_tasks(&self, now: Millis) -> bool {
         let covered = self.covered_until;
         let covered = covered.is_none_or(|until| until > now + START_TIME_MS);
-        self.open && !self.is_going() && !self.leaving && covered
+        self.is_staying() && covered && self.shunned_until <= now
     }
 
     /// Whether it was shunned and is tried with one task.
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -141,10 +141,8 @@
     synced: bool,
     /// Lives of runners that are over, though they may be listed still.
     over: HashSet<String>,
-    /// Changes of the list of runners so far.
-    fleet_changes: u64,
-    /// Change up to which other lives at a runner's place were looked for.
-    rivals_sought: HashMap<RunnerKey, u64>,
+    /// Runners at whose place other lives were looked for since the list last changed.
+    rivals_sought: HashSet<RunnerKey>,
     /// Whether the pool is being handed on.
     leaving: bool,
     /// When this node began to own the pool.
@@ -208,8 +206,7 @@
         sessions: HashMap::new(),
         open_sessions: Rc::default(),
         over: HashSet::new(),
-        fleet_changes: 0,
-        rivals_sought: HashMap::new(),
+        rivals_sought: HashSet::new(),
         leaving: false,
         owned_since: now,
         silent: BTreeMap::new(),
@@ -388,7 +385,7 @@
             self.checked_at = now;
             self.check_times(now);
             self.look_for_silence(now);
-            self.share_terms();
+            self.tell_recorded();
             due = true;
         }
         // Nothing is ordered before it is recorded. To plan at each event, with the
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -15,8 +15,7 @@
     },
     session::{
         RunnerSession,
-        SessionContext,
-        SessionTerms, //
+        SessionContext, //
     },
     vms::{
         PoolNeed,
@@ -121,7 +120,7 @@
         // the VM worker knows better.
         let since = if self.synced { now } else { 0 };
         self.synced = true;
-        self.fleet_changes += 1;
+        self.rivals_sought.clear();
         let fleet = self.context.fleet.borrow().clone();
         self.state.set_policies(&fleet.policies);
         let own: Vec<_> = fleet
@@ -166,8 +165,7 @@
         if asked_at + PROOF_MS < now {
             return;
         }
-        let sought = self.rivals_sought.insert(key, self.fleet_changes);
-        if sought == Some(self.fleet_changes) {
+        if !self.rivals_sought.insert(key) {
             return;
         }
         let Some(name) = self.state.runner(key).map(|r| r.facts.name.clone()) else {
@@ -216,8 +214,7 @@
             address,
             events: self.events.clone(),
         };
-        let session = RunnerSession::open(context, SessionTerms::default());
-        self.sessions.insert(key, session);
+        self.sessions.insert(key, RunnerSession::open(context));
         self.count_sessions();
     }
 
@@ -240,14 +237,13 @@
     }
 
     /// Tells sessions what is recorded.
-    pub(super) fn share_terms(&mut self) {
+    pub(super) fn tell_recorded(&mut self) {
         if self.journal.is_none() || self.state.needs_flush() {
             return;
         }
         for (key, session) in &self.sessions {
             if let Some(runner) = self.state.runner(*key) {
-                let recorded = runner.seen;
-                session.set_terms(SessionTerms { recorded });
+                session.set_recorded(runner.seen);
             }
         }
     }
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -21,8 +21,7 @@
         PoolJournal,
         encode, //
     },
-    platform::Platform,
-    session::SessionTerms, //
+    platform::Platform, //
 };
 
 /// Least time between two writes of the journal, in milliseconds: what comes
@@ -132,8 +131,7 @@
         self.start_all(starts);
         for (runner, seen) in &plan.seen {
             if let Some(session) = self.sessions.get(runner) {
-                let recorded = *seen;
-                session.set_terms(SessionTerms { recorded });
+                session.set_recorded(*seen);
             }
         }
         Ok(())
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -265,6 +265,13 @@
     pub at_once: usize,
 }
 
+impl WaveOrder {
+    /// VMs that may be down at once; one at least, or the wave would never end.
+    pub(crate) fn most_down(&self) -> usize {
+        self.at_once.max(1)
+    }
+}
+
 /// Reads what operators and runners write to the store.
 pub trait FleetCodec: Clone + 'static {
     /// Start of the keys that operators write.
--- a/crates/hoisthitch-scheduler/src/session.rs
+++ b/crates/hoisthitch-scheduler/src/session.rs
@@ -137,16 +137,10 @@
     Pace(PaceOrder),
 }
 
-/// What the owner tells a session.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct SessionTerms {
-    /// Last end that is recorded.
-    pub(crate) recorded: u64,
-}
-
 /// The owner's end of a session; the session ends with it.
 pub(crate) struct RunnerSession {
-    terms: watch::Sender<SessionTerms>,
+    /// Last end that is recorded.
+    recorded: watch::Sender<u64>,
     orders: mpsc::Sender<RunnerOrder>,
     /// Silences of the runner after which it may have leases again.
     settled: watch::Sender<u64>,
@@ -158,7 +152,7 @@
     pub(crate) shared: Arc<NodeShared>,
     pub(crate) epoch: u64,
     /// When the owner last made sure that it is the owner. Read for each lease: told
-    /// with the terms it stood still while the owner had more to record than it could
+    /// together with what is recorded it stood still while the owner had more to record than it could
     /// write, and after eight seconds all leases lapsed.
     pub(crate) confirmed: Rc<Cell<Millis>>,
     /// Sessions that the owner has.
@@ -190,8 +184,8 @@
 
 impl RunnerSession {
     /// Opens a session.
-    pub(crate) fn open<R: RunnerControl>(context: SessionContext<R>, terms: SessionTerms) -> Self {
-        let (terms, told) = watch::channel(terms);
+    pub(crate) fn open<R: RunnerControl>(context: SessionContext<R>) -> Self {
+        let (recorded, told) = watch::channel(0);
         let (orders, queue) = mpsc::channel(ORDER_QUEUE);
         let context = Rc::new(context);
         let clock = Rc::new(LeaseClock::default());
@@ -199,7 +193,7 @@
         actix_rt::spawn(carry_orders(context.clone(), clock.clone(), queue));
         actix_rt::spawn(keep_holding(context, clock, told, silences));
         Self {
-            terms,
+            recorded,
             orders,
             settled,
         }
@@ -215,11 +209,11 @@
         });
     }
 
-    /// Changes the terms.
-    pub(crate) fn set_terms(&self, terms: SessionTerms) {
-        self.terms.send_if_modified(|old| {
-            let changed = old.recorded != terms.recorded;
-            *old = terms;
+    /// Tells the last end that is recorded; the runner may forget it.
+    pub(crate) fn set_recorded(&self, number: u64) {
+        self.recorded.send_if_modified(|recorded| {
+            let changed = *recorded != number;
+            *recorded = number;
             changed
         });
     }
@@ -233,20 +227,20 @@
 async fn keep_holding<R: RunnerControl>(
     context: Rc<SessionContext<R>>,
     clock: Rc<LeaseClock>,
-    mut told: watch::Receiver<SessionTerms>,
+    mut told: watch::Receiver<u64>,
     mut settled: watch::Receiver<u64>,
 ) {
     let mut answered = false;
     // A runner is silent before its first answer.
     let mut silences = 1;
     while told.has_changed().is_ok() {
-        let terms = *told.borrow_and_update();
+        let recorded = *told.borrow_and_update();
         let asked_at = context.shared.clock.now();
         let may_run = answered && *settled.borrow() >= silences;
         let lease = context.lease(&clock, asked_at, may_run);
         let ask = HoldAsk {
             epoch: context.epoch,
-            recorded: terms.recorded,
+            recorded,
             lease_ms: lease.map(|lease| lease.lease_ms),
             wait: if lease.is_some() {
                 HOLD_WAIT
@@ -266,10 +260,10 @@
                     leased_until: lease.map(|lease| lease.until),
                     silences,
                 });
-                if let Some(last) = last.filter(|last| *last > terms.recorded) {
-                    let recorded = told.wait_for(|terms| terms.recorded >= last);
+                if let Some(last) = last.filter(|last| *last > recorded) {
+                    let all_recorded = told.wait_for(|recorded| *recorded >= last);
                     // The next hold reports the same ends if they are not.
-                    let _ = timeout(RECORD_WAIT, recorded).await;
+                    let _ = timeout(RECORD_WAIT, all_recorded).await;
                 } else {
                     tokio::time::sleep(context.hold_gap()).await;
                 }
--- a/crates/hoisthitch-scheduler/src/vms/ledger.rs
+++ b/crates/hoisthitch-scheduler/src/vms/ledger.rs
@@ -177,21 +177,18 @@
         blocked.get(vm).is_some_and(|until| *until > now)
     }
 
-    /// Notes that orders about VMs follow the next write.
-    pub(super) fn note_ordered<'a>(&self, vms: impl IntoIterator<Item = &'a String>) {
-        let now = self.now();
-        let vms = vms.into_iter().map(|vm| (vm.clone(), now));
-        self.ordered.borrow_mut().extend(vms);
-    }
-
-    /// Writes down that orders about VMs follow; answers with their token. A token
-    /// is for one VM's orders, and each VM gets one order under it.
+    /// Writes down that orders about VMs follow, with the share if that changes; answers
+    /// with their token. A token is for one VM's orders, and each VM gets one order
+    /// under it.
     pub(super) async fn authorize<'a>(
         &self,
         vms: impl IntoIterator<Item = &'a String>,
+        share: Option<PoolShare>,
     ) -> Result<u64, VmWorkError> {
-        self.note_ordered(vms);
-        self.publish(None).await
+        let now = self.now();
+        let vms = vms.into_iter().map(|vm| (vm.clone(), now));
+        self.ordered.borrow_mut().extend(vms);
+        self.publish(share).await
     }
 
     /// What to write down now.
--- a/crates/hoisthitch-scheduler/src/vms/list.rs
+++ b/crates/hoisthitch-scheduler/src/vms/list.rs
@@ -11,14 +11,12 @@
 
 use hoisthitch_jobs::Millis;
 
-use crate::{
-    platform::{
-        Platform,
-        VmControl,
-        VmError,
-        VmRow, //
-    },
-    shared::NodeShared, //
+use super::VmContext;
+use crate::platform::{
+    Platform,
+    VmControl,
+    VmError,
+    VmRow, //
 };
 
 /// Age up to which the list is used, in milliseconds: half of the time that an upkeep
@@ -71,15 +69,14 @@
     /// Fails as the platform does.
     pub(super) async fn read<P: Platform>(
         &self,
-        platform: &P,
-        shared: &NodeShared,
+        context: &VmContext<P>,
     ) -> Result<Rc<VmRows>, VmError> {
-        let now = shared.clock.now();
+        let now = context.shared.clock.now();
         let last = self.last.borrow().clone();
         if let Some(rows) = last.filter(|rows| rows.asked_at + LIST_AGE_MS > now) {
             return Ok(rows);
         }
-        let rows = Rc::new(VmRows::new(platform.vms().list().await?, now));
+        let rows = Rc::new(VmRows::new(context.platform.vms().list().await?, now));
         *self.last.borrow_mut() = Some(rows.clone());
         Ok(rows)
     }
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -216,10 +216,16 @@
         let _ = self.context.owner.send(request).await;
     }
 
+    /// Lets runners go on that were to be emptied.
+    async fn let_stay(&self, runners: Vec<String>) {
+        if !runners.is_empty() {
+            self.tell(VmRequest::Stay { runners }).await;
+        }
+    }
+
     /// Makes sure that this node owned the pool a moment ago.
     fn check_owner(&self) -> Result<(), VmWorkError> {
-        let now = self.context.shared.clock.now();
-        if now > self.context.confirmed.get() + DOUBT_MS {
+        if self.now() > self.context.confirmed.get() + DOUBT_MS {
             return Err(VmWorkError::Doubt);
         }
         Ok(())
--- a/crates/hoisthitch-scheduler/src/vms/moves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/moves.rs
@@ -85,7 +85,7 @@
 
     /// Publishes what the pool needs, and sends away what others need more.
     async fn balance(&mut self) -> Result<(), VmWorkError> {
-        let now = self.ledger.context.shared.clock.now();
+        let now = self.ledger.now();
         let Some(need) = self.ask_need().await else {
             return Ok(());
         };
@@ -99,8 +99,8 @@
         self.tell_share(share).await?;
         // Without a VM to give there is nothing to look for.
         let kept = if spare { 0 } else { need.want.steady };
-        let staying = self.share.vms.len() - self.share.sent_here();
-        if u32::try_from(staying).is_ok_and(|staying| staying <= kept) && self.giving.is_empty() {
+        let staying = u32::try_from(self.share.staying());
+        if staying.is_ok_and(|staying| staying <= kept) && self.giving.is_empty() {
             return Ok(());
         }
         let targets = self.find_targets().await?;
@@ -137,14 +137,9 @@
             has = share.vms.len(),
             sent = share.sent.len()
         );
-        self.publish(share).await?;
-        Ok(())
-    }
-
-    async fn publish(&mut self, share: PoolShare) -> Result<u64, VmWorkError> {
-        let token = self.ledger.publish(Some(share.clone())).await?;
+        self.ledger.publish(Some(share.clone())).await?;
         self.share = share;
-        Ok(token)
+        Ok(())
     }
 
     /// Pools that are to get VMs of this one, once for each VM.
@@ -225,9 +220,7 @@
             );
             runners.push(runner);
         }
-        if !runners.is_empty() {
-            self.ledger.tell(VmRequest::Stay { runners }).await;
-        }
+        self.ledger.let_stay(runners).await;
     }
 
     /// Sends VMs to other pools, under one token.
@@ -242,8 +235,9 @@
             self.sent.insert(vm.clone(), (target.clone(), now));
             share.sent.insert(vm.clone(), target.clone());
         }
-        self.ledger.note_ordered(moves.iter().map(|(vm, _)| vm));
-        let token = self.publish(share).await?;
+        let vms = moves.iter().map(|(vm, _)| vm);
+        let token = self.ledger.authorize(vms, Some(share.clone())).await?;
+        self.share = share;
         self.ledger.check_owner()?;
         let context = &self.ledger.context;
         let vms = context.platform.vms();
--- a/crates/hoisthitch-scheduler/src/vms/share.rs
+++ b/crates/hoisthitch-scheduler/src/vms/share.rs
@@ -93,7 +93,7 @@
     /// VMs of a pool whose VMs are off, once they may be ordered about.
     pub(super) async fn list_idle(&mut self, now: Millis) -> Result<Vec<String>, VmWorkError> {
         let context = &self.ledger.context;
-        let rows = self.list.read(&context.platform, &context.shared).await?;
+        let rows = self.list.read(context).await?;
         let own = rows
             .iter()
             .filter(|row| row.pool == context.pool && row.condition == VmCondition::Up);
--- a/crates/hoisthitch-scheduler/src/vms/wave_state.rs
+++ b/crates/hoisthitch-scheduler/src/vms/wave_state.rs
@@ -1,10 +1,7 @@
 //! A wave as one owner knows it: the record that all owners share, what is to be written
 //! into it, and the orders that this owner gave.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 
 use hoisthitch_jobs::{
     Millis,
@@ -59,8 +56,6 @@
     pub(super) pending: WaveChange,
     /// VMs that were told to go down, and when.
     pub(super) ordered: BTreeMap<String, Millis>,
-    /// Those of them that the platform has confirmed.
-    pub(super) confirmed: BTreeSet<String>,
     /// VMs that are missing from the list, and since when.
     pub(super) missing: BTreeMap<String, Millis>,
 }
@@ -78,7 +73,7 @@
 
     /// Whether the platform has confirmed a VM's upkeep.
     pub(super) fn has_begun(&self, vm: &str) -> bool {
-        self.progress.begun.contains(vm) || self.confirmed.contains(vm)
+        self.progress.begun.contains(vm) || self.pending.begun.contains(vm)
     }
 
     /// Whether a VM that is up again has been through its upkeep: with a new life of its
@@ -127,10 +122,13 @@
         ledger: &VmLedger<P>,
         order: &WaveOrder,
     ) -> Result<(), VmWorkError> {
+        if self.pending.is_empty() {
+            return Ok(());
+        }
         let context = &ledger.context;
         loop {
             let now = ledger.now();
-            let next = self.progress.with(&self.pending, order.at_once.max(1));
+            let next = self.progress.with(&self.pending, order.most_down());
             if next == self.progress {
                 self.pending = WaveChange::default();
                 return Ok(());
--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -116,7 +116,7 @@
             return Ok(());
         }
         let context = &self.ledger.context;
-        let rows = self.list.read(&context.platform, &context.shared).await?;
+        let rows = self.list.read(context).await?;
         let due = self.own_vms(order, &rows);
         self.note_done(&due, &rows, state).await;
         let mut ready = self.unconfirmed(&due, &rows, state);
@@ -164,9 +164,12 @@
                 runners.extend(row.and_then(|row| row.runner.clone()));
             }
         }
-        if !runners.is_empty() {
-            self.ledger.tell(VmRequest::Stay { runners }).await;
-        }
+        self.ledger.let_stay(runners).await;
+    }
+
+    /// Whether a VM is up, and no earlier owner's order about it may be under way.
+    fn may_order(&self, row: &VmRow) -> bool {
+        row.condition == VmCondition::Up && !self.ledger.is_blocked(&row.name)
     }
 
     /// VMs that are up though they are noted as down, and whose upkeep the platform has
@@ -184,7 +187,7 @@
                 ordered.is_none_or(|at| *at + BACK_MS <= rows.asked_at)
             })
             .filter_map(|vm| rows.find(vm))
-            .filter(|row| row.condition == VmCondition::Up && !self.ledger.is_blocked(&row.name))
+            .filter(|row| self.may_order(row))
             .filter(|row| self.ledger.claim(&row.name, VmClaim::Upkeep))
             .collect()
     }
@@ -201,7 +204,7 @@
             .iter()
             .filter(|vm| state.progress.is_due(vm) && !state.pending.done.contains(*vm))
             .filter_map(|vm| rows.find(vm))
-            .filter(|row| row.condition == VmCondition::Up && !self.ledger.is_blocked(&row.name))
+            .filter(|row| self.may_order(row))
             .filter(|row| !self.ledger.is_claimed(&row.name, VmClaim::Upkeep))
             .collect();
         // What is being emptied already goes on.
@@ -209,7 +212,7 @@
         let pool = &self.ledger.context.pool;
         let own = rows.iter().filter(|row| row.pool == *pool).count();
         let down = state.progress.down.len();
-        let room = order.at_once.max(1).saturating_sub(down);
+        let room = order.most_down().saturating_sub(down);
         // One more, so that it is empty when its turn comes.
         let at_once = (own / EMPTY_PART).max(1).min(room + 1);
         let mut emptied = 0;
@@ -225,7 +228,7 @@
                 // A VM without a runner costs no room.
                 let counts = row.runner.is_some() && view != Some(UpkeepView::Held);
                 emptied += usize::from(counts);
-                if matches!(view, Some(UpkeepView::Free) | None) {
+                if may_go(view) {
                     free.push(row);
                 }
             }
@@ -291,9 +294,7 @@
         for vm in vms {
             self.ledger.release(vm, VmClaim::Upkeep);
         }
-        if !runners.is_empty() {
-            self.ledger.tell(VmRequest::Stay { runners }).await;
-        }
+        self.ledger.let_stay(runners).await;
     }
 
     /// Takes VMs down that are noted as down, those of them that may go.
@@ -307,15 +308,14 @@
             return Ok(());
         }
         let names = ready.iter().map(|row| &row.name);
-        let token = self.ledger.authorize(names).await?;
+        let token = self.ledger.authorize(names, None).await?;
         // The writes may have taken long; what runs there may have changed.
         let views = self.ask_rows(ready).await;
         self.ledger.check_owner()?;
-        let free = |view: &Option<UpkeepView>| matches!(view, Some(UpkeepView::Free) | None);
         let going: Vec<&VmRow> = ready
             .iter()
-            .zip(&views)
-            .filter(|(_, view)| free(view))
+            .zip(views)
+            .filter(|(_, view)| may_go(*view))
             .map(|(row, _)| *row)
             .collect();
         let context = &self.ledger.context;
@@ -360,9 +360,13 @@
             }
         }
         if outcome.is_ok() {
-            state.confirmed.insert(row.name.clone());
             state.pending.begun.insert(row.name.clone());
             self.leaving.remove(&row.name);
         }
     }
 }
+
+/// Whether a VM may go down now; one without a runner may.
+fn may_go(view: Option<UpkeepView>) -> bool {
+    matches!(view, Some(UpkeepView::Free) | None)
+}
