--- a/crates/hoisthitch-standin/src/proxy.rs
+++ b/crates/hoisthitch-standin/src/proxy.rs
@@ -1,6 +1,8 @@
 //! Proxy that injects faults between two processes: TCP streams and UDP
 //! datagrams are passed on, cut, held back, delayed or doubled, each direction
-//! by itself.
+//! by itself. All streams that are open can also be silenced for good, as where a
+//! network forgets them: nothing passes them any more and no end closes them,
+//! while new ones work.
 
 use std::{
     collections::BTreeMap,
@@ -80,6 +82,9 @@
 
 type PlanReceiver = watch::Receiver<ProxyPlan>;
 
+/// How many times the open streams were silenced.
+type SilenceReceiver = watch::Receiver<u64>;
+
 /// Runs until the process is told to stop.
 ///
 /// # Errors
@@ -88,18 +93,22 @@
 pub async fn run(args: ProxyArgs) -> Result<()> {
     let (sender, plan) = watch::channel(ProxyPlan::default());
     let sender = Arc::new(sender);
+    let (silencer, silence) = watch::channel(0);
+    let silencer = Arc::new(silencer);
     if args.udp {
         let socket = UdpSocket::bind(args.listen).await?;
         actix_web::rt::spawn(pass_datagrams(Arc::new(socket), args.to, plan));
     } else {
         let listener = TcpListener::bind(args.listen).await?;
-        actix_web::rt::spawn(pass_streams(listener, args.to, plan));
+        actix_web::rt::spawn(pass_streams(listener, args.to, plan, silence));
     }
     println!("standin=proxy listen={} to={}", args.listen, args.to);
     HttpServer::new(move || {
         App::new()
             .app_data(web::Data::from(sender.clone()))
+            .app_data(web::Data::from(silencer.clone()))
             .route("/standin/plan", web::put().to(put_plan))
+            .route("/standin/silence", web::post().to(silence_open))
     })
     .workers(1)
     .shutdown_timeout(1)
@@ -117,7 +126,17 @@
     HttpResponse::NoContent().finish()
 }
 
-async fn pass_streams(listener: TcpListener, to: SocketAddr, plan: PlanReceiver) {
+async fn silence_open(silencer: web::Data<watch::Sender<u64>>) -> HttpResponse {
+    silencer.send_modify(|times| *times += 1);
+    HttpResponse::NoContent().finish()
+}
+
+async fn pass_streams(
+    listener: TcpListener,
+    to: SocketAddr,
+    plan: PlanReceiver,
+    silence: SilenceReceiver,
+) {
     loop {
         let Ok((near, _)) = listener.accept().await else {
             continue;
@@ -125,11 +144,19 @@
         if plan.borrow().cut {
             continue;
         }
-        actix_web::rt::spawn(pass_stream(near, to, plan.clone()));
+        let mut silence = silence.clone();
+        // What was silenced before this stream came does not concern it.
+        silence.mark_unchanged();
+        actix_web::rt::spawn(pass_stream(near, to, plan.clone(), silence));
     }
 }
 
-async fn pass_stream(near: TcpStream, to: SocketAddr, plan: PlanReceiver) {
+async fn pass_stream(
+    near: TcpStream,
+    to: SocketAddr,
+    plan: PlanReceiver,
+    mut silence: SilenceReceiver,
+) {
     let Ok(far) = TcpStream::connect(to).await else {
         return;
     };
@@ -138,14 +165,20 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let mut cut = plan.clone();
+    let cut = cut.wait_for(|plan| plan.cut);
+    tokio::pin!(cut);
+    let copies = async {
+        tokio::join!(
+            copy(near_read, far_write, plan.clone(), Direction::Forward),
+            copy(far_read, near_write, plan.clone(), Direction::Back),
+        );
+    };
+    tokio::pin!(copies);
     tokio::select! {
-        () = async {
-            tokio::join!(
-                copy(near_read, far_write, plan.clone(), Direction::Forward),
-                copy(far_read, near_write, plan.clone(), Direction::Back),
-            );
-        } => {}
-        _ = cut.wait_for(|plan| plan.cut) => {}
+        () = &mut copies => {}
+        _ = &mut cut => {}
+        // The copies are kept, and with them both ends open.
+        Ok(()) = silence.changed() => drop(cut.await),
     }
 }
 
