--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 mod owner;
 mod pending;
 pub mod platform;
+mod policy;
 mod session;
 mod shared;
 mod takeover;
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -5,6 +5,7 @@
     HistogramOpts,
     HistogramVec,
     IntCounterVec,
+    IntGauge,
     Opts,
     Registry, //
 };
@@ -30,6 +31,8 @@
     pub platform_calls: IntCounterVec,
     /// Bytes of those calls' paths and bodies, by purpose and direction.
     pub platform_bytes: IntCounterVec,
+    /// Version of the configuration in force; zero before the first.
+    pub policy_version: IntGauge,
 }
 
 impl NodeMetrics {
@@ -62,8 +65,14 @@
             &["loop"],
         )?;
         registry.register(Box::new(looks.clone()))?;
+        let policy_version = IntGauge::new(
+            "hoisthitch_policy_version",
+            "Version of the configuration in force",
+        )?;
+        registry.register(Box::new(policy_version.clone()))?;
         Ok(Self {
             looks,
+            policy_version,
             platform_calls: counter(
                 "hoisthitch_platform_calls_total",
                 "Calls to the platform and to runners",
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -41,6 +41,10 @@
         FleetPolicy,
         Platform, //
     },
+    policy::{
+        PolicyChange,
+        tell_names, //
+    },
     shared::NodeShared,
     takeover::{
         PoolTakeover,
@@ -190,8 +194,14 @@
     fn take_operator(&mut self, value: &StoredValue) {
         let codec = self.platform.codec().clone();
         match codec.policy(&value.key, &value.value) {
-            Some(Ok(policy)) => self.apply_policy(policy),
-            Some(Err(err)) => event!(Error, "policy_unreadable", key = value.key, error = err),
+            Some(Ok(policy)) => self.apply_policy(policy, value.revision),
+            Some(Err(err)) => event!(
+                Error,
+                "policy_unreadable",
+                key = value.key,
+                revision = value.revision.0,
+                error = err
+            ),
             None => {}
         }
         match codec.wave(&value.key, &value.value) {
@@ -208,7 +218,7 @@
     }
 
     /// Puts a configuration in force, unless it is older than the one there.
-    fn apply_policy(&mut self, policy: FleetPolicy) {
+    fn apply_policy(&mut self, policy: FleetPolicy, revision: StoreRevision) {
         let current = self.shared.policy.load();
         if current
             .as_ref()
@@ -216,13 +226,21 @@
         {
             return;
         }
+        let change = PolicyChange::between(current.as_deref(), &policy);
         event!(
             Info,
             "policy_in_force",
             version = policy.version,
+            revision = revision.0,
+            before = current.as_ref().map_or(0, |before| before.version),
             queues = policy.queues().len(),
-            pools = policy.pools.len()
+            pools = policy.pools.len(),
+            added = tell_names(&change.added),
+            dropped = tell_names(&change.dropped),
+            moved = tell_names(&change.moved)
         );
+        let version = i64::try_from(policy.version).unwrap_or(i64::MAX);
+        self.shared.metrics.policy_version.set(version);
         let pools = policy.pools.iter().map(|pool| pool.name.clone()).collect();
         let policies = policy.policies();
         self.shared.policy.store(Some(Arc::new(policy)));
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -1,7 +1,6 @@
 //! What the job service needs of the platform, besides its store.
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     time::Duration, //
 };
@@ -11,7 +10,6 @@
     AdviceTicket,
     HoldReport,
     PaceOrder,
-    QueuePolicy,
     RunnerFacts,
     StartOrder,
     StartOutcome,
@@ -20,7 +18,11 @@
 use hoisthitch_store::StoreClient;
 use thiserror::Error;
 
-use crate::index::QueueIndex;
+pub use crate::policy::{
+    FleetPolicy,
+    PoolPolicy,
+    QueueRoute, //
+};
 
 /// A runner and where it listens.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -180,80 +182,6 @@
     ) -> impl Future<Output = Result<(), VmError>>;
 }
 
-/// A queue as the operators configured it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct QueueRoute {
-    /// Name.
-    pub name: String,
-    /// Host that callers name.
-    pub host: String,
-    /// Start of the path that callers name.
-    pub prefix: String,
-    /// Pool that runs the queue's jobs.
-    pub pool: String,
-    /// Policy.
-    pub policy: QueuePolicy,
-}
-
-/// A pool as the operators configured it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PoolPolicy {
-    /// Name.
-    pub name: String,
-    /// Whether its VMs are off.
-    pub spare: bool,
-}
-
-/// The operators' configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct FleetPolicy {
-    /// Version; rises with each change.
-    pub version: u64,
-    /// Pools.
-    pub pools: Vec<PoolPolicy>,
-    /// Longest body of a request, in bytes.
-    pub body_limit: usize,
-    queues: Vec<QueueRoute>,
-    index: QueueIndex,
-}
-
-impl FleetPolicy {
-    /// A configuration.
-    pub fn new(
-        version: u64,
-        queues: Vec<QueueRoute>,
-        pools: Vec<PoolPolicy>,
-        body_limit: usize,
-    ) -> Self {
-        Self {
-            version,
-            pools,
-            body_limit,
-            index: QueueIndex::new(&queues),
-            queues,
-        }
-    }
-
-    /// Queues.
-    pub fn queues(&self) -> &[QueueRoute] {
-        &self.queues
-    }
-
-    /// The queue that a request is for, with what follows the queue's prefix.
-    pub fn find_queue<'a>(&self, host: &str, path: &'a str) -> Option<(&QueueRoute, &'a str)> {
-        let (place, rest) = self.index.find(host, path)?;
-        Some((self.queues.get(place)?, rest))
-    }
-
-    /// Policies by name of the queue.
-    pub fn policies(&self) -> HashMap<String, QueuePolicy> {
-        self.queues
-            .iter()
-            .map(|queue| (queue.name.clone(), queue.policy))
-            .collect()
-    }
-}
-
 /// A wave that operators ask for.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WaveOrder {
