Follow the table for as long as the process answers callers

Cause: the configuration was taken in by the loop that owns pools, and that loop ends with the order to stop, while the node serves open connections for 60% of its grace time. A change in that time, or just before it, was never in force there: 404 for a queue that had been added. Ruled out before: a silent watch, a busy control thread, a wrong match (the log shows the old version at each answer and no loss of the store).

Change: operators' records have a keeper of their own (table.rs) that runs to the end of the process; the loop of pools hears from it.

Conclusion: root cause of the reproduced case; state that one part uses was kept by another part with a shorter life. The product's own entry was looked at: it follows its table until it ends, and refuses when that is not confirmed.

--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -1,14 +1,18 @@
 //! Operators' and runners' records, as a node last saw them.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet,
-    HashMap, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
+    sync::Arc, //
 };
 
 use hoisthitch_jobs::QueuePolicy;
 use hoisthitch_store::StoredValue;
 use hoisthitch_telemetry::event;
+use tokio::sync::watch;
 
 use crate::{
     follow::FollowEvent,
@@ -113,6 +117,14 @@
     }
 }
 
+/// Changes the view; those who follow it hear of it if `change` says so.
+pub(crate) fn change_fleet(
+    fleet: &watch::Sender<Arc<FleetView>>,
+    change: impl FnOnce(&mut FleetView) -> bool,
+) {
+    fleet.send_if_modified(|fleet| change(Arc::make_mut(fleet)));
+}
+
 /// Where a runner is: its address and its VM.
 fn places_of(record: &RunnerRecord) -> impl Iterator<Item = String> {
     let places = [record.address.to_string(), record.facts.vm.clone()];
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -26,6 +26,7 @@
 mod policy;
 mod session;
 mod shared;
+mod table;
 mod takeover;
 mod vms;
 
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    rc::Rc,
     sync::Arc,
     time::Duration, //
 };
@@ -9,7 +10,6 @@
 use hoisthitch_store::{
     StoreClient,
     StoreRevision,
-    StoredValue,
     SwapItem, //
 };
 use hoisthitch_telemetry::event;
@@ -19,7 +19,10 @@
 };
 
 use crate::{
-    fleet::FleetView,
+    fleet::{
+        FleetView,
+        change_fleet, //
+    },
     follow::{
         FollowEvent,
         follow_prefix, //
@@ -38,14 +41,10 @@
     },
     platform::{
         FleetCodec,
-        FleetPolicy,
         Platform, //
     },
-    policy::{
-        PolicyChange,
-        tell_names, //
-    },
     shared::NodeShared,
+    table::TableKeeper,
     takeover::{
         PoolTakeover,
         take_over, //
@@ -71,7 +70,7 @@
     shared: Arc<NodeShared>,
     keys: JobKeys,
     identity: NodeIdentity,
-    fleet: watch::Sender<Arc<FleetView>>,
+    fleet: Rc<watch::Sender<Arc<FleetView>>>,
     /// Pools that this node owns or stands for, each with its order to stop.
     running: BTreeMap<String, watch::Sender<bool>>,
     ended: mpsc::UnboundedSender<String>,
@@ -94,7 +93,6 @@
         actix_rt::spawn(follower);
         told
     };
-    let mut operators = follow(codec.operators_prefix(), Duration::ZERO);
     let mut runners = None;
     let mut changes = follow(keys.group(), Duration::ZERO);
     let member = keep_member(
@@ -105,6 +103,8 @@
     );
     let member = actix_rt::spawn(member);
     let (fleet, _) = watch::channel(Arc::new(FleetView::default()));
+    let fleet = Rc::new(fleet);
+    let mut operators = TableKeeper::start(&platform, shared.clone(), fleet.clone());
     let (ended, mut ends) = mpsc::unbounded_channel();
     let mut control = NodeControl {
         platform,
@@ -122,10 +122,7 @@
     while !control.shared.is_stopping() {
         let mut regroup = false;
         tokio::select! {
-            Some(change) = operators.recv() => {
-                control.take_operators(change);
-                regroup = true;
-            }
+            Some(()) = operators.recv() => regroup = true,
             Some(change) = next_change(&mut runners) => control.take_runners(change),
             Some(change) = changes.recv() => {
                 group.take(&control.keys, change, control.shared.clock.now());
@@ -177,89 +174,15 @@
 impl<P: Platform> NodeControl<P> {
     /// Forgets the runners, which are not followed any more.
     fn forget_runners(&self) {
-        self.change_fleet(|fleet| {
+        change_fleet(&self.fleet, |fleet| {
             fleet.forget_runners();
             true
         });
     }
 
-    fn take_operators(&mut self, change: FollowEvent) {
-        match change {
-            FollowEvent::All(values) => values.iter().for_each(|value| self.take_operator(value)),
-            FollowEvent::Put(value) => self.take_operator(&value),
-            FollowEvent::Gone(key) => event!(Warn, "operators_key_gone", key = key),
-        }
-    }
-
-    fn take_operator(&mut self, value: &StoredValue) {
-        let codec = self.platform.codec().clone();
-        match codec.policy(&value.key, &value.value) {
-            Some(Ok(policy)) => self.apply_policy(policy, value.revision),
-            Some(Err(err)) => event!(
-                Error,
-                "policy_unreadable",
-                key = value.key,
-                revision = value.revision.0,
-                error = err
-            ),
-            None => {}
-        }
-        match codec.wave(&value.key, &value.value) {
-            Some(Ok(order)) => {
-                event!(Info, "wave_seen", wave = order.wave, vms = order.vms.len());
-                self.change_fleet(|fleet| {
-                    let before = fleet.waves.insert(order.wave, order.clone());
-                    before.as_ref() != Some(&order)
-                });
-            }
-            Some(Err(err)) => event!(Error, "wave_unreadable", key = value.key, error = err),
-            None => {}
-        }
-    }
-
-    /// Puts a configuration in force, unless it is older than the one there.
-    fn apply_policy(&mut self, policy: FleetPolicy, revision: StoreRevision) {
-        let current = self.shared.policy.load();
-        if current
-            .as_ref()
-            .is_some_and(|now| now.version >= policy.version)
-        {
-            return;
-        }
-        let change = PolicyChange::between(current.as_deref(), &policy);
-        event!(
-            Info,
-            "policy_in_force",
-            version = policy.version,
-            revision = revision.0,
-            before = current.as_ref().map_or(0, |before| before.version),
-            queues = policy.queues().len(),
-            pools = policy.pools.len(),
-            added = tell_names(&change.added),
-            dropped = tell_names(&change.dropped),
-            moved = tell_names(&change.moved)
-        );
-        let version = i64::try_from(policy.version).unwrap_or(i64::MAX);
-        self.shared.metrics.policy_version.set(version);
-        let pools = policy.pools.iter().map(|pool| pool.name.clone()).collect();
-        let policies = policy.policies();
-        self.shared.policy.store(Some(Arc::new(policy)));
-        self.change_fleet(|fleet| {
-            fleet.pools = pools;
-            fleet.policies = policies;
-            true
-        });
-    }
-
-    /// Changes the view; those who follow it hear of it if `change` says so.
-    fn change_fleet(&self, change: impl FnOnce(&mut FleetView) -> bool) {
-        self.fleet
-            .send_if_modified(|fleet| change(Arc::make_mut(fleet)));
-    }
-
     fn take_runners(&mut self, change: FollowEvent) {
         let codec = self.platform.codec().clone();
-        self.change_fleet(|fleet| fleet.take_runners(&codec, change));
+        change_fleet(&self.fleet, |fleet| fleet.take_runners(&codec, change));
     }
 
     /// Stands for election where this node should.
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -328,14 +328,16 @@
                 }
                 Some(request) = channels.vm_requests.recv() => self.take_vm_request(request),
                 Some(back) = channels.advised.recv() => self.take_advice(back),
-                changed = fleet.changed() => {
-                    if changed.is_err() {
-                        return OwnerEnd::Stopped;
-                    }
+                Ok(()) = fleet.changed() => {
                     fleet.borrow_and_update();
                     self.sync_fleet();
                 }
-                _ = stop.changed() => {}
+                told = stop.changed() => {
+                    // The node is over, and waits for no pool any more.
+                    if told.is_err() {
+                        return OwnerEnd::Stopped;
+                    }
+                }
                 () = sleep_until(self.next_wake()) => {}
             }
             // A lease that was given must be known before time is judged.
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -0,0 +1,152 @@
+//! Keeps what operators write: the configuration in force, and the waves.
+//!
+//! It goes on for as long as the process does. A node that was told to stop gives
+//! its pools away, and serves the connections that its callers have open for seconds
+//! more: by the configuration of that moment.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use hoisthitch_store::{
+    StoreRevision,
+    StoredValue, //
+};
+use hoisthitch_telemetry::event;
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
+
+use crate::{
+    fleet::{
+        FleetView,
+        change_fleet, //
+    },
+    follow::{
+        FollowEvent,
+        follow_prefix, //
+    },
+    platform::{
+        FleetCodec,
+        FleetPolicy,
+        Platform, //
+    },
+    policy::{
+        PolicyChange,
+        tell_names, //
+    },
+    shared::NodeShared, //
+};
+
+/// Takes in what operators write.
+pub(crate) struct TableKeeper<C> {
+    codec: C,
+    shared: Arc<NodeShared>,
+    fleet: Rc<watch::Sender<Arc<FleetView>>>,
+}
+
+impl<C: FleetCodec> TableKeeper<C> {
+    /// Starts to follow the operators' records; the receiver hears of each change
+    /// once it is taken in.
+    pub(crate) fn start<P>(
+        platform: &P,
+        shared: Arc<NodeShared>,
+        fleet: Rc<watch::Sender<Arc<FleetView>>>,
+    ) -> mpsc::UnboundedReceiver<()>
+    where
+        P: Platform<Codec = C>,
+    {
+        let keeper = Self {
+            codec: platform.codec().clone(),
+            shared: shared.clone(),
+            fleet,
+        };
+        let (sender, mut changes) = mpsc::unbounded_channel();
+        actix_rt::spawn(follow_prefix(
+            platform.store().clone(),
+            keeper.codec.operators_prefix(),
+            Duration::ZERO,
+            shared,
+            sender,
+        ));
+        let (taken, hears) = mpsc::unbounded_channel();
+        actix_rt::spawn(async move {
+            while let Some(change) = changes.recv().await {
+                keeper.take_operators(change);
+                // The configuration is kept on when nobody owns pools here any more.
+                let _ = taken.send(());
+            }
+        });
+        hears
+    }
+
+    fn take_operators(&self, change: FollowEvent) {
+        match change {
+            FollowEvent::All(values) => values.iter().for_each(|value| self.take_operator(value)),
+            FollowEvent::Put(value) => self.take_operator(&value),
+            FollowEvent::Gone(key) => event!(Warn, "operators_key_gone", key = key),
+        }
+    }
+
+    fn take_operator(&self, value: &StoredValue) {
+        match self.codec.policy(&value.key, &value.value) {
+            Some(Ok(policy)) => self.apply_policy(policy, value.revision),
+            Some(Err(err)) => event!(
+                Error,
+                "policy_unreadable",
+                key = value.key,
+                revision = value.revision.0,
+                error = err
+            ),
+            None => {}
+        }
+        match self.codec.wave(&value.key, &value.value) {
+            Some(Ok(order)) => {
+                event!(Info, "wave_seen", wave = order.wave, vms = order.vms.len());
+                change_fleet(&self.fleet, |fleet| {
+                    let before = fleet.waves.insert(order.wave, order.clone());
+                    before.as_ref() != Some(&order)
+                });
+            }
+            Some(Err(err)) => event!(Error, "wave_unreadable", key = value.key, error = err),
+            None => {}
+        }
+    }
+
+    /// Puts a configuration in force, unless it is older than the one there.
+    fn apply_policy(&self, policy: FleetPolicy, revision: StoreRevision) {
+        let current = self.shared.policy.load();
+        if current
+            .as_ref()
+            .is_some_and(|now| now.version >= policy.version)
+        {
+            return;
+        }
+        let change = PolicyChange::between(current.as_deref(), &policy);
+        event!(
+            Info,
+            "policy_in_force",
+            version = policy.version,
+            revision = revision.0,
+            before = current.as_ref().map_or(0, |before| before.version),
+            queues = policy.queues().len(),
+            pools = policy.pools.len(),
+            added = tell_names(&change.added),
+            dropped = tell_names(&change.dropped),
+            moved = tell_names(&change.moved)
+        );
+        let version = i64::try_from(policy.version).unwrap_or(i64::MAX);
+        self.shared.metrics.policy_version.set(version);
+        let pools = policy.pools.iter().map(|pool| pool.name.clone()).collect();
+        let policies = policy.policies();
+        self.shared.policy.store(Some(Arc::new(policy)));
+        change_fleet(&self.fleet, |fleet| {
+            fleet.pools = pools;
+            fleet.policies = policies;
+            true
+        });
+    }
+}
