Have an owner plan nothing before its node knows the configuration its jobs came by

Cause: an owner hears of jobs and of the configuration by two watches. Where the second is behind (here: one watch without an answer), it started tasks of a queue that its own node then denied with 404: to those outside, the version came back older. Ruled out: nothing rolls a version back in a process; each node takes only newer ones.

Change: a job's record names the version it was taken by; an owner that meets a newer one than its node has asks for it to be read at once, and plans nothing until it is there, for two seconds at most.

No call more where the version is known. Scheduler's and decisions' tests pass.

Conclusion: mends the order of what is seen, whatever makes the watch late.

--- a/crates/hoisthitch-jobs/src/record.rs
+++ b/crates/hoisthitch-jobs/src/record.rs
@@ -18,6 +18,10 @@
     pub queue: String,
     /// The queue's policy at that time.
     pub policy: QueuePolicy,
+    /// Version of the operators' configuration that it was taken by; zero where the
+    /// record does not tell.
+    #[serde(default)]
+    pub version: u64,
     /// Time of day of the entry, in milliseconds since 1970.
     pub accepted_ms: u64,
     /// What is to be run.
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -82,6 +82,7 @@
     NewJob {
         id: id.to_owned(),
         submission: JobSubmission {
+            version: 0,
             queue: "hold".to_owned(),
             policy: QueuePolicy {
                 priority: 0,
--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -208,6 +208,7 @@
         let new = NewJob {
             id: job.id.clone(),
             submission: JobSubmission {
+                version: 0,
                 queue: job.pool.clone(),
                 policy: QueuePolicy {
                     priority: 0,
--- a/crates/hoisthitch-scheduler/src/desk.rs
+++ b/crates/hoisthitch-scheduler/src/desk.rs
@@ -128,6 +128,7 @@
         let submission = JobSubmission {
             queue: queue.name.clone(),
             policy: queue.policy,
+            version: self.shared.policy_version(),
             accepted_ms: self.shared.clock.today_ms(),
             spec,
         };
@@ -300,14 +301,13 @@
     fn note(&self, call: &'static str, id: &str, queue: &str, outcome: &str, started: Millis) {
         let counter = &self.shared.metrics.calls;
         counter.with_label_values(&[call, outcome]).inc();
-        let version = self.shared.policy.load().as_ref().map_or(0, |p| p.version);
         event!(
             Info,
             "job_call",
             call = call,
             job = id,
             queue = queue,
-            policy = version,
+            policy = self.shared.policy_version(),
             took_ms = self.shared.clock.now() - started,
             outcome = outcome
         );
--- a/crates/hoisthitch-scheduler/src/owner/inbox.rs
+++ b/crates/hoisthitch-scheduler/src/owner/inbox.rs
@@ -66,6 +66,7 @@
         let now = self.now();
         let clock = &self.context.shared.clock;
         let age = clock.today_ms().saturating_sub(submission.accepted_ms);
+        self.await_policy(id, submission.version, now);
         let queue = submission.queue.clone();
         let restored = progress.is_some();
         let new = NewJob {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -5,6 +5,7 @@
 //! journal; meanwhile events are taken in and further decisions gathered.
 
 mod advice;
+mod awaited;
 mod inbox;
 mod runners;
 mod silent;
@@ -52,6 +53,7 @@
 };
 
 use self::advice::AdviceReturn;
+use self::awaited::AwaitedPolicy;
 use self::silent::{
     SilenceNotes,
     inherited_runs, //
@@ -143,6 +145,8 @@
     over: HashSet<String>,
     /// Runners at whose place other lives were looked for since the list last changed.
     rivals_sought: HashSet<RunnerKey>,
+    /// Configuration that this node lacks and some job was taken by.
+    awaited: Option<AwaitedPolicy>,
     /// Whether the pool is being handed on.
     leaving: bool,
     /// When this node began to own the pool.
@@ -207,6 +211,7 @@
         open_sessions: Rc::default(),
         over: HashSet::new(),
         rivals_sought: HashSet::new(),
+        awaited: None,
         leaving: false,
         owned_since: now,
         silent: BTreeMap::new(),
@@ -369,7 +374,7 @@
     /// When something is to be done without an event.
     fn next_wake(&self) -> Instant {
         let wanted = || self.state.needs_plan() || self.state.needs_flush() || !self.is_noted();
-        if self.journal.is_none() || !wanted() {
+        if self.journal.is_none() || self.awaited.is_some() || !wanted() {
             return Instant::now() + TICK;
         }
         let wait = self.next_write().saturating_sub(self.now());
@@ -394,7 +399,7 @@
         // order of a thousand jobs and the room of hundreds of runners, took a large
         // pool's owner the processor time that its starts need: 4 in 100 of what is owed
         // on a fleet of 1,100 VMs (two plays, docs/MEASURED.md).
-        if due && self.may_write(now) {
+        if due && self.may_write(now) && !self.awaits_policy(now) {
             self.state.plan(now);
         }
         self.ask_advice(now);
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -11,7 +11,10 @@
 
 use arc_swap::ArcSwapOption;
 use hoisthitch_jobs::Millis;
-use tokio::sync::Semaphore;
+use tokio::sync::{
+    Notify,
+    Semaphore, //
+};
 
 use crate::{
     clock::NodeClock,
@@ -52,6 +55,21 @@
     }
 }
 
+/// A version of the configuration that this node was told of and may not have.
+#[derive(Debug, Default)]
+pub(crate) struct PolicyAsk {
+    version: AtomicU64,
+    raised: Notify,
+}
+
+impl PolicyAsk {
+    /// Waits until a version is asked for that is newer than those before.
+    pub(crate) async fn raised(&self) -> u64 {
+        self.raised.notified().await;
+        self.version.load(Ordering::Relaxed)
+    }
+}
+
 /// State that all threads of a node see.
 #[derive(Debug)]
 pub struct NodeShared {
@@ -65,6 +83,8 @@
     pub stopping: AtomicBool,
     /// Metrics.
     pub metrics: NodeMetrics,
+    /// Version of the configuration that is to be read at once.
+    pub(crate) policy_ask: PolicyAsk,
     /// Leave to ask an adviser, which serves one call of a node at a time.
     pub(crate) advice_turn: Semaphore,
 }
@@ -83,10 +103,33 @@
             store: StoreWatch::default(),
             stopping: AtomicBool::new(false),
             metrics,
+            policy_ask: PolicyAsk::default(),
             advice_turn: Semaphore::new(1),
         })
     }
 
+    /// Version of the configuration in force; zero before the first.
+    pub fn policy_version(&self) -> u64 {
+        let policy = self.policy.load();
+        policy.as_ref().map_or(0, |policy| policy.version)
+    }
+
+    /// Has the configuration read at once, unless it is as new as that version or was
+    /// asked for before.
+    pub(crate) fn ask_for_policy(&self, version: u64) {
+        if version <= self.policy_version() {
+            return;
+        }
+        if self
+            .policy_ask
+            .version
+            .fetch_max(version, Ordering::Relaxed)
+            < version
+        {
+            self.policy_ask.raised.notify_one();
+        }
+    }
+
     /// Whether the node was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/hoisthitch-scheduler/src/table.rs
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -11,6 +11,7 @@
 };
 
 use hoisthitch_store::{
+    StoreClient,
     StoreRevision,
     StoredValue, //
 };
@@ -41,6 +42,34 @@
     shared::NodeShared, //
 };
 
+/// Follows the operators' records, and reads them anew where this node is told of a
+/// version that it has not heard of by itself.
+async fn follow_operators<S: StoreClient>(
+    store: S,
+    prefix: String,
+    shared: Arc<NodeShared>,
+    changes: mpsc::UnboundedSender<FollowEvent>,
+) {
+    loop {
+        let follow = follow_prefix(
+            store.clone(),
+            prefix.clone(),
+            Duration::ZERO,
+            shared.clone(),
+            changes.clone(),
+        );
+        tokio::select! {
+            () = follow => return,
+            version = shared.policy_ask.raised() => event!(
+                Info,
+                "policy_sought",
+                version = version,
+                known = shared.policy_version()
+            ),
+        }
+    }
+}
+
 /// Takes in what operators write.
 pub(crate) struct TableKeeper<C> {
     codec: C,
@@ -65,10 +94,9 @@
             fleet,
         };
         let (sender, mut changes) = mpsc::unbounded_channel();
-        actix_rt::spawn(follow_prefix(
+        actix_rt::spawn(follow_operators(
             platform.store().clone(),
             keeper.codec.operators_prefix(),
-            Duration::ZERO,
             shared,
             sender,
         ));
