Answer by a configuration only for a bounded time after it was confirmed

Ruled out: shorter limits alone; they move the bound and leave it open.

Conclusion: closes the class for what was not foreseen too. One call more for each change of the configuration and node.

--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -57,6 +57,7 @@
                 true
             }
             FollowEvent::Put(value) => self.put_runner(codec, &value),
+            FollowEvent::Complete(_) => false,
             FollowEvent::Gone(key) => {
                 if let Some(name) = codec.runner_name(&key) {
                     event!(Info, "runner_unlisted", runner = name);
--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -1,7 +1,6 @@
 //! Follows a part of the store: all of it first, then each change.
 
 use std::{
-    rc::Rc,
     sync::Arc,
     time::Duration, //
 };
@@ -36,6 +35,21 @@
     Put(StoredValue),
     /// A value was removed.
     Gone(String),
+    /// Nothing that was written before this time, of the node's clock, is left to
+    /// tell of.
+    Complete(Millis),
+}
+
+/// What is followed, and how.
+#[derive(Clone, Debug)]
+pub(crate) struct FollowOrder {
+    /// Start of the keys.
+    pub(crate) prefix: String,
+    /// Pause between two waits for changes, so that changes which come often share
+    /// a call.
+    pub(crate) pause: Duration,
+    /// Whether to tell up to when what was told is complete.
+    pub(crate) confirms: bool,
 }
 
 /// Failures since a prefix could last be followed.
@@ -49,23 +63,20 @@
     failures: u32,
 }
 
-/// Follows the keys that start with `prefix` until nobody listens. Between two
-/// waits for changes it pauses, so that changes which come often share a call.
+/// Follows a part of the store until nobody listens.
 pub(crate) async fn follow_prefix<S: StoreClient>(
     store: S,
-    prefix: String,
-    pause: Duration,
+    order: FollowOrder,
     shared: Arc<NodeShared>,
     events: mpsc::UnboundedSender<FollowEvent>,
 ) {
-    let prefix = Rc::new(prefix);
     let mut lost = None;
     while !events.is_closed() {
-        let ended = follow_once(&store, &prefix, pause, &shared, &events, &mut lost).await;
+        let ended = follow_once(&store, &order, &shared, &events, &mut lost).await;
         if let Err(err) = ended {
             let now = shared.clock.now();
             shared.store.note_failure(now);
-            note_loss(&mut lost, &prefix, &err, now);
+            note_loss(&mut lost, &order.prefix, &err, now);
             tokio::time::sleep(RETRY_WAIT).await;
         }
     }
@@ -113,12 +124,12 @@
 
 async fn follow_once<S: StoreClient>(
     store: &S,
-    prefix: &str,
-    pause: Duration,
+    order: &FollowOrder,
     shared: &NodeShared,
     events: &mpsc::UnboundedSender<FollowEvent>,
     lost: &mut Option<FollowLoss>,
 ) -> Result<(), StoreError> {
+    let prefix = order.prefix.as_str();
     let mut watch = store.watch(prefix, StoreRevision::default()).await?;
     while let Some(change) = watch.next().await {
         let change = change?;
@@ -133,16 +144,30 @@
                 note_regained(lost, prefix, all.len(), shared.clock.now());
                 events.send(FollowEvent::All(all))
             }
-            WatchEvent::Put(stored) => events.send(FollowEvent::Put(stored)),
+            WatchEvent::Put(stored) => {
+                if order.confirms {
+                    watch.hurry();
+                }
+                events.send(FollowEvent::Put(stored))
+            }
             WatchEvent::Delete { key, .. } => events.send(FollowEvent::Gone(key)),
             WatchEvent::Quiet => Ok(()),
         };
-        if !pause.is_zero() && watch.is_drained() {
-            tokio::time::sleep(pause).await;
-        }
         if told.is_err() {
             break;
         }
+        if order.confirms
+            && watch.is_drained()
+            && let Some(at) = watch.complete_at()
+        {
+            let age = Millis::try_from(at.elapsed().as_millis()).unwrap_or(Millis::MAX);
+            let at = shared.clock.now().saturating_sub(age);
+            // Whoever listens no more is seen at the next change.
+            let _ = events.send(FollowEvent::Complete(at));
+        }
+        if !order.pause.is_zero() && watch.is_drained() {
+            tokio::time::sleep(order.pause).await;
+        }
     }
     Ok(())
 }
--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -160,6 +160,7 @@
                 }
             }
             FollowEvent::Put(value) => self.put(keys, &value),
+            FollowEvent::Complete(_) => {}
             FollowEvent::Gone(key) => {
                 if let Some(node) = keys.member_of(&key) {
                     event!(Warn, "node_gone", node = node);
--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -30,8 +30,7 @@
         JobDesk,
         SubmitAnswer, //
     },
-    platform::QueueRoute,
-    shared::NodeShared, //
+    shared::PolicyReading, //
 };
 
 /// Time in which a call of an operator is to be answered, in milliseconds.
@@ -79,12 +78,23 @@
     if let Err(err) = call.spec.check() {
         return fault(StatusCode::BAD_REQUEST, &err.to_string());
     }
-    let Some(queue) = find_queue(desk.shared(), &call.queue) else {
+    let policy = match desk.shared().read_policy() {
+        PolicyReading::InForce(policy) => policy,
+        PolicyReading::Missing => {
+            return fault(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+        }
+        PolicyReading::Unconfirmed { age_ms, .. } => {
+            let text = format!("the configuration was last confirmed {age_ms} ms ago");
+            return fault(StatusCode::SERVICE_UNAVAILABLE, &text);
+        }
+    };
+    let mut queues = policy.queues().iter();
+    let Some(queue) = queues.find(|queue| queue.name == call.queue) else {
         let text = format!("there is no queue {}; see {QUEUES_PATH}", call.queue);
         return fault(StatusCode::NOT_FOUND, &text);
     };
     let give_up = desk.shared().clock.now() + PATIENCE_MS;
-    match desk.submit(&queue, &id, call.spec.clone(), give_up).await {
+    match desk.submit(queue, &id, call.spec.clone(), give_up).await {
         SubmitAnswer::Accepted => describe(desk, id).await,
         SubmitAnswer::Refused => fault(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -97,12 +107,6 @@
     }
 }
 
-fn find_queue(shared: &NodeShared, name: &str) -> Option<QueueRoute> {
-    let policy = shared.policy.load_full()?;
-    let queue = policy.queues().iter().find(|queue| queue.name == name)?;
-    Some(queue.clone())
-}
-
 async fn describe<S: StoreClient>(
     desk: web::Data<JobDesk<S>>,
     id: web::Path<String>,
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -44,5 +44,6 @@
 pub use node::run_node;
 pub use shared::{
     NodeShared,
+    PolicyReading,
     StoreWatch, //
 };
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -25,6 +25,7 @@
     },
     follow::{
         FollowEvent,
+        FollowOrder,
         follow_prefix, //
     },
     group::{
@@ -89,7 +90,12 @@
     let watched = shared.clone();
     let follow = |prefix: String, pause: Duration| {
         let (sender, told) = mpsc::unbounded_channel();
-        let follower = follow_prefix(store.clone(), prefix, pause, watched.clone(), sender);
+        let order = FollowOrder {
+            prefix,
+            pause,
+            confirms: false,
+        };
+        let follower = follow_prefix(store.clone(), order, watched.clone(), sender);
         actix_rt::spawn(follower);
         told
     };
--- a/crates/hoisthitch-scheduler/src/owner/inbox.rs
+++ b/crates/hoisthitch-scheduler/src/owner/inbox.rs
@@ -34,7 +34,7 @@
                 }
             }
             FollowEvent::Put(value) => self.take_letter(&value, recorded),
-            FollowEvent::Gone(_) => {}
+            FollowEvent::Gone(_) | FollowEvent::Complete(_) => {}
         }
     }
 
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -62,6 +62,7 @@
     fleet::FleetView,
     follow::{
         FollowEvent,
+        FollowOrder,
         follow_prefix, //
     },
     identity::NodeIdentity,
@@ -253,13 +254,13 @@
 /// Follows what the nodes that take jobs in write for the pool.
 fn follow_inbox<P: Platform>(context: &OwnerContext<P>) -> mpsc::UnboundedReceiver<FollowEvent> {
     let (sender, inbox) = mpsc::unbounded_channel();
-    actix_rt::spawn(follow_prefix(
-        context.platform.store().clone(),
-        context.keys.inbox(&context.pool),
-        Duration::ZERO,
-        context.shared.clone(),
-        sender,
-    ));
+    let order = FollowOrder {
+        prefix: context.keys.inbox(&context.pool),
+        pause: Duration::ZERO,
+        confirms: false,
+    };
+    let store = context.platform.store().clone();
+    actix_rt::spawn(follow_prefix(store, order, context.shared.clone(), sender));
     inbox
 }
 
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -1,12 +1,15 @@
 //! What the threads of a node share.
 
-use std::sync::{
-    Arc,
-    atomic::{
-        AtomicBool,
-        AtomicU64,
-        Ordering, //
-    }, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
 };
 
 use arc_swap::ArcSwapOption;
@@ -55,6 +58,53 @@
     }
 }
 
+/// The right to answer by the configuration in force: for a time after the store last
+/// showed that there was no newer one. Waits for the store each have a limit, and what
+/// they add up to has none; so a configuration's age is what counts.
+#[derive(Debug)]
+pub struct PolicyLease {
+    /// How long it lasts, in milliseconds.
+    hold: Millis,
+    /// Time, of the node's clock, before which no change was made that is not known.
+    complete: AtomicU64,
+}
+
+impl PolicyLease {
+    /// A lease that lasts for a time after each confirmation.
+    fn new(hold: Duration) -> Self {
+        Self {
+            hold: Millis::try_from(hold.as_millis()).unwrap_or(Millis::MAX),
+            complete: AtomicU64::new(0),
+        }
+    }
+
+    /// Takes in that all changes made before `at` are known.
+    pub(crate) fn renew(&self, at: Millis) {
+        self.complete.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Time since which a change may have been made that is not known.
+    fn age(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.complete.load(Ordering::Relaxed))
+    }
+}
+
+/// The configuration, as a request may be answered by it.
+#[derive(Clone, Debug)]
+pub enum PolicyReading {
+    /// There is none yet.
+    Missing,
+    /// There may be a newer one, for too long.
+    Unconfirmed {
+        /// Version that is known.
+        version: u64,
+        /// Time since which a newer one may be in force, in milliseconds.
+        age_ms: Millis,
+    },
+    /// It is in force.
+    InForce(Arc<FleetPolicy>),
+}
+
 /// A version of the configuration that this node was told of and may not have.
 #[derive(Debug, Default)]
 pub(crate) struct PolicyAsk {
@@ -83,6 +133,8 @@
     pub stopping: AtomicBool,
     /// Metrics.
     pub metrics: NodeMetrics,
+    /// For how long the node may answer by it.
+    pub(crate) policy_lease: PolicyLease,
     /// Version of the configuration that is to be read at once.
     pub(crate) policy_ask: PolicyAsk,
     /// Leave to ask an adviser, which serves one call of a node at a time.
@@ -90,24 +142,41 @@
 }
 
 impl NodeShared {
-    /// State of a node that starts.
-    pub fn new(metrics: NodeMetrics) -> Arc<Self> {
-        Self::with_clock(metrics, NodeClock::start())
+    /// State of a node that starts, and that answers by a configuration for that time
+    /// after it was last confirmed.
+    pub fn new(metrics: NodeMetrics, hold: Duration) -> Arc<Self> {
+        Self::with_clock(metrics, hold, NodeClock::start())
     }
 
     /// State of a node that starts, with a clock.
-    pub fn with_clock(metrics: NodeMetrics, clock: NodeClock) -> Arc<Self> {
+    pub fn with_clock(metrics: NodeMetrics, hold: Duration, clock: NodeClock) -> Arc<Self> {
         Arc::new(Self {
             clock,
             policy: ArcSwapOption::empty(),
             store: StoreWatch::default(),
             stopping: AtomicBool::new(false),
             metrics,
+            policy_lease: PolicyLease::new(hold),
             policy_ask: PolicyAsk::default(),
             advice_turn: Semaphore::new(1),
         })
     }
 
+    /// The configuration by which a request is to be answered now.
+    pub fn read_policy(&self) -> PolicyReading {
+        let Some(policy) = self.policy.load_full() else {
+            return PolicyReading::Missing;
+        };
+        let age_ms = self.policy_lease.age(self.clock.now());
+        if age_ms > self.policy_lease.hold {
+            return PolicyReading::Unconfirmed {
+                version: policy.version,
+                age_ms,
+            };
+        }
+        PolicyReading::InForce(policy)
+    }
+
     /// Version of the configuration in force; zero before the first.
     pub fn policy_version(&self) -> u64 {
         let policy = self.policy.load();
@@ -138,6 +207,7 @@
     /// Whether new callers should come to this node.
     pub fn is_ready(&self) -> bool {
         let now = self.clock.now();
-        !self.is_stopping() && self.policy.load().is_some() && self.store.is_usable(now)
+        let serves = matches!(self.read_policy(), PolicyReading::InForce(_));
+        !self.is_stopping() && serves && self.store.is_usable(now)
     }
 }
--- a/crates/hoisthitch-scheduler/src/table.rs
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -28,6 +28,7 @@
     },
     follow::{
         FollowEvent,
+        FollowOrder,
         follow_prefix, //
     },
     platform::{
@@ -51,13 +52,12 @@
     changes: mpsc::UnboundedSender<FollowEvent>,
 ) {
     loop {
-        let follow = follow_prefix(
-            store.clone(),
-            prefix.clone(),
-            Duration::ZERO,
-            shared.clone(),
-            changes.clone(),
-        );
+        let order = FollowOrder {
+            prefix: prefix.clone(),
+            pause: Duration::ZERO,
+            confirms: true,
+        };
+        let follow = follow_prefix(store.clone(), order, shared.clone(), changes.clone());
         tokio::select! {
             () = follow => return,
             version = shared.policy_ask.raised() => event!(
@@ -103,7 +103,11 @@
         let (taken, hears) = mpsc::unbounded_channel();
         actix_rt::spawn(async move {
             while let Some(change) = changes.recv().await {
+                let changes_any = !matches!(change, FollowEvent::Complete(_));
                 keeper.take_operators(change);
+                if !changes_any {
+                    continue;
+                }
                 // The configuration is kept on when nobody owns pools here any more.
                 let _ = taken.send(());
             }
@@ -116,6 +120,7 @@
             FollowEvent::All(values) => values.iter().for_each(|value| self.take_operator(value)),
             FollowEvent::Put(value) => self.take_operator(&value),
             FollowEvent::Gone(key) => event!(Warn, "operators_key_gone", key = key),
+            FollowEvent::Complete(at) => self.shared.policy_lease.renew(at),
         }
     }
 
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -68,6 +68,9 @@
 /// Power of a usual node, in thousandths of a core.
 pub const POWER: u64 = 250;
 
+/// Time for which a node answers by a configuration that is not confirmed again.
+const POLICY_HOLD: Duration = Duration::from_secs(3);
+
 /// Stands between a VM and a label of its runner in the runner's record.
 pub const LABELLED: &str = " is ";
 
@@ -327,7 +330,7 @@
         let metrics = NodeMetrics::new()?;
         let ahead = self.ahead.get(name).copied().unwrap_or(0);
         let clock = NodeClock::start_at(self.fleet.today_ms().saturating_add_signed(ahead));
-        let shared = NodeShared::with_clock(metrics, clock);
+        let shared = NodeShared::with_clock(metrics, POLICY_HOLD, clock);
         let platform = TestPlatform {
             store: self.store.for_node(name),
             fleet: self.fleet.for_node(name),
--- a/crates/hoisthitch-store/src/client.rs
+++ b/crates/hoisthitch-store/src/client.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::error::StoreError;
 
 /// Revision of a value in the store; zero where there is none.
@@ -100,6 +102,15 @@
 
     /// Whether every change that has come in was given out.
     fn is_drained(&self) -> bool;
+
+    /// A time before which nothing was written that this watch has not told of, or
+    /// holds ready; none where that can't be known.
+    fn complete_at(&self) -> Option<Instant> {
+        None
+    }
+
+    /// Has the next look wait only shortly, to learn soon whether there is more.
+    fn hurry(&mut self) {}
 }
 
 /// The platform's store.
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -159,6 +159,7 @@
             prefix: prefix.to_owned(),
             after,
             ready: VecDeque::new(),
+            complete_at: Instant::now(),
         };
         let mut changed = self.changed.subscribe();
         let until = Instant::now() + wait;
@@ -421,6 +422,7 @@
             prefix: prefix.to_owned(),
             after: self.state.borrow().revision,
             ready: VecDeque::from([WatchEvent::Opened]),
+            complete_at: Instant::now(),
         })
     }
 }
@@ -431,6 +433,7 @@
     prefix: String,
     after: i64,
     ready: VecDeque<WatchEvent>,
+    complete_at: Instant,
 }
 
 impl MemoryWatch {
@@ -449,6 +452,7 @@
         news.reverse();
         self.ready.extend(news);
         self.after = state.revision;
+        self.complete_at = Instant::now();
     }
 }
 
@@ -488,4 +492,8 @@
     fn is_drained(&self) -> bool {
         self.ready.is_empty()
     }
+
+    fn complete_at(&self) -> Option<Instant> {
+        Some(self.complete_at)
+    }
 }
