Use no runner that an entry does not fully name

Cause: missing fields of an entry, and words that are not named, were taken for usual values, and an entry that can't be read left the record before it in use.

Scheduler's tests pass.

--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -59,11 +59,8 @@
             FollowEvent::Put(value) => self.put_runner(codec, &value),
             FollowEvent::Complete(_) => false,
             FollowEvent::Gone(key) => {
-                if let Some(name) = codec.runner_name(&key) {
-                    event!(Info, "runner_unlisted", runner = name);
-                    self.runners.remove(name);
-                }
-                true
+                let name = codec.runner_name(&key);
+                name.is_some_and(|name| self.remove_runner(name))
             }
         }
     }
@@ -75,6 +72,15 @@
         self.listed = false;
     }
 
+    /// Takes a runner off the list; answers whether it was there.
+    fn remove_runner(&mut self, name: &str) -> bool {
+        let was_listed = self.runners.remove(name).is_some();
+        if was_listed {
+            event!(Info, "runner_unlisted", runner = name);
+        }
+        was_listed
+    }
+
     /// Takes in a runner's record; answers whether it changes anything.
     fn put_runner<C: FleetCodec>(&mut self, codec: &C, value: &StoredValue) -> bool {
         let Some(name) = codec.runner_name(&value.key) else {
@@ -84,7 +90,7 @@
             Ok(record) => record,
             Err(err) => {
                 event!(Error, "runner_unreadable", runner = name, error = err);
-                return false;
+                return self.remove_runner(name);
             }
         };
         if self.runners.get(name) == Some(&record) {
