Show refusals by the configuration in a job's story

A submission that matched no queue, or came while the configuration was not confirmed, left lines that explain did not know: a refused request could not be followed from its id. Now both are submissions that were refused, with the version, and the age, that they were refused by.

--- a/crates/hoisthitch-cli/src/story/cause.rs
+++ b/crates/hoisthitch-cli/src/story/cause.rs
@@ -180,6 +180,14 @@
             "every write of {node} was answered with an error{}.",
             write_error(node, around)
         ),
+        SubmitOutcome::NoQueue => format!(
+            "{node} knows no queue for it by its configuration ({}); compare policy_in_force of all nodes.",
+            event.inputs
+        ),
+        SubmitOutcome::Unconfirmed => format!(
+            "{node} could not confirm its configuration ({}), and refused at once.",
+            event.inputs
+        ),
         SubmitOutcome::Unknown => format!(
             "a write of {node} had no answer{}; the job may run.",
             write_error(node, around)
--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -206,6 +206,10 @@
     StoreLost,
     /// Refused, as all writes failed.
     Refused,
+    /// Refused, as no queue is there by the node's configuration.
+    NoQueue,
+    /// Refused, as a newer configuration might be in force.
+    Unconfirmed,
     /// Not known.
     Unknown,
 }
@@ -297,6 +301,8 @@
 fn read_kind(line: &LogLine) -> KindRead {
     let simple = match line.event.as_str() {
         "job_call" => return read_call(line),
+        "queue_unknown" => return read_turned_away(line, SubmitOutcome::NoQueue),
+        "policy_unconfirmed" => return read_turned_away(line, SubmitOutcome::Unconfirmed),
         "job_taken" => return whole(read_taken(line)),
         "task_ordered" => return whole(read_ordered(line)),
         "task_stopped" => return whole(read_stopped(line)),
@@ -365,6 +371,10 @@
         | "job_ended"
         | "job_unreadable"
         | "progress_unreadable" => EventSubject::Job(line.owned("job")?),
+        "queue_unknown" | "policy_unconfirmed" => {
+            let id = line.text("path")?.rsplit('/').next()?;
+            EventSubject::Job(id.to_owned())
+        }
         "task_ordered" | "task_stopped" | "task_paced" | "start_not_sent" => {
             let (job, _) = line.text("task")?.split_once('.')?;
             EventSubject::Job(job.to_owned())
@@ -412,6 +422,20 @@
     })
 }
 
+/// A call that was refused before its queue was known; only submissions tell of what
+/// became of a job.
+fn read_turned_away(line: &LogLine, outcome: SubmitOutcome) -> KindRead {
+    match line.text("method") {
+        Some("POST") => KindRead::Known(EventKind::Submitted {
+            queue: String::new(),
+            outcome,
+            took_ms: 0,
+        }),
+        Some(_) => KindRead::Unknown,
+        None => KindRead::Broken,
+    }
+}
+
 fn read_taken(line: &LogLine) -> Option<EventKind> {
     Some(EventKind::Taken {
         queue: line.owned("queue")?,
--- a/crates/hoisthitch-cli/src/story/window.rs
+++ b/crates/hoisthitch-cli/src/story/window.rs
@@ -92,7 +92,15 @@
 /// Whether the job was kept, or may have been.
 pub fn may_run(own: &[StoryEvent]) -> bool {
     let mut submissions = own.iter().filter_map(submit_outcome).peekable();
-    let refused = |outcome| matches!(outcome, SubmitOutcome::StoreLost | SubmitOutcome::Refused);
+    let refused = |outcome| {
+        matches!(
+            outcome,
+            SubmitOutcome::StoreLost
+                | SubmitOutcome::Refused
+                | SubmitOutcome::NoQueue
+                | SubmitOutcome::Unconfirmed
+        )
+    };
     submissions.peek().is_none() || is_taken(own) || !submissions.all(refused)
 }
 
--- a/crates/hoisthitch-cli/src/story/words.rs
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -64,6 +64,8 @@
         SubmitOutcome::Present => "submission accepted: it was kept before",
         SubmitOutcome::StoreLost => "submission refused: the store was lost",
         SubmitOutcome::Refused => "submission refused: the writes failed",
+        SubmitOutcome::NoQueue => "submission refused: no such queue",
+        SubmitOutcome::Unconfirmed => "submission refused: the configuration is not confirmed",
         SubmitOutcome::Unknown => "submission without a clear answer",
     }
 }
--- /dev/null
+++ b/crates/hoisthitch-tests/tests/explain/log.rs
@@ -0,0 +1,90 @@
+//! Logs made by hand, and the story that is told of them.
+
+use std::{
+    fs,
+    path::PathBuf, //
+};
+
+use eyre::{
+    Result,
+    ensure, //
+};
+use hoisthitch_tests::{
+    CommandRun,
+    run_command, //
+};
+
+/// The job of all cases.
+pub const JOB: &str = "65bd3cee1af65aae";
+
+/// A log in a file of its own, removed at the end.
+pub struct NodeLog(pub PathBuf);
+
+impl NodeLog {
+    pub fn write(name: &str, text: &str) -> Result<Self> {
+        let name = format!("hoisthitch-explain-{}-{name}.log", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text)?;
+        Ok(Self(path))
+    }
+}
+
+impl Drop for NodeLog {
+    fn drop(&mut self) {
+        // Files of the tests may be left over.
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+/// A log line, `ms` milliseconds into the story.
+pub fn line(ms: u64, node: &str, event: &str) -> String {
+    let (seconds, ms) = (ms / 1_000, ms % 1_000);
+    let (minutes, seconds) = (seconds / 60, seconds % 60);
+    format!(
+        "time=2026-04-29T18:{minutes:02}:{seconds:02}.{ms:03}Z level=INFO process={node} event={event}\n"
+    )
+}
+
+pub fn submitted(ms: u64, outcome: &str) -> String {
+    let event =
+        format!("job_call call=submit job={JOB} queue=q policy=4 took_ms=10 outcome={outcome}");
+    line(ms, "node-1", &event)
+}
+
+pub fn taken(ms: u64, node: &str, age_ms: u64, restored: bool) -> String {
+    let event = format!("job_taken job={JOB} queue=q pool=p age_ms={age_ms} restored={restored}");
+    line(ms, node, &event)
+}
+
+pub fn ordered(ms: u64, run: u64, runner: &str, outcome: &str) -> String {
+    let event = format!(
+        "task_ordered task={JOB}.0.0.0 run={run} runner={runner} epoch=11 took_ms=2 outcome={outcome}"
+    );
+    line(ms, "node-2", &event)
+}
+
+/// A job that was accepted, taken in by node-2 and begun on runner r-1.
+pub fn begun() -> String {
+    [
+        line(1_000, "node-2", "pool_taken pool=p term=1 epoch=11"),
+        submitted(5_000, "accepted"),
+        taken(5_010, "node-2", 20, false),
+        ordered(5_020, 1, "r-1", "Started"),
+    ]
+    .concat()
+}
+
+pub async fn explain(name: &str, log: &str) -> Result<CommandRun> {
+    let log = NodeLog::write(name, log)?;
+    run_command(&["explain", JOB, "--log", &log.0.display().to_string()]).await
+}
+
+/// Runs a case and checks that the story holds all of `wanted`.
+pub async fn check(name: &str, log: &str, wanted: &[&str]) -> Result<String> {
+    let run = explain(name, log).await?;
+    ensure!(run.code == Some(0), "{:?} {}", run.code, run.text);
+    for wanted in wanted {
+        ensure!(run.text.contains(wanted), "no '{wanted}' in:\n{}", run.text);
+    }
+    Ok(run.text)
+}
--- a/crates/hoisthitch-tests/tests/explain.rs
+++ b/crates/hoisthitch-tests/tests/explain/main.rs
@@ -1,28 +1,31 @@
 //! `hoisthitch explain`, on logs made by hand.
 
-use std::{
-    fs,
-    path::PathBuf, //
-};
+mod log;
+mod refusals;
 
 use eyre::{
     Result,
     ensure, //
 };
 use hoisthitch_tests::{
-    CommandRun,
     cases,
     run_command,
     run_command_on, //
 };
 
-/// The job of all cases.
-const JOB: &str = "65bd3cee1af65aae";
+use crate::log::{
+    JOB,
+    NodeLog,
+    begun,
+    check,
+    explain,
+    line,
+    ordered,
+    submitted,
+    taken, //
+};
 
 cases! {
-    refusal_names_the_loss_of_the_store => refused_store_lost();
-    refusal_names_the_error_of_the_writes => refused_writes();
-    unclear_answer_names_the_write => unclear_answer();
     unclear_answer_of_a_job_that_ran_is_no_failure => unclear_but_taken();
     late_job_names_the_new_owner => late_without_owner();
     job_of_an_ownerless_pool_is_not_taken => never_taken();
@@ -50,78 +53,6 @@
     no_log_ends_with_code_2 => no_log();
 }
 
-/// A log in a file of its own, removed at the end.
-struct NodeLog(PathBuf);
-
-impl NodeLog {
-    fn write(name: &str, text: &str) -> Result<Self> {
-        let name = format!("hoisthitch-explain-{}-{name}.log", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        fs::write(&path, text)?;
-        Ok(Self(path))
-    }
-}
-
-impl Drop for NodeLog {
-    fn drop(&mut self) {
-        // Files of the tests may be left over.
-        let _ = fs::remove_file(&self.0);
-    }
-}
-
-/// A log line, `ms` milliseconds into the story.
-fn line(ms: u64, node: &str, event: &str) -> String {
-    let (seconds, ms) = (ms / 1_000, ms % 1_000);
-    let (minutes, seconds) = (seconds / 60, seconds % 60);
-    format!(
-        "time=2026-04-29T18:{minutes:02}:{seconds:02}.{ms:03}Z level=INFO process={node} event={event}\n"
-    )
-}
-
-fn submitted(ms: u64, outcome: &str) -> String {
-    let event =
-        format!("job_call call=submit job={JOB} queue=q policy=4 took_ms=10 outcome={outcome}");
-    line(ms, "node-1", &event)
-}
-
-fn taken(ms: u64, node: &str, age_ms: u64, restored: bool) -> String {
-    let event = format!("job_taken job={JOB} queue=q pool=p age_ms={age_ms} restored={restored}");
-    line(ms, node, &event)
-}
-
-fn ordered(ms: u64, run: u64, runner: &str, outcome: &str) -> String {
-    let event = format!(
-        "task_ordered task={JOB}.0.0.0 run={run} runner={runner} epoch=11 took_ms=2 outcome={outcome}"
-    );
-    line(ms, "node-2", &event)
-}
-
-/// A job that was accepted, taken in by node-2 and begun on runner r-1.
-fn begun() -> String {
-    [
-        line(1_000, "node-2", "pool_taken pool=p term=1 epoch=11"),
-        submitted(5_000, "accepted"),
-        taken(5_010, "node-2", 20, false),
-        ordered(5_020, 1, "r-1", "Started"),
-    ]
-    .concat()
-}
-
-async fn explain(name: &str, log: &str) -> Result<CommandRun> {
-    let log = NodeLog::write(name, log)?;
-    run_command(&["explain", JOB, "--log", &log.0.display().to_string()]).await
-}
-
-/// Runs a case and checks that the story holds all of `wanted`.
-async fn check(name: &str, log: &str, wanted: &[&str]) -> Result<String> {
-    let run = explain(name, log).await?;
-    ensure!(run.code == Some(0), "{:?} {}", run.code, run.text);
-    for wanted in wanted {
-        ensure!(run.text.contains(wanted), "no '{wanted}' in:\n{}", run.text);
-    }
-    Ok(run.text)
-}
-
 /// A job that ended late, after it had waited for room.
 async fn ended() -> Result<()> {
     let event = format!(
@@ -134,100 +65,6 @@
     Ok(())
 }
 
-async fn refused_store_lost() -> Result<()> {
-    let log = [
-        line(
-            1_000,
-            "node-1",
-            "follow_lost prefix=jobs/ error=\"no answer within 1 s\"",
-        ),
-        line(
-            1_100,
-            "node-1",
-            "follow_lost prefix=old/ error=\"no answer within 1 s\"",
-        ),
-        line(
-            2_000,
-            "node-1",
-            "follow_regained prefix=old/ values=1 failures=2 lost_ms=900",
-        ),
-        line(
-            2_500,
-            "node-3",
-            "follow_lost prefix=jobs/ error=\"another node's\"",
-        ),
-        line(
-            3_000,
-            "node-3",
-            "follow_regained prefix=jobs/ values=1 failures=2 lost_ms=500",
-        ),
-        line(
-            4_000,
-            "node-1",
-            "member_not_renewed node=node-1 error=\"no answer\"",
-        ),
-        submitted(5_000, "store_lost"),
-        line(
-            9_000,
-            "node-1",
-            "follow_regained prefix=jobs/ values=3 failures=8 lost_ms=8000",
-        ),
-    ]
-    .concat();
-    let text = check("store-lost", &log, &[]).await?;
-    let story = "\
-        2026-04-29T18:00:01.000Z  node-1  store lost  prefix=jobs/ error=\"no answer within 1 s\"\n\
-        2026-04-29T18:00:04.000Z  node-1  membership not renewed  node=node-1 error=\"no answer\"\n\
-        2026-04-29T18:00:05.000Z  node-1  submission refused: the store was lost  call=submit \
-        job=65bd3cee1af65aae queue=q policy=4 took_ms=10 outcome=store_lost\n\
-        2026-04-29T18:00:09.000Z  node-1  store regained  prefix=jobs/ values=3 failures=8 lost_ms=8000\n\
-        \n\
-        What became of it: refused: it never ran.\n\
-        Kind of failure: 1, a submission was refused or had no clear answer.\n\
-        Likeliest cause: node-1 had no answer from the store since 2026-04-29T18:00:01.000Z, and refused at once.\n\
-        Lines read: 8, not log lines: 0, dropped for want of memory: 0.\n";
-    ensure!(text == story, "{text}\ninstead of\n{story}");
-    Ok(())
-}
-
-async fn refused_writes() -> Result<()> {
-    let log = [
-        line(
-            4_995,
-            "node-1",
-            "create_failed records=3 error=\"the store said 500\"",
-        ),
-        submitted(5_000, "refused"),
-    ]
-    .concat();
-    let wanted = [
-        "What became of it: refused: it never ran.",
-        "Kind of failure: 1,",
-        "every write of node-1 was answered with an error (the store said 500).",
-    ];
-    check("writes", &log, &wanted).await?;
-    Ok(())
-}
-
-async fn unclear_answer() -> Result<()> {
-    let log = [
-        line(
-            4_995,
-            "node-1",
-            "create_failed records=3 error=\"no answer within 900 ms\"",
-        ),
-        submitted(5_000, "unknown"),
-    ]
-    .concat();
-    let wanted = [
-        "What became of it: perhaps kept, and not taken in",
-        "Kind of failure: 1,",
-        "a write of node-1 had no answer (no answer within 900 ms); the job may run.",
-    ];
-    check("unclear", &log, &wanted).await?;
-    Ok(())
-}
-
 async fn unclear_but_taken() -> Result<()> {
     let log = begun().replace("outcome=accepted", "outcome=unknown");
     let text = check(
