--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -32,6 +32,7 @@
 }
 
 mod cancels;
+mod configuration;
 mod drains;
 mod overload;
 mod power;
@@ -60,7 +61,6 @@
     late_record_of_a_dead_life_ends_nothing => late_record();
     draining_runner_gets_no_task_and_ends_its_own => drains();
     runner_whose_record_goes_ends_its_tasks_and_gets_none => unlists();
-    policy_is_in_force_everywhere_and_never_goes_back => changes_policy();
     new_owner_stops_nothing_that_lasts => keeps_lasting();
 }
 
@@ -414,34 +414,6 @@
     leaves(|world, runner, _| world.store.put(&format!("runner/{runner}"), None, 0)).await
 }
 
-async fn changes_policy() -> Result<()> {
-    let world = TestWorld::start(3, 2).await?;
-    let cut = world.nodes.keys().next().cloned();
-    world.store.set_faults(StoreFaults {
-        cut: cut.clone().into_iter().collect(),
-        ..StoreFaults::default()
-    });
-    let versions = |world: &TestWorld| -> Vec<u64> {
-        let nodes = world.nodes.values();
-        let policies = nodes.map(|node| node.shared.policy.load_full());
-        policies
-            .map(|now| now.map_or(0, |now| now.version))
-            .collect()
-    };
-    world.store.put("op/policy", Some(b"7"), 0);
-    sleep_ms(1_000).await;
-    ensure!(versions(&world) == [1, 7, 7], "{:?}", versions(&world));
-    // An older one, written late, changes nothing; nor does a new look at all.
-    world.store.put("op/policy", Some(b"3"), 0);
-    sleep_ms(1_000).await;
-    ensure!(versions(&world) == [1, 7, 7], "{:?}", versions(&world));
-    world.store.put("op/policy", Some(b"9"), 0);
-    world.store.set_faults(StoreFaults::default());
-    sleep_ms(2_000).await;
-    ensure!(versions(&world) == [9, 9, 9], "{:?}", versions(&world));
-    kept(&world)
-}
-
 async fn keeps_lasting() -> Result<()> {
     let world = TestWorld::start(3, 5).await?;
     world.submit("long", lasting(5, 1)).await?;
