Read the age of a configuration before the configuration

Read the other way round, a change that came in between lent its fresh age to the version before it: by some microseconds, an answer by the old one after the new one was in force.

--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -80,12 +80,12 @@
 
     /// Takes in that all changes made before `at` are known.
     pub(crate) fn renew(&self, at: Millis) {
-        self.complete.fetch_max(at, Ordering::Relaxed);
+        self.complete.fetch_max(at, Ordering::Release);
     }
 
     /// Time since which a change may have been made that is not known.
     fn age(&self, now: Millis) -> Millis {
-        now.saturating_sub(self.complete.load(Ordering::Relaxed))
+        now.saturating_sub(self.complete.load(Ordering::Acquire))
     }
 }
 
@@ -164,10 +164,11 @@
 
     /// The configuration by which a request is to be answered now.
     pub fn read_policy(&self) -> PolicyReading {
+        // The age first: it tells of the configuration of this moment or an older one.
+        let age_ms = self.policy_lease.age(self.clock.now());
         let Some(policy) = self.policy.load_full() else {
             return PolicyReading::Missing;
         };
-        let age_ms = self.policy_lease.age(self.clock.now());
         if age_ms > self.policy_lease.hold {
             return PolicyReading::Unconfirmed {
                 version: policy.version,
--- a/crates/hoisthitch-scheduler/src/table.rs
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -103,13 +103,12 @@
         let (taken, hears) = mpsc::unbounded_channel();
         actix_rt::spawn(async move {
             while let Some(change) = changes.recv().await {
-                let changes_any = !matches!(change, FollowEvent::Complete(_));
+                let is_change = !matches!(change, FollowEvent::Complete(_));
                 keeper.take_operators(change);
-                if !changes_any {
-                    continue;
+                if is_change {
+                    // The configuration is kept on when nobody owns pools here any more.
+                    let _ = taken.send(());
                 }
-                // The configuration is kept on when nobody owns pools here any more.
-                let _ = taken.send(());
             }
         });
         hears
