--- a/crates/hoisthitch-scheduler/tests/histories.rs
+++ b/crates/hoisthitch-scheduler/tests/histories.rs
@@ -36,6 +36,15 @@
 /// Histories played where the environment names no number.
 const HISTORIES: u64 = 40;
 
+/// Seeds that failed once, each with its cause.
+const FAILED_SEEDS: [(u64, &str); 1] = [(
+    10_906,
+    "records of living nodes were removed by their lives before, and never came back",
+)];
+
+/// Times that each of them is played.
+const FAILED_TIMES: u32 = 4;
+
 /// Troubles of a history.
 const TROUBLES: usize = 8;
 
@@ -61,6 +70,17 @@
     Ok(())
 }
 
+#[test]
+fn histories_that_failed_once_keep_every_promise() -> Result<()> {
+    for (seed, cause) in FAILED_SEEDS {
+        // The order of tasks that are ready at once is the runtime's.
+        for _ in 0..FAILED_TIMES {
+            play(history(seed)).wrap_err_with(|| format!("seed {seed}: {cause}"))?;
+        }
+    }
+    Ok(())
+}
+
 async fn history(seed: u64) -> Result<()> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut world = TestWorld::start(3, 4).await?;
