Write a node's record again when the group does not show it

Cause: a node that lives renews the lease of its record and never looked whether the record is there. A first record without an answer is written again under a new lease; done late, the first replaces the second, and goes with its older lease. From then on the node is no member; once that had happened to each node, or to all but those that are lost, a pool had no owner for good. A record that the platform takes away without a sign is gone in the same way.

Change: the loop that hears of the group tells whether it shows this life; where it does not, a second after the record was written, the node writes it again under a new lease.

Conclusion: the class is that of a lease taken for the thing it guards.

--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -31,6 +31,7 @@
     Deserialize,
     Serialize, //
 };
+use tokio::sync::watch;
 
 use crate::{
     follow::FollowEvent,
@@ -58,6 +59,10 @@
 /// keep its record alive while it can't do anything for its pools.
 const UNANSWERED_MOST: u32 = 2;
 
+/// Time in which the group shows a record that was written, in milliseconds: slow
+/// answers to the write and to the watch.
+const LISTED_MS: Millis = 1_000;
+
 /// Time that the next node in order waits for the one before it, in
 /// milliseconds: the time of a takeover with slow answers.
 const STEP_MS: Millis = 1_200;
@@ -191,6 +196,12 @@
         }
     }
 
+    /// Whether this life of a node is among those that are alive.
+    pub(crate) fn lists(&self, identity: &NodeIdentity) -> bool {
+        let member = self.members.get(&identity.node);
+        member.is_some_and(|member| member.life == identity.life)
+    }
+
     fn is_owned(&self, pool: &str) -> bool {
         self.owners.get(pool).is_some_and(|entry| {
             let member = self.members.get(&entry.record.node);
@@ -344,14 +355,18 @@
     load * STRAIN_PARTS / usize::try_from(power.max(1)).unwrap_or(1)
 }
 
-/// Keeps the node's record alive until the node stops, then removes it.
+/// Keeps the node's record alive until the node stops. `listed` tells whether the
+/// group shows it: the record may be taken away, or be overwritten by one that was
+/// written late and goes with an older lease, while its own lease is renewed on.
 pub(crate) async fn keep_member<S: StoreClient>(
     store: S,
     shared: Arc<NodeShared>,
     keys: JobKeys,
     identity: NodeIdentity,
+    listed: watch::Receiver<bool>,
 ) {
     let mut lease = None;
+    let mut recorded_at = 0;
     let mut unanswered = 0;
     let key = keys.member(&identity.node);
     let record = MemberRecord {
@@ -362,6 +377,15 @@
     };
     while !shared.is_stopping() {
         let sent = shared.clock.now();
+        if lease.is_some() && !*listed.borrow() && sent >= recorded_at + LISTED_MS {
+            event!(
+                Warn,
+                "member_missing",
+                node = identity.node,
+                life = identity.life
+            );
+            lease = None;
+        }
         match renew_if_heard(&store, &key, &record, lease, unanswered).await {
             Ok(renewed) => {
                 shared.store.note_success(sent);
@@ -373,6 +397,9 @@
                         life = identity.life
                     );
                 }
+                if lease != renewed {
+                    recorded_at = sent;
+                }
                 unanswered = 0;
                 lease = renewed;
                 tokio::time::sleep(RENEW_TIME).await;
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -101,11 +101,13 @@
     };
     let mut runners = None;
     let mut changes = follow(keys.group(), Duration::ZERO);
+    let (shows, listed) = watch::channel(true);
     let member = keep_member(
         store.clone(),
         shared.clone(),
         keys.clone(),
         identity.clone(),
+        listed,
     );
     let member = actix_rt::spawn(member);
     let (fleet, _) = watch::channel(Arc::new(FleetView::default()));
@@ -132,6 +134,7 @@
             Some(change) = next_change(&mut runners) => control.take_runners(change),
             Some(change) = changes.recv() => {
                 group.take(&control.keys, change, control.shared.clock.now());
+                shows.send_replace(group.lists(&control.identity));
                 regroup = true;
             }
             Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
