Tell which runs were lost with a runner, how long they had run and what ran beside them

What callers saw: a job that never ended, and others that were late beside it; no line named the runs that a crashed runner took along, so that the logs could not tell which of twelve tasks was the cause, nor whether it was lost by a crash, a lapse or an order. Change: each run that is lost with its runner leaves one line run_lost (task, run, life, loss, time that it had run, others beside it), and explain shows it. How a runner was lost is told by the place that gives it up. No decision changes.

--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -92,6 +92,8 @@
     },
     /// A task was throttled.
     Paced,
+    /// A run was lost with its runner.
+    RunLost,
     /// A node became the pool's owner.
     PoolTaken,
     /// A node ceased to be the owner.
@@ -335,6 +337,7 @@
         "job_unreadable" | "progress_unreadable" => EventKind::Unreadable,
         "start_not_sent" => EventKind::StartDropped,
         "task_paced" => EventKind::Paced,
+        "run_lost" => EventKind::RunLost,
         "pool_taken" => EventKind::PoolTaken,
         "pool_not_taken" => EventKind::PoolNotTaken,
         "pool_handed_on" => EventKind::PoolHandedOn,
@@ -378,7 +381,7 @@
             let id = line.text("path")?.rsplit('/').next()?;
             EventSubject::Job(id.to_owned())
         }
-        "task_ordered" | "task_stopped" | "task_paced" | "start_not_sent" => {
+        "task_ordered" | "task_stopped" | "task_paced" | "start_not_sent" | "run_lost" => {
             let (job, _) = line.text("task")?.split_once('.')?;
             EventSubject::Job(job.to_owned())
         }
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -16,6 +16,7 @@
 mod gang;
 mod job;
 mod lives;
+mod losses;
 mod observe;
 mod pace;
 mod place;
@@ -56,6 +57,10 @@
     JobKey, //
 };
 pub use lives::RenewedRunner;
+pub use losses::{
+    LostRun,
+    RunnerLoss, //
+};
 pub use pace::PaceOrder;
 pub use plan::FlushPlan;
 pub use pool::{
--- a/crates/hoisthitch-jobs/src/lives.rs
+++ b/crates/hoisthitch-jobs/src/lives.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Millis,
+    losses::RunnerLoss,
     pool::PoolState,
     runner::{
         RunnerEntry,
@@ -44,6 +45,7 @@
         until: Millis,
         now: Millis,
     ) -> Option<RenewedRunner> {
+        self.note_loss(key, RunnerLoss::Crashed, now);
         let runner = self.runners.get(key)?;
         let facts = RunnerFacts {
             born: Some(born),
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -13,6 +13,10 @@
         JobEntry,
         JobKey, //
     },
+    losses::{
+        LostRun,
+        RunnerLoss, //
+    },
     pace::UNKNOWN_PACE,
     plan::FlushRound,
     record::{
@@ -76,6 +80,8 @@
     pub(crate) advice: HashMap<(JobKey, u32, u32), StepAdvice>,
     /// Jobs that ended and were not taken yet.
     pub(crate) ended_jobs: Vec<EndedJob>,
+    /// Runs that were lost with their runners and were not taken yet.
+    pub(crate) lost_runs: Vec<LostRun>,
     /// Work that came in of late.
     pub(crate) arrivals: ArrivalLog,
     /// Records that are being written, where one write does not take them all.
@@ -268,16 +274,17 @@
         }
     }
 
-    /// Forgets a runner whose runs have all ended.
-    pub fn remove_runner(&mut self, key: RunnerKey, now: Millis) {
-        self.release_runner(key, now);
+    /// Forgets a runner that was lost, whose runs have all ended.
+    pub fn remove_runner(&mut self, key: RunnerKey, loss: RunnerLoss, now: Millis) {
+        self.release_runner(key, loss, now);
         if let Some(runner) = self.runners.remove(key) {
             self.runner_names.remove(&runner.facts.name);
         }
     }
 
-    /// Takes in that everything on the runner has ended.
-    pub fn release_runner(&mut self, key: RunnerKey, now: Millis) {
+    /// Takes in that everything on the runner has ended, for it was lost.
+    pub fn release_runner(&mut self, key: RunnerKey, loss: RunnerLoss, now: Millis) {
+        self.note_loss(key, loss, now);
         let Some(runner) = self.runners.get_mut(key) else {
             return;
         };
@@ -296,11 +303,13 @@
 
     /// Takes in that a life of a runner that is not in the list has ended.
     pub fn forget_life(&mut self, name: &str, now: Millis) {
+        self.note_unknown_loss(name, RunnerLoss::Crashed, now);
         self.settle_unlocated(|runner, _| runner == name, now);
     }
 
     /// Lets go of runs that have ended for certain by now.
     pub fn expire(&mut self, now: Millis) -> Vec<RunnerKey> {
+        self.note_expired(now);
         self.settle_unlocated(|_, until| until <= now, now);
         let lapsed: Vec<RunnerKey> = self
             .runners
@@ -311,7 +320,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in &lapsed {
-            self.release_runner(*key, now);
+            self.release_runner(*key, RunnerLoss::Silent, now);
         }
         lapsed
     }
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -8,6 +8,7 @@
 use crate::{
     Millis,
     job::JobKey,
+    losses::RunnerLoss,
     pool::PoolState,
     runner::RunnerKey,
     task::{
@@ -192,7 +193,7 @@
 
     /// Takes the lasting tasks of a runner as away: its VM goes down now.
     pub fn note_down(&mut self, key: RunnerKey, now: Millis) {
-        self.release_runner(key, now);
+        self.release_runner(key, RunnerLoss::Planned, now);
         if let Some(runner) = self.runners.get_mut(key) {
             runner.open = false;
         }
--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -25,6 +25,7 @@
     QueuePolicy,
     RunnerFacts,
     RunnerKey,
+    RunnerLoss,
     RunningTask,
     StartOrder,
     StartOutcome,
@@ -317,7 +318,8 @@
             let entry = self.vms.remove(place);
             self.leaving.retain(|key| *key != entry.key);
             self.state.note_down(entry.key, now);
-            self.state.remove_runner(entry.key, now);
+            self.state
+                .remove_runner(entry.key, RunnerLoss::Planned, now);
         }
     }
 
--- a/crates/hoisthitch-scheduler/src/owner/lives.rs
+++ b/crates/hoisthitch-scheduler/src/owner/lives.rs
@@ -25,7 +25,10 @@
 };
 use hoisthitch_telemetry::event;
 
-use super::PoolOwner;
+use super::{
+    PoolOwner,
+    runners::GoneReason, //
+};
 use crate::{
     platform::{
         Platform,
@@ -289,7 +292,7 @@
         }
         event!(Info, "runner_life_over", runner = rival, by = by);
         if let Some(key) = self.state.life_key(&rival) {
-            self.drop_runner(key, "ended");
+            self.drop_runner(key, GoneReason::Ended);
         } else if self.state.runner_key(&rival.name).is_some() {
             // Its runs may be those of the life that is there now.
             return;
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -55,6 +55,7 @@
 use self::advice::AdviceReturn;
 use self::awaited::AwaitedPolicy;
 use self::lives::LifeNotes;
+use self::runners::GoneReason;
 use self::silent::{
     SilenceNotes,
     inherited_runs, //
@@ -407,6 +408,7 @@
         for stop in self.state.take_stops() {
             self.send(stop.runner, RunnerOrder::Stop(stop));
         }
+        self.log_lost();
         self.log_ended();
         self.write(now);
     }
@@ -427,6 +429,23 @@
         }
     }
 
+    /// Tells of the runs that were lost with their runners.
+    fn log_lost(&mut self) {
+        for lost in self.state.take_lost_runs() {
+            event!(
+                Warn,
+                "run_lost",
+                task = lost.task,
+                run = lost.run,
+                runner = lost.runner,
+                pool = self.context.pool,
+                loss = lost.loss,
+                ran_ms = lost.ran,
+                beside = lost.beside
+            );
+        }
+    }
+
     /// Tells of the jobs that ended, and where their time went.
     fn log_ended(&mut self) {
         for ended in self.state.take_ended_jobs() {
@@ -489,7 +508,7 @@
             SessionEvent::Missed { runner } => self.state.miss_hold(runner, now),
             SessionEvent::Replaced { runner } => {
                 self.note_over(runner);
-                self.drop_runner(runner, "replaced");
+                self.drop_runner(runner, GoneReason::Replaced);
             }
             SessionEvent::Renewed { runner, born } => self.take_renewed(runner, born),
             // An order for a life that is over met this owner's next session.
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -1,9 +1,15 @@
 //! The runners of an owned pool, and the VMs below them.
 
+use std::fmt::{
+    self,
+    Display, //
+};
+
 use hoisthitch_jobs::{
     Millis,
     RunnerKey,
     RunnerLife,
+    RunnerLoss,
     UpkeepView, //
 };
 use hoisthitch_telemetry::event;
@@ -18,6 +24,41 @@
     }, //
 };
 
+/// Why an owner gave a runner up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum GoneReason {
+    /// Its VM went down as ordered.
+    Down,
+    /// A later life runs in its place.
+    Ended,
+    /// Another runner answers at its address.
+    Replaced,
+    /// Nothing was heard of it until its leases were over.
+    Silent,
+}
+
+impl GoneReason {
+    /// How what it ran was lost.
+    fn loss(self) -> RunnerLoss {
+        match self {
+            Self::Down => RunnerLoss::Planned,
+            Self::Ended | Self::Replaced => RunnerLoss::Crashed,
+            Self::Silent => RunnerLoss::Silent,
+        }
+    }
+}
+
+impl Display for GoneReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Down => "down",
+            Self::Ended => "ended",
+            Self::Replaced => "replaced",
+            Self::Silent => "silent",
+        })
+    }
+}
+
 impl<P: Platform> PoolOwner<P> {
     pub(super) fn take_vm_request(&mut self, request: VmRequest) {
         let now = self.now();
@@ -71,7 +112,7 @@
         self.state.note_down(key, now);
         // Its record stays for some heartbeats.
         self.note_over(key);
-        self.drop_runner(key, "down");
+        self.drop_runner(key, GoneReason::Down);
         self.take_listed(&life.name);
     }
 
@@ -146,7 +187,7 @@
             .runner(key)
             .is_some_and(|runner| !runner.open && runner.lease_until <= now);
         if over {
-            self.drop_runner(key, "silent");
+            self.drop_runner(key, GoneReason::Silent);
         }
     }
 
@@ -155,7 +196,7 @@
         self.open_sessions.set(sessions.unwrap_or(u32::MAX));
     }
 
-    pub(super) fn drop_runner(&mut self, key: RunnerKey, why: &'static str) {
+    pub(super) fn drop_runner(&mut self, key: RunnerKey, why: GoneReason) {
         let now = self.now();
         let life = self.state.life_of(key);
         self.sessions.remove(&key);
@@ -164,7 +205,7 @@
         if let Some(life) = life {
             self.count("runner_gone");
             event!(Info, "runner_gone", runner = life, why = why);
-            self.state.remove_runner(key, now);
+            self.state.remove_runner(key, why.loss(), now);
         }
     }
 
