Give up tasks that crash the runners that start them, and no others

What callers saw: a job that never ended and took a runner each 3.4 s with whatever ran there; ordinary jobs beside it took up to 64 s, four of five lasting tasks lost their runner to it. Cause: no decision knew that a run can be the cause of its runner's end. A run that was lost with its runner was waiting again at once and counted nothing; what was beside it once was packed beside it again. Ruled out: a count that is lost with owners (one owner ordered all of it), late orders (each start bore a run of its own and was answered). Tried and not kept: weights by points (one for each loss, more for a fresh or lonely one): three losses by themselves gave up innocent work; losses weighed without those of other suspects: the base rate hid several such tasks at once. Change: each loss is weighed in bits against the rate at which runners of the pool are lost anyway, by the longest time that the task ran on one; tasks that were there share it by their youth, a step as one; losses of one moment on runners without the step excuse twice. A suspect is tried alone on a runner that is kept free for it, two of a step at a time; whoever runs on for twice as long is cleared; whoever goes on crashing runners alone is given up, its job is failed, its other tasks stop. What counts is in the job's record before the next start, with the birth of the runner's life, so that owners in turn go on counting. Starts that were refused at a runner that was gone already count nothing. Why it holds: the count does not depend on an owner or a life, a killer alone on a free runner takes nothing along, and an innocent task clears itself by running on.

--- a/crates/hoisthitch-cli/src/story/cause.rs
+++ b/crates/hoisthitch-cli/src/story/cause.rs
@@ -74,6 +74,8 @@
     let became = became(id, own, &losses);
     let (kind, cause) = if !is_taken(own) {
         judge_submission(own, around, &delay)
+    } else if let Some(losses) = given_up_after(own) {
+        (Some(FailureKind::Away), given_up_cause(losses))
     } else if !losses.losses.is_empty() {
         (Some(FailureKind::Away), loss_cause(&losses, around))
     } else if is_cancelled(own) {
@@ -96,6 +98,21 @@
     own.iter().any(|event| event.kind == EventKind::Cancelled)
 }
 
+/// Runners that were lost under the task that was given up, if one was.
+fn given_up_after(own: &[StoryEvent]) -> Option<u64> {
+    own.iter().find_map(|event| match event.kind {
+        EventKind::GivenUp { losses } => Some(losses),
+        _ => None,
+    })
+}
+
+fn given_up_cause(losses: u64) -> String {
+    let runners = count(usize::try_from(losses).unwrap_or(usize::MAX), "runner");
+    format!(
+        "a task of it crashes the runners that start it ({runners} lost under it), and was given up; its run_lost lines name them."
+    )
+}
+
 /// Whether an owner found the job begun by an earlier one.
 fn had_begun(own: &[StoryEvent]) -> bool {
     let mut kinds = own.iter().map(|event| &event.kind);
@@ -149,6 +166,7 @@
 /// A number with what it counts; the first word takes the plural.
 fn count(number: usize, what: &str) -> String {
     match what.split_once(' ') {
+        None if number != 1 => format!("{number} {what}s"),
         Some((noun, rest)) if number != 1 => format!("{number} {noun}s {rest}"),
         _ => format!("{number} {what}"),
     }
--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -94,6 +94,11 @@
     Paced,
     /// A run was lost with its runner.
     RunLost,
+    /// A task was given up, for its runners crashed under it.
+    GivenUp {
+        /// Runners that were lost under it.
+        losses: u64,
+    },
     /// A node became the pool's owner.
     PoolTaken,
     /// A node ceased to be the owner.
@@ -309,6 +314,7 @@
         "policy_unconfirmed" => return read_turned_away(line, SubmitOutcome::Unconfirmed),
         "job_taken" => return whole(read_taken(line)),
         "task_ordered" => return whole(read_ordered(line)),
+        "task_given_up" => return whole(read_given_up(line)),
         "task_stopped" => return whole(read_stopped(line)),
         "pool_needs" => return whole(read_needs(line)),
         "pool_left" => return whole(read_left(line)),
@@ -381,7 +387,8 @@
             let id = line.text("path")?.rsplit('/').next()?;
             EventSubject::Job(id.to_owned())
         }
-        "task_ordered" | "task_stopped" | "task_paced" | "start_not_sent" | "run_lost" => {
+        "task_ordered" | "task_stopped" | "task_paced" | "start_not_sent" | "run_lost"
+        | "task_given_up" => {
             let (job, _) = line.text("task")?.split_once('.')?;
             EventSubject::Job(job.to_owned())
         }
@@ -480,6 +487,11 @@
     Some(EventKind::Stopped { run, done })
 }
 
+fn read_given_up(line: &LogLine) -> Option<EventKind> {
+    let losses = line.number("losses")?;
+    Some(EventKind::GivenUp { losses })
+}
+
 fn read_needs(line: &LogLine) -> Option<EventKind> {
     Some(EventKind::PoolNeeds {
         want: line.number("want")?,
--- a/crates/hoisthitch-cli/src/story/words.rs
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -23,6 +23,7 @@
         EventKind::Stopped { done: false, .. } => "task not stopped: the order failed",
         EventKind::Paced => "task throttled",
         EventKind::RunLost => "run lost with its runner",
+        EventKind::GivenUp { .. } => "task given up, and its job with it: runners crash under it",
         EventKind::RunnerTaken => "runner reached by the owner",
         EventKind::RunnerLost => "runner gave no answer",
         EventKind::LeaseLapsed => "runner's lease lapsed",
--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -12,6 +12,7 @@
         TaskPhase,
         TaskProgress, //
     },
+    runner::RunnerLife,
     spec::{
         JobSpec,
         StepSpec, //
@@ -186,9 +187,11 @@
         self.tasks.iter().any(|task| task.run > 0)
     }
 
-    /// The job's record; `names` tells a runner's name.
-    pub fn progress(&self, names: impl Fn(&TaskEntry) -> String) -> JobProgress {
-        let tasks = self.tasks.iter().map(|task| TaskProgress {
+    /// The job's record; `lives` tells the runner's life that has a task.
+    pub fn progress(&self, lives: impl Fn(&TaskEntry) -> Option<RunnerLife>) -> JobProgress {
+        let life_of = |task: &TaskEntry| lives(task).unwrap_or_else(|| RunnerLife::untold(""));
+        let tasks = self.tasks.iter().map(|task| (task, life_of(task)));
+        let tasks = tasks.map(|(task, life)| TaskProgress {
             phase: match task.place {
                 TaskPlace::Waiting => TaskPhase::Waiting,
                 TaskPlace::Done => TaskPhase::Done,
@@ -196,7 +199,9 @@
             },
             run: task.run,
             failed: task.failed,
-            runner: names(task),
+            suspicion: task.suspicion,
+            runner: life.name,
+            born: life.born,
             checkpoint: task.checkpoint.clone(),
         });
         // An ended job needs no tasks any more, unless some may still run.
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -29,6 +29,7 @@
 mod silent;
 mod spec;
 mod stall;
+mod suspects;
 mod task;
 mod upkeep;
 mod vacate;
@@ -100,6 +101,10 @@
     StepSpec,
     TaskNeed, //
 };
+pub use suspects::{
+    GivenUpTask,
+    TaskSuspicion, //
+};
 pub use task::{
     StartOrder,
     StopOrder,
--- a/crates/hoisthitch-jobs/src/lives.rs
+++ b/crates/hoisthitch-jobs/src/lives.rs
@@ -61,7 +61,15 @@
         }
         for task in &doubtful {
             let runner = name.clone();
-            self.leave_runner(*task, TaskPlace::Unlocated { runner, until }, now);
+            self.leave_runner(
+                *task,
+                TaskPlace::Unlocated {
+                    runner,
+                    born: None,
+                    until,
+                },
+                now,
+            );
         }
         self.stops.retain(|stop| stop.runner != key);
         // A ticket holds for one life of a runner.
@@ -74,6 +82,7 @@
         next.renewed = true;
         let key = self.runners.insert(next);
         self.runner_names.insert(name, key);
+        self.give_up(now);
         Some(RenewedRunner {
             key,
             ended: ended.len(),
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -46,6 +46,7 @@
         let Some(runner) = self.runners.get_mut(key) else {
             return Vec::new();
         };
+        self.heard_since.get_or_insert(now);
         runner.silent_since = None;
         runner.heard_at = runner.heard_at.max(Some(asked_at));
         let seen = runner.seen;
@@ -81,10 +82,14 @@
     }
 
     /// Takes in that a hold got no answer.
-    pub fn miss_hold(&mut self, key: RunnerKey, now: Millis) {
+    /// `reset`, at once, since nothing listens there any more.
+    pub fn miss_hold(&mut self, key: RunnerKey, reset: bool, now: Millis) {
         if let Some(runner) = self.runners.get_mut(key) {
             runner.open = false;
-            runner.silent_since = runner.silent_since.or(Some(now));
+            if runner.silent_since.is_none() {
+                runner.silent_since = Some(now);
+                runner.was_reset = reset;
+            }
         }
     }
 
@@ -340,7 +345,9 @@
         else {
             return;
         };
+        self.note_earlier_life(key, now);
         self.settle_unlocated(|runner, _| runner == name, now);
+        self.give_up(now);
     }
 
     /// Looks at tasks that should be on the runner and are not: starts that
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -41,11 +41,14 @@
         let job = self.jobs.get(task.job)?;
         let step = job.step_of(task.slot)?;
         let failed_on = job.tasks.get(task.slot)?.failed_on;
+        if self.is_on_trial(task, now) && !self.may_try(task) {
+            return None;
+        }
         let best = |avoid: Option<RunnerKey>| {
             self.fitting(task, step, now)
                 .filter(|(_, runner)| rack.is_none_or(|rack| runner.facts.rack == rack))
                 .filter(|(key, _)| Some(*key) != avoid)
-                .map(|(key, runner)| (self.cost(task, runner, step), key))
+                .map(|(key, runner)| (self.cost(task, runner, step, now), key))
                 .min_by(|left, right| left.0.total_cmp(&right.0))
                 .map(|(_, key)| key)
         };
@@ -67,15 +70,26 @@
         step: &'a StepSpec,
         now: Millis,
     ) -> impl Iterator<Item = (RunnerKey, &'a RunnerEntry)> {
+        let trial = self.is_on_trial(task, now);
         self.runners
             .iter()
             .filter(move |(_, runner)| runner.takes_tasks(now) && runner.fits(step))
+            .filter(move |(_, runner)| self.is_apart(task, trial, runner, now))
             .filter(|(_, runner)| !runner.is_on_trial() || runner.tasks.is_empty())
             .filter(move |(_, runner)| has_label(runner, step))
             .filter(move |(_, runner)| self.is_advised(task, runner, now))
             .filter(move |(_, runner)| step.spread == 0 || self.alike(task, runner) < step.spread)
     }
 
+    /// Whether a runner could run the task if nothing else ran there.
+    pub(crate) fn could_run(&self, task: TaskRef, runner: &RunnerEntry, now: Millis) -> bool {
+        let job = self.jobs.get(task.job);
+        let Some(step) = job.and_then(|job| job.step_of(task.slot)) else {
+            return false;
+        };
+        runner.could_hold(step) && has_label(runner, step) && self.is_advised(task, runner, now)
+    }
+
     /// Tasks of the same step on the runner.
     fn alike(&self, task: TaskRef, runner: &RunnerEntry) -> u32 {
         let Some(entry) = self.task(task) else {
@@ -91,7 +105,7 @@
         u32::try_from(alike).unwrap_or(u32::MAX)
     }
 
-    fn cost(&self, task: TaskRef, runner: &RunnerEntry, step: &StepSpec) -> f64 {
+    fn cost(&self, task: TaskRef, runner: &RunnerEntry, step: &StepSpec, now: Millis) -> f64 {
         let far = step
             .data_rack
             .as_ref()
@@ -101,6 +115,7 @@
         // them: 1 to 4 in 100 more of what is owed is earned (70 plays before what
         // else empties VMs, 40 after, docs/decisions.md).
         let mut cost = if step.lasting { load } else { 1.0 - load };
+        cost += self.suspect_cost(task, runner, now);
         if far {
             cost += FAR_COST;
         }
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -9,7 +9,8 @@
     record::JobProgress,
     runner::{
         RunnerEntry,
-        RunnerKey, //
+        RunnerKey,
+        RunnerLife, //
     },
     spec::{
         StepSpec,
@@ -126,21 +127,40 @@
             if self.is_gang(task) || step == full_step {
                 continue;
             }
+            if self.is_on_trial(task, now) {
+                planned += self.plan_trial(task, now);
+                continue;
+            }
             let Some(runner) = self.choose_unless_full(task, full, now) else {
                 // What one task of a step finds no room for, none does.
                 full_step = step;
                 continue;
             };
-            self.set_place(task, TaskPlace::Planned(runner), now);
-            if let Some(entry) = self.task_mut(task) {
-                entry.run += 1;
-            }
-            self.mark_dirty(key);
+            self.plan_task(task, runner, now);
             planned += 1;
         }
         planned
     }
 
+    fn plan_task(&mut self, task: TaskRef, runner: RunnerKey, now: Millis) {
+        self.set_place(task, TaskPlace::Planned(runner), now);
+        if let Some(entry) = self.task_mut(task) {
+            entry.run += 1;
+        }
+        self.mark_dirty(task.job);
+    }
+
+    /// Places a suspect on a runner alone, or has one kept free for it; answers how many
+    /// tasks were placed.
+    fn plan_trial(&mut self, task: TaskRef, now: Millis) -> usize {
+        let Some(runner) = self.choose_runner(task, None, now) else {
+            self.reserve_runner(task, now);
+            return 0;
+        };
+        self.plan_task(task, runner, now);
+        1
+    }
+
     /// Drops what was planned and not written: it will not be ordered.
     pub fn drop_plans(&mut self, now: Millis) {
         let planned: Vec<TaskRef> = self
@@ -236,12 +256,14 @@
         };
         job.dirty = false;
         let progress = job.progress(|task| match &task.place {
-            TaskPlace::Unlocated { runner, .. } => runner.clone(),
-            _ => task
-                .runner()
-                .and_then(|key| runners.get(key))
-                .map(|runner| runner.facts.name.clone())
-                .unwrap_or_default(),
+            TaskPlace::Unlocated { runner, born, .. } => Some(RunnerLife {
+                name: runner.clone(),
+                born: *born,
+            }),
+            _ => {
+                let runner = task.runner().and_then(|key| runners.get(key));
+                runner.map(|runner| runner.facts.life())
+            }
         });
         plan.records.push((job.id.clone(), progress));
         let starts = job.tasks.iter().enumerate();
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -1,6 +1,9 @@
 //! State of a pool: its jobs, its runners, and what runs where.
 
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 
 use slotmap::SlotMap;
 
@@ -15,6 +18,8 @@
     },
     losses::{
         LostRun,
+        RecentLoss,
+        RoundStep,
         RunnerLoss, //
     },
     pace::UNKNOWN_PACE,
@@ -33,6 +38,7 @@
         RunnerLife, //
     },
     silent::InheritedRuns,
+    suspects::GivenUpTask,
     task::{
         StopOrder,
         TaskEntry,
@@ -82,6 +88,18 @@
     pub(crate) ended_jobs: Vec<EndedJob>,
     /// Runs that were lost with their runners and were not taken yet.
     pub(crate) lost_runs: Vec<LostRun>,
+    /// Runners that were lost of late.
+    pub(crate) recent_losses: Vec<RecentLoss>,
+    /// Since when runners are heard; none before the first.
+    pub(crate) heard_since: Option<Millis>,
+    /// Tasks that something counts against.
+    pub(crate) suspects: HashSet<TaskRef>,
+    /// Steps that several runners were lost under right after their begin.
+    pub(crate) doubtful_steps: HashSet<RoundStep>,
+    /// Tasks that are to be given up.
+    pub(crate) condemned: Vec<TaskRef>,
+    /// Tasks that were given up and were not taken yet.
+    pub(crate) given_up: Vec<GivenUpTask>,
     /// Work that came in of late.
     pub(crate) arrivals: ArrivalLog,
     /// Records that are being written, where one write does not take them all.
@@ -128,7 +146,10 @@
         }
         job.keep_account(now);
         self.unlocated += count_unlocated(&job);
+        let suspects: Vec<usize> = suspects_of(&job).collect();
         let key = self.jobs.insert(job);
+        let suspects = suspects.into_iter().map(|slot| TaskRef { job: key, slot });
+        self.suspects.extend(suspects);
         self.job_ids.insert(id, key);
         if !settled {
             self.active.push(key);
@@ -148,6 +169,7 @@
             };
             task.run = recorded.run;
             task.failed = recorded.failed;
+            task.suspicion = recorded.suspicion;
             task.checkpoint = recorded.checkpoint;
             let (round, step) = (task.round, task.step);
             match recorded.phase {
@@ -156,7 +178,12 @@
                     let until = self.inherited.until_on(&recorded.runner);
                     let runner = recorded.runner;
                     task.pace = UNKNOWN_PACE;
-                    task.place = TaskPlace::Unlocated { runner, until };
+                    let born = recorded.born;
+                    task.place = TaskPlace::Unlocated {
+                        runner,
+                        born,
+                        until,
+                    };
                 }
                 TaskPhase::Done => {
                     task.place = TaskPlace::Done;
@@ -299,18 +326,21 @@
         if let Some(name) = name {
             self.settle_unlocated(|runner, _| runner == name, now);
         }
+        self.give_up(now);
     }
 
     /// Takes in that a life of a runner that is not in the list has ended.
     pub fn forget_life(&mut self, name: &str, now: Millis) {
         self.note_unknown_loss(name, RunnerLoss::Crashed, now);
         self.settle_unlocated(|runner, _| runner == name, now);
+        self.give_up(now);
     }
 
     /// Lets go of runs that have ended for certain by now.
     pub fn expire(&mut self, now: Millis) -> Vec<RunnerKey> {
         self.note_expired(now);
         self.settle_unlocated(|_, until| until <= now, now);
+        self.give_up(now);
         let lapsed: Vec<RunnerKey> = self
             .runners
             .iter()
@@ -332,7 +362,7 @@
         let settled: Vec<TaskRef> = self
             .active_tasks()
             .filter(|(_, task)| match &task.place {
-                TaskPlace::Unlocated { runner, until } => ended(runner, *until),
+                TaskPlace::Unlocated { runner, until, .. } => ended(runner, *until),
                 _ => false,
             })
             .map(|(task, _)| task)
@@ -375,6 +405,7 @@
 
     /// Moves a task, with the room that it takes.
     pub(crate) fn set_place(&mut self, task: TaskRef, place: TaskPlace, now: Millis) {
+        let suspect = self.is_suspect(task);
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
         };
@@ -398,6 +429,7 @@
         entry.stopped_at = None;
         entry.stray_run = None;
         let after = entry.runner();
+
         if after.is_none() {
             entry.unclear = false;
             entry.unanswered = false;
@@ -417,6 +449,10 @@
             }
             if let Some(runner) = after.and_then(|key| self.runners.get_mut(key)) {
                 runner.add(task, &step);
+                if suspect {
+                    runner.trial.get_or_insert(task);
+                    runner.reserved_until = 0;
+                }
             }
         }
     }
@@ -517,6 +553,13 @@
     }
 }
 
+/// Tasks of a job that something counts against.
+fn suspects_of(job: &JobEntry) -> impl Iterator<Item = usize> {
+    let tasks = job.tasks.iter().enumerate();
+    let suspects = tasks.filter(|(_, task)| task.suspicion.is_suspect());
+    suspects.map(|(slot, _)| slot)
+}
+
 fn count_unlocated(job: &JobEntry) -> usize {
     let tasks = job.tasks.iter();
     tasks
--- a/crates/hoisthitch-jobs/src/record.rs
+++ b/crates/hoisthitch-jobs/src/record.rs
@@ -9,7 +9,10 @@
     Serialize, //
 };
 
-use crate::spec::JobSpec;
+use crate::{
+    spec::JobSpec,
+    suspects::TaskSuspicion, //
+};
 
 /// A job as it was accepted.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -105,14 +108,20 @@
     /// Runs that failed.
     #[serde(rename = "f", skip_serializing_if = "is_default")]
     pub failed: u32,
+    /// What counts against it of the runners that were lost under it.
+    #[serde(rename = "x", skip_serializing_if = "is_default")]
+    pub suspicion: TaskSuspicion,
     /// Runner of the last run while the task is ordered.
     #[serde(rename = "r", skip_serializing_if = "String::is_empty")]
     pub runner: String,
+    /// Birth of its life, where that is told.
+    #[serde(rename = "b", skip_serializing_if = "is_default")]
+    pub born: Option<u64>,
     /// Last saved progress.
     #[serde(rename = "c", skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
 }
 
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+pub(crate) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -166,6 +166,12 @@
     lasting: u32,
     /// Number of the last end that was taken in.
     pub seen: u64,
+    /// Whether its connections were reset when it was last lost: its process ended.
+    pub(crate) was_reset: bool,
+    /// A suspect that is tried here, and beside which nothing else is placed.
+    pub(crate) trial: Option<TaskRef>,
+    /// Until when it is kept free for a suspect.
+    pub(crate) reserved_until: Millis,
     /// Runs in a row that failed.
     failures: u32,
     /// Starts in a row that it refused; those sent together count once.
@@ -196,6 +202,9 @@
             tasks: HashSet::new(),
             lasting: 0,
             seen: 0,
+            was_reset: false,
+            trial: None,
+            reserved_until: 0,
             failures: 0,
             refusals: 0,
             shunned_until: 0,
@@ -234,6 +243,15 @@
             && self.used.gpus + room.gpus <= capacity.gpus
     }
 
+    /// Whether a task of the step would fit if nothing else ran there.
+    pub fn could_hold(&self, step: &StepSpec) -> bool {
+        let capacity = self.facts.capacity;
+        let room = step.room();
+        room.cpu_milli <= capacity.cpu_milli
+            && room.memory_mb <= capacity.memory_mb
+            && room.gpus <= capacity.gpus
+    }
+
     /// Share of the processors taken once a task of the step is added.
     pub fn load_with(&self, step: &StepSpec) -> f64 {
         let taken = as_f64(self.used.cpu_milli + step.room().cpu_milli);
@@ -259,6 +277,7 @@
     /// Gives room back.
     pub fn remove(&mut self, task: TaskRef, step: &StepSpec) {
         if self.tasks.remove(&task) {
+            self.trial = self.trial.filter(|trial| *trial != task);
             self.lasting = self.lasting.saturating_sub(u32::from(step.lasting));
             let room = step.room();
             self.used.cpu_milli = self.used.cpu_milli.saturating_sub(room.cpu_milli);
--- a/crates/hoisthitch-jobs/src/silent.rs
+++ b/crates/hoisthitch-jobs/src/silent.rs
@@ -80,7 +80,7 @@
         }
         if self.has_unlocated() && inherited {
             for (_, task) in self.active_tasks() {
-                if let TaskPlace::Unlocated { runner, until } = &task.place {
+                if let TaskPlace::Unlocated { runner, until, .. } = &task.place {
                     found.entry(runner.clone()).or_default().add(1, *until);
                 }
             }
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -0,0 +1,483 @@
+//! Tasks under which runners were lost, and which of them are the cause.
+//!
+//! A task may crash each runner that starts it, and takes along whatever runs beside it.
+//! Nothing but the crash tells of it, and most runners that are lost are lost for other
+//! reasons. So each loss is weighed, in bits: how much likelier it is if the task crashes
+//! its runners within the longest time that it ran on one, than if runners of the pool go
+//! on being lost as they are. A crash right after a start says much, one after a long run
+//! little, and one where runners are lost all the time hardly anything. Tasks that were
+//! there together share what it says, the youngest most of it. Runners that are lost at one
+//! moment, and share no step, were not lost to a task.
+//!
+//! A suspect of some weight is tried alone, on a runner that is kept free for it. That
+//! clears those that only ran beside the cause: whoever runs on for longer than it took to
+//! crash is cleared. One that goes on crashing its runners, alone, is given up with its job.
+//! What counts against a task is in its job's record before its next start.
+
+use std::hash::{
+    DefaultHasher,
+    Hash,
+    Hasher, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    Millis,
+    losses::RunnerLoss,
+    pool::PoolState,
+    record::{
+        JobPhase,
+        is_default, //
+    },
+    runner::{
+        RunnerEntry,
+        RunnerKey, //
+    },
+    task::{
+        TaskEntry,
+        TaskName,
+        TaskPlace,
+        TaskRef, //
+    }, //
+};
+
+/// Shortest time of a run that is told apart, in milliseconds, and the time taken for one
+/// that is not known.
+const SHORTEST_MS: Millis = 20;
+const UNKNOWN_MS: Millis = 1_000;
+
+/// Weight from which a task is tried alone, in tenths of a bit: a crash right after its
+/// start in a calm pool. It is after so many losses, whatever they say.
+const TRIAL_WEIGHT: i32 = 70;
+const TRIAL_LOSSES: u32 = 2;
+
+/// Weights at which a task is given up, in tenths of a bit: alone under a crash, alone on a
+/// runner of which nothing is heard any more, and never alone, for want of a free runner.
+/// With the first, and as one of some thousand tasks is a cause, less than one in fifty
+/// that are given up is none.
+const PROOF_WEIGHT: i32 = 250;
+const SILENT_PROOF_WEIGHT: i32 = 330;
+const HEAVY_WEIGHT: i32 = 400;
+
+/// What each crash under which the task was alone takes off these limits, down to the least
+/// one, in tenths of a bit: each was on another runner that was kept free for it.
+const ALONE_WEIGHT: i32 = 50;
+const LEAST_WEIGHT: i32 = 100;
+
+/// Weight of all tasks of a step under which runners were lost while they were alone, at
+/// which the last of them is given up: a step of a hundred such tasks costs a few runners.
+const STEP_PROOF_WEIGHT: i32 = 300;
+
+/// What silence says less than connections that are reset, in tenths of a bit: a task ends
+/// its runner's process, and most runners that fall silent lose their VM or are cut off.
+const SILENCE_LESS: i32 = 30;
+
+/// Least time for which a suspect has to run to be cleared, in milliseconds.
+const CLEAR_LEAST_MS: Millis = 1_000;
+
+/// Time for which a suspect that runs has its runner alone at most, in milliseconds.
+const ALONE_MOST_MS: Millis = 10_000;
+
+/// Time for which a suspect waits for a free runner, in milliseconds; then it goes beside
+/// others rather than not at all. A lasting task may be away for less.
+const TRIAL_WAIT_MS: Millis = 6_000;
+const LASTING_TRIAL_WAIT_MS: Millis = 1_500;
+
+/// Time for which a runner is kept free for a suspect, in milliseconds: some short tasks.
+const RESERVE_MS: Millis = 3_000;
+
+/// Suspects of a step that are tried at once: one of which none is the cause is not held up
+/// for long.
+const TRIALS_OF_STEP: usize = 2;
+
+/// Trials at once, at least, and the parts of the pool's runners that they may take, and that
+/// may be kept free for them: one in this many.
+const TRIALS_LEAST: usize = 2;
+const TRIALS_PART: usize = 2;
+const RESERVED_PART: usize = 4;
+
+/// Age up to which a runner counts as young, in milliseconds, and what a suspect costs on
+/// one, in shares of a runner's load: some go down and up by turns of a second or two.
+const YOUNG_RUNNER_MS: Millis = 3_000;
+const YOUNG_COST: f64 = 2.0;
+
+/// What chance adds at most to the cost of a trial, in shares of a runner's load: free
+/// runners are alike, and one that goes down by its own turn must not be met each time.
+const CHANCE_COST: f64 = 0.1;
+
+/// What a suspect costs beside lasting tasks, in shares of a runner's load.
+const BESIDE_LASTING_COST: f64 = 3.0;
+
+/// Losses up to which a task is excused where other runners are lost at the same moment.
+const EXCUSED_CRASHES: u32 = 2;
+
+/// What counts against a task.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct TaskSuspicion {
+    /// Runners that were lost under it.
+    #[serde(rename = "n", skip_serializing_if = "is_default")]
+    pub losses: u32,
+    /// Those of them since it was last cleared.
+    #[serde(rename = "r", skip_serializing_if = "is_default")]
+    recent: u32,
+    /// Those of them that count, after a run of known length.
+    #[serde(rename = "c", skip_serializing_if = "is_default")]
+    pub counted: u32,
+    /// Sum of what they say, in tenths of a bit, as if the task had run for a second.
+    #[serde(rename = "s", skip_serializing_if = "is_default")]
+    sum: i32,
+    /// Those of them under which it was alone, and whose connections were reset.
+    #[serde(rename = "a", skip_serializing_if = "is_default")]
+    pub alone: u32,
+    /// Longest time that it had run when one of them was lost, in milliseconds.
+    #[serde(rename = "l", skip_serializing_if = "is_default")]
+    longest: Millis,
+}
+
+/// What is known of a task on a runner that was lost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct LossEvidence {
+    /// How the runner was lost.
+    pub(crate) loss: RunnerLoss,
+    /// How long the task had run; none where that is not known.
+    pub(crate) ran: Option<Millis>,
+    /// Share of the task in what was there, by how young the runs were.
+    pub(crate) share: f64,
+    /// Whether it fell silent, and its connections were not reset.
+    pub(crate) silent: bool,
+    /// Whether nothing else ran there.
+    pub(crate) alone: bool,
+    /// Whether other runners were lost at that moment.
+    pub(crate) company: bool,
+    /// How often a runner of the pool is lost without the task, a second.
+    pub(crate) rate: f64,
+}
+
+/// A task that was given up, and its job with it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GivenUpTask {
+    /// Name of the task.
+    pub task: TaskName,
+    /// Number of its last run.
+    pub run: u32,
+    /// What counted against it.
+    pub suspicion: TaskSuspicion,
+}
+
+impl TaskSuspicion {
+    /// Takes a loss in; answers whether the task is to be given up for it.
+    fn add(&mut self, evidence: LossEvidence) -> bool {
+        if evidence.loss == RunnerLoss::Planned {
+            return false;
+        }
+        let excused = evidence.company && self.recent < EXCUSED_CRASHES;
+        self.losses += 1;
+        self.recent += 1;
+        if excused {
+            return false;
+        }
+        // One that is not known counts as a second.
+        if let Some(ran) = evidence.ran {
+            self.counted += 1;
+            self.longest = self.longest.max(ran);
+        }
+        self.alone += u32::from(evidence.alone && !evidence.silent);
+        self.sum += tenths_of_bits(evidence.share / evidence.rate);
+        self.sum -= if evidence.silent { SILENCE_LESS } else { 0 };
+        let limit = match (evidence.alone, evidence.loss == RunnerLoss::Silent) {
+            (true, false) => PROOF_WEIGHT,
+            (true, true) => SILENT_PROOF_WEIGHT,
+            (false, _) => HEAVY_WEIGHT,
+        };
+        let alone = i32::try_from(self.alone).unwrap_or(i32::MAX);
+        let less = limit.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
+        self.weight() >= less.max(LEAST_WEIGHT)
+    }
+
+    /// What counts against the task, in tenths of a bit: each loss says the more the shorter
+    /// the time is within which the task crashes its runners, if it does.
+    pub fn weight(&self) -> i32 {
+        let counted = i32::try_from(self.counted).unwrap_or(i32::MAX);
+        let time = self.longest.max(SHORTEST_MS);
+        let each = tenths_of_bits(seconds(time));
+        self.sum.saturating_sub(counted.saturating_mul(each)).max(0)
+    }
+
+    /// Whether anything counts against the task.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.recent > 0
+    }
+
+    /// Whether the task is to be tried alone.
+    pub(crate) fn needs_trial(&self) -> bool {
+        self.recent >= TRIAL_LOSSES || self.is_likely()
+    }
+
+    /// Whether a runner that was lost under the task is likely to have been lost to it.
+    pub(crate) fn is_likely(&self) -> bool {
+        self.weight() >= TRIAL_WEIGHT
+    }
+
+    /// Time for which the task has to run to be cleared, in milliseconds.
+    fn clear_time(&self) -> Millis {
+        CLEAR_LEAST_MS.max(2 * self.longest)
+    }
+
+    /// Takes in that the task ran on for longer than it took to crash.
+    fn clear(&mut self) {
+        *self = Self {
+            losses: self.losses,
+            ..Self::default()
+        };
+    }
+}
+
+/// How long a run went on, in milliseconds, as far as it counts.
+pub(crate) fn time_of(ran: Option<Millis>) -> Millis {
+    ran.unwrap_or(UNKNOWN_MS).max(SHORTEST_MS)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times of runs are far below 2^52 ms"
+)]
+pub(crate) fn seconds(time: Millis) -> f64 {
+    time as f64 / 1_000.0
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "shares, rates and times of runs are far from zero and from infinity"
+)]
+fn tenths_of_bits(ratio: f64) -> i32 {
+    (ratio.max(f64::MIN_POSITIVE).log2() * 10.0) as i32
+}
+
+impl PoolState {
+    /// Takes in what a lost runner says against a task that was there.
+    pub(crate) fn suspect(&mut self, task: TaskRef, evidence: LossEvidence) {
+        let Some(entry) = self.task_mut(task) else {
+            return;
+        };
+        let mut condemned = entry.suspicion.add(evidence);
+        let needs_trial = entry.suspicion.needs_trial();
+        if entry.suspicion.is_suspect() {
+            self.suspects.insert(task);
+        }
+        condemned |= evidence.alone && self.step_weight(task) >= STEP_PROOF_WEIGHT;
+        let step = self.round_step(task).filter(|_| needs_trial);
+        if let Some(step) = step.filter(|step| self.was_lost_elsewhere(*step)) {
+            self.doubtful_steps.insert(step);
+        }
+        if condemned {
+            self.condemned.push(task);
+        }
+        self.mark_dirty(task.job);
+    }
+
+    /// What counts against tasks of a step that runners were lost under while they were alone.
+    fn step_weight(&self, task: TaskRef) -> i32 {
+        let job = self.jobs.get(task.job);
+        let Some((job, entry)) = job.zip(self.task(task)) else {
+            return 0;
+        };
+        let alike = job.tasks_of(entry.round, entry.step);
+        let alike = alike.filter(|(_, other)| other.suspicion.alone > 0);
+        alike.map(|(_, other)| other.suspicion.weight()).sum()
+    }
+
+    /// Ends the jobs of tasks that are to be given up.
+    pub(crate) fn give_up(&mut self, now: Millis) {
+        for task in std::mem::take(&mut self.condemned) {
+            let job = self.jobs.get(task.job);
+            if job.is_none_or(|job| job.phase.is_final()) {
+                continue;
+            }
+            if let Some((name, entry)) = self.name_of(task).zip(self.task(task)) {
+                self.given_up.push(GivenUpTask {
+                    task: name,
+                    run: entry.run,
+                    suspicion: entry.suspicion,
+                });
+            }
+            self.end_job(task.job, JobPhase::Failed, now);
+        }
+    }
+
+    /// Tasks that were given up since they were last taken.
+    pub fn take_given_up(&mut self) -> Vec<GivenUpTask> {
+        std::mem::take(&mut self.given_up)
+    }
+
+    /// Clears suspects that have run for long enough, and has those that wait planned.
+    pub fn clear_suspects(&mut self, now: Millis) {
+        let suspects: Vec<TaskRef> = self.suspects.iter().copied().collect();
+        for task in suspects {
+            let Some(entry) = self.task(task).filter(|entry| !entry.is_done()) else {
+                self.drop_suspect(task);
+                continue;
+            };
+            match entry.place {
+                TaskPlace::Running(runner) => self.clear_running(task, runner, now),
+                TaskPlace::Waiting => self.plan_needed = true,
+                _ => {}
+            }
+        }
+    }
+
+    fn clear_running(&mut self, task: TaskRef, runner: RunnerKey, now: Millis) {
+        // What it ran since the runner was last heard is not known.
+        let heard_at = self.runners.get(runner).and_then(|runner| runner.heard_at);
+        let Some((entry, heard_at)) = self.task_mut(task).zip(heard_at) else {
+            return;
+        };
+        let ran = heard_at.min(now).saturating_sub(entry.began_at);
+        let cleared = ran >= entry.suspicion.clear_time();
+        if cleared {
+            entry.suspicion.clear();
+            self.drop_suspect(task);
+            self.mark_dirty(task.job);
+        }
+        if (cleared || ran >= ALONE_MOST_MS)
+            && let Some(runner) = self.runners.get_mut(runner)
+            && runner.trial == Some(task)
+        {
+            runner.trial = None;
+            self.plan_needed = true;
+        }
+    }
+
+    /// Takes in that a task is not the cause, and that its step therefore has others.
+    fn drop_suspect(&mut self, task: TaskRef) {
+        self.suspects.remove(&task);
+        if let Some(step) = self.round_step(task) {
+            self.doubtful_steps.remove(&step);
+        }
+    }
+
+    /// Whether several runners were lost right after they had begun something of the step.
+    fn is_doubtful_step(&self, task: TaskRef) -> bool {
+        let step = || self.round_step(task);
+        !self.doubtful_steps.is_empty()
+            && step().is_some_and(|step| self.doubtful_steps.contains(&step))
+    }
+
+    /// Whether a task is to be tried alone.
+    pub(crate) fn is_suspect(&self, task: TaskRef) -> bool {
+        let entry = self.task(task);
+        entry.is_some_and(|entry| entry.suspicion.needs_trial()) || self.is_doubtful_step(task)
+    }
+
+    /// Whether a task gets a runner alone. One that has waited for long goes beside others.
+    pub(crate) fn is_on_trial(&self, task: TaskRef, now: Millis) -> bool {
+        let Some(entry) = self.task(task) else {
+            return false;
+        };
+        let wait = if self.lasts(task) {
+            LASTING_TRIAL_WAIT_MS
+        } else {
+            TRIAL_WAIT_MS
+        };
+        let waited = || entry.place == TaskPlace::Waiting && entry.moved_at + wait <= now;
+        // Nothing goes beside what others of its step say is a cause.
+        self.is_suspect(task) && (self.step_weight(task) > 0 || !waited())
+    }
+
+    /// Whether another suspect may be tried now.
+    pub(crate) fn may_try(&self, task: TaskRef) -> bool {
+        let step = |task: TaskRef| {
+            let entry = self.task(task);
+            entry.map(|entry| (task.job, entry.round, entry.step))
+        };
+        let trials = || self.runners.values().filter_map(|runner| runner.trial);
+        let alike = trials().filter(|other| step(*other) == step(task)).count();
+        // A gang runs whole or not at all.
+        let step_is_free = alike < TRIALS_OF_STEP || self.is_gang(task);
+        step_is_free && trials().count() < self.most_trials(TRIALS_PART)
+    }
+
+    fn most_trials(&self, part: usize) -> usize {
+        TRIALS_LEAST.max(self.runners.len() / part)
+    }
+
+    /// Whether a runner takes the task, as far as suspects there are kept apart.
+    pub(crate) fn is_apart(
+        &self,
+        task: TaskRef,
+        trial: bool,
+        runner: &RunnerEntry,
+        now: Millis,
+    ) -> bool {
+        if !trial {
+            return runner.trial.is_none() && runner.reserved_until <= now;
+        }
+        let gang = self.is_gang(task);
+        let mut others = runner.tasks.iter();
+        others.all(|other| gang && self.are_together(task, *other))
+    }
+
+    /// Whether both tasks are members of one gang.
+    pub(crate) fn are_together(&self, task: TaskRef, other: TaskRef) -> bool {
+        let entries = self.task(task).zip(self.task(other));
+        self.is_gang(task)
+            && task.job == other.job
+            && entries
+                .is_some_and(|(one, other)| one.step == other.step && one.round == other.round)
+    }
+
+    /// What a suspect costs on a runner, beside its load.
+    pub(crate) fn suspect_cost(&self, task: TaskRef, runner: &RunnerEntry, now: Millis) -> f64 {
+        let is_suspect = |entry: &TaskEntry| entry.suspicion.is_suspect();
+        if !self.task(task).is_some_and(is_suspect) {
+            return 0.0;
+        }
+        let mut cost = 0.0;
+        if runner.holds_lasting() {
+            cost += BESIDE_LASTING_COST;
+        }
+        if runner.known_since + YOUNG_RUNNER_MS > now {
+            cost += YOUNG_COST;
+        }
+        let run = self.task(task).map_or(0, |entry| entry.run);
+        cost + CHANCE_COST * chance(&(&runner.facts.name, run))
+    }
+
+    /// Keeps a runner free for a suspect that found none: the one with the least to do
+    /// that could take it.
+    pub(crate) fn reserve_runner(&mut self, task: TaskRef, now: Millis) {
+        let taken = self
+            .runners
+            .values()
+            .filter(|runner| runner.trial.is_some() || runner.reserved_until > now);
+        if taken.count() >= self.most_trials(RESERVED_PART) || !self.may_try(task) {
+            return;
+        }
+        let candidates = self.runners.iter().filter(|(_, runner)| {
+            runner.takes_tasks(now)
+                && !runner.holds_lasting()
+                && runner.trial.is_none()
+                && runner.reserved_until <= now
+                && self.could_run(task, runner, now)
+        });
+        let chosen = candidates.min_by_key(|(_, runner)| runner.used.cpu_milli);
+        let Some(key) = chosen.map(|(key, _)| key) else {
+            return;
+        };
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.reserved_until = now + RESERVE_MS;
+        }
+    }
+}
+
+/// A number from zero to one that depends on nothing but the seed.
+fn chance(seed: &impl Hash) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    seed.hash(&mut hasher);
+    let bits = u32::try_from(hasher.finish() >> 32).unwrap_or(0);
+    f64::from(bits) / f64::from(u32::MAX)
+}
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -8,7 +8,8 @@
 use crate::{
     Millis,
     job::JobKey,
-    runner::RunnerKey, //
+    runner::RunnerKey,
+    suspects::TaskSuspicion, //
 };
 
 /// Place of a task in the owner's memory.
@@ -75,6 +76,9 @@
     Unlocated {
         /// Name of the runner.
         runner: String,
+        /// Birth of its life that was told to run it; none where that is not known, or
+        /// where it is noted that this life is over.
+        born: Option<u64>,
         /// When the run has certainly ended.
         until: Millis,
     },
@@ -100,6 +104,8 @@
     pub stray_run: Option<u32>,
     /// Runs that failed.
     pub failed: u32,
+    /// What counts against it of the runners that were lost under it.
+    pub suspicion: TaskSuspicion,
     /// Last saved progress.
     pub checkpoint: String,
     /// Share of the work done, as the runner last said.
@@ -170,6 +176,7 @@
             run: 0,
             stray_run: None,
             failed: 0,
+            suspicion: TaskSuspicion::default(),
             checkpoint: String::new(),
             percent: 0,
             moved_at: now,
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -38,7 +38,7 @@
     let mut state = pool_of(2, 8);
     state.add_job(new_job("a", vec![step(1)]), 1_000);
     let orders = start_all(&mut state, 1_000);
-    state.miss_hold(orders[0].runner, 1_000);
+    state.miss_hold(orders[0].runner, false, 1_000);
     ensure!(state.stop_stalled(60_000).is_empty());
     ensure!(decide(&mut state, 60_000).is_empty());
     Ok(())
@@ -48,7 +48,7 @@
     let mut state = pool_of(2, 8);
     state.add_job(new_job("a", vec![step(1)]), 1_000);
     let orders = start_all(&mut state, 1_000);
-    state.miss_hold(orders[0].runner, 1_000);
+    state.miss_hold(orders[0].runner, false, 1_000);
     ensure!(state.expire(999_999).is_empty());
     ensure!(state.expire(1_000_001) == [orders[0].runner]);
     let again = start_all(&mut state, 1_000_002);
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -422,6 +422,7 @@
         let today = self.context.shared.clock.today_ms();
         self.state.begin_rounds(now, today);
         self.state.stop_again(now);
+        self.state.clear_suspects(now);
         self.state.leave_draining(now);
         for runner in self.state.stop_stalled(now) {
             self.count("task_stalled");
@@ -440,8 +441,25 @@
                 runner = lost.runner,
                 pool = self.context.pool,
                 loss = lost.loss,
-                ran_ms = lost.ran,
-                beside = lost.beside
+                ran_ms = lost
+                    .ran
+                    .map_or_else(|| "unknown".to_owned(), |ran| ran.to_string()),
+                beside = lost.beside,
+                company = lost.company,
+                losses = lost.suspicion.losses,
+                weight = lost.suspicion.weight()
+            );
+        }
+        for given_up in self.state.take_given_up() {
+            self.count("task_given_up");
+            event!(
+                Warn,
+                "task_given_up",
+                task = given_up.task,
+                run = given_up.run,
+                pool = self.context.pool,
+                losses = given_up.suspicion.losses,
+                weight = given_up.suspicion.weight()
             );
         }
     }
@@ -505,7 +523,7 @@
                     self.send(runner, RunnerOrder::Pace(pace));
                 }
             }
-            SessionEvent::Missed { runner } => self.state.miss_hold(runner, now),
+            SessionEvent::Missed { runner, reset } => self.state.miss_hold(runner, reset, now),
             SessionEvent::Replaced { runner } => {
                 self.note_over(runner);
                 self.drop_runner(runner, GoneReason::Replaced);
--- a/crates/hoisthitch-scheduler/src/session/holds.rs
+++ b/crates/hoisthitch-scheduler/src/session/holds.rs
@@ -58,6 +58,10 @@
 /// Longest time between two holds of a runner that answers.
 const HOLD_GAP_MOST: Duration = Duration::from_millis(100);
 
+/// Time beyond its wait within which a hold fails whose connection was reset or refused;
+/// one that gets no answer takes longer.
+const RESET_LIMIT: Duration = Duration::from_millis(500);
+
 /// Wait after a hold that failed.
 const RETRY_WAIT: Duration = Duration::from_millis(250);
 
@@ -141,10 +145,12 @@
                 }
                 Some(Err(err)) => {
                     self.log_loss(&err);
-                    self.miss();
+                    let now = self.context.shared.clock.now();
+                    let waited = Duration::from_millis(now.saturating_sub(plan.asked_at));
+                    self.miss(waited < self.ask(plan).wait + RESET_LIMIT);
                     tokio::time::sleep(RETRY_WAIT).await;
                 }
-                None => self.miss(),
+                None => self.miss(false),
             }
         }
     }
@@ -222,12 +228,12 @@
         }
     }
 
-    /// Takes in that a hold got no answer.
-    fn miss(&mut self) {
+    /// Takes in that a hold got no answer; `reset`, at once.
+    fn miss(&mut self, reset: bool) {
         self.answered = None;
         self.silences += 1;
         let runner = self.context.key;
-        self.context.tell(SessionEvent::Missed { runner });
+        self.context.tell(SessionEvent::Missed { runner, reset });
     }
 }
 
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -75,7 +75,11 @@
         silences: u64,
     },
     /// A hold was not answered.
-    Missed { runner: RunnerKey },
+    Missed {
+        runner: RunnerKey,
+        /// Whether it failed at once: nothing listens there.
+        reset: bool,
+    },
     /// Another runner answered at the runner's address.
     Replaced { runner: RunnerKey },
     /// The runner answered with another life, born then.
--- a/crates/hoisthitch-scheduler/tests/contracts/advice.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/advice.rs
@@ -43,6 +43,7 @@
     slow_adviser_is_asked_one_thing_at_a_time => is_slow();
     new_life_of_a_runner_needs_leave_of_its_own => changes_life();
     new_owner_asks_anew => kills_owner();
+    task_that_crashes_its_runners_is_given_up => crashes_runners();
     owner_killed_while_the_adviser_thinks_loses_nothing => kills_owner_that_asks();
     gang_starts_with_leave_for_all_members => starts_gang();
     lasting_task_finds_leave_elsewhere_when_its_runner_leaves => drains();
@@ -268,3 +269,16 @@
     ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
     kept(&world)
 }
+
+/// A suspect waits for a free runner that it has leave for.
+async fn crashes_runners() -> Result<()> {
+    let (world, _) = advised_world().await?;
+    world.keep_begun(1_500, true);
+    let killer = Duration::from_millis(20);
+    world.fleet.set_killer("j.0.0.1", killer);
+    submit(&world, &job("work 500", &[3])).await?;
+    world.wait_phase("j", JobPhase::Failed, 40_000).await?;
+    let kills = world.fleet.kills();
+    ensure!(kills <= 4, "{kills} runners were lost to one task");
+    kept(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -38,6 +38,7 @@
 mod gang;
 mod harm;
 mod order;
+mod rooms;
 mod route;
 mod turns;
 
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -3,9 +3,11 @@
 //!
 //! Where a promise holds only for planned work, nothing else is drawn with it.
 
+mod killers;
 mod lives;
 mod losses;
 mod outages;
+mod rooms;
 mod starts;
 mod takeovers;
 mod waves;
--- a/crates/hoisthitch-scheduler/tests/ownership/killers.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/killers.rs
@@ -49,6 +49,10 @@
         late_every: 5,
         ..KillerWorld::default()
     });
+    killer_on_runners_whose_room_changes_is_given_up => one_killer(KillerWorld {
+        rooms_change: true,
+        ..KillerWorld::default()
+    });
     killer_is_given_up_by_owners_in_turn => owners_in_turn();
     killers_of_one_step_cost_few_runners => many_killers();
     killer_that_lasts_is_given_up => lasting_killer();
@@ -73,6 +77,8 @@
     named: bool,
     /// Each order of this many gets no answer and is carried out late; zero for none.
     late_every: u64,
+    /// Whether runners have half of their room by turns.
+    rooms_change: bool,
 }
 
 impl Default for KillerWorld {
@@ -82,6 +88,7 @@
             down_ms: 1_500,
             named: false,
             late_every: 0,
+            rooms_change: false,
         }
     }
 }
@@ -135,6 +142,9 @@
         let id = format!("k{number}");
         world.submit(&id, job("work 400", &[4, 2])).await?;
         ids.push(id);
+        if terms.rooms_change {
+            change_rooms(&world, number);
+        }
         sleep_ms(150).await;
     }
     world.wait_phase("bad", JobPhase::Failed, DAY_MS).await?;
@@ -150,6 +160,14 @@
     kept(&world)
 }
 
+/// Every other runner has half of its room, each in its turn.
+fn change_rooms(world: &TestWorld, turn: u32) {
+    for (place, (name, vm)) in (turn..).zip(world.fleet.living()) {
+        let room = if place % 2 == 0 { 4_000 } else { 8_000 };
+        world.set_room(&name, &vm, room);
+    }
+}
+
 /// The count is not lost with an owner: each sees some of the crashes.
 async fn owners_in_turn() -> Result<()> {
     let mut world = TestWorld::start(3, 6).await?;
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -56,7 +56,8 @@
     POOL,
     ROOM,
     forget_outside,
-    run_outside, //
+    run_outside,
+    show_events, //
 };
 use tokio::task::{
     LocalSet,
@@ -550,5 +551,8 @@
         .enable_all()
         .start_paused(true)
         .build()?;
-    LocalSet::new().block_on(&runtime, test)
+    LocalSet::new().block_on(&runtime, async {
+        show_events();
+        test.await
+    })
 }
--- a/crates/hoisthitch-tests/src/world/killers.rs
+++ b/crates/hoisthitch-tests/src/world/killers.rs
@@ -51,6 +51,14 @@
     at: Instant,
 }
 
+impl KillerBook {
+    /// Whether a task of the job crashes its runners: such a job is not missed.
+    pub(super) fn has_job(&self, job: &str) -> bool {
+        let mut tasks = self.delays.keys();
+        tasks.any(|task| task.split('.').next() == Some(job))
+    }
+}
+
 impl MemoryFleet {
     /// Has a task crash each runner that starts it, that long after the start.
     pub fn set_killer(&self, task: &str, delay: Duration) {
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -4,6 +4,7 @@
 //! looks at what runners are told.
 
 mod adviser;
+mod events;
 mod gangs;
 mod killers;
 mod life;
@@ -24,6 +25,7 @@
     AdviserMood,
     MemoryAdviser, //
 };
+pub use events::show_events;
 pub use killers::CrashedRunner;
 pub use rooms::ROOM;
 pub use rules::StartNote;
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -528,7 +528,7 @@
                 runner.alive && run.is_some_and(|run| run.began + STARTED < now)
             })
         };
-        if self.cancelled.contains(job) || !at_work(task) {
+        if self.cancelled.contains(job) || self.killers.has_job(job) || !at_work(task) {
             return;
         }
         let away: Vec<&String> = self
--- a/crates/hoisthitch-tests/tests/explain/main.rs
+++ b/crates/hoisthitch-tests/tests/explain/main.rs
@@ -39,6 +39,7 @@
     runs_that_fail_on_one_runner_point_at_it => failing_runner();
     runs_that_fail_on_several_runners_point_at_the_job => failing_job();
     runner_that_started_again_is_named => restarted_runner();
+    task_that_was_given_up_is_named => given_up();
     cancelled_job_says_so => cancelled();
     ended_job_shows_where_its_time_went => ended();
     job_that_began_before_the_logs_is_not_late => begun_before();
@@ -67,6 +68,34 @@
 }
 
 /// A runner started again under its name while a task ran on it.
+/// The story names the runners that were lost under a task, and why its job failed.
+async fn given_up() -> Result<()> {
+    let lost = |ms, run: u64, runner: &str| {
+        let event = format!(
+            "run_lost task={JOB}.0.0.0 run={run} runner={runner} pool=p loss=crashed ran_ms=10 \
+             beside=0 company=false losses={run} weight=100"
+        );
+        line(ms, "node-2", &event)
+    };
+    let event = format!("task_given_up task={JOB}.0.0.0 run=2 pool=p losses=2 weight=210");
+    let log = [
+        begun(),
+        lost(8_000, 1, "r-1"),
+        ordered(8_010, 2, "r-2", "Started"),
+        lost(11_000, 2, "r-2"),
+        line(11_001, "node-2", &event),
+    ];
+    let wanted = [
+        "run lost with its runner",
+        "runner=r-1",
+        "runner=r-2",
+        "Kind of failure: 3, a lasting task was away, or a job was shown as failed",
+        "crashes the runners that start it (2 runners lost under it), and was given up",
+    ];
+    check("given-up", &log.concat(), &wanted).await?;
+    Ok(())
+}
+
 async fn restarted_runner() -> Result<()> {
     let event = "runner_answers_anew pool=p runner=r-1@1700000009000 before=r-1@1700000000000 \
                  ended=1 doubtful=0";
