Tests: nodes whose VM is suspended; four cases fail

Seen in reading, after the platform's pages said that the steady clock does not count the time for which a VM is suspended: a node that wakes takes for fresh what is seconds old. The world on the paused clock can suspend a node: its tasks stand and so does its steady clock, while leases, runners and other nodes go on. On the code as it is an owner that wakes gives leases beyond its own (a lasting task runs twice at once, asleep for 3.5 and for 4.5 s), a node answers by a configuration that may be over and counts the store as usable; the fifth case, sleeps in series, passes.

--- a/crates/hoisthitch-scheduler/src/clock.rs
+++ b/crates/hoisthitch-scheduler/src/clock.rs
@@ -1,18 +1,28 @@
 //! The steady clock of a node, in milliseconds since the process started.
 
-use std::time::{
-    SystemTime,
-    UNIX_EPOCH, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    time::{
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
 };
 
 use hoisthitch_jobs::Millis;
 use tokio::time::Instant;
 
-/// Milliseconds since the process started, by the runtime's clock.
-#[derive(Clone, Copy, Debug)]
+/// Milliseconds since the process started, by the steady clock.
+#[derive(Clone, Debug)]
 pub struct NodeClock {
     start: Instant,
     day: DaySource,
+    sleep: SleepSource,
 }
 
 /// Where a clock takes the time of day from.
@@ -24,6 +34,15 @@
     Steady(u64),
 }
 
+/// Where a clock learns for how long the steady clock stood still.
+#[derive(Clone, Debug)]
+enum SleepSource {
+    /// The system, whose steady clock does.
+    System,
+    /// A test, on the runtime's paused clock, which goes on meanwhile.
+    Test(Arc<AtomicU64>),
+}
+
 /// Offset of the clock, so that no time before the start is negative.
 const START_MS: Millis = 1_000_000;
 
@@ -33,21 +52,33 @@
         Self {
             start: Instant::now(),
             day: DaySource::System,
+            sleep: SleepSource::System,
         }
     }
 
     /// A clock that starts now, whose time of day is `today_ms` now and goes on
-    /// with the runtime's clock, paused or not.
-    pub fn start_at(today_ms: u64) -> Self {
+    /// with the runtime's clock, paused or not; `asleep` tells for how many milliseconds its
+    /// VM was suspended so far, while the runtime's clock went on.
+    pub fn start_at(today_ms: u64, asleep: Arc<AtomicU64>) -> Self {
         Self {
             start: Instant::now(),
             day: DaySource::Steady(today_ms),
+            sleep: SleepSource::Test(asleep),
         }
     }
 
     /// Now.
     pub fn now(&self) -> Millis {
-        START_MS + self.start.elapsed().as_millis() as Millis
+        START_MS + self.steady()
+    }
+
+    /// Time since the start, but for that for which the VM was suspended.
+    fn steady(&self) -> Millis {
+        let elapsed = self.start.elapsed().as_millis() as Millis;
+        match &self.sleep {
+            SleepSource::System => elapsed,
+            SleepSource::Test(asleep) => elapsed.saturating_sub(asleep.load(Ordering::Relaxed)),
+        }
     }
 
     /// The time of day, in milliseconds since 1970.
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -41,6 +41,7 @@
 mod power;
 mod restarts;
 mod silent;
+mod suspends;
 mod waves;
 
 cases! {
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -11,7 +11,10 @@
     rc::Rc,
     sync::{
         Arc,
-        atomic::Ordering, //
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
     },
     task::{
         Context,
@@ -257,9 +260,19 @@
     desk: JobDesk<MemoryStore>,
     frozen: Rc<Cell<bool>>,
     killed: Rc<Cell<bool>>,
+    /// Time for which its VM was suspended, in milliseconds.
+    asleep: Arc<AtomicU64>,
 }
 
 impl TestNode {
+    /// Suspends the node's VM for a while: unlike one that is frozen, its steady clock stands
+    /// still meanwhile.
+    pub async fn suspend(&self, time_ms: u64) {
+        self.freeze(true);
+        sleep_ms(time_ms).await;
+        self.asleep.fetch_add(time_ms, Ordering::Relaxed);
+        self.freeze(false);
+    }
     /// Stops the node's clock hand.
     pub fn freeze(&self, frozen: bool) {
         self.frozen.set(frozen);
@@ -374,7 +387,9 @@
         self.lives += 1;
         let metrics = NodeMetrics::new()?;
         let ahead = self.ahead.get(name).copied().unwrap_or(0);
-        let clock = NodeClock::start_at(self.fleet.today_ms().saturating_add_signed(ahead));
+        let asleep = Arc::new(AtomicU64::new(0));
+        let today_ms = self.fleet.today_ms().saturating_add_signed(ahead);
+        let clock = NodeClock::start_at(today_ms, asleep.clone());
         let shared = NodeShared::with_clock(metrics, POLICY_HOLD, clock);
         let platform = TestPlatform {
             store: self.store.for_node(name),
@@ -400,6 +415,7 @@
             desk,
             frozen: Rc::default(),
             killed: Rc::default(),
+            asleep,
         };
         spawn_local(NodeTasks {
             set,
