Count the time for which a node's VM was suspended

What callers would see: a lasting task that runs twice, answers by a configuration that is over, for as long as the node slept. Cause: the node's clock was the steady clock, which stands still while its VM is suspended; what is confirmed until a time was confirmed for as much longer. The class is a bound on what others may do, measured by a clock that they do not share. Change: one place reads the system's clock that counts such time (CLOCK_BOOTTIME, through the C library) beside the runtime's, and adds the difference to what the node calls now; one line node_slept tells of it. A watch's answer is as old as the call and the time slept since. Timers stay on the steady clock: what waits for others to end waits the longer. Why it holds: every lease, doubt and confirmation is read from that one clock; no other reading of steady time decides anything beyond one call.

--- a/crates/hoisthitch-scheduler/src/clock.rs
+++ b/crates/hoisthitch-scheduler/src/clock.rs
@@ -1,4 +1,9 @@
-//! The steady clock of a node, in milliseconds since the process started.
+//! The clock of a node, in milliseconds since the process started.
+//!
+//! The steady clock stands still while a VM is suspended; leases at the store and on runners
+//! do not, nor do owners elsewhere. A node's clock counts that time, so that a node that
+//! wakes takes nothing for fresh that is seconds old. What the node waits for goes by the
+//! runtime's timers, which go by the steady clock: it waits the longer for it.
 
 use std::{
     sync::{
@@ -15,14 +20,28 @@
 };
 
 use hoisthitch_jobs::Millis;
+use hoisthitch_telemetry::event;
+use nix::{
+    sys::time::TimeValLike,
+    time::{
+        ClockId,
+        clock_gettime, //
+    }, //
+};
 use tokio::time::Instant;
 
-/// Milliseconds since the process started, by the steady clock.
+/// Time that the process slept from which it counts, in milliseconds: two clocks that are
+/// read one after the other differ by less.
+const SLEEP_LEAST_MS: Millis = 20;
+
+/// Milliseconds since the process started, with those for which it was suspended.
 #[derive(Clone, Debug)]
 pub struct NodeClock {
     start: Instant,
     day: DaySource,
     sleep: SleepSource,
+    /// Time for which the VM was suspended so far, in milliseconds.
+    slept: Arc<AtomicU64>,
 }
 
 /// Where a clock takes the time of day from.
@@ -37,8 +56,9 @@
 /// Where a clock learns for how long the steady clock stood still.
 #[derive(Clone, Debug)]
 enum SleepSource {
-    /// The system, whose steady clock does.
-    System,
+    /// The system's clocks: the one that counts such time was that far ahead of the steady
+    /// one at the start, in milliseconds.
+    System(Millis),
     /// A test, on the runtime's paused clock, which goes on meanwhile.
     Test(Arc<AtomicU64>),
 }
@@ -46,13 +66,25 @@
 /// Offset of the clock, so that no time before the start is negative.
 const START_MS: Millis = 1_000_000;
 
+impl SleepSource {
+    /// For how long the steady clock stood still since the start, in milliseconds; none
+    /// where that can't be read.
+    fn read(&self) -> Option<Millis> {
+        match self {
+            Self::System(at_start) => Some(asleep_since_boot()?.saturating_sub(*at_start)),
+            Self::Test(asleep) => Some(asleep.load(Ordering::Relaxed)),
+        }
+    }
+}
+
 impl NodeClock {
     /// A clock that starts now.
     pub fn start() -> Self {
         Self {
             start: Instant::now(),
             day: DaySource::System,
-            sleep: SleepSource::System,
+            sleep: SleepSource::System(asleep_since_boot().unwrap_or(0)),
+            slept: Arc::default(),
         }
     }
 
@@ -64,19 +96,40 @@
             start: Instant::now(),
             day: DaySource::Steady(today_ms),
             sleep: SleepSource::Test(asleep),
+            slept: Arc::default(),
         }
     }
 
     /// Now.
     pub fn now(&self) -> Millis {
-        START_MS + self.steady()
+        START_MS + self.steady() + self.slept()
+    }
+
+    /// Time for which the VM was suspended so far, in milliseconds.
+    pub fn slept(&self) -> Millis {
+        let before = self.slept.load(Ordering::Relaxed);
+        let asleep = self.sleep.read().unwrap_or(before);
+        if asleep < before + SLEEP_LEAST_MS {
+            return before;
+        }
+        // Whoever notices first tells.
+        let told = self.slept.fetch_max(asleep, Ordering::Relaxed);
+        if told < asleep {
+            event!(
+                Warn,
+                "node_slept",
+                slept_ms = asleep - told,
+                total_ms = asleep
+            );
+        }
+        asleep.max(told)
     }
 
     /// Time since the start, but for that for which the VM was suspended.
     fn steady(&self) -> Millis {
         let elapsed = self.start.elapsed().as_millis() as Millis;
         match &self.sleep {
-            SleepSource::System => elapsed,
+            SleepSource::System(_) => elapsed,
             SleepSource::Test(asleep) => elapsed.saturating_sub(asleep.load(Ordering::Relaxed)),
         }
     }
@@ -91,3 +144,12 @@
         }
     }
 }
+
+/// For how long the system was asleep since it booted, in milliseconds; none where that
+/// can't be read.
+fn asleep_since_boot() -> Option<Millis> {
+    let steady = clock_gettime(ClockId::CLOCK_MONOTONIC).ok()?;
+    let counted = clock_gettime(ClockId::CLOCK_BOOTTIME).ok()?;
+    let ahead = counted - steady;
+    Millis::try_from(ahead.num_milliseconds()).ok()
+}
--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -15,9 +15,15 @@
     WatchStream, //
 };
 use hoisthitch_telemetry::event;
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    time::Instant, //
+};
 
-use crate::shared::NodeShared;
+use crate::{
+    clock::NodeClock,
+    shared::NodeShared, //
+};
 
 /// Wait after the store could not be followed.
 const RETRY_WAIT: Duration = Duration::from_millis(150);
@@ -122,6 +128,38 @@
     }
 }
 
+/// For how long the VM may have been suspended since a call of a watch was sent, whose time
+/// is told by the steady clock.
+struct AwakeMark {
+    /// The last such call.
+    call: Option<Instant>,
+    /// Time slept before it, and before what was last taken in, in milliseconds.
+    before_call: Millis,
+    before_last: Millis,
+}
+
+impl AwakeMark {
+    fn now(clock: &NodeClock) -> Self {
+        let slept = clock.slept();
+        Self {
+            call: None,
+            before_call: slept,
+            before_last: slept,
+        }
+    }
+
+    /// Time slept since the call that was sent at `at`, or a little before.
+    fn slept_since(&mut self, at: Instant, clock: &NodeClock) -> Millis {
+        let slept = clock.slept();
+        if self.call != Some(at) {
+            self.call = Some(at);
+            self.before_call = self.before_last;
+        }
+        self.before_last = slept;
+        slept - self.before_call
+    }
+}
+
 async fn follow_once<S: StoreClient>(
     store: &S,
     order: &FollowOrder,
@@ -130,6 +168,7 @@
     lost: &mut Option<FollowLoss>,
 ) -> Result<(), StoreError> {
     let prefix = order.prefix.as_str();
+    let mut awake = AwakeMark::now(&shared.clock);
     let mut watch = store.watch(prefix, StoreRevision::default()).await?;
     while let Some(change) = watch.next().await {
         let change = change?;
@@ -161,7 +200,8 @@
             && let Some(at) = watch.complete_at()
         {
             let age = Millis::try_from(at.elapsed().as_millis()).unwrap_or(Millis::MAX);
-            let at = shared.clock.now().saturating_sub(age);
+            let slept = awake.slept_since(at, &shared.clock);
+            let at = shared.clock.now().saturating_sub(age + slept);
             // Whoever listens no more is seen at the next change.
             let _ = events.send(FollowEvent::Complete(at));
         }
