--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -265,7 +265,7 @@
     fn note_lost_runs(&mut self, lost: &LostRunner, key: Option<RunnerKey>) {
         let youth = |task: &TaskRef| {
             let ran = self.task(*task).map(|entry| entry.ran_at(lost.ended_at));
-            seconds(time_of(ran.flatten())).recip()
+            seconds(time_of(ran.flatten(), self.lasts(*task))).recip()
         };
         // Tasks of a step may be alike, and one of them the cause.
         let mut by_step: HashMap<RoundStep, f64> = HashMap::new();
@@ -299,6 +299,7 @@
         let evidence = LossEvidence {
             loss: lost.loss,
             ran,
+            lasts: self.lasts(task),
             // A gang's members that were there are one suspect.
             share: if alone { 1.0 } else { share },
             silent: lost.moment.known && !lost.moment.reset,
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -45,10 +45,11 @@
     }, //
 };
 
-/// Shortest time of a run that is told apart, in milliseconds, and the time taken for one
-/// that is not known.
+/// Shortest time of a run that is told apart, in milliseconds, and the times taken for one
+/// that is not known: short tasks take about as long, and lasting ones mostly ran for longer.
 const SHORTEST_MS: Millis = 20;
 const UNKNOWN_MS: Millis = 1_000;
+const LASTING_UNKNOWN_MS: Millis = 10_000;
 
 /// Weight from which a task is tried alone, in tenths of a bit: a crash right after its
 /// start in a calm pool. It is after so many losses, whatever they say.
@@ -57,8 +58,6 @@
 
 /// Weights at which a task is given up, in tenths of a bit: alone under a crash, alone on a
 /// runner of which nothing is heard any more, and never alone, for want of a free runner.
-/// With the first, and as one of some thousand tasks is a cause, less than one in fifty
-/// that are given up is none.
 const PROOF_WEIGHT: i32 = 250;
 const SILENT_PROOF_WEIGHT: i32 = 330;
 const HEAVY_WEIGHT: i32 = 400;
@@ -146,6 +145,8 @@
     pub(crate) loss: RunnerLoss,
     /// How long the task had run; none where that is not known.
     pub(crate) ran: Option<Millis>,
+    /// Whether it is one that lasts.
+    pub(crate) lasts: bool,
     /// Share of the task in what was there, by how young the runs were.
     pub(crate) share: f64,
     /// Whether it fell silent, and its connections were not reset.
@@ -181,13 +182,15 @@
         if excused {
             return false;
         }
-        // One that is not known counts as a second.
+        self.sum += tenths_of_bits(evidence.share / evidence.rate);
         if let Some(ran) = evidence.ran {
             self.counted += 1;
             self.longest = self.longest.max(ran);
+        } else {
+            self.sum -= tenths_of_bits(seconds(time_of(None, evidence.lasts)));
         }
-        self.alone += u32::from(evidence.alone && !evidence.silent);
-        self.sum += tenths_of_bits(evidence.share / evidence.rate);
+        let told = evidence.ran.is_some() || !evidence.lasts;
+        self.alone += u32::from(evidence.alone && !evidence.silent && told);
         self.sum -= if evidence.silent { SILENCE_LESS } else { 0 };
         let limit = match (evidence.alone, evidence.loss == RunnerLoss::Silent) {
             (true, false) => PROOF_WEIGHT,
@@ -238,8 +241,13 @@
 }
 
 /// How long a run went on, in milliseconds, as far as it counts.
-pub(crate) fn time_of(ran: Option<Millis>) -> Millis {
-    ran.unwrap_or(UNKNOWN_MS).max(SHORTEST_MS)
+pub(crate) fn time_of(ran: Option<Millis>, lasts: bool) -> Millis {
+    let unknown = if lasts {
+        LASTING_UNKNOWN_MS
+    } else {
+        UNKNOWN_MS
+    };
+    ran.unwrap_or(unknown).max(SHORTEST_MS)
 }
 
 #[expect(
@@ -369,6 +377,10 @@
 
     /// Whether a task is to be tried alone.
     pub(crate) fn is_suspect(&self, task: TaskRef) -> bool {
+        // Asked for each task that is placed, and there is hardly ever one.
+        if self.suspects.is_empty() {
+            return false;
+        }
         let entry = self.task(task);
         entry.is_some_and(|entry| entry.suspicion.needs_trial()) || self.is_doubtful_step(task)
     }
@@ -433,7 +445,7 @@
     /// What a suspect costs on a runner, beside its load.
     pub(crate) fn suspect_cost(&self, task: TaskRef, runner: &RunnerEntry, now: Millis) -> f64 {
         let is_suspect = |entry: &TaskEntry| entry.suspicion.is_suspect();
-        if !self.task(task).is_some_and(is_suspect) {
+        if self.suspects.is_empty() || !self.task(task).is_some_and(is_suspect) {
             return 0.0;
         }
         let mut cost = 0.0;
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod outcomes;
 mod packing;
 mod pools;
+mod suspects;
 mod waves;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -0,0 +1,216 @@
+//! Runners that are lost under tasks: which of them are tried alone, cleared and given up.
+
+use eyre::{
+    OptionExt,
+    Result,
+    ensure, //
+};
+use hoisthitch_jobs::{
+    HoldReport,
+    InheritedRuns,
+    JobPhase,
+    PoolState,
+    RunnerFacts,
+    RunnerKey,
+    RunnerLoss,
+    StartOrder,
+    StepSpec,
+    TaskNeed, //
+};
+use hoisthitch_tests::cases;
+
+use crate::{
+    decide,
+    new_job,
+    pool_of,
+    running_on,
+    start_all,
+    step, //
+};
+
+cases! {
+    task_alone_under_crashes_right_after_its_start_is_given_up => given_up();
+    lasting_task_is_given_up_alike => given_up_lasting();
+    suspect_gets_a_runner_alone => runs_alone();
+    neighbour_that_runs_on_is_cleared => cleared();
+    runners_lost_at_one_moment_count_against_nobody => one_moment();
+    runner_that_leaves_as_announced_counts_against_nobody => announced();
+    what_counts_outlasts_the_owner => outlasts_owner();
+    room_that_shrank_takes_nothing_more => shrunk_room();
+}
+
+/// Lets each runner be heard, with what it runs.
+fn hear_all(state: &mut PoolState, now: u64) {
+    let keys: Vec<RunnerKey> = state.runners().map(|(key, _)| key).collect();
+    for key in keys {
+        let report = HoldReport {
+            running: running_on(state, key, None, 10),
+            ..HoldReport::default()
+        };
+        state.take_hold(key, &report, now, now);
+    }
+}
+
+/// A runner's connections are reset, and another runner is found in its place later.
+fn crash(state: &mut PoolState, runner: RunnerKey, now: u64) {
+    state.miss_hold(runner, true, now);
+    state.remove_runner(runner, RunnerLoss::Crashed, now + 2_000);
+}
+
+/// A pool that has been heard for a minute, and one job of the step.
+fn heard_pool(runners: u32, job_step: StepSpec) -> PoolState {
+    let mut state = pool_of(runners, 8);
+    hear_all(&mut state, 1_000);
+    hear_all(&mut state, 61_000);
+    state.add_job(new_job("a", vec![job_step]), 61_000);
+    state
+}
+
+fn first(orders: &[StartOrder]) -> Result<StartOrder> {
+    orders.first().cloned().ok_or_eyre("nothing was ordered")
+}
+
+/// Crashes of its runner right after its start, until it is not started any more.
+fn crashes_until_given_up(state: &mut PoolState) -> Result<u32> {
+    let mut now = 61_000;
+    for crashes in 0..6 {
+        let Some(order) = start_all(state, now).into_iter().next() else {
+            return Ok(crashes);
+        };
+        crash(state, order.runner, now + 10);
+        now += 4_000;
+        hear_all(state, now);
+    }
+    eyre::bail!("it is started again and again")
+}
+
+async fn given_up() -> Result<()> {
+    let mut state = heard_pool(8, step(1));
+    let crashes = crashes_until_given_up(&mut state)?;
+    ensure!((2..=3).contains(&crashes), "{crashes} crashes");
+    let phase = state.job("a").map(|job| job.phase);
+    ensure!(phase == Some(JobPhase::Failed), "{phase:?}");
+    let told = state.take_given_up();
+    ensure!(
+        told.len() == 1 && told[0].suspicion.losses == crashes,
+        "{told:?}"
+    );
+    ensure!(state.take_lost_runs().len() == crashes as usize);
+    Ok(())
+}
+
+async fn given_up_lasting() -> Result<()> {
+    let mut lasting = step(1);
+    lasting.lasting = true;
+    let mut state = heard_pool(8, lasting);
+    let crashes = crashes_until_given_up(&mut state)?;
+    ensure!((2..=3).contains(&crashes), "{crashes} crashes");
+    Ok(())
+}
+
+async fn runs_alone() -> Result<()> {
+    let mut state = heard_pool(3, step(1));
+    let order = first(&start_all(&mut state, 61_000))?;
+    crash(&mut state, order.runner, 61_010);
+    let again = first(&start_all(&mut state, 64_000))?;
+    state.add_job(new_job("b", vec![step(20)]), 64_000);
+    let others = start_all(&mut state, 64_010);
+    ensure!(others.len() == 8, "{} others", others.len());
+    ensure!(others.iter().all(|other| other.runner != again.runner));
+    Ok(())
+}
+
+async fn cleared() -> Result<()> {
+    let mut state = heard_pool(3, step(1));
+    let order = first(&start_all(&mut state, 61_000))?;
+    crash(&mut state, order.runner, 61_010);
+    first(&start_all(&mut state, 64_000))?;
+    hear_all(&mut state, 65_500);
+    state.clear_suspects(65_500);
+    state.add_job(new_job("b", vec![step(16)]), 65_500);
+    let others = start_all(&mut state, 65_500);
+    ensure!(others.len() == 15, "{} beside it", others.len());
+    Ok(())
+}
+
+async fn one_moment() -> Result<()> {
+    let mut state = heard_pool(4, step(1));
+    state.add_job(new_job("b", vec![step(1)]), 61_000);
+    for round in 0..2 {
+        let now = 61_000 + round * 5_000;
+        let orders = start_all(&mut state, now);
+        let mut runners: Vec<RunnerKey> = state.runners().map(|(key, _)| key).collect();
+        runners.retain(|key| orders.iter().all(|order| order.runner != *key));
+        runners.extend(orders.iter().map(|order| order.runner));
+        runners.dedup();
+        for key in runners.iter().rev().take(2) {
+            state.miss_hold(*key, true, now + 10);
+        }
+        for key in runners.iter().rev().take(2) {
+            state.remove_runner(*key, RunnerLoss::Crashed, now + 2_000);
+        }
+    }
+    for lost in state.take_lost_runs() {
+        ensure!(lost.company && lost.suspicion.weight() == 0, "{lost:?}");
+    }
+    ensure!(state.take_given_up().is_empty());
+    Ok(())
+}
+
+async fn announced() -> Result<()> {
+    let mut state = heard_pool(3, step(1));
+    let order = first(&start_all(&mut state, 61_000))?;
+    state.set_leaving(order.runner, true);
+    crash(&mut state, order.runner, 61_010);
+    let lost = state.take_lost_runs();
+    ensure!(
+        lost.len() == 1 && lost[0].loss == RunnerLoss::Planned,
+        "{lost:?}"
+    );
+    ensure!(lost[0].suspicion.losses == 0);
+    Ok(())
+}
+
+/// The next owner takes over what counts with the job's record.
+async fn outlasts_owner() -> Result<()> {
+    let mut state = heard_pool(8, step(1));
+    let order = first(&start_all(&mut state, 61_000))?;
+    crash(&mut state, order.runner, 61_010);
+    let plan = state.begin_flush(10);
+    let (_, record) = plan.records.first().cloned().ok_or_eyre("no record")?;
+    let text = serde_json::to_string(&record)?;
+    let mut job = new_job("a", vec![step(1)]);
+    job.progress = Some(serde_json::from_str(&text)?);
+    let mut next = pool_of(8, 8);
+    hear_all(&mut next, 1_000);
+    next.add_job(job, 61_000);
+    hear_all(&mut next, 61_000);
+    let again = first(&start_all(&mut next, 64_000))?;
+    crash(&mut next, again.runner, 64_010);
+    let lost = next.take_lost_runs();
+    ensure!(lost.len() == 1 && lost[0].suspicion.losses == 2, "{lost:?}");
+    Ok(())
+}
+
+async fn shrunk_room() -> Result<()> {
+    let mut state = PoolState::new(InheritedRuns::default());
+    let facts = |cores: u64| RunnerFacts {
+        name: "i-0".to_owned(),
+        capacity: TaskNeed {
+            cpu_milli: cores * 1_000,
+            memory_mb: 10_000,
+            gpus: 0,
+        },
+        ..RunnerFacts::default()
+    };
+    let key = state.set_runner(facts(8), 0);
+    state.open_runner(key);
+    state.extend_lease(key, 1_000_000);
+    state.add_job(new_job("a", vec![step(12)]), 1_000);
+    ensure!(start_all(&mut state, 1_000).len() == 8);
+    state.set_runner(facts(3), 1_100);
+    ensure!(decide(&mut state, 1_100).is_empty(), "it is over its room");
+    state.set_runner(facts(10), 1_200);
+    ensure!(decide(&mut state, 1_200).len() == 2, "it has grown");
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -9,6 +9,7 @@
 mod outages;
 mod rooms;
 mod starts;
+mod suspends;
 mod takeovers;
 mod waves;
 
