--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -295,8 +295,12 @@
         let Some(entry) = self.task(task) else {
             return;
         };
+        if entry.suspicion.is_noted(entry.placed_run()) {
+            return;
+        }
         let (run, ran) = (entry.placed_run(), entry.ran_at(lost.ended_at));
         let evidence = LossEvidence {
+            run,
             loss: lost.loss,
             ran,
             lasts: self.lasts(task),
@@ -314,14 +318,13 @@
         {
             *born = None;
         }
-        self.tell_lost_run(task, lost, run, evidence, beside);
+        self.tell_lost_run(task, lost, evidence, beside);
     }
 
     fn tell_lost_run(
         &mut self,
         task: TaskRef,
         lost: &LostRunner,
-        run: u32,
         evidence: LossEvidence,
         beside: usize,
     ) {
@@ -330,7 +333,7 @@
         };
         let told = LostRun {
             task: name,
-            run,
+            run: evidence.run,
             runner: lost.life.clone(),
             loss: lost.loss,
             ran: evidence.ran,
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -133,6 +133,9 @@
     /// Those of them under which it was alone, and whose connections were reset.
     #[serde(rename = "a", skip_serializing_if = "is_default")]
     pub alone: u32,
+    /// Number of the last run that was lost: a loss is noted once, whoever finds it.
+    #[serde(rename = "u", skip_serializing_if = "is_default")]
+    last_run: u32,
     /// Longest time that it had run when one of them was lost, in milliseconds.
     #[serde(rename = "l", skip_serializing_if = "is_default")]
     longest: Millis,
@@ -141,6 +144,8 @@
 /// What is known of a task on a runner that was lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LossEvidence {
+    /// Number of the run that was lost.
+    pub(crate) run: u32,
     /// How the runner was lost.
     pub(crate) loss: RunnerLoss,
     /// How long the task had run; none where that is not known.
@@ -176,6 +181,7 @@
         if evidence.loss == RunnerLoss::Planned {
             return false;
         }
+        self.last_run = evidence.run;
         let excused = evidence.company && self.recent < EXCUSED_CRASHES;
         self.losses += 1;
         self.recent += 1;
@@ -211,6 +217,11 @@
         self.sum.saturating_sub(counted.saturating_mul(each)).max(0)
     }
 
+    /// Whether a run is noted as lost.
+    pub(crate) fn is_noted(&self, run: u32) -> bool {
+        self.losses > 0 && self.last_run == run
+    }
+
     /// Whether anything counts against the task.
     pub(crate) fn is_suspect(&self) -> bool {
         self.recent > 0
@@ -235,6 +246,7 @@
     fn clear(&mut self) {
         *self = Self {
             losses: self.losses,
+            last_run: self.last_run,
             ..Self::default()
         };
     }
--- a/crates/hoisthitch-scheduler/tests/contracts/turns.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/turns.rs
@@ -26,6 +26,8 @@
     owners_killed_in_series_take_no_turns => kills_in_series();
     owner_frozen_with_an_order_under_way_takes_no_turns => freezes_owner();
     owner_frozen_before_its_order_takes_no_turns => freezes_before();
+    owner_suspended_with_an_order_under_way_takes_no_turns => suspends_owner();
+    owner_suspended_before_its_order_takes_no_turns => suspends_before();
     owner_cut_off_from_the_store_takes_no_turns => cuts_owner();
     owner_that_hears_no_answers_takes_no_turns => unhears_owner();
     owner_that_hears_no_answers_does_not_hold_jobs_up => unhears_with_jobs();
@@ -123,6 +125,35 @@
     Ok(())
 }
 
+/// The owner's VM is suspended right after it gave an order: its steady clock does not tell
+/// it how long.
+async fn suspends_owner() -> Result<()> {
+    for asleep_ms in [500, 1_500, 2_200, 3_000, 5_000] {
+        let world = waving().await?;
+        world.fleet.slow_vm_orders(Duration::from_millis(200));
+        wait_order(&world).await?;
+        let owner = world.owner();
+        world.fleet.disturb();
+        world.nodes[&owner].suspend(asleep_ms).await;
+        finish(&world).await?;
+    }
+    Ok(())
+}
+
+/// The same, at moments before its first order, for longer than it takes to be replaced.
+async fn suspends_before() -> Result<()> {
+    let first = first_order_ms().await?;
+    for before in [1, 8, 22, 38, 55, 90] {
+        let world = waving_slowly().await?;
+        sleep_ms(first.saturating_sub(before)).await;
+        let owner = world.owner();
+        world.fleet.disturb();
+        world.nodes[&owner].suspend(6_500).await;
+        finish(&world).await?;
+    }
+    Ok(())
+}
+
 /// Time that answers of the store are under way, in milliseconds: an owner can be
 /// frozen between the record of an order and the order.
 const BACK_MS: u64 = 40;
