Keep what counts against a task in a file of its own

suspects.rs held the weighing of a loss and the trials of suspects; the weighing is suspicion.rs now.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -30,6 +30,7 @@
 mod spec;
 mod stall;
 mod suspects;
+mod suspicion;
 mod task;
 mod upkeep;
 mod vacate;
@@ -101,10 +102,8 @@
     StepSpec,
     TaskNeed, //
 };
-pub use suspects::{
-    GivenUpTask,
-    TaskSuspicion, //
-};
+pub use suspects::GivenUpTask;
+pub use suspicion::TaskSuspicion;
 pub use task::{
     StartOrder,
     StopOrder,
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -26,7 +26,7 @@
         RunnerKey,
         RunnerLife, //
     },
-    suspects::{
+    suspicion::{
         LossEvidence,
         TaskSuspicion,
         seconds,
@@ -187,7 +187,6 @@
             loss,
             moment,
             ended_at: heard_at.map_or(moment.at, |at| at.midpoint(moment.at)),
-
             tasks: self.tasks_lost(runner, moment),
         };
         self.note_lost_runs(&lost, Some(key));
@@ -313,11 +312,7 @@
         };
         let beside = others.count();
         self.suspect(task, evidence);
-        if let Some(TaskPlace::Unlocated { born, .. }) =
-            self.task_mut(task).map(|entry| &mut entry.place)
-        {
-            *born = None;
-        }
+
         self.tell_lost_run(task, lost, evidence, beside);
     }
 
--- a/crates/hoisthitch-jobs/src/record.rs
+++ b/crates/hoisthitch-jobs/src/record.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     spec::JobSpec,
-    suspects::TaskSuspicion, //
+    suspicion::TaskSuspicion, //
 };
 
 /// A job as it was accepted.
--- /dev/null
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -0,0 +1,200 @@
+//! What counts against a task of the runners that were lost under it.
+//!
+//! Each loss is weighed, in bits: how much likelier it is if the task crashes its runners
+//! within the longest time that it ran on one, than if runners of the pool go on being lost
+//! as they are. A crash right after a start says much, one after a long run little, and one
+//! where runners are lost all the time hardly anything. Tasks that were there together share
+//! what it says, the youngest most of it.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    Millis,
+    losses::RunnerLoss,
+    record::is_default, //
+};
+
+/// Shortest time of a run that is told apart, in milliseconds, and the times taken for one
+/// that is not known: short tasks take about as long, and lasting ones mostly ran for longer.
+const SHORTEST_MS: Millis = 20;
+const UNKNOWN_MS: Millis = 1_000;
+const LASTING_UNKNOWN_MS: Millis = 10_000;
+
+/// Weight from which a task is tried alone, in tenths of a bit: a crash right after its
+/// start in a calm pool. It is after so many losses, whatever they say.
+const TRIAL_WEIGHT: i32 = 70;
+const TRIAL_LOSSES: u32 = 2;
+
+/// Weights at which a task is given up, in tenths of a bit: alone under a crash, alone on a
+/// runner of which nothing is heard any more, and never alone, for want of a free runner.
+const PROOF_WEIGHT: i32 = 250;
+const SILENT_PROOF_WEIGHT: i32 = 330;
+const HEAVY_WEIGHT: i32 = 400;
+
+/// What each crash under which the task was alone takes off these limits, down to the least
+/// one, in tenths of a bit: each was on another runner that was kept free for it.
+const ALONE_WEIGHT: i32 = 50;
+const LEAST_WEIGHT: i32 = 100;
+
+/// What silence says less than connections that are reset, in tenths of a bit: a task ends
+/// its runner's process, and most runners that fall silent lose their VM or are cut off.
+const SILENCE_LESS: i32 = 30;
+
+/// Least time for which a suspect has to run to be cleared, in milliseconds.
+const CLEAR_LEAST_MS: Millis = 1_000;
+
+/// Losses up to which a task is excused where other runners are lost at the same moment.
+const EXCUSED_CRASHES: u32 = 2;
+
+/// What counts against a task.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct TaskSuspicion {
+    /// Runners that were lost under it.
+    #[serde(rename = "n", skip_serializing_if = "is_default")]
+    pub losses: u32,
+    /// Those of them since it was last cleared.
+    #[serde(rename = "r", skip_serializing_if = "is_default")]
+    recent: u32,
+    /// Those of them that count, after a run of known length.
+    #[serde(rename = "c", skip_serializing_if = "is_default")]
+    pub counted: u32,
+    /// Sum of what they say, in tenths of a bit, as if the task had run for a second.
+    #[serde(rename = "s", skip_serializing_if = "is_default")]
+    sum: i32,
+    /// Those of them under which it was alone, and whose connections were reset.
+    #[serde(rename = "a", skip_serializing_if = "is_default")]
+    pub alone: u32,
+    /// Number of the last run that was lost: a loss is noted once, whoever finds it.
+    #[serde(rename = "u", skip_serializing_if = "is_default")]
+    last_run: u32,
+    /// Longest time that it had run when one of them was lost, in milliseconds.
+    #[serde(rename = "l", skip_serializing_if = "is_default")]
+    longest: Millis,
+}
+
+/// What is known of a task on a runner that was lost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct LossEvidence {
+    /// Number of the run that was lost.
+    pub(crate) run: u32,
+    /// How the runner was lost.
+    pub(crate) loss: RunnerLoss,
+    /// How long the task had run; none where that is not known.
+    pub(crate) ran: Option<Millis>,
+    /// Whether it is one that lasts.
+    pub(crate) lasts: bool,
+    /// Share of the task in what was there, by how young the runs were.
+    pub(crate) share: f64,
+    /// Whether it fell silent, and its connections were not reset.
+    pub(crate) silent: bool,
+    /// Whether nothing else ran there.
+    pub(crate) alone: bool,
+    /// Whether other runners were lost at that moment.
+    pub(crate) company: bool,
+    /// How often a runner of the pool is lost without the task, a second.
+    pub(crate) rate: f64,
+}
+
+impl TaskSuspicion {
+    /// Takes a loss in; answers whether the task is to be given up for it.
+    pub(crate) fn add(&mut self, evidence: LossEvidence) -> bool {
+        self.last_run = evidence.run;
+        let excused = evidence.company && self.recent < EXCUSED_CRASHES;
+        self.losses += 1;
+        self.recent += 1;
+        if excused {
+            return false;
+        }
+        self.sum += tenths_of_bits(evidence.share / evidence.rate);
+        if let Some(ran) = evidence.ran {
+            self.counted += 1;
+            self.longest = self.longest.max(ran);
+        } else {
+            self.sum -= tenths_of_bits(seconds(time_of(None, evidence.lasts)));
+        }
+        let told = evidence.ran.is_some() || !evidence.lasts;
+        self.alone += u32::from(evidence.alone && !evidence.silent && told);
+        self.sum -= if evidence.silent { SILENCE_LESS } else { 0 };
+        let limit = match (evidence.alone, evidence.loss == RunnerLoss::Silent) {
+            (true, false) => PROOF_WEIGHT,
+            (true, true) => SILENT_PROOF_WEIGHT,
+            (false, _) => HEAVY_WEIGHT,
+        };
+        let alone = i32::try_from(self.alone).unwrap_or(i32::MAX);
+        let less = limit.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
+        self.weight() >= less.max(LEAST_WEIGHT)
+    }
+
+    /// What counts against the task, in tenths of a bit: each loss says the more the shorter
+    /// the time is within which the task crashes its runners, if it does.
+    pub fn weight(&self) -> i32 {
+        let counted = i32::try_from(self.counted).unwrap_or(i32::MAX);
+        let time = self.longest.max(SHORTEST_MS);
+        let each = tenths_of_bits(seconds(time));
+        self.sum.saturating_sub(counted.saturating_mul(each)).max(0)
+    }
+
+    /// Whether a run is noted as lost.
+    pub(crate) fn is_noted(&self, run: u32) -> bool {
+        self.losses > 0 && self.last_run == run
+    }
+
+    /// Whether anything counts against the task.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.recent > 0
+    }
+
+    /// Whether the task is to be tried alone.
+    pub(crate) fn needs_trial(&self) -> bool {
+        self.recent >= TRIAL_LOSSES || self.is_likely()
+    }
+
+    /// Whether a runner that was lost under the task is likely to have been lost to it.
+    pub(crate) fn is_likely(&self) -> bool {
+        self.weight() >= TRIAL_WEIGHT
+    }
+
+    /// Time for which the task has to run to be cleared, in milliseconds.
+    pub(crate) fn clear_time(&self) -> Millis {
+        CLEAR_LEAST_MS.max(2 * self.longest)
+    }
+
+    /// Takes in that the task ran on for longer than it took to crash.
+    pub(crate) fn clear(&mut self) {
+        *self = Self {
+            losses: self.losses,
+            last_run: self.last_run,
+            ..Self::default()
+        };
+    }
+}
+
+/// How long a run went on, in milliseconds, as far as it counts.
+pub(crate) fn time_of(ran: Option<Millis>, lasts: bool) -> Millis {
+    let unknown = if lasts {
+        LASTING_UNKNOWN_MS
+    } else {
+        UNKNOWN_MS
+    };
+    ran.unwrap_or(unknown).max(SHORTEST_MS)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times of runs are far below 2^52 ms"
+)]
+pub(crate) fn seconds(time: Millis) -> f64 {
+    time as f64 / 1_000.0
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "shares, rates and times of runs are far from zero and from infinity"
+)]
+fn tenths_of_bits(ratio: f64) -> i32 {
+    (ratio.max(f64::MIN_POSITIVE).log2() * 10.0) as i32
+}
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -9,7 +9,7 @@
     Millis,
     job::JobKey,
     runner::RunnerKey,
-    suspects::TaskSuspicion, //
+    suspicion::TaskSuspicion, //
 };
 
 /// Place of a task in the owner's memory.
@@ -76,8 +76,7 @@
     Unlocated {
         /// Name of the runner.
         runner: String,
-        /// Birth of its life that was told to run it; none where that is not known, or
-        /// where it is noted that this life is over.
+        /// Birth of its life that was told to run it; none where that is not known.
         born: Option<u64>,
         /// When the run has certainly ended.
         until: Millis,
