--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -37,7 +37,8 @@
 };
 
 /// Weight of all tasks of a step under which runners were lost while they were alone, at
-/// which the last of them is given up: a step of a hundred such tasks costs a few runners.
+/// which the last of them is given up, in tenths of a bit: a step of a hundred such tasks
+/// costs a few runners.
 const STEP_PROOF_WEIGHT: i32 = 300;
 
 /// Time for which a suspect that runs has its runner alone at most, in milliseconds.
