Plan nothing for suspects whose job has ended

Cause: suspects were dropped only once their tasks were done. Change: they are dropped with their job's end. No decision changes, for nothing of an ended job is planned. Why it holds: what keeps planning due is a waiting suspect of a job that goes on, and such a job ends or its suspect is placed within seconds.

--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -146,7 +146,10 @@
     pub fn clear_suspects(&mut self, now: Millis) {
         let suspects: Vec<TaskRef> = self.suspects.iter().copied().collect();
         for task in suspects {
-            let Some(entry) = self.task(task).filter(|entry| !entry.is_done()) else {
+            let job = self.jobs.get(task.job);
+            let goes_on = job.is_some_and(|job| !job.phase.is_final());
+            let entry = self.task(task).filter(|entry| !entry.is_done() && goes_on);
+            let Some(entry) = entry else {
                 self.drop_suspect(task);
                 continue;
             };
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -35,6 +35,7 @@
     neighbour_that_runs_on_is_cleared => cleared();
     runners_lost_at_one_moment_count_against_nobody => one_moment();
     runner_that_leaves_as_announced_counts_against_nobody => announced();
+    job_that_was_given_up_keeps_nobody_planning => rests();
     what_counts_outlasts_the_owner => outlasts_owner();
     room_that_shrank_takes_nothing_more => shrunk_room();
 }
@@ -99,6 +100,19 @@
     Ok(())
 }
 
+/// Its tasks wait for ever, and nothing is to be planned for them.
+async fn rests() -> Result<()> {
+    let mut state = heard_pool(8, step(3));
+    crashes_until_given_up(&mut state)?;
+    for now in [90_000, 90_050] {
+        state.clear_suspects(now);
+        state.plan(now);
+    }
+    state.clear_suspects(90_100);
+    ensure!(!state.needs_plan(), "it is planned again and again");
+    Ok(())
+}
+
 async fn given_up_lasting() -> Result<()> {
     let mut lasting = step(1);
     lasting.lasting = true;
