Read the two clocks so that being held up between them is no sleep

Change: the clock that counts sleep is read first; being held up then shows less sleep, which is ignored, for the most counts. The reading at the start is the most of five. Why it holds: either order errs by the time between the two readings, and only the former order errs towards sleep. The cases of suspended nodes pass; no case of its own, for the system's clocks can't be set in a test.

--- a/crates/hoisthitch-scheduler/src/clock.rs
+++ b/crates/hoisthitch-scheduler/src/clock.rs
@@ -63,6 +63,9 @@
     Test(Arc<AtomicU64>),
 }
 
+/// Readings of the time asleep at the start.
+const START_READINGS: usize = 5;
+
 /// Offset of the clock, so that no time before the start is negative.
 const START_MS: Millis = 1_000_000;
 
@@ -83,7 +86,7 @@
         Self {
             start: Instant::now(),
             day: DaySource::System,
-            sleep: SleepSource::System(asleep_since_boot().unwrap_or(0)),
+            sleep: SleepSource::System(asleep_at_start()),
             slept: Arc::default(),
         }
     }
@@ -145,11 +148,19 @@
     }
 }
 
-/// For how long the system was asleep since it booted, in milliseconds; none where that
-/// can't be read.
+/// For how long the system was asleep when the process started, in milliseconds: the most of
+/// some readings, for what they miss would be taken for sleep later.
+fn asleep_at_start() -> Millis {
+    let readings = (0..START_READINGS).filter_map(|_| asleep_since_boot());
+    readings.max().unwrap_or(0)
+}
+
+/// For how long the system was asleep since it booted, in milliseconds, or a little less;
+/// none where that can't be read.
 fn asleep_since_boot() -> Option<Millis> {
-    let steady = clock_gettime(ClockId::CLOCK_MONOTONIC).ok()?;
+    // A process that is held up between the two readings must not take that for sleep.
     let counted = clock_gettime(ClockId::CLOCK_BOOTTIME).ok()?;
+    let steady = clock_gettime(ClockId::CLOCK_MONOTONIC).ok()?;
     let ahead = counted - steady;
     Millis::try_from(ahead.num_milliseconds()).ok()
 }
