Ask for five bits more before a task is given up

Traced from its events: in a pool of three whose runners start again in turn, three restarts in a row met one task, twice while it was tried alone: 18.9 bits, against 15 asked for after two crashes alone. Change: the limit is 30 bits in place of 25 (25 and 20 after one and two crashes alone). A task that crashes runners right after its start is given up after three in place of two. Why it holds: the case is what innocent work may meet; the cost is one runner more for each such task, within the bound.

--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -30,8 +30,8 @@
 
 /// Weights at which a task is given up, in tenths of a bit: alone under a crash, alone on a
 /// runner of which nothing is heard any more, and never alone, for want of a free runner.
-const PROOF_WEIGHT: i32 = 250;
-const SILENT_PROOF_WEIGHT: i32 = 330;
+const PROOF_WEIGHT: i32 = 300;
+const SILENT_PROOF_WEIGHT: i32 = 380;
 const HEAVY_WEIGHT: i32 = 400;
 
 /// What each crash under which the task was alone takes off these limits, down to the least
