Give a task up after three crashes alone at the least weight

The third crash alone, each on another runner that was kept free, asks for 10 bits now, as the fourth did.

--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -39,6 +39,9 @@
 const ALONE_WEIGHT: i32 = 50;
 const LEAST_WEIGHT: i32 = 100;
 
+/// Crashes under which the task was alone from which the least limit holds.
+const ALONE_LOSSES: u32 = 3;
+
 /// What silence says less than connections that are reset, in tenths of a bit: a task ends
 /// its runner's process, and most runners that fall silent lose their VM or are cut off.
 const SILENCE_LESS: i32 = 30;
@@ -126,7 +129,9 @@
         };
         let alone = i32::try_from(self.alone).unwrap_or(i32::MAX);
         let less = limit.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
-        self.weight() >= less.max(LEAST_WEIGHT)
+        let in_a_row = evidence.alone && self.alone >= ALONE_LOSSES;
+        let limit = if in_a_row { LEAST_WEIGHT } else { less };
+        self.weight() >= limit.max(LEAST_WEIGHT)
     }
 
     /// What counts against the task, in tenths of a bit: each loss says the more the shorter
