Notice at once that a runner's process has ended

Callers saw tasks beside one that crashes its runner start again 3.3 s later, when the runner was back, or after its lease where it did not come back. Cause: a refused connection counted as silence, which leaves open what runs. Ruled out: to take a reset connection for an end (single connections are reset on living runners, and silence says nothing at all). Change: a runner that answered before and refuses connections to two holds in a row, 250 ms apart, has no process any more. What it was heard to run has ended; a start without an answer keeps its task, for the next process there may still carry it out. A start whose connection was refused was not sent. Why it holds: nothing listens at the address, so no life of the runner is there; orders under way are judged by their answers, as for a next life.

--- a/crates/hoisthitch-jobs/src/lives.rs
+++ b/crates/hoisthitch-jobs/src/lives.rs
@@ -90,6 +90,32 @@
         })
     }
 
+    /// Takes in that a runner's process has ended and none is in its place; answers how
+    /// many runs ended with it.
+    ///
+    /// A start that was not answered may yet be carried out by the next process there, and
+    /// keeps its task until that one has answered, or until the lease is over.
+    pub fn end_runs(&mut self, key: RunnerKey, now: Millis) -> usize {
+        self.note_loss(key, RunnerLoss::Crashed, now);
+        let Some(runner) = self.runners.get(key) else {
+            return 0;
+        };
+        let is_over = |task: &&TaskRef| {
+            let entry = self.task(**task);
+            entry.is_some_and(|entry| {
+                let told = matches!(entry.place, TaskPlace::Running(_) | TaskPlace::Planned(_));
+                told && !entry.unanswered
+            })
+        };
+        let ended: Vec<TaskRef> = runner.tasks.iter().filter(is_over).copied().collect();
+        for task in &ended {
+            self.leave_runner(*task, TaskPlace::Waiting, now);
+        }
+        self.stops.retain(|stop| stop.runner != key);
+        self.give_up(now);
+        ended.len()
+    }
+
     /// Whether a later life of the runner may run the task, or may yet be told to.
     fn is_doubtful(&self, task: TaskRef, runner: &RunnerEntry) -> bool {
         let Some(entry) = self.task(task) else {
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -189,7 +189,14 @@
             ended_at: heard_at.map_or(moment.at, |at| at.midpoint(moment.at)),
             tasks: self.tasks_lost(runner, moment),
         };
+        let noted = runner.loss_noted;
         self.note_lost_runs(&lost, Some(key));
+        if !noted {
+            self.keep_loss(&lost);
+        }
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.loss_noted = true;
+        }
     }
 
     /// Tasks that a runner may have run when it was lost: not those whose start was sent to
@@ -279,7 +286,6 @@
             let share = step.and_then(|step| by_step.get(&step)).copied();
             self.note_lost_run(*task, share.unwrap_or(all) / all, lost, key);
         }
-        self.keep_loss(lost);
     }
 
     fn note_lost_run(
@@ -363,7 +369,7 @@
         let others = self
             .runners
             .iter()
-            .filter(move |(other, _)| Some(*other) != key);
+            .filter(move |(other, runner)| Some(*other) != key && !runner.loss_noted);
         others.filter_map(|(_, runner)| {
             let at = runner.silent_since.filter(|_| runner.heard_at.is_some())?;
             let moment = LossMoment {
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -48,6 +48,7 @@
         };
         self.heard_since.get_or_insert(now);
         runner.silent_since = None;
+        runner.loss_noted = false;
         runner.heard_at = runner.heard_at.max(Some(asked_at));
         let seen = runner.seen;
         let mut present = HashSet::new();
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -168,6 +168,8 @@
     pub seen: u64,
     /// Whether its connections were reset when it was last lost: its process ended.
     pub(crate) was_reset: bool,
+    /// Whether its loss was taken in, and it has not answered since.
+    pub(crate) loss_noted: bool,
     /// A suspect that is tried here, and beside which nothing else is placed.
     pub(crate) trial: Option<TaskRef>,
     /// Until when it is kept free for a suspect.
@@ -203,6 +205,7 @@
             lasting: 0,
             seen: 0,
             was_reset: false,
+            loss_noted: false,
             trial: None,
             reserved_until: 0,
             failures: 0,
--- a/crates/hoisthitch-scheduler/src/owner/lives.rs
+++ b/crates/hoisthitch-scheduler/src/owner/lives.rs
@@ -225,6 +225,19 @@
         self.take_listed(&before.name);
     }
 
+    /// Takes in that a runner's process has ended, and that none is in its place yet.
+    pub(super) fn take_ended(&mut self, key: RunnerKey, now: Millis) {
+        let ended = self.state.end_runs(key, now);
+        self.count("runner_ended");
+        event!(
+            Warn,
+            "runner_ended",
+            pool = self.context.pool,
+            runner = self.life_text(key),
+            ended = ended
+        );
+    }
+
     /// Lets go of a life that is over, and goes on with the next one.
     fn begin_life(&mut self, key: RunnerKey, born: u64, address: SocketAddr) {
         let now = self.now();
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -524,6 +524,7 @@
                 }
             }
             SessionEvent::Missed { runner, reset } => self.state.miss_hold(runner, reset, now),
+            SessionEvent::Ended { runner } => self.take_ended(runner, now),
             SessionEvent::Replaced { runner } => {
                 self.note_over(runner);
                 self.drop_runner(runner, GoneReason::Replaced);
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -79,6 +79,9 @@
     /// The runner refused.
     #[error("the runner refused with status {0}")]
     Refused(u16),
+    /// Nothing listens at the runner's address, so that nothing was sent.
+    #[error("nothing listens at the runner's address")]
+    NotListening,
     /// There was no readable answer; the order may still be carried out.
     #[error("no answer from the runner: {0}")]
     NoAnswer(String),
--- a/crates/hoisthitch-scheduler/src/session/holds.rs
+++ b/crates/hoisthitch-scheduler/src/session/holds.rs
@@ -65,6 +65,11 @@
 /// Wait after a hold that failed.
 const RETRY_WAIT: Duration = Duration::from_millis(250);
 
+/// Holds in a row that find nothing listening at the address of a runner that answered
+/// before, after which its process has ended: one connection may be refused for its own
+/// reasons.
+const REFUSALS_OF_ENDED: u32 = 2;
+
 /// What the holds of a session go by.
 pub(super) struct HoldSignals {
     /// Last end that is recorded.
@@ -86,6 +91,8 @@
     answered: Option<Millis>,
     /// Silences of the runner so far; it is silent before its first answer.
     silences: u64,
+    /// Holds in a row that found nothing listening; none before the first answer.
+    refusals: Option<u32>,
 }
 
 /// A hold that is about to be sent.
@@ -112,6 +119,7 @@
             signals,
             answered: None,
             silences: 1,
+            refusals: None,
         }
     }
 
@@ -145,9 +153,14 @@
                 }
                 Some(Err(err)) => {
                     self.log_loss(&err);
+                    self.count_refusal(&err);
                     let now = self.context.shared.clock.now();
                     let waited = Duration::from_millis(now.saturating_sub(plan.asked_at));
                     self.miss(waited < self.ask(plan).wait + RESET_LIMIT);
+                    if self.refusals == Some(REFUSALS_OF_ENDED) {
+                        let runner = self.context.key;
+                        self.context.tell(SessionEvent::Ended { runner });
+                    }
                     tokio::time::sleep(RETRY_WAIT).await;
                 }
                 None => self.miss(false),
@@ -191,6 +204,7 @@
     async fn take_report(&mut self, plan: HoldPlan, report: HoldReport) {
         let now = self.context.shared.clock.now();
         self.answered = Some(now);
+        self.refusals = Some(0);
         self.life = report.born.or(self.life);
         self.clock.read(report.clock_ms, now);
         let last = report.ended.iter().map(|end| end.number).max();
@@ -217,6 +231,13 @@
         let _ = timeout(RECORD_WAIT, may_run).await;
     }
 
+    fn count_refusal(&mut self, err: &RunnerError) {
+        let refused = *err == RunnerError::NotListening;
+        if let Some(refusals) = &mut self.refusals {
+            *refusals = if refused { *refusals + 1 } else { 0 };
+        }
+    }
+
     fn log_loss(&self, err: &RunnerError) {
         if self.answered.is_some() {
             event!(
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -80,6 +80,8 @@
         /// Whether it failed at once: nothing listens there.
         reset: bool,
     },
+    /// The runner's process has ended, and no other is in its place.
+    Ended { runner: RunnerKey },
     /// Another runner answered at the runner's address.
     Replaced { runner: RunnerKey },
     /// The runner answered with another life, born then.
--- a/crates/hoisthitch-tests/src/world/runners/control.rs
+++ b/crates/hoisthitch-tests/src/world/runners/control.rs
@@ -37,7 +37,7 @@
     ) -> StartOutcome {
         tokio::time::sleep(WAY).await;
         if self.refuses(&runner.life.name) {
-            return StartOutcome::Unclear;
+            return StartOutcome::NotSent;
         }
         let cut = !self.reaches(&runner.life.name);
         if cut || self.is_late() {
@@ -84,7 +84,7 @@
     ) -> Result<(), RunnerError> {
         tokio::time::sleep(WAY).await;
         if self.refuses(&runner.life.name) {
-            return Err(RunnerError::NoAnswer("refused".to_owned()));
+            return Err(RunnerError::NotListening);
         }
         if !self.reaches(&runner.life.name) || self.is_late() {
             tokio::time::sleep(GIVE_UP).await;
@@ -102,7 +102,7 @@
     async fn hold(&self, runner: &RunnerAddress, ask: HoldAsk) -> Result<HoldReport, RunnerError> {
         tokio::time::sleep(WAY).await;
         if self.refuses(&runner.life.name) {
-            return Err(RunnerError::NoAnswer("refused".to_owned()));
+            return Err(RunnerError::NotListening);
         }
         if !self.reaches(&runner.life.name) {
             tokio::time::sleep(ask.wait + GIVE_UP).await;
