Weigh losses in a storm of crashes by all of them

Callers saw work starve where runners crash by themselves: of 60 ordinary jobs 25 to 55 were done (six runners, one crash each 1.1 s). Cause: the rate of losses left out those under the task itself, so that an unlucky innocent looked guilty; who had lost two runners was tried alone, whatever that said; a lasting suspect had its runner alone for ten seconds. Why it holds: the bound on starts is kept by the fifth loss, and what is weighed in a storm is the storm.

--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -399,7 +399,8 @@
         let lately = self.recent_losses.iter().filter(|loss| {
             let alike = step.is_some_and(|step| loss.young_steps.contains(&step));
             let lately = loss.moment.at + RATE_MS > at;
-            lately && !alike && !loss.tasks.contains(&task) && !self.is_explained(loss)
+            let own = young && loss.tasks.contains(&task);
+            lately && !alike && !own && !self.is_explained(loss)
         });
         let others = lately.count() + self.silent_others(key).count();
         let heard = at.saturating_sub(self.heard_since.unwrap_or(at));
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -41,9 +41,6 @@
 /// costs a few runners.
 const STEP_PROOF_WEIGHT: i32 = 300;
 
-/// Time for which a suspect that runs has its runner alone at most, in milliseconds.
-const ALONE_MOST_MS: Millis = 10_000;
-
 /// Time for which a suspect waits for a free runner, in milliseconds; then it goes beside
 /// others rather than not at all. A lasting task may be away for less.
 const TRIAL_WAIT_MS: Millis = 6_000;
@@ -169,12 +166,13 @@
         };
         let ran = heard_at.min(now).saturating_sub(entry.began_at);
         let cleared = ran >= entry.suspicion.clear_time();
+        let alone = ran < entry.suspicion.alone_time();
         if cleared {
             entry.suspicion.clear();
             self.drop_suspect(task);
             self.mark_dirty(task.job);
         }
-        if (cleared || ran >= ALONE_MOST_MS)
+        if (cleared || !alone)
             && let Some(runner) = self.runners.get_mut(runner)
             && runner.trial == Some(task)
         {
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -26,21 +26,30 @@
 /// Weight from which a task is tried alone, in tenths of a bit: a crash right after its
 /// start in a calm pool. It is after so many losses, whatever they say.
 const TRIAL_WEIGHT: i32 = 70;
-const TRIAL_LOSSES: u32 = 2;
+const TRIAL_LOSSES: u32 = 3;
+
+/// Time for which a suspect that runs has its runner alone at most, in milliseconds, and
+/// for which one has whose losses say little: a lasting task would otherwise keep a runner
+/// for ten seconds each time that runners crash by themselves.
+const ALONE_MOST_MS: Millis = 10_000;
+const ALONE_BRIEFLY_MS: Millis = 2_000;
 
 /// Weights at which a task is given up, in tenths of a bit: alone under a crash, alone on a
 /// runner of which nothing is heard any more, and never alone, for want of a free runner.
 const PROOF_WEIGHT: i32 = 300;
 const SILENT_PROOF_WEIGHT: i32 = 380;
-const HEAVY_WEIGHT: i32 = 400;
+const HEAVY_WEIGHT: i32 = 280;
 
 /// What each crash under which the task was alone takes off these limits, down to the least
 /// one, in tenths of a bit: each was on another runner that was kept free for it.
 const ALONE_WEIGHT: i32 = 50;
 const LEAST_WEIGHT: i32 = 100;
 
-/// Crashes under which the task was alone from which the least limit holds.
-const ALONE_LOSSES: u32 = 3;
+/// Crashes, and those of them under which the task was alone, from which this weight is
+/// enough: a cause may be started twice after three crashes, and no more.
+const DECIDING_LOSSES: u32 = 5;
+const DECIDING_ALONE: u32 = 2;
+const DECIDING_WEIGHT: i32 = 80;
 
 /// What silence says less than connections that are reset, in tenths of a bit: a task ends
 /// its runner's process, and most runners that fall silent lose their VM or are cut off.
@@ -129,9 +138,13 @@
         };
         let alone = i32::try_from(self.alone).unwrap_or(i32::MAX);
         let less = limit.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
-        let in_a_row = evidence.alone && self.alone >= ALONE_LOSSES;
-        let limit = if in_a_row { LEAST_WEIGHT } else { less };
-        self.weight() >= limit.max(LEAST_WEIGHT)
+        let decides = self.recent >= DECIDING_LOSSES && self.alone >= DECIDING_ALONE;
+        let limit = if evidence.alone && decides {
+            DECIDING_WEIGHT
+        } else {
+            less.max(LEAST_WEIGHT)
+        };
+        self.weight() >= limit
     }
 
     /// What counts against the task, in tenths of a bit: each loss says the more the shorter
@@ -168,6 +181,15 @@
         CLEAR_LEAST_MS.max(2 * self.longest)
     }
 
+    /// Time after which others may go beside the task, in milliseconds.
+    pub(crate) fn alone_time(&self) -> Millis {
+        if self.is_likely() {
+            ALONE_MOST_MS
+        } else {
+            ALONE_BRIEFLY_MS
+        }
+    }
+
     /// Takes in that the task ran on for longer than it took to crash.
     pub(crate) fn clear(&mut self) {
         *self = Self {
