--- a/crates/hoisthitch-tests/src/http.rs
+++ b/crates/hoisthitch-tests/src/http.rs
@@ -109,7 +109,7 @@
         let client = Client::builder().timeout(LIMIT).finish();
         let mut request = client.request(self.method, self.url).force_close();
         for (name, value) in &self.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
+            request = request.append_header((name.as_str(), value.as_str()));
         }
         let mut response = request
             .send_body(self.body)
