Tell callers apart by their teams' keys

Cause: nothing read the configuration's teams, or the header with the key. Weighed: 403 for another team's job tells that it is there; a check by the key that sent a job would lose it when keys are rotated.

--- a/crates/hoisthitch-jobs/src/record.rs
+++ b/crates/hoisthitch-jobs/src/record.rs
@@ -21,6 +21,9 @@
     pub queue: String,
     /// The queue's policy at that time.
     pub policy: QueuePolicy,
+    /// Team whose key it came with; empty where none was needed.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub team: String,
     /// Version of the operators' configuration that it was taken by; zero where the
     /// record does not tell.
     #[serde(default)]
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -84,6 +84,7 @@
     NewJob {
         id: id.to_owned(),
         submission: JobSubmission {
+            team: String::new(),
             version: 0,
             queue: "hold".to_owned(),
             policy: QueuePolicy {
--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -210,6 +210,7 @@
         let new = NewJob {
             id: job.id.clone(),
             submission: JobSubmission {
+                team: String::new(),
                 version: 0,
                 queue: job.pool.clone(),
                 policy: QueuePolicy {
--- a/crates/hoisthitch-scheduler/src/desk.rs
+++ b/crates/hoisthitch-scheduler/src/desk.rs
@@ -26,6 +26,10 @@
 use crate::{
     journal::encode,
     keys::JobKeys,
+    location::{
+        CallScope,
+        JobLocation, //
+    },
     pending::{
         CreateClient,
         CreateOutcome,
@@ -50,6 +54,8 @@
     Refused,
     /// Whether the job is kept is not known.
     Unknown,
+    /// The identifier is that of another team's job; nothing was taken.
+    Foreign,
 }
 
 /// Answer to a question for a job's state.
@@ -76,7 +82,7 @@
 
 #[derive(Clone, Debug)]
 struct JobMemory {
-    pool: String,
+    location: JobLocation,
     end: Option<JobPhase>,
 }
 
@@ -116,6 +122,7 @@
     pub async fn submit(
         &self,
         queue: &QueueRoute,
+        scope: CallScope<'_>,
         id: &str,
         spec: JobSpec,
         give_up: Millis,
@@ -125,26 +132,32 @@
             self.note("submit", id, &queue.name, "store_lost", started);
             return SubmitAnswer::Refused;
         }
+        let location = JobLocation {
+            pool: queue.pool.clone(),
+            queue: queue.name.clone(),
+            team: scope.team_name(),
+        };
         let submission = JobSubmission {
             queue: queue.name.clone(),
             policy: queue.policy,
+            team: location.team.clone(),
             version: self.shared.policy_version(),
             accepted_ms: self.shared.clock.today_ms(),
             spec,
         };
         let request = CreateRequest {
             key: self.keys.location(id),
-            value: queue.pool.clone().into_bytes(),
+            value: encode(&location),
             others: vec![(self.keys.submission(&queue.pool, id), encode(&submission))],
             give_up,
         };
         let outcome = self.creates.create(request).await;
         let (answer, word) = match outcome {
             CreateOutcome::Created => {
-                self.remember(id, &queue.pool, None);
+                self.remember(id, location, None);
                 (SubmitAnswer::Accepted, "accepted")
             }
-            CreateOutcome::Present => (SubmitAnswer::Accepted, "present"),
+            CreateOutcome::Present => self.find_present(id, scope).await,
             CreateOutcome::Refused => (SubmitAnswer::Refused, "refused"),
             CreateOutcome::Unknown => (SubmitAnswer::Unknown, "unknown"),
         };
@@ -152,6 +165,18 @@
         answer
     }
 
+    /// Answers for an identifier that is taken already: a lost answer, or another's job.
+    async fn find_present(&self, id: &str, scope: CallScope<'_>) -> (SubmitAnswer, &'static str) {
+        match self.locate(id, scope).await {
+            Ok(Some(_)) => (SubmitAnswer::Accepted, "present"),
+            Ok(None) => (SubmitAnswer::Foreign, "foreign"),
+            Err(err) => {
+                event!(Warn, "submission_unknown", job = id, error = err);
+                (SubmitAnswer::Unknown, "unknown")
+            }
+        }
+    }
+
     /// What the node's threads share.
     pub fn shared(&self) -> &NodeShared {
         &self.shared
@@ -164,16 +189,17 @@
     ///
     /// Fails as the store does.
     pub async fn describe(&self, id: &str) -> Result<Option<(String, JobProgress)>, StoreError> {
-        let Some(memory) = self.locate(id).await? else {
+        let Some(memory) = self.locate(id, CallScope::All).await? else {
             return Ok(None);
         };
-        let progress = self.read_progress(&memory.pool, id).await?;
-        Ok(Some((memory.pool, progress.unwrap_or_default())))
+        let pool = memory.location.pool;
+        let progress = self.read_progress(&pool, id).await?;
+        Ok(Some((pool, progress.unwrap_or_default())))
     }
 
     /// Tells a job's state.
-    pub async fn status(&self, id: &str) -> StatusAnswer {
-        match self.read_status(id).await {
+    pub async fn status(&self, scope: CallScope<'_>, id: &str) -> StatusAnswer {
+        match self.read_status(scope, id).await {
             Ok(Some(phase)) => StatusAnswer::Known(phase),
             Ok(None) => StatusAnswer::Absent,
             Err(err) => {
@@ -184,18 +210,23 @@
         }
     }
 
-    async fn read_status(&self, id: &str) -> Result<Option<JobPhase>, StoreError> {
-        let Some(memory) = self.locate(id).await? else {
+    async fn read_status(
+        &self,
+        scope: CallScope<'_>,
+        id: &str,
+    ) -> Result<Option<JobPhase>, StoreError> {
+        let Some(memory) = self.locate(id, scope).await? else {
             return Ok(None);
         };
         if let Some(end) = memory.end {
             return Ok(Some(end));
         }
-        let Some(progress) = self.read_progress(&memory.pool, id).await? else {
+        let progress = self.read_progress(&memory.location.pool, id).await?;
+        let Some(progress) = progress else {
             return Ok(Some(JobPhase::Queued));
         };
         if progress.phase.is_final() {
-            self.remember(id, &memory.pool, Some(progress.phase));
+            self.remember(id, memory.location, Some(progress.phase));
         }
         Ok(Some(progress.phase))
     }
@@ -216,10 +247,10 @@
     }
 
     /// Cancels a job.
-    pub async fn cancel(&self, id: &str, give_up: Millis) -> CancelAnswer {
+    pub async fn cancel(&self, scope: CallScope<'_>, id: &str, give_up: Millis) -> CancelAnswer {
         let started = self.shared.clock.now();
-        let memory = match self.locate(id).await {
-            Ok(Some(memory)) => memory,
+        let pool = match self.locate(id, scope).await {
+            Ok(Some(memory)) => memory.location.pool,
             Ok(None) => {
                 self.note("cancel", id, "", "absent", started);
                 return CancelAnswer::Absent;
@@ -230,7 +261,7 @@
             }
         };
         let request = CreateRequest {
-            key: self.keys.cancel(&memory.pool, id),
+            key: self.keys.cancel(&pool, id),
             value: Vec::new(),
             others: Vec::new(),
             give_up,
@@ -239,7 +270,7 @@
             CreateOutcome::Created | CreateOutcome::Present => (CancelAnswer::Accepted, "accepted"),
             CreateOutcome::Refused | CreateOutcome::Unknown => (CancelAnswer::Unknown, "unknown"),
         };
-        self.note("cancel", id, &memory.pool, word, started);
+        self.note("cancel", id, &pool, word, started);
         answer
     }
 
@@ -275,27 +306,39 @@
         Ok(count)
     }
 
-    async fn locate(&self, id: &str) -> Result<Option<JobMemory>, StoreError> {
-        if let Some(memory) = self.memory.borrow().get(id) {
-            return Ok(Some(memory.clone()));
-        }
-        let sent = self.shared.clock.now();
-        let found = self.store.read(&self.keys.location(id)).await?;
-        self.shared.store.note_success(sent);
-        Ok(found.map(|stored| {
-            let pool = String::from_utf8_lossy(&stored.value).into_owned();
-            self.remember(id, &pool, None);
-            JobMemory { pool, end: None }
-        }))
+    /// Finds a job that a call may be about.
+    async fn locate(
+        &self,
+        id: &str,
+        scope: CallScope<'_>,
+    ) -> Result<Option<JobMemory>, StoreError> {
+        let known = self.memory.borrow().get(id).cloned();
+        let memory = match known {
+            Some(memory) => memory,
+            None => {
+                let sent = self.shared.clock.now();
+                let found = self.store.read(&self.keys.location(id)).await?;
+                self.shared.store.note_success(sent);
+                let Some(stored) = found else {
+                    return Ok(None);
+                };
+                let location = JobLocation::read(&stored.value);
+                self.remember(id, location.clone(), None);
+                JobMemory {
+                    location,
+                    end: None,
+                }
+            }
+        };
+        Ok(Some(memory).filter(|memory| scope.covers(&memory.location)))
     }
 
-    fn remember(&self, id: &str, pool: &str, end: Option<JobPhase>) {
+    fn remember(&self, id: &str, location: JobLocation, end: Option<JobPhase>) {
         let mut memory = self.memory.borrow_mut();
         if memory.len() >= MEMORY_LIMIT {
             memory.clear();
         }
-        let pool = pool.to_owned();
-        memory.insert(id.to_owned(), JobMemory { pool, end });
+        memory.insert(id.to_owned(), JobMemory { location, end });
     }
 
     fn note(&self, call: &'static str, id: &str, queue: &str, outcome: &str, started: Millis) {
--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -30,6 +30,7 @@
         JobDesk,
         SubmitAnswer, //
     },
+    location::CallScope,
     shared::PolicyReading, //
 };
 
@@ -94,12 +95,16 @@
         return fault(StatusCode::NOT_FOUND, &text);
     };
     let give_up = desk.shared().clock.now() + PATIENCE_MS;
-    match desk.submit(queue, &id, call.spec.clone(), give_up).await {
+    match desk
+        .submit(queue, CallScope::All, &id, call.spec.clone(), give_up)
+        .await
+    {
         SubmitAnswer::Accepted => describe(desk, id).await,
         SubmitAnswer::Refused => fault(
             StatusCode::SERVICE_UNAVAILABLE,
             "not taken, and will not run; hand it in again",
         ),
+        SubmitAnswer::Foreign => fault(StatusCode::CONFLICT, "the id is taken"),
         SubmitAnswer::Unknown => fault(
             StatusCode::GATEWAY_TIMEOUT,
             "whether the job is kept is not known; hand it in again under the same id",
@@ -125,7 +130,7 @@
     id: web::Path<String>,
 ) -> HttpResponse {
     let give_up = desk.shared().clock.now() + PATIENCE_MS;
-    match desk.cancel(&id, give_up).await {
+    match desk.cancel(CallScope::All, &id, give_up).await {
         CancelAnswer::Accepted => describe(desk, id).await,
         CancelAnswer::Absent => fault(StatusCode::NOT_FOUND, "there is no such job"),
         CancelAnswer::Unknown => fault(
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 mod index;
 mod journal;
 mod keys;
+mod location;
 mod metrics;
 mod node;
 mod owner;
@@ -28,6 +29,7 @@
 mod shared;
 mod table;
 mod takeover;
+mod teams;
 mod vms;
 
 pub use clock::NodeClock;
@@ -40,6 +42,7 @@
 pub use http::job_routes;
 pub use identity::NodeIdentity;
 pub use keys::JobKeys;
+pub use location::CallScope;
 pub use metrics::NodeMetrics;
 pub use node::run_node;
 pub use shared::{
@@ -47,3 +50,7 @@
     PolicyReading,
     StoreWatch, //
 };
+pub use teams::{
+    CallerError,
+    CallerTeam, //
+};
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -24,6 +24,13 @@
     PoolPolicy,
     QueueRoute, //
 };
+pub use crate::teams::{
+    TeamEntry,
+    TeamError,
+    TeamKey,
+    TeamPolicy,
+    TeamTable, //
+};
 
 /// A runner and where it listens.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/hoisthitch-scheduler/src/policy.rs
+++ b/crates/hoisthitch-scheduler/src/policy.rs
@@ -7,7 +7,14 @@
 
 use hoisthitch_jobs::QueuePolicy;
 
-use crate::index::QueueIndex;
+use crate::{
+    index::QueueIndex,
+    teams::{
+        CallerError,
+        CallerTeam,
+        TeamTable, //
+    }, //
+};
 
 /// Names of queues that a line on a change gives of each kind; the rest is counted.
 const NAMES_TOLD: usize = 3;
@@ -25,6 +32,8 @@
     pub pool: String,
     /// Policy.
     pub policy: QueuePolicy,
+    /// Whether anyone may call it, without a key.
+    pub open: bool,
 }
 
 /// A pool as the operators configured it.
@@ -47,6 +56,8 @@
     pub body_limit: usize,
     queues: Vec<QueueRoute>,
     index: QueueIndex,
+    /// Teams of callers; none where callers are not told apart.
+    teams: Option<TeamTable>,
 }
 
 impl FleetPolicy {
@@ -63,6 +74,36 @@
             body_limit,
             index: QueueIndex::new(&queues),
             queues,
+            teams: None,
+        }
+    }
+
+    /// The same, with callers told apart by their teams' keys.
+    pub fn with_teams(mut self, teams: TeamTable) -> Self {
+        self.teams = Some(teams);
+        self
+    }
+
+    /// Teams of callers; none where callers are not told apart.
+    pub fn teams(&self) -> Option<&TeamTable> {
+        self.teams.as_ref()
+    }
+
+    /// Tells who calls a queue with a key, or without one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the queue is for teams, and the key is of none.
+    pub fn admit(&self, queue: &QueueRoute, key: Option<&str>) -> Result<CallerTeam, CallerError> {
+        let Some(teams) = &self.teams else {
+            return Ok(CallerTeam(None));
+        };
+        let team = key.and_then(|key| teams.find_by_key(key));
+        match team {
+            Some(team) => Ok(CallerTeam(Some(team.name.clone()))),
+            None if queue.open => Ok(CallerTeam(None)),
+            None if key.is_some() => Err(CallerError::UnknownKey),
+            None => Err(CallerError::NoKey),
         }
     }
 
@@ -95,11 +136,18 @@
     pub(crate) dropped: Vec<String>,
     /// Queues that are found elsewhere, or that another pool serves.
     pub(crate) moved: Vec<String>,
+    /// Keys of teams that are new.
+    pub(crate) keys_added: usize,
+    /// Keys of teams that are gone.
+    pub(crate) keys_dropped: usize,
 }
 
 impl PolicyChange {
     /// What `new` changes of `old`, which had no queues where there was none.
     pub(crate) fn between(old: Option<&FleetPolicy>, new: &FleetPolicy) -> Self {
+        let none = TeamTable::default();
+        let before = old.and_then(FleetPolicy::teams).unwrap_or(&none);
+        let (keys_added, keys_dropped) = new.teams().unwrap_or(&none).key_changes(before);
         let old = old.map(queues_by_name).unwrap_or_default();
         let new = queues_by_name(new);
         let names = |names: Vec<&&str>| names.into_iter().map(|name| (*name).to_owned()).collect();
@@ -111,6 +159,8 @@
             added: names(new.keys().filter(|name| !old.contains_key(*name)).collect()),
             dropped: names(old.keys().filter(|name| !new.contains_key(*name)).collect()),
             moved: names(moved.map(|(name, _)| name).collect()),
+            keys_added,
+            keys_dropped,
         }
     }
 }
--- a/crates/hoisthitch-scheduler/src/table.rs
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -168,7 +168,10 @@
             pools = policy.pools.len(),
             added = tell_names(&change.added),
             dropped = tell_names(&change.dropped),
-            moved = tell_names(&change.moved)
+            moved = tell_names(&change.moved),
+            teams = policy.teams().map_or(0, |teams| teams.teams().len()),
+            keys_added = change.keys_added,
+            keys_dropped = change.keys_dropped
         );
         let version = i64::try_from(policy.version).unwrap_or(i64::MAX);
         self.shared.metrics.policy_version.set(version);
--- a/crates/hoisthitch-scheduler/tests/policy.rs
+++ b/crates/hoisthitch-scheduler/tests/policy.rs
@@ -36,6 +36,7 @@
         host: host.to_owned(),
         prefix,
         pool: "halls".to_owned(),
+        open: false,
         policy: QueuePolicy {
             priority: 0,
             max_attempts: 3,
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -32,6 +32,7 @@
     TaskNeed, //
 };
 use hoisthitch_scheduler::{
+    CallScope,
     CancelAnswer,
     JobDesk,
     JobKeys,
@@ -181,6 +182,7 @@
             aim_ms: 600,
             advised: false,
         },
+        open: false,
     }
 }
 
@@ -292,7 +294,9 @@
         time_ms: u64,
     ) -> SubmitAnswer {
         let give_up = self.shared.clock.now() + time_ms;
-        self.desk.submit(queue, id, spec, give_up).await
+        self.desk
+            .submit(queue, CallScope::All, id, spec, give_up)
+            .await
     }
 
     /// Tells the node to hand its pools over and end.
@@ -470,7 +474,7 @@
                 continue;
             }
             let give_up = node.shared.clock.now() + 2_000;
-            if node.desk.cancel(id, give_up).await == CancelAnswer::Accepted {
+            if node.desk.cancel(CallScope::All, id, give_up).await == CancelAnswer::Accepted {
                 self.fleet.note_cancel_answer(id);
                 return Ok(());
             }
@@ -484,7 +488,7 @@
             if node.frozen.get() || node.killed.get() {
                 continue;
             }
-            if let StatusAnswer::Known(phase) = node.desk.status(id).await {
+            if let StatusAnswer::Known(phase) = node.desk.status(CallScope::All, id).await {
                 return Some(phase);
             }
         }
