--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -45,10 +45,9 @@
 const ALONE_WEIGHT: i32 = 50;
 const LEAST_WEIGHT: i32 = 100;
 
-/// Crashes, and those of them under which the task was alone, from which this weight is
-/// enough: a cause may be started twice after three crashes, and no more.
+/// Losses, the last of them alone, from which this weight is enough: a cause may be started
+/// twice after three crashes, and no more.
 const DECIDING_LOSSES: u32 = 5;
-const DECIDING_ALONE: u32 = 2;
 const DECIDING_WEIGHT: i32 = 80;
 
 /// What silence says less than connections that are reset, in tenths of a bit: a task ends
@@ -138,8 +137,7 @@
         };
         let alone = i32::try_from(self.alone).unwrap_or(i32::MAX);
         let less = limit.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
-        let decides = self.recent >= DECIDING_LOSSES && self.alone >= DECIDING_ALONE;
-        let limit = if evidence.alone && decides {
+        let limit = if evidence.alone && self.recent >= DECIDING_LOSSES {
             DECIDING_WEIGHT
         } else {
             less.max(LEAST_WEIGHT)
