Try suspects alone from their second loss again

Change: two losses again; a lasting task is given up at its fifth loss, alone, from 16 bits on, for the losses of a storm add up against it.

--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -26,7 +26,7 @@
 /// Weight from which a task is tried alone, in tenths of a bit: a crash right after its
 /// start in a calm pool. It is after so many losses, whatever they say.
 const TRIAL_WEIGHT: i32 = 70;
-const TRIAL_LOSSES: u32 = 3;
+const TRIAL_LOSSES: u32 = 2;
 
 /// Time for which a suspect that runs has its runner alone at most, in milliseconds, and
 /// for which one has whose losses say little: a lasting task would otherwise keep a runner
@@ -46,9 +46,11 @@
 const LEAST_WEIGHT: i32 = 100;
 
 /// Losses, the last of them alone, from which this weight is enough: a cause may be started
-/// twice after three crashes, and no more.
+/// twice after three crashes, and no more. A lasting task is there under most crashes, and
+/// losses of a storm add up against it.
 const DECIDING_LOSSES: u32 = 5;
 const DECIDING_WEIGHT: i32 = 80;
+const LASTING_DECIDING_WEIGHT: i32 = 160;
 
 /// What silence says less than connections that are reset, in tenths of a bit: a task ends
 /// its runner's process, and most runners that fall silent lose their VM or are cut off.
@@ -137,10 +139,11 @@
         };
         let alone = i32::try_from(self.alone).unwrap_or(i32::MAX);
         let less = limit.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
-        let limit = if evidence.alone && self.recent >= DECIDING_LOSSES {
-            DECIDING_WEIGHT
-        } else {
-            less.max(LEAST_WEIGHT)
+        let decides = evidence.alone && self.recent >= DECIDING_LOSSES;
+        let limit = match (decides, evidence.lasts) {
+            (true, false) => DECIDING_WEIGHT,
+            (true, true) => LASTING_DECIDING_WEIGHT,
+            (false, _) => less.max(LEAST_WEIGHT),
         };
         self.weight() >= limit
     }
