Keep what teams have running within their limits

Change: each limit is cut into parts by pool, in one record of the team that owners change by compare-and-swap, ahead of need and all that are due in one write; an owner starts work within its part. What it gives back counts from before the write, what it takes from after it; after a write without an answer the lower part counts until the record is written again. Ways: fixed even parts (no calls; four fifths of a limit lie idle while one pool has its turn), one owner that grants (a hop and a second election), parts by demand (kept). Tests: decisions::quota (6 and a drawn one: parts never pass the limit in sum), contracts::limits (5; all five fail where the plan ignores its parts).

--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -38,6 +38,8 @@
     pub queue: String,
     /// Policy of the queue.
     pub policy: QueuePolicy,
+    /// Team that it is of; empty for none.
+    pub team: String,
     /// What is to be run.
     pub spec: JobSpec,
     /// When it was accepted.
@@ -69,6 +71,7 @@
             id,
             queue,
             policy,
+            team: String::new(),
             spec,
             accepted_at,
             phase: JobPhase::Queued,
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -22,6 +22,7 @@
 mod place;
 mod plan;
 mod pool;
+mod quota;
 mod rank;
 mod record;
 mod report;
@@ -69,6 +70,10 @@
     NewJob,
     PoolState, //
 };
+pub use quota::{
+    QuotaParts,
+    TeamUse, //
+};
 pub use record::{
     JobPhase,
     JobProgress,
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -6,6 +6,7 @@
     Millis,
     job::JobKey,
     pool::PoolState,
+    quota::QuotaBudget,
     record::JobProgress,
     runner::{
         RunnerEntry,
@@ -103,16 +104,25 @@
         self.plan_needed = false;
         let mut planned = 0;
         let mut full = FullNeeds::default();
+        let mut budget = self.quota_budget();
+        self.held_back.clear();
         for key in self.plan_order(now) {
-            planned += self.plan_job(key, &mut full, now);
+            planned += self.plan_job(key, &mut full, &mut budget, now);
         }
         planned
     }
 
-    fn plan_job(&mut self, key: JobKey, full: &mut FullNeeds, now: Millis) -> usize {
+    fn plan_job(
+        &mut self,
+        key: JobKey,
+        full: &mut FullNeeds,
+        budget: &mut QuotaBudget,
+        now: Millis,
+    ) -> usize {
         let Some(job) = self.jobs.get(key) else {
             return 0;
         };
+        let team = job.team.clone();
         let ready: Vec<TaskRef> = job
             .tasks
             .iter()
@@ -120,15 +130,27 @@
             .filter(|(slot, _)| job.waits_for_runner(*slot))
             .map(|(slot, _)| TaskRef { job: key, slot })
             .collect();
-        let mut planned = self.plan_gangs(key, now);
+        let mut planned = 0;
+        if self.allows_gangs(key, budget) {
+            planned += self.plan_gangs(key, now);
+            self.take_gangs(key, budget);
+        }
         let mut full_step = None;
         for task in ready {
             let step = self.task(task).map(|entry| (entry.round, entry.step));
             if self.is_gang(task) || step == full_step {
                 continue;
             }
+            let need = self.need_of(task);
+            if !budget.allows(&team, need) {
+                *self.held_back.entry(team.clone()).or_insert(0) += 1;
+                continue;
+            }
             if self.is_on_trial(task, now) {
-                planned += self.plan_trial(task, now);
+                if self.plan_trial(task, now) {
+                    budget.take(&team, need);
+                    planned += 1;
+                }
                 continue;
             }
             let Some(runner) = self.choose_unless_full(task, full, now) else {
@@ -137,11 +159,20 @@
                 continue;
             };
             self.plan_task(task, runner, now);
+            budget.take(&team, need);
             planned += 1;
         }
         planned
     }
 
+    fn need_of(&self, task: TaskRef) -> TaskNeed {
+        let step = self
+            .jobs
+            .get(task.job)
+            .and_then(|job| job.step_of(task.slot));
+        step.map(|step| step.need).unwrap_or_default()
+    }
+
     fn plan_task(&mut self, task: TaskRef, runner: RunnerKey, now: Millis) {
         self.set_place(task, TaskPlace::Planned(runner), now);
         if let Some(entry) = self.task_mut(task) {
@@ -150,15 +181,15 @@
         self.mark_dirty(task.job);
     }
 
-    /// Places a suspect on a runner alone, or has one kept free for it; answers how many
-    /// tasks were placed.
-    fn plan_trial(&mut self, task: TaskRef, now: Millis) -> usize {
+    /// Places a suspect on a runner alone, or has one kept free for it; answers whether
+    /// it was placed.
+    fn plan_trial(&mut self, task: TaskRef, now: Millis) -> bool {
         let Some(runner) = self.choose_runner(task, None, now) else {
             self.reserve_runner(task, now);
-            return 0;
+            return false;
         };
         self.plan_task(task, runner, now);
-        1
+        true
     }
 
     /// Drops what was planned and not written: it will not be ordered.
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -38,6 +38,7 @@
         RunnerLife, //
     },
     silent::InheritedRuns,
+    spec::TaskNeed,
     suspects::GivenUpTask,
     task::{
         StopOrder,
@@ -102,6 +103,10 @@
     pub(crate) given_up: Vec<GivenUpTask>,
     /// Work that came in of late.
     pub(crate) arrivals: ArrivalLog,
+    /// What teams with a limit may have running here, by name.
+    pub(crate) allowances: HashMap<String, TaskNeed>,
+    /// Tasks that limits held back when starts were last planned, by team.
+    pub(crate) held_back: HashMap<String, u32>,
     /// Records that are being written, where one write does not take them all.
     pub(crate) flush_round: Option<FlushRound>,
 }
@@ -133,6 +138,7 @@
             submission.spec,
             accepted_at,
         );
+        job.team = submission.team;
         if let Some(progress) = progress {
             self.restore(&mut job, progress, now);
         }
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod outcomes;
 mod packing;
 mod pools;
+mod quota;
 mod suspects;
 mod waves;
 
--- a/crates/hoisthitch-scheduler/src/keys.rs
+++ b/crates/hoisthitch-scheduler/src/keys.rs
@@ -91,6 +91,16 @@
         format!("{}/share/{pool}", self.root)
     }
 
+    /// Parts of all teams' limits.
+    pub fn all_quotas(&self) -> String {
+        format!("{}/quota/", self.root)
+    }
+
+    /// Parts of a team's limit.
+    pub fn quota(&self, team: &str) -> String {
+        format!("{}/quota/{team}", self.root)
+    }
+
     /// State of a wave.
     pub fn wave(&self, wave: u64) -> String {
         format!("{}/wave/{wave}", self.root)
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -8,6 +8,7 @@
 mod awaited;
 mod inbox;
 mod lives;
+mod quota;
 mod runners;
 mod silent;
 mod writes;
@@ -55,6 +56,10 @@
 use self::advice::AdviceReturn;
 use self::awaited::AwaitedPolicy;
 use self::lives::LifeNotes;
+use self::quota::{
+    QuotaLedger,
+    QuotaReturn, //
+};
 use self::runners::GoneReason;
 use self::silent::{
     SilenceNotes,
@@ -137,6 +142,9 @@
     advice: mpsc::UnboundedSender<AdviceReturn>,
     /// Whether an adviser is being asked.
     asking: bool,
+    /// Parts of teams' limits.
+    quotas: QuotaLedger,
+    quota_returns: mpsc::UnboundedSender<QuotaReturn>,
     events: mpsc::UnboundedSender<SessionEvent>,
     sessions: HashMap<RunnerKey, RunnerSession>,
     /// How many they are.
@@ -169,6 +177,7 @@
     events: mpsc::UnboundedReceiver<SessionEvent>,
     returned: mpsc::UnboundedReceiver<JournalReturn<S>>,
     advised: mpsc::UnboundedReceiver<AdviceReturn>,
+    quotas: mpsc::UnboundedReceiver<QuotaReturn>,
     vm_requests: mpsc::Receiver<VmRequest>,
 }
 
@@ -191,11 +200,13 @@
     let (events, session_events) = mpsc::unbounded_channel();
     let (returns, returned) = mpsc::unbounded_channel();
     let (advice, advised) = mpsc::unbounded_channel();
+    let (quota_returns, quotas) = mpsc::unbounded_channel();
     let mut channels = OwnerChannels {
         inbox,
         events: session_events,
         returned,
         advised,
+        quotas,
         vm_requests,
     };
     let now = context.shared.clock.now();
@@ -206,6 +217,8 @@
         returns,
         advice,
         asking: false,
+        quotas: QuotaLedger::default(),
+        quota_returns,
         events,
         sessions: HashMap::new(),
         open_sessions: Rc::default(),
@@ -332,6 +345,7 @@
                 }
                 Some(request) = channels.vm_requests.recv() => self.take_vm_request(request),
                 Some(back) = channels.advised.recv() => self.take_advice(back),
+                Some(back) = channels.quotas.recv() => self.take_quotas(back),
                 Ok(()) = fleet.changed() => {
                     fleet.borrow_and_update();
                     self.sync_fleet();
@@ -401,6 +415,7 @@
         // order of a thousand jobs and the room of hundreds of runners, took a large
         // pool's owner the processor time that its starts need: 4 in 100 of what is owed
         // on a fleet of 1,100 VMs (two plays, docs/MEASURED.md).
+        self.look_at_quotas(now);
         if due && self.may_write(now) && !self.awaits_policy(now) {
             self.state.plan(now);
         }
--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -37,6 +37,7 @@
 mod advice;
 mod gang;
 mod harm;
+mod limits;
 mod order;
 mod rooms;
 mod route;
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -33,6 +33,7 @@
 };
 use hoisthitch_scheduler::{
     CallScope,
+    CallerTeam,
     CancelAnswer,
     JobDesk,
     JobKeys,
@@ -49,6 +50,10 @@
         PoolPolicy,
         QueueRoute,
         RunnerRecord,
+        TeamEntry,
+        TeamKey,
+        TeamPolicy,
+        TeamTable,
         WaveOrder, //
     },
     run_node, //
@@ -77,6 +82,9 @@
 /// Time for which a node answers by a configuration that is not confirmed again.
 const POLICY_HOLD: Duration = Duration::from_secs(3);
 
+/// Stands between a configuration's version and the cores that its one team may have running.
+pub const LIMITED: &str = " choir ";
+
 /// Stands before the birth of a runner in its record.
 const BORN: &str = " born ";
 
@@ -103,8 +111,13 @@
         if key != "op/policy" {
             return None;
         }
-        let version = String::from_utf8_lossy(value).parse().unwrap_or(0);
-        Some(Ok(policy(version)))
+        let text = String::from_utf8_lossy(value);
+        let (version, cores) = text.split_once(LIMITED).unwrap_or((&text, ""));
+        let policy = policy(version.parse().unwrap_or(0));
+        let Ok(cores) = cores.parse() else {
+            return Some(Ok(policy));
+        };
+        Some(choir(cores).map(|teams| policy.with_teams(teams)))
     }
 
     fn wave(&self, key: &str, value: &[u8]) -> Option<Result<WaveOrder, String>> {
@@ -160,6 +173,23 @@
     }
 }
 
+/// A table of one team that may have so many cores running.
+fn choir(cores: u64) -> Result<TeamTable, String> {
+    let policy = TeamPolicy {
+        name: "choir".into(),
+        weight: 1.0,
+        limit: TaskNeed {
+            cpu_milli: cores * 1_000,
+            ..TaskNeed::default()
+        },
+    };
+    let entry = TeamEntry {
+        policy,
+        keys: vec![TeamKey::new("choirkey".to_owned())],
+    };
+    TeamTable::new(vec![entry]).map_err(|err| err.to_string())
+}
+
 fn policy(version: u64) -> FleetPolicy {
     let pool = PoolPolicy {
         name: POOL.to_owned(),
@@ -293,12 +323,23 @@
         spec: JobSpec,
         time_ms: u64,
     ) -> SubmitAnswer {
-        let give_up = self.shared.clock.now() + time_ms;
-        self.desk
-            .submit(queue, CallScope::All, id, spec, give_up)
+        self.submit_in(CallScope::All, queue, id, spec, time_ms)
             .await
     }
 
+    /// Hands a job in for a caller of that scope.
+    pub async fn submit_in(
+        &self,
+        scope: CallScope<'_>,
+        queue: &QueueRoute,
+        id: &str,
+        spec: JobSpec,
+        time_ms: u64,
+    ) -> SubmitAnswer {
+        let give_up = self.shared.clock.now() + time_ms;
+        self.desk.submit(queue, scope, id, spec, give_up).await
+    }
+
     /// Tells the node to hand its pools over and end.
     pub fn stop(&self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
