--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -33,7 +33,6 @@
 };
 use hoisthitch_scheduler::{
     CallScope,
-    CallerTeam,
     CancelAnswer,
     JobDesk,
     JobKeys,
