Write the parts of fifteen teams at once, not of thirty

A new owner found jobs of 20 teams; the write of their parts had 40 entries, and the store takes 32, for a condition is one of its own; it refused with 400 each time, so that the owner started nothing. Cause: the batch counted values alone; the store of the tests did too, and counts conditions now. Test many_teams_that_come_at_once_are_served failed before and passes.

--- a/crates/hoisthitch-scheduler/src/owner/quota.rs
+++ b/crates/hoisthitch-scheduler/src/owner/quota.rs
@@ -45,8 +45,8 @@
 /// Time between two readings of all records while teams lack room, in milliseconds.
 const READ_MS: Millis = 200;
 
-/// Teams whose parts go into one write.
-const BATCH: usize = 30;
+/// Teams whose parts go into one write: each takes two entries, the value and its condition.
+const BATCH: usize = 15;
 
 /// A team's record, as last written or found.
 #[derive(Clone, Debug, Default)]
--- a/crates/hoisthitch-scheduler/tests/contracts/limits.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/limits.rs
@@ -26,7 +26,9 @@
 use crate::{
     kept,
     world::{
+        CHOIRS,
         LIMITED,
+        TestNode,
         TestWorld,
         job,
         play,
@@ -41,6 +43,7 @@
     team_keeps_to_its_limit_while_answers_are_lost => loses_answers();
     limit_that_is_lowered_is_kept_to => lowers();
     limit_that_is_raised_is_used => raises();
+    many_teams_that_come_at_once_are_served => many_teams();
 }
 
 /// Limit of the team, in cores; its tasks take one each.
@@ -49,21 +52,24 @@
 /// Tasks beyond the limit that the users allow: a tenth, and one more.
 const BEYOND: usize = LIMIT / 10 + 1;
 
-/// Puts a configuration in force by which the team may have so many cores running.
-fn limit_choir(world: &TestWorld, version: u64, cores: usize) {
+/// Puts a configuration in force by which each team may have so many cores running.
+fn limit_choirs(world: &TestWorld, version: u64, cores: usize) {
     let text = format!("{version}{LIMITED}{cores}");
     world.store.put("op/policy", Some(text.as_bytes()), 0);
 }
 
-/// Hands a job of the team in.
-async fn submit_for_choir(world: &TestWorld, id: &str, spec: JobSpec) -> Result<()> {
-    let (queue, team) = (queue(), CallerTeam(Some("choir".into())));
+/// Hands a job of a team in.
+async fn submit_for(world: &TestWorld, team: &str, id: &str, spec: JobSpec) -> Result<()> {
+    let node = world.nodes.values().next();
+    submit_by(node.ok_or_eyre("there is no node")?, team, id, spec).await
+}
+
+async fn submit_by(node: &TestNode, team: &str, id: &str, spec: JobSpec) -> Result<()> {
+    let (queue, team) = (queue(), CallerTeam(Some(team.into())));
     let scope = CallScope::Caller {
         queue: &queue,
         team: &team,
     };
-    let node = world.nodes.values().next();
-    let node = node.ok_or_eyre("there is no node")?;
     let answer = node.submit_in(scope, &queue, id, spec, 3_000).await;
     ensure!(answer == SubmitAnswer::Accepted, "{id}: {answer:?}");
     Ok(())
@@ -71,7 +77,7 @@
 
 async fn start(nodes: usize) -> Result<TestWorld> {
     let world = TestWorld::start(nodes, 4).await?;
-    limit_choir(&world, 2, LIMIT);
+    limit_choirs(&world, 2, LIMIT);
     sleep_ms(500).await;
     Ok(world)
 }
@@ -81,7 +87,7 @@
     let mut ids = Vec::new();
     for number in 0..6 {
         let id = format!("choir{number}");
-        submit_for_choir(world, &id, job("work 900", &[5])).await?;
+        submit_for(world, "choir0", &id, job("work 900", &[5])).await?;
         ids.push(id);
         let id = format!("other{number}");
         world.submit(&id, job("work 300", &[2])).await?;
@@ -163,7 +169,7 @@
     let world = start(1).await?;
     let ids = hand_in(&world).await?;
     sleep_ms(600).await;
-    limit_choir(&world, 3, 2);
+    limit_choirs(&world, 3, 2);
     sleep_ms(1_500).await;
     let seen = follow(&world, &ids, 3).await?;
     ensure!(seen == 2, "the lower limit is used: {seen}");
@@ -174,8 +180,30 @@
     let world = start(1).await?;
     let ids = hand_in(&world).await?;
     sleep_ms(600).await;
-    limit_choir(&world, 3, 12);
+    limit_choirs(&world, 3, 12);
     let seen = follow(&world, &ids, 14).await?;
     ensure!(seen == 12, "the higher limit is used: {seen}");
     Ok(())
 }
+
+/// A new owner finds jobs of so many teams that one write of the store does not take the
+/// changes of all their parts.
+async fn many_teams() -> Result<()> {
+    let world = start(2).await?;
+    let owner = world.owner();
+    world.nodes[&owner].kill();
+    let (_, left) = world
+        .nodes
+        .iter()
+        .find(|(name, _)| **name != owner)
+        .ok_or_eyre("no node is left")?;
+    for number in 0..CHOIRS {
+        let team = format!("choir{number}");
+        submit_by(left, &team, &format!("j{number}"), job("work 200", &[1])).await?;
+    }
+    for number in 0..CHOIRS {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 5_000).await?;
+    }
+    kept(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -81,8 +81,12 @@
 /// Time for which a node answers by a configuration that is not confirmed again.
 const POLICY_HOLD: Duration = Duration::from_secs(3);
 
-/// Stands between a configuration's version and the cores that its one team may have running.
-pub const LIMITED: &str = " choir ";
+/// Stands between a configuration's version and the cores that each of its teams may have
+/// running.
+pub const LIMITED: &str = " choirs ";
+
+/// Teams of such a configuration.
+pub const CHOIRS: usize = 40;
 
 /// Stands before the birth of a runner in its record.
 const BORN: &str = " born ";
@@ -116,7 +120,7 @@
         let Ok(cores) = cores.parse() else {
             return Some(Ok(policy));
         };
-        Some(choir(cores).map(|teams| policy.with_teams(teams)))
+        Some(choirs(cores).map(|teams| policy.with_teams(teams)))
     }
 
     fn wave(&self, key: &str, value: &[u8]) -> Option<Result<WaveOrder, String>> {
@@ -172,21 +176,21 @@
     }
 }
 
-/// A table of one team that may have so many cores running.
-fn choir(cores: u64) -> Result<TeamTable, String> {
-    let policy = TeamPolicy {
-        name: "choir".into(),
-        weight: 1.0,
-        limit: TaskNeed {
-            cpu_milli: cores * 1_000,
-            ..TaskNeed::default()
+/// A table of teams of which each may have so many cores running.
+fn choirs(cores: u64) -> Result<TeamTable, String> {
+    let names = (0..CHOIRS).map(|number| format!("choir{number}"));
+    let entries = names.map(|name| TeamEntry {
+        keys: vec![TeamKey::new(format!("key of {name}"))],
+        policy: TeamPolicy {
+            name: name.into(),
+            weight: 1.0,
+            limit: TaskNeed {
+                cpu_milli: cores * 1_000,
+                ..TaskNeed::default()
+            },
         },
-    };
-    let entry = TeamEntry {
-        policy,
-        keys: vec![TeamKey::new("choirkey".to_owned())],
-    };
-    TeamTable::new(vec![entry]).map_err(|err| err.to_string())
+    });
+    TeamTable::new(entries.collect()).map_err(|err| err.to_string())
 }
 
 fn policy(version: u64) -> FleetPolicy {
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -352,7 +352,11 @@
     }
 
     async fn swap_all(&self, items: Vec<SwapItem>) -> Result<BatchOutcome, StoreError> {
-        if items.len() > ENTRY_LIMIT {
+        // A condition is an entry of its own.
+        let conditions = items
+            .iter()
+            .filter(|item| item.expected != StoreRevision::ANY);
+        if items.len() + conditions.count() > ENTRY_LIMIT {
             return Err(refused("swap_all"));
         }
         let keys: HashSet<&String> = items.iter().map(|item| &item.key).collect();
