Show operators the teams, their limits and what pools hold of them

hoisthitch team list and show ask a node's own address for names, weights, limits, the number of keys and the processors that pools hold of each limit; no key is told. No decision is changed.

--- a/crates/hoisthitch-api/src/job.rs
+++ b/crates/hoisthitch-api/src/job.rs
@@ -55,3 +55,27 @@
     /// Jobs of which nothing has begun; none while that can't be read.
     pub waiting: Option<u32>,
 }
+
+/// Path of the list of teams.
+pub const TEAMS_PATH: &str = "/teams";
+
+/// A team of callers. Amounts of zero among the limits stand for none.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TeamRow {
+    /// Name.
+    pub team: String,
+    /// Its share where there is not enough for all.
+    pub weight: f64,
+    /// Keys that stand for it.
+    pub keys: usize,
+    /// What it may have running, in thousandths of a core.
+    pub cpu_limit: u64,
+    /// The same, in MB of memory.
+    pub memory_limit: u64,
+    /// The same, in accelerators.
+    pub gpu_limit: u64,
+    /// What pools hold of the limit of processors; none while that can't be read.
+    pub cpu_held: Option<u64>,
+    /// Version of the configuration that the node goes by.
+    pub policy: u64,
+}
--- a/crates/hoisthitch-api/src/lib.rs
+++ b/crates/hoisthitch-api/src/lib.rs
@@ -21,7 +21,9 @@
     JobAnswer,
     JobCall,
     QUEUES_PATH,
-    QueueRow, //
+    QueueRow,
+    TEAMS_PATH,
+    TeamRow, //
 };
 
 /// Path of the table.
--- a/crates/hoisthitch-cli/src/commands/mod.rs
+++ b/crates/hoisthitch-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod status;
 mod table;
+mod team;
 mod vms;
 mod watch;
 mod wave;
@@ -74,6 +75,8 @@
     Status(status::StatusCommand),
     /// Shows and edits the table.
     Table(table::TableCommand),
+    /// Shows teams of callers.
+    Team(team::TeamCommand),
     /// Shows and assigns VMs.
     Vms(vms::VmsCommand),
     /// Starts and steers maintenance waves.
@@ -94,6 +97,7 @@
             Self::Keys(command) => command.run(),
             Self::Status(command) => command.run(context).await,
             Self::Table(command) => command.run(context).await,
+            Self::Team(command) => command.run(context).await,
             Self::Vms(command) => command.run(context).await,
             Self::Wave(command) => command.run(context).await,
         }
--- a/crates/hoisthitch-jobs/src/quota.rs
+++ b/crates/hoisthitch-jobs/src/quota.rs
@@ -106,6 +106,12 @@
         }
     }
 
+    /// The sum of all parts.
+    pub fn total(&self) -> TaskNeed {
+        let parts = self.parts.values();
+        parts.fold(TaskNeed::default(), |sum, part| sum.plus(*part))
+    }
+
     fn others(&self, pool: &str) -> TaskNeed {
         let others = self.parts.iter().filter(|(other, _)| *other != pool);
         others.fold(TaskNeed::default(), |sum, (_, part)| sum.plus(*part))
--- a/crates/hoisthitch-scheduler/src/desk.rs
+++ b/crates/hoisthitch-scheduler/src/desk.rs
@@ -15,7 +15,8 @@
     JobProgress,
     JobSpec,
     JobSubmission,
-    Millis, //
+    Millis,
+    QuotaParts, //
 };
 use hoisthitch_store::{
     StoreClient,
@@ -306,6 +307,27 @@
         Ok(count)
     }
 
+    /// What pools hold of the limits of teams, by name.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the store does, and where a record can't be read.
+    pub async fn quota_parts(&self) -> Result<HashMap<String, QuotaParts>, StoreError> {
+        let prefix = self.keys.all_quotas();
+        let values = self.store.read_prefix(&prefix).await?;
+        let parts = values.iter().filter_map(|value| {
+            let team = value.key.strip_prefix(prefix.as_str())?.to_owned();
+            let read = serde_json::from_slice(&value.value);
+            Some(read.map(|parts| (team, parts)))
+        });
+        parts
+            .collect::<Result<_, _>>()
+            .map_err(|err| StoreError::Malformed {
+                call: "quota parts",
+                fault: err.to_string(),
+            })
+    }
+
     /// Finds a job that a call may be about.
     async fn locate(
         &self,
--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -12,7 +12,9 @@
     JobAnswer,
     JobCall,
     QUEUES_PATH,
-    QueueRow, //
+    QueueRow,
+    TEAMS_PATH,
+    TeamRow, //
 };
 use hoisthitch_jobs::{
     JobProgress,
@@ -31,7 +33,8 @@
         SubmitAnswer, //
     },
     location::CallScope,
-    shared::PolicyReading, //
+    shared::PolicyReading,
+    teams::TeamTable, //
 };
 
 /// Time in which a call of an operator is to be answered, in milliseconds.
@@ -45,6 +48,7 @@
     let job = format!("{JOBS_PATH}/{{id}}");
     config
         .route(QUEUES_PATH, web::get().to(list_queues::<S>))
+        .route(TEAMS_PATH, web::get().to(list_teams::<S>))
         .route(&job, web::post().to(submit::<S>))
         .route(&job, web::get().to(describe::<S>))
         .route(&job, web::delete().to(cancel::<S>));
@@ -66,6 +70,28 @@
     HttpResponse::Ok().json(rows)
 }
 
+async fn list_teams<S: StoreClient>(desk: web::Data<JobDesk<S>>) -> HttpResponse {
+    let Some(policy) = desk.shared().policy.load_full() else {
+        return fault(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+    };
+    let held = desk.quota_parts().await.ok();
+    let teams = policy.teams().map_or(&[][..], TeamTable::teams);
+    let rows = teams.iter().map(|team| TeamRow {
+        team: team.name.to_string(),
+        weight: team.weight,
+        keys: team.keys,
+        cpu_limit: team.limit.cpu_milli,
+        memory_limit: team.limit.memory_mb,
+        gpu_limit: team.limit.gpus,
+        cpu_held: held.as_ref().map(|held| {
+            let parts = held.get(&*team.name);
+            parts.map_or(0, |parts| parts.total().cpu_milli)
+        }),
+        policy: policy.version,
+    });
+    HttpResponse::Ok().json(rows.collect::<Vec<TeamRow>>())
+}
+
 async fn submit<S: StoreClient>(
     desk: web::Data<JobDesk<S>>,
     id: web::Path<String>,
--- a/crates/hoisthitch-scheduler/src/teams.rs
+++ b/crates/hoisthitch-scheduler/src/teams.rs
@@ -71,6 +71,8 @@
     pub weight: f64,
     /// What it may have running on all runners; zero for no limit.
     pub limit: TaskNeed,
+    /// Keys that stand for it.
+    pub keys: usize,
 }
 
 /// A team and its keys, before they are checked.
@@ -130,7 +132,8 @@
     }
 
     fn add(&mut self, place: usize, entry: TeamEntry) -> Result<(), TeamError> {
-        let TeamEntry { policy, keys } = entry;
+        let TeamEntry { mut policy, keys } = entry;
+        policy.keys = keys.len();
         let name = policy.name.clone();
         if name.is_empty() {
             return Err(TeamError::Unnamed(place));
--- a/crates/hoisthitch-scheduler/tests/teams.rs
+++ b/crates/hoisthitch-scheduler/tests/teams.rs
@@ -44,6 +44,7 @@
             name: name.into(),
             weight: 1.0,
             limit: TaskNeed::default(),
+            keys: 0,
         },
         keys: keys
             .iter()
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -188,6 +188,7 @@
                 cpu_milli: cores * 1_000,
                 ..TaskNeed::default()
             },
+            keys: 1,
         },
     });
     TeamTable::new(entries.collect()).map_err(|err| err.to_string())
