--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -31,6 +31,7 @@
 mod silent;
 mod spec;
 mod stall;
+mod stops;
 mod suspects;
 mod suspicion;
 mod task;
--- /dev/null
+++ b/crates/hoisthitch-scheduler/src/owner/events.rs
@@ -0,0 +1,92 @@
+//! What an owner tells of its pool: lines, counters and times.
+
+use std::time::Duration;
+
+use hoisthitch_jobs::{
+    Millis,
+    RunnerKey,
+    StartOrder, //
+};
+use hoisthitch_telemetry::event;
+
+use super::PoolOwner;
+use crate::platform::Platform;
+
+impl<P: Platform> PoolOwner<P> {
+    /// Tells of the runs that were lost with their runners.
+    pub(super) fn log_lost(&mut self) {
+        for lost in self.state.take_lost_runs() {
+            event!(
+                Warn,
+                "run_lost",
+                task = lost.task,
+                run = lost.run,
+                runner = lost.runner,
+                pool = self.context.pool,
+                loss = lost.loss,
+                ran_ms = lost
+                    .ran
+                    .map_or_else(|| "unknown".to_owned(), |ran| ran.to_string()),
+                beside = lost.beside,
+                company = lost.company,
+                losses = lost.suspicion.losses,
+                weight = lost.suspicion.weight()
+            );
+        }
+        for given_up in self.state.take_given_up() {
+            self.count("task_given_up");
+            event!(
+                Warn,
+                "task_given_up",
+                task = given_up.task,
+                run = given_up.run,
+                pool = self.context.pool,
+                losses = given_up.suspicion.losses,
+                weight = given_up.suspicion.weight()
+            );
+        }
+    }
+
+    /// Tells of the jobs that ended, and where their time went.
+    pub(super) fn log_ended(&mut self) {
+        for ended in self.state.take_ended_jobs() {
+            event!(
+                Info,
+                "job_ended",
+                job = ended.id,
+                queue = ended.queue,
+                pool = self.context.pool,
+                phase = format_args!("{:?}", ended.phase),
+                took_ms = ended.took,
+                objective_ms = ended.objective,
+                taking_ms = ended.account.taking,
+                waiting_ms = ended.account.waiting,
+                ordering_ms = ended.account.ordering,
+                running_ms = ended.account.running,
+                reruns = ended.reruns
+            );
+        }
+    }
+
+    /// Measures how long a job waited for its first task.
+    pub(super) fn measure_start(&self, order: &StartOrder, now: Millis) {
+        let first = order.run == 1 && order.task.slot == 0;
+        if let Some(job) = self.state.job(&order.name.job).filter(|_| first) {
+            let waited = Duration::from_millis(now.saturating_sub(job.accepted_at));
+            let histogram = &self.context.shared.metrics.first_start;
+            histogram.observe(waited.as_secs_f64());
+        }
+    }
+
+    /// The life of a runner, for the log.
+    pub(super) fn life_text(&self, key: RunnerKey) -> String {
+        let life = self.state.life_of(key);
+        life.map_or_else(String::new, |life| life.to_string())
+    }
+
+    /// Counts an event of the pool.
+    pub(super) fn count(&self, event: &str) {
+        let events = &self.context.shared.metrics.events;
+        events.with_label_values(&[event]).inc();
+    }
+}
--- a/crates/hoisthitch-scheduler/tests/contracts/advice.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/advice.rs
@@ -24,7 +24,7 @@
     trace,
     world::{
         TestWorld,
-        advised_queue,
+        codec::advised_queue,
         job,
         lasting,
         play,
--- a/crates/hoisthitch-scheduler/tests/contracts/limits.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/limits.rs
@@ -26,13 +26,15 @@
 use crate::{
     kept,
     world::{
-        CHOIRS,
-        LIMITED,
         TestNode,
         TestWorld,
+        codec::{
+            CHOIRS,
+            LIMITED,
+            queue, //
+        },
         job,
         play,
-        queue,
         sleep_ms, //
     }, //
 };
--- a/crates/hoisthitch-scheduler/tests/contracts/main.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/main.rs
@@ -16,9 +16,11 @@
     JobSpec, //
 };
 use world::{
-    DRAINING,
-    LABELLED,
     TestWorld,
+    codec::{
+        DRAINING,
+        LABELLED, //
+    },
     sleep_ms, //
 };
 
--- a/crates/hoisthitch-scheduler/tests/draws/losses.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/losses.rs
@@ -18,8 +18,8 @@
     wait_successor, //
 };
 use crate::world::{
-    DRAINING,
     TestWorld,
+    codec::DRAINING,
     lasting,
     sleep_ms, //
 };
--- a/crates/hoisthitch-scheduler/tests/draws/outages.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/outages.rs
@@ -18,8 +18,8 @@
 };
 use crate::world::{
     TestWorld,
+    codec::queue,
     job,
-    queue,
     sleep_ms, //
 };
 
--- a/crates/hoisthitch-scheduler/tests/draws/waves.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/waves.rs
@@ -19,8 +19,8 @@
     restart_owner, //
 };
 use crate::world::{
-    DRAINING,
     TestWorld,
+    codec::DRAINING,
     lasting,
     sleep_ms, //
 };
--- a/crates/hoisthitch-scheduler/tests/histories.rs
+++ b/crates/hoisthitch-scheduler/tests/histories.rs
@@ -25,8 +25,8 @@
     seq::SliceRandom, //
 };
 use world::{
-    DRAINING,
     TestWorld,
+    codec::DRAINING,
     job,
     lasting,
     play,
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -11,8 +11,8 @@
 use hoisthitch_jobs::JobPhase;
 use hoisthitch_tests::world::StoreFaults;
 use world::{
-    DRAINING,
     TestWorld,
+    codec::DRAINING,
     job,
     lasting,
     play,
