--- a/crates/hoisthitch-jobs/src/fair.rs
+++ b/crates/hoisthitch-jobs/src/fair.rs
@@ -3,8 +3,7 @@
 //! A team that sends more than its share takes the room of the others, whose jobs are then
 //! late with its own. While a pool has no room for all, teams that have more of its processors
 //! than their weight gives them among the teams with work there wait behind the others with
-//! what has not begun. Nothing idles for a share: what others
-//! leave is theirs.
+//! what has not begun. Nothing idles for a share: what others leave is theirs.
 
 use std::collections::{
     HashMap,
