Weigh whether the crashes under a suspect came at the same time of its runs

An order without an answer counted as a run of 0 ms, the shortest there is; tasks of a step added up although others of it were done. Change: a task is given up by the low weights only where the crashes under which it was alone came after about the same time, to a quarter, as a cause's do; else from 110, a lasting one from 250. An unanswered order counts from when it was sent, and not at all after 300 ms. A step adds up only alike crashes, and not where one of its tasks is done. Why it holds: chance loses a runner at any time of a run; the time to a crash is the task's own.

--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -54,6 +54,10 @@
 /// that had run as shortly were lost elsewhere, in milliseconds.
 const YOUNG_MS: Millis = 1_500;
 
+/// Age of an order without an answer up to which its run may have begun with it, in
+/// milliseconds.
+const UNANSWERED_MS: Millis = 300;
+
 /// Losses that are added to those that were seen: none was seen where one may have been.
 const LOSSES_UNSEEN: f64 = 0.5;
 
@@ -308,6 +312,7 @@
             run,
             loss: lost.loss,
             ran,
+            timed: lost.moment.known,
             lasts: self.lasts(task),
             // A gang's members that were there are one suspect.
             share: if alone { 1.0 } else { share },
@@ -469,6 +474,11 @@
             TaskPlace::Running(_) | TaskPlace::Stopping(_) => {
                 Some(time.saturating_sub(self.began_at))
             }
+            // Whether and when it began is not known; a call that is lost may be carried out.
+            TaskPlace::Ordered(_) => {
+                let age = time.saturating_sub(self.moved_at);
+                Some(age).filter(|age| *age <= UNANSWERED_MS)
+            }
             TaskPlace::Unlocated { .. } => None,
             _ => Some(0),
         }
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -26,6 +26,7 @@
     },
     suspicion::{
         LossEvidence,
+        RunSpan,
         TaskSuspicion, //
     },
     task::{
@@ -105,15 +106,28 @@
         self.mark_dirty(task.job);
     }
 
-    /// What counts against tasks of a step that runners were lost under while they were alone.
+    /// What counts against tasks of a step that runners were lost under while they were
+    /// alone; nothing where one of its tasks is done, or where the crashes are not alike.
     fn step_weight(&self, task: TaskRef) -> i32 {
         let job = self.jobs.get(task.job);
         let Some((job, entry)) = job.zip(self.task(task)) else {
             return 0;
         };
-        let alike = job.tasks_of(entry.round, entry.step);
-        let alike = alike.filter(|(_, other)| other.suspicion.alone > 0);
-        alike.map(|(_, other)| other.suspicion.weight()).sum()
+        let (mut weight, mut span) = (0, None);
+        for (_, other) in job.tasks_of(entry.round, entry.step) {
+            if other.is_done() {
+                return 0;
+            }
+            if other.suspicion.alone > 0 {
+                weight += other.suspicion.weight();
+                span = RunSpan::join(span, other.suspicion.alone_span);
+            }
+        }
+        if span.is_some_and(RunSpan::is_narrow) {
+            weight
+        } else {
+            0
+        }
     }
 
     /// Ends the jobs of tasks that are to be given up.
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -52,6 +52,16 @@
 const DECIDING_WEIGHT: i32 = 80;
 const LASTING_DECIDING_WEIGHT: i32 = 160;
 
+/// Difference between the shortest and the longest run until a crash up to which they count
+/// as alike, in milliseconds, and as a part of the shortest: one in this many.
+const ALIKE_MS: Millis = 60;
+const ALIKE_PART: Millis = 4;
+
+/// Least weights at which a task is given up whose crashes are not known to be alike, in
+/// tenths of a bit: where orders and silence blur the times, one may still be the cause.
+const SCATTERED_WEIGHT: i32 = 110;
+const LASTING_SCATTERED_WEIGHT: i32 = 250;
+
 /// What silence says less than connections that are reset, in tenths of a bit: a task ends
 /// its runner's process, and most runners that fall silent lose their VM or are cut off.
 const SILENCE_LESS: i32 = 30;
@@ -81,6 +91,9 @@
     /// Those of them under which it was alone, and whose connections were reset.
     #[serde(rename = "a", skip_serializing_if = "is_default")]
     pub alone: u32,
+    /// How long it had run when these were lost, as far as that is known.
+    #[serde(rename = "b", skip_serializing_if = "is_default")]
+    pub(crate) alone_span: Option<RunSpan>,
     /// Number of the last run that was lost: a loss is noted once, whoever finds it.
     #[serde(rename = "u", skip_serializing_if = "is_default")]
     last_run: u32,
@@ -89,6 +102,45 @@
     longest: Millis,
 }
 
+/// How long some runs took until a crash.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct RunSpan {
+    /// Shortest and longest of them, in milliseconds.
+    #[serde(rename = "s")]
+    shortest: Millis,
+    #[serde(rename = "l")]
+    longest: Millis,
+    #[serde(rename = "n")]
+    runs: u32,
+}
+
+impl RunSpan {
+    fn of_run(ran: Millis) -> Self {
+        Self {
+            shortest: ran,
+            longest: ran,
+            runs: 1,
+        }
+    }
+
+    pub(crate) fn join(first: Option<Self>, second: Option<Self>) -> Option<Self> {
+        match (first, second) {
+            (Some(first), Some(second)) => Some(Self {
+                shortest: first.shortest.min(second.shortest),
+                longest: first.longest.max(second.longest),
+                runs: first.runs + second.runs,
+            }),
+            (first, second) => first.or(second),
+        }
+    }
+
+    /// Whether they are several, and took about the same time.
+    pub(crate) fn is_narrow(self) -> bool {
+        let width = self.longest.saturating_sub(self.shortest);
+        self.runs > 1 && width <= ALIKE_MS.max(self.shortest / ALIKE_PART)
+    }
+}
+
 /// What is known of a task on a runner that was lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LossEvidence {
@@ -98,6 +150,8 @@
     pub(crate) loss: RunnerLoss,
     /// How long the task had run; none where that is not known.
     pub(crate) ran: Option<Millis>,
+    /// Whether it is known when the runner was lost.
+    pub(crate) timed: bool,
     /// Whether it is one that lasts.
     pub(crate) lasts: bool,
     /// Share of the task in what was there, by how young the runs were.
@@ -130,22 +184,38 @@
             self.sum -= tenths_of_bits(seconds(time_of(None, evidence.lasts)));
         }
         let told = evidence.ran.is_some() || !evidence.lasts;
-        self.alone += u32::from(evidence.alone && !evidence.silent && told);
+        if evidence.alone && !evidence.silent && told {
+            self.alone += 1;
+            let ran = evidence.ran.filter(|_| evidence.timed);
+            self.alone_span = RunSpan::join(self.alone_span, ran.map(RunSpan::of_run));
+        }
         self.sum -= if evidence.silent { SILENCE_LESS } else { 0 };
-        let limit = match (evidence.alone, evidence.loss == RunnerLoss::Silent) {
+        self.weight() >= self.limit(evidence)
+    }
+
+    /// Weight from which the task is given up after such a loss, in tenths of a bit.
+    fn limit(&self, evidence: LossEvidence) -> i32 {
+        let first = match (evidence.alone, evidence.loss == RunnerLoss::Silent) {
             (true, false) => PROOF_WEIGHT,
             (true, true) => SILENT_PROOF_WEIGHT,
             (false, _) => HEAVY_WEIGHT,
         };
         let alone = i32::try_from(self.alone).unwrap_or(i32::MAX);
-        let less = limit.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
+        let less = first.saturating_sub(alone.saturating_mul(ALONE_WEIGHT));
         let decides = evidence.alone && self.recent >= DECIDING_LOSSES;
-        let limit = match (decides, evidence.lasts) {
-            (true, false) => DECIDING_WEIGHT,
-            (true, true) => LASTING_DECIDING_WEIGHT,
-            (false, _) => less.max(LEAST_WEIGHT),
+        let (deciding, least) = match (self.crashes_alike(), evidence.lasts) {
+            (true, false) => (DECIDING_WEIGHT, LEAST_WEIGHT),
+            (true, true) => (LASTING_DECIDING_WEIGHT, LEAST_WEIGHT),
+            (false, false) => (SCATTERED_WEIGHT, SCATTERED_WEIGHT),
+            (false, true) => (LASTING_SCATTERED_WEIGHT, LASTING_SCATTERED_WEIGHT),
         };
-        self.weight() >= limit
+        if decides { deciding } else { less.max(least) }
+    }
+
+    /// Whether the crashes under which the task was alone came at about the same time of
+    /// their runs: chance crashes a runner at any.
+    fn crashes_alike(&self) -> bool {
+        self.alone_span.is_some_and(RunSpan::is_narrow)
     }
 
     /// What counts against the task, in tenths of a bit: each loss says the more the shorter
