Ask the store the less often, the more nodes there are

Cause: nodes that the store turned away came again after 150 ms, all of them, with the watch and the whole group; each change of the group woke all nodes, and each asked for the next one at once. 23,000 watches were lost in 20 s, 2,600 reads of the whole group a second kept the store full, and records of living nodes lapsed, which is again a change. A watch that met the limit began anew. Change: the wait after a failed call doubles, up to 150 ms and 8 ms for each node over 40, drawn between 0.6 and 1 of that (0.6 s at most while the group is not known); a renewal waits 0.5 s at most. Between two looks at the group a node waits 2 ms for each node over 40. A watch that is turned away for the limit goes on where it was. A node gives its record that much longer to show. Up to 40 nodes nothing changes but the first waits of a start. Why it holds: what all nodes ask together no longer grows with the square of their number, and whoever is turned away does not come back with the others.

--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -22,12 +22,12 @@
 
 use crate::{
     clock::NodeClock,
-    shared::NodeShared, //
+    shared::{
+        NodeShared,
+        StoreWatch, //
+    }, //
 };
 
-/// Wait after the store could not be followed.
-const RETRY_WAIT: Duration = Duration::from_millis(150);
-
 /// Time between two lines on a prefix that can't be followed, in milliseconds:
 /// lines of some dozen nodes stay few, and an outage of seconds shows.
 const TOLD_MS: Millis = 1_000;
@@ -54,10 +54,22 @@
     /// Pause between two waits for changes, so that changes which come often share
     /// a call.
     pub(crate) pause: Duration,
+    /// Whether each node follows it, and what is written there comes of all nodes.
+    pub(crate) of_group: bool,
     /// Whether to tell up to when what was told is complete.
     pub(crate) confirms: bool,
 }
 
+impl FollowOrder {
+    fn pause_among(&self, store: &StoreWatch) -> Duration {
+        if self.of_group {
+            self.pause.max(store.group_pause())
+        } else {
+            self.pause
+        }
+    }
+}
+
 /// Failures since a prefix could last be followed.
 #[derive(Clone, Copy, Debug)]
 struct FollowLoss {
@@ -80,16 +92,26 @@
     while !events.is_closed() {
         let ended = follow_once(&store, &order, &shared, &events, &mut lost).await;
         if let Err(err) = ended {
-            let now = shared.clock.now();
-            shared.store.note_failure(now);
-            note_loss(&mut lost, &order.prefix, &err, now);
-            tokio::time::sleep(RETRY_WAIT).await;
+            wait_after_loss(&mut lost, &order, &shared, &err).await;
         }
     }
 }
 
-/// Counts a failure; tells of the first, and of those that follow now and then.
-fn note_loss(lost: &mut Option<FollowLoss>, prefix: &str, err: &StoreError, now: Millis) {
+async fn wait_after_loss(
+    lost: &mut Option<FollowLoss>,
+    order: &FollowOrder,
+    shared: &NodeShared,
+    err: &StoreError,
+) {
+    let now = shared.clock.now();
+    shared.store.note_failure(now);
+    let failures = note_loss(lost, &order.prefix, err, now);
+    tokio::time::sleep(shared.store.retry_wait(failures)).await;
+}
+
+/// Counts a failure, and answers with how many there were in a row; tells of the first, and
+/// of those that follow now and then.
+fn note_loss(lost: &mut Option<FollowLoss>, prefix: &str, err: &StoreError, now: Millis) -> u32 {
     let Some(loss) = lost else {
         event!(Warn, "follow_lost", prefix = prefix, error = err);
         *lost = Some(FollowLoss {
@@ -97,26 +119,33 @@
             told: now,
             failures: 1,
         });
-        return;
+        return 1;
     };
     loss.failures = loss.failures.saturating_add(1);
+    let failures = loss.failures;
     if now.saturating_sub(loss.told) < TOLD_MS {
-        return;
+        return failures;
     }
     loss.told = now;
     event!(
         Warn,
         "follow_failing",
         prefix = prefix,
-        failures = loss.failures,
+        failures = failures,
         lost_ms = now.saturating_sub(loss.since),
         error = err
     );
+    failures
 }
 
 /// Tells of the end of the failures, if there were any.
-fn note_regained(lost: &mut Option<FollowLoss>, prefix: &str, values: usize, now: Millis) {
+fn note_regained(lost: &mut Option<FollowLoss>, prefix: &str, change: &WatchEvent, now: Millis) {
     if let Some(loss) = lost.take() {
+        // None where the watch goes on.
+        let values = match change {
+            WatchEvent::All(all) => all.len(),
+            _ => 0,
+        };
         event!(
             Info,
             "follow_regained",
@@ -171,18 +200,21 @@
     let mut awake = AwakeMark::now(&shared.clock);
     let mut watch = store.watch(prefix, StoreRevision::default()).await?;
     while let Some(change) = watch.next().await {
-        let change = change?;
+        let change = match change {
+            Err(err) if watch.goes_on_after(&err) => {
+                wait_after_loss(lost, order, shared, &err).await;
+                continue;
+            }
+            change => change?,
+        };
         shared.store.note_success(shared.clock.now());
+        let change = match change {
+            WatchEvent::Opened => WatchEvent::All(store.read_prefix(prefix).await?),
+            change => change,
+        };
+        note_regained(lost, prefix, &change, shared.clock.now());
         let told = match change {
-            WatchEvent::Opened => {
-                let all = store.read_prefix(prefix).await?;
-                note_regained(lost, prefix, all.len(), shared.clock.now());
-                events.send(FollowEvent::All(all))
-            }
-            WatchEvent::All(all) => {
-                note_regained(lost, prefix, all.len(), shared.clock.now());
-                events.send(FollowEvent::All(all))
-            }
+            WatchEvent::All(all) => events.send(FollowEvent::All(all)),
             WatchEvent::Put(stored) => {
                 if order.confirms {
                     watch.hurry();
@@ -190,7 +222,7 @@
                 events.send(FollowEvent::Put(stored))
             }
             WatchEvent::Delete { key, .. } => events.send(FollowEvent::Gone(key)),
-            WatchEvent::Quiet => Ok(()),
+            WatchEvent::Opened | WatchEvent::Quiet => Ok(()),
         };
         if told.is_err() {
             break;
@@ -205,8 +237,9 @@
             // Whoever listens no more is seen at the next change.
             let _ = events.send(FollowEvent::Complete(at));
         }
-        if !order.pause.is_zero() && watch.is_drained() {
-            tokio::time::sleep(order.pause).await;
+        let pause = order.pause_among(&shared.store);
+        if !pause.is_zero() && watch.is_drained() {
+            tokio::time::sleep(pause).await;
         }
     }
     Ok(())
--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -51,8 +51,8 @@
 /// Time between two renewals.
 const RENEW_TIME: Duration = Duration::from_millis(400);
 
-/// Wait after a renewal that failed.
-const RETRY_WAIT: Duration = Duration::from_millis(150);
+/// Longest wait after a renewal that failed: two more fit into the time that the record has.
+const RETRY_MOST: Duration = Duration::from_millis(500);
 
 /// Renewals in a row without an answer after which a node first makes sure that
 /// it is answered at all. Where only the answers are lost, further renewals would
@@ -377,7 +377,8 @@
     };
     while !shared.is_stopping() {
         let sent = shared.clock.now();
-        if lease.is_some() && !*listed.borrow() && sent >= recorded_at + LISTED_MS {
+        let listed_by = recorded_at + LISTED_MS + shared.store.added_wait();
+        if lease.is_some() && !*listed.borrow() && sent >= listed_by {
             event!(
                 Warn,
                 "member_missing",
@@ -415,7 +416,8 @@
                     );
                 }
                 unanswered += 1;
-                tokio::time::sleep(RETRY_WAIT).await;
+                let wait = shared.store.retry_wait(unanswered).min(RETRY_MOST);
+                tokio::time::sleep(wait).await;
             }
         }
     }
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -88,11 +88,12 @@
     let store = platform.store().clone();
     let codec = platform.codec().clone();
     let watched = shared.clone();
-    let follow = |prefix: String, pause: Duration| {
+    let follow = |prefix: String, pause: Duration, of_group: bool| {
         let (sender, told) = mpsc::unbounded_channel();
         let order = FollowOrder {
             prefix,
             pause,
+            of_group,
             confirms: false,
         };
         let follower = follow_prefix(store.clone(), order, watched.clone(), sender);
@@ -100,7 +101,7 @@
         told
     };
     let mut runners = None;
-    let mut changes = follow(keys.group(), Duration::ZERO);
+    let mut changes = follow(keys.group(), Duration::ZERO, true);
     let (shows, listed) = watch::channel(true);
     let member = keep_member(
         store.clone(),
@@ -134,6 +135,7 @@
             Some(change) = next_change(&mut runners) => control.take_runners(change),
             Some(change) = changes.recv() => {
                 group.take(&control.keys, change, control.shared.clock.now());
+                control.shared.store.note_nodes(group.members.len());
                 shows.send_replace(group.lists(&control.identity));
                 regroup = true;
             }
@@ -148,7 +150,7 @@
         let follows = stands_by || !control.running.is_empty();
         if follows && runners.is_none() {
             event!(Info, "runners_followed", node = control.identity.node);
-            runners = Some(follow(codec.runners_prefix(), RUNNERS_PAUSE));
+            runners = Some(follow(codec.runners_prefix(), RUNNERS_PAUSE, false));
         } else if !follows && runners.take().is_some() {
             event!(Info, "runners_left", node = control.identity.node);
             control.forget_runners();
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -269,6 +269,7 @@
     let order = FollowOrder {
         prefix: context.keys.inbox(&context.pool),
         pause: Duration::ZERO,
+        of_group: false,
         confirms: false,
     };
     let store = context.platform.store().clone();
--- a/crates/hoisthitch-scheduler/src/owner/quota.rs
+++ b/crates/hoisthitch-scheduler/src/owner/quota.rs
@@ -3,7 +3,7 @@
 //! Each limited team has a record of the parts that pools hold of its limit. The owner
 //! changes its pool's parts by compare-and-swap, all that are due in one write. A part that
 //! grows counts once it is written, one that shrinks from before its write on; where the
-//! answer was lost, the lower of the two counts until the record was read again.
+//! answer was lost, the lower of the two counts until the record is written again.
 
 use std::collections::{
     BTreeMap,
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -5,6 +5,7 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicU32,
             AtomicU64,
             Ordering, //
         }, //
@@ -29,11 +30,29 @@
 /// milliseconds: longer than its slowest answers, shorter than a caller waits.
 const STORE_LOST_MS: Millis = 1_800;
 
-/// When calls to the store last succeeded and failed.
+/// Nodes that may ask the store at will; each further one adds to what all of them wait, for
+/// the store answers so many calls a second to all of them together.
+const FREE_NODES: u32 = 40;
+
+/// Wait after the first call of the store that failed; it doubles with each.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
+
+/// What each node beyond those that are free adds to the longest such wait, in milliseconds,
+/// and that wait while the group is not known.
+const RETRY_EACH_MS: Millis = 8;
+const RETRY_UNKNOWN: Duration = Duration::from_millis(600);
+
+/// What each of them adds to the pause between two waits for changes of the group: all
+/// nodes are woken by each change, and their number brings as many more of them.
+const PAUSE_EACH: Duration = Duration::from_millis(2);
+
+/// When calls to the store last succeeded and failed, and how many nodes call it.
 #[derive(Debug, Default)]
 pub struct StoreWatch {
     succeeded: AtomicU64,
     failed: AtomicU64,
+    /// Nodes of the group as last seen; zero while it was not.
+    nodes: AtomicU32,
 }
 
 impl StoreWatch {
@@ -52,6 +71,44 @@
         self.succeeded.load(Ordering::Relaxed) + STORE_LOST_MS > now
     }
 
+    /// Notes how many nodes the group has.
+    pub(crate) fn note_nodes(&self, nodes: usize) {
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        self.nodes.store(nodes, Ordering::Relaxed);
+    }
+
+    /// Nodes beyond those that may ask at will.
+    fn further_nodes(&self) -> u32 {
+        self.nodes
+            .load(Ordering::Relaxed)
+            .saturating_sub(FREE_NODES)
+    }
+
+    /// What the number of nodes adds to the longest wait for the store, in milliseconds.
+    pub(crate) fn added_wait(&self) -> Millis {
+        RETRY_EACH_MS * Millis::from(self.further_nodes())
+    }
+
+    /// Wait after so many calls in a row that failed: nodes that are turned away together
+    /// would otherwise come again together, and be turned away again.
+    pub(crate) fn retry_wait(&self, failures: u32) -> Duration {
+        let most = if self.nodes.load(Ordering::Relaxed) == 0 {
+            RETRY_UNKNOWN
+        } else {
+            RETRY_WAIT + Duration::from_millis(self.added_wait())
+        };
+        let doubled = RETRY_WAIT.saturating_mul(1 << failures.saturating_sub(1).min(8));
+        if most <= RETRY_WAIT || doubled <= RETRY_WAIT {
+            return RETRY_WAIT;
+        }
+        doubled.min(most).mul_f64(rand::random_range(0.6..1.0))
+    }
+
+    /// Pause between two waits for changes of the group.
+    pub(crate) fn group_pause(&self) -> Duration {
+        PAUSE_EACH.saturating_mul(self.further_nodes())
+    }
+
     /// When a call last failed.
     pub fn last_failure(&self) -> Millis {
         self.failed.load(Ordering::Relaxed)
--- a/crates/hoisthitch-scheduler/src/table.rs
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -55,6 +55,7 @@
         let order = FollowOrder {
             prefix: prefix.clone(),
             pause: Duration::ZERO,
+            of_group: false,
             confirms: true,
         };
         let follow = follow_prefix(store.clone(), order, shared.clone(), changes.clone());
--- a/crates/hoisthitch-store/src/error.rs
+++ b/crates/hoisthitch-store/src/error.rs
@@ -68,3 +68,13 @@
         fault: String,
     },
 }
+
+/// HTTP status of a call that is beyond what may be called in a second.
+const TOO_MANY: u16 = 429;
+
+impl StoreError {
+    /// Whether the call was turned away, and nothing was done, for there were too many.
+    pub fn is_over_limit(&self) -> bool {
+        matches!(self, Self::Status { status, .. } if *status == TOO_MANY)
+    }
+}
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -539,4 +539,8 @@
     fn complete_at(&self) -> Option<Instant> {
         Some(self.complete_at)
     }
+
+    fn goes_on_after(&self, err: &StoreError) -> bool {
+        err.is_over_limit()
+    }
 }
