Amounts of room are added and compared in one place

Limits of teams brought sums and comparisons of processors, memory and accelerators with them; runners and the plan had the same by hand, four times. All go by the functions of TaskNeed now, which stands in a file of its own. Behaviour is the same but for sums beyond 64 bits, which stay at the most.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod job;
 mod lives;
 mod losses;
+mod need;
 mod observe;
 mod pace;
 mod place;
@@ -66,6 +67,7 @@
     LostRun,
     RunnerLoss, //
 };
+pub use need::TaskNeed;
 pub use pace::PaceOrder;
 pub use plan::FlushPlan;
 pub use pool::{
@@ -106,8 +108,7 @@
     JobSpec,
     SPEC_LIMIT,
     SpecError,
-    StepSpec,
-    TaskNeed, //
+    StepSpec, //
 };
 pub use suspects::GivenUpTask;
 pub use suspicion::TaskSuspicion;
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -5,6 +5,7 @@
 use crate::{
     Millis,
     job::JobKey,
+    need::TaskNeed,
     pool::PoolState,
     quota::QuotaBudget,
     record::JobProgress,
@@ -13,10 +14,7 @@
         RunnerKey,
         RunnerLife, //
     },
-    spec::{
-        StepSpec,
-        TaskNeed, //
-    },
+    spec::StepSpec,
     task::{
         StartOrder,
         TaskPlace,
@@ -56,11 +54,7 @@
 impl FullNeeds {
     fn rule_out(&self, step: &StepSpec) -> bool {
         let room = step.room();
-        self.needs.iter().any(|full| {
-            full.cpu_milli <= room.cpu_milli
-                && full.memory_mb <= room.memory_mb
-                && full.gpus <= room.gpus
-        })
+        self.needs.iter().any(|full| room.covers(*full))
     }
 }
 
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -22,6 +22,7 @@
         RoundStep,
         RunnerLoss, //
     },
+    need::TaskNeed,
     pace::UNKNOWN_PACE,
     plan::FlushRound,
     record::{
@@ -38,7 +39,6 @@
         RunnerLife, //
     },
     silent::InheritedRuns,
-    spec::TaskNeed,
     suspects::GivenUpTask,
     task::{
         StopOrder,
--- a/crates/hoisthitch-jobs/src/quota.rs
+++ b/crates/hoisthitch-jobs/src/quota.rs
@@ -20,8 +20,8 @@
         JobEntry,
         JobKey, //
     },
+    need::TaskNeed,
     pool::PoolState,
-    spec::TaskNeed,
     task::TaskPlace, //
 };
 
@@ -48,49 +48,6 @@
     parts: BTreeMap<String, TaskNeed>,
 }
 
-impl TaskNeed {
-    fn amounts(self) -> [u64; 3] {
-        [self.cpu_milli, self.memory_mb, self.gpus]
-    }
-
-    fn each(amount: impl Fn(usize) -> u64) -> Self {
-        Self {
-            cpu_milli: amount(0),
-            memory_mb: amount(1),
-            gpus: amount(2),
-        }
-    }
-
-    /// The sum of both, in each amount.
-    pub fn plus(self, other: Self) -> Self {
-        let (one, two) = (self.amounts(), other.amounts());
-        Self::each(|place| one[place].saturating_add(two[place]))
-    }
-
-    fn minus(self, other: Self) -> Self {
-        let (one, two) = (self.amounts(), other.amounts());
-        Self::each(|place| one[place].saturating_sub(two[place]))
-    }
-
-    /// The lesser of both, in each amount.
-    pub fn least(self, other: Self) -> Self {
-        let (one, two) = (self.amounts(), other.amounts());
-        Self::each(|place| one[place].min(two[place]))
-    }
-
-    /// Whether so much is enough for what is asked, where only what has a limit counts.
-    pub fn is_enough(self, limit: Self, asked: Self) -> bool {
-        let has = self.amounts().into_iter().zip(limit.amounts());
-        let mut each = has.zip(asked.amounts());
-        each.all(|((has, limit), asked)| limit == 0 || asked <= has)
-    }
-
-    fn covers(self, other: Self) -> bool {
-        let (one, two) = (self.amounts(), other.amounts());
-        one.into_iter().zip(two).all(|(has, asked)| asked <= has)
-    }
-}
-
 impl QuotaParts {
     /// The part of a pool.
     pub fn part(&self, pool: &str) -> TaskNeed {
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -12,10 +12,8 @@
 
 use crate::{
     Millis,
-    spec::{
-        StepSpec,
-        TaskNeed, //
-    },
+    need::TaskNeed,
+    spec::StepSpec,
     task::TaskRef, //
 };
 
@@ -239,20 +237,12 @@
 
     /// Whether a task of the step fits beside what it runs.
     pub fn fits(&self, step: &StepSpec) -> bool {
-        let capacity = self.facts.capacity;
-        let room = step.room();
-        self.used.cpu_milli + room.cpu_milli <= capacity.cpu_milli
-            && self.used.memory_mb + room.memory_mb <= capacity.memory_mb
-            && self.used.gpus + room.gpus <= capacity.gpus
+        self.facts.capacity.covers(self.used.plus(step.room()))
     }
 
     /// Whether a task of the step would fit if nothing else ran there.
     pub fn could_hold(&self, step: &StepSpec) -> bool {
-        let capacity = self.facts.capacity;
-        let room = step.room();
-        room.cpu_milli <= capacity.cpu_milli
-            && room.memory_mb <= capacity.memory_mb
-            && room.gpus <= capacity.gpus
+        self.facts.capacity.covers(step.room())
     }
 
     /// Share of the processors taken once a task of the step is added.
@@ -270,10 +260,7 @@
     pub fn add(&mut self, task: TaskRef, step: &StepSpec) {
         if self.tasks.insert(task) {
             self.lasting += u32::from(step.lasting);
-            let room = step.room();
-            self.used.cpu_milli += room.cpu_milli;
-            self.used.memory_mb += room.memory_mb;
-            self.used.gpus += room.gpus;
+            self.used = self.used.plus(step.room());
         }
     }
 
@@ -282,10 +269,7 @@
         if self.tasks.remove(&task) {
             self.trial = self.trial.filter(|trial| *trial != task);
             self.lasting = self.lasting.saturating_sub(u32::from(step.lasting));
-            let room = step.room();
-            self.used.cpu_milli = self.used.cpu_milli.saturating_sub(room.cpu_milli);
-            self.used.memory_mb = self.used.memory_mb.saturating_sub(room.memory_mb);
-            self.used.gpus = self.used.gpus.saturating_sub(room.gpus);
+            self.used = self.used.minus(step.room());
         }
     }
 
--- a/crates/hoisthitch-jobs/src/spec.rs
+++ b/crates/hoisthitch-jobs/src/spec.rs
@@ -8,6 +8,8 @@
 };
 use thiserror::Error;
 
+use crate::need::TaskNeed;
+
 /// Longest payload, in bytes; the platform's limit.
 pub const SPEC_LIMIT: usize = 4_000;
 
@@ -38,18 +40,6 @@
     pub repetitions: u32,
 }
 
-/// Room that a task takes on its runner.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default)]
-pub struct TaskNeed {
-    /// Thousandths of a core.
-    pub cpu_milli: u64,
-    /// Memory, in MB.
-    pub memory_mb: u64,
-    /// Accelerators.
-    pub gpus: u64,
-}
-
 /// Tasks that are alike.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
