Count teams' work once a plan, and clone no names for it

A plan counted what teams have running up to twice (limits, shares), cloned the name of each team for it and again for each job that was planned, and added up the gangs of jobs whose team has no limit. It is counted once, by borrowed names; a budget gives a key for a team; jobs without a limit are not added up. Behaviour is the same; the time was not measured.

--- a/crates/hoisthitch-jobs/src/fair.rs
+++ b/crates/hoisthitch-jobs/src/fair.rs
@@ -10,7 +10,10 @@
     HashSet, //
 };
 
-use crate::pool::PoolState;
+use crate::{
+    pool::PoolState,
+    quota::TeamUse, //
+};
 
 /// What a team may have beyond its share before it waits, in hundredths: jobs come in sizes
 /// of a tenth of a pool.
@@ -22,12 +25,14 @@
         self.weights = weights;
     }
 
-    /// Teams that have more of the pool than their share.
-    pub(crate) fn teams_beyond_share(&self) -> HashSet<String> {
-        if self.weights.is_empty() {
+    /// Teams that have more of a full pool than their share.
+    pub(crate) fn teams_beyond_share<'a>(
+        &self,
+        uses: &HashMap<&'a str, TeamUse>,
+    ) -> HashSet<&'a str> {
+        if self.weights.is_empty() || !self.was_full {
             return HashSet::new();
         }
-        let uses = self.team_uses();
         let weight = |team: &str| self.weights.get(team).copied().unwrap_or(1.0);
         let all_weights: f64 = uses.keys().map(|team| weight(team)).sum();
         let all_used: u64 = uses.values().map(|found| found.used.cpu_milli).sum();
@@ -35,7 +40,7 @@
             let share = weight(team) * SLACK_PERCENT / 100.0 / all_weights;
             as_f64(found.used.cpu_milli) > as_f64(all_used) * share
         });
-        beyond.map(|(team, _)| team.clone()).collect()
+        beyond.map(|(team, _)| *team).collect()
     }
 }
 
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -7,7 +7,11 @@
     job::JobKey,
     need::TaskNeed,
     pool::PoolState,
-    quota::QuotaBudget,
+    quota::{
+        QuotaBudget,
+        gangs_planned,
+        gangs_waiting, //
+    },
     record::JobProgress,
     runner::{
         RunnerEntry,
@@ -98,9 +102,11 @@
         self.plan_needed = false;
         let mut planned = 0;
         let mut full = FullNeeds::default();
-        let mut budget = self.quota_budget();
+        let uses = self.uses_for_plan();
+        let mut budget = self.quota_budget(&uses);
+        let order = self.plan_order(&uses, now);
         self.held_back.clear();
-        for key in self.plan_order(now) {
+        for key in order {
             planned += self.plan_job(key, &mut full, &mut budget, now);
         }
         self.was_full = !full.needs.is_empty();
@@ -117,7 +123,8 @@
         let Some(job) = self.jobs.get(key) else {
             return 0;
         };
-        let team = job.team.clone();
+        let team = budget.find(&job.team);
+        let allows_gangs = !team.is_limited() || budget.allows(team, gangs_waiting(job));
         let ready: Vec<TaskRef> = job
             .tasks
             .iter()
@@ -126,9 +133,11 @@
             .map(|(slot, _)| TaskRef { job: key, slot })
             .collect();
         let mut planned = 0;
-        if self.allows_gangs(key, budget) {
+        if allows_gangs {
             planned += self.plan_gangs(key, now);
-            self.take_gangs(key, budget);
+            if let Some(job) = self.jobs.get(key).filter(|_| team.is_limited()) {
+                budget.take(team, gangs_planned(job));
+            }
         }
         let mut full_step = None;
         for task in ready {
@@ -137,13 +146,13 @@
                 continue;
             }
             let need = self.need_of(task);
-            if !budget.allows(&team, need) {
-                *self.held_back.entry(team.clone()).or_insert(0) += 1;
+            if !budget.allows(team, need) {
+                self.hold_back(key);
                 continue;
             }
             if self.is_on_trial(task, now) {
                 if self.plan_trial(task, now) {
-                    budget.take(&team, need);
+                    budget.take(team, need);
                     planned += 1;
                 }
                 continue;
@@ -154,7 +163,7 @@
                 continue;
             };
             self.plan_task(task, runner, now);
-            budget.take(&team, need);
+            budget.take(team, need);
             planned += 1;
         }
         planned
--- a/crates/hoisthitch-jobs/src/quota.rs
+++ b/crates/hoisthitch-jobs/src/quota.rs
@@ -120,18 +120,36 @@
 /// What teams may have started yet, while a plan is made.
 #[derive(Default)]
 pub(crate) struct QuotaBudget {
-    left: HashMap<String, TaskNeed>,
+    places: HashMap<String, usize>,
+    left: Vec<TaskNeed>,
+}
+
+/// A team in a budget; none has no limit.
+#[derive(Clone, Copy)]
+pub(crate) struct BudgetKey(Option<usize>);
+
+impl BudgetKey {
+    /// Whether the team has a limit.
+    pub(crate) fn is_limited(self) -> bool {
+        self.0.is_some()
+    }
 }
 
 impl QuotaBudget {
+    /// The key of a team.
+    pub(crate) fn find(&self, team: &str) -> BudgetKey {
+        BudgetKey(self.places.get(team).copied())
+    }
+
     /// Whether a job's team may start so much more.
-    pub(crate) fn allows(&self, team: &str, need: TaskNeed) -> bool {
-        self.left.get(team).is_none_or(|left| left.covers(need))
+    pub(crate) fn allows(&self, team: BudgetKey, need: TaskNeed) -> bool {
+        let left = team.0.and_then(|place| self.left.get(place));
+        left.is_none_or(|left| left.covers(need))
     }
 
     /// Takes in that it was started.
-    pub(crate) fn take(&mut self, team: &str, need: TaskNeed) {
-        if let Some(left) = self.left.get_mut(team) {
+    pub(crate) fn take(&mut self, team: BudgetKey, need: TaskNeed) {
+        if let Some(left) = team.0.and_then(|place| self.left.get_mut(place)) {
             *left = left.minus(need);
         }
     }
@@ -150,11 +168,11 @@
     }
 
     /// What the pool has of each team's work.
-    pub fn team_uses(&self) -> HashMap<String, TeamUse> {
-        let mut uses: HashMap<String, TeamUse> = HashMap::new();
+    pub fn team_uses(&self) -> HashMap<&str, TeamUse> {
+        let mut uses: HashMap<&str, TeamUse> = HashMap::new();
         let active = self.active.iter().filter_map(|key| self.jobs.get(*key));
         for job in active.filter(|job| !job.team.is_empty()) {
-            let found = uses.entry(job.team.clone()).or_default();
+            let found = uses.entry(&job.team).or_default();
             for (slot, task) in job.tasks.iter().enumerate() {
                 let need = || job.step_of(slot).map(|step| step.need).unwrap_or_default();
                 match task.place {
@@ -173,41 +191,43 @@
         &self.held_back
     }
 
-    /// What teams may have started by now.
-    pub(crate) fn quota_budget(&self) -> QuotaBudget {
-        if self.allowances.is_empty() {
-            return QuotaBudget::default();
-        }
-        let uses = self.team_uses();
-        let left = self.allowances.iter().map(|(team, allowed)| {
-            let used = uses.get(team).map(|found| found.used).unwrap_or_default();
-            (team.clone(), allowed.minus(used))
-        });
-        QuotaBudget {
-            left: left.collect(),
+    /// What a plan has to know of teams' work: nothing where neither limits nor shares
+    /// are to be looked at.
+    pub(crate) fn uses_for_plan(&self) -> HashMap<&str, TeamUse> {
+        if self.allowances.is_empty() && !self.was_full {
+            return HashMap::new();
         }
+        self.team_uses()
     }
 
-    /// Whether a job's gangs may start under its team's limit.
-    pub(crate) fn allows_gangs(&self, key: JobKey, budget: &QuotaBudget) -> bool {
-        self.jobs
-            .get(key)
-            .is_none_or(|job| budget.allows(&job.team, gangs_waiting(job)))
+    /// What teams may have started by now, besides what they have.
+    pub(crate) fn quota_budget(&self, uses: &HashMap<&str, TeamUse>) -> QuotaBudget {
+        let mut budget = QuotaBudget::default();
+        for (team, allowed) in &self.allowances {
+            let found = uses.get(team.as_str()).copied().unwrap_or_default();
+            budget.places.insert(team.clone(), budget.left.len());
+            budget.left.push(allowed.minus(found.used));
+        }
+        budget
     }
 
-    /// Takes in that gangs of a job were placed.
-    pub(crate) fn take_gangs(&self, key: JobKey, budget: &mut QuotaBudget) {
-        if let Some(job) = self.jobs.get(key) {
-            budget.take(&job.team, gangs_planned(job));
-        }
+    /// Notes that a limit held a task back.
+    pub(crate) fn hold_back(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let held = self.held_back.entry(job.team.clone()).or_default();
+        *held += 1;
     }
 }
 
-fn gangs_waiting(job: &JobEntry) -> TaskNeed {
+/// What a job's gangs would take that wait.
+pub(crate) fn gangs_waiting(job: &JobEntry) -> TaskNeed {
     gang_needs(job, |place| *place == TaskPlace::Waiting)
 }
 
-fn gangs_planned(job: &JobEntry) -> TaskNeed {
+/// What a job's gangs take that are placed and not ordered yet.
+pub(crate) fn gangs_planned(job: &JobEntry) -> TaskNeed {
     gang_needs(job, |place| matches!(place, TaskPlace::Planned(_)))
 }
 
--- a/crates/hoisthitch-jobs/src/rank.rs
+++ b/crates/hoisthitch-jobs/src/rank.rs
@@ -14,7 +14,7 @@
 
 use std::collections::{
     BTreeSet,
-    HashSet, //
+    HashMap, //
 };
 
 use crate::{
@@ -23,7 +23,8 @@
         JobEntry,
         JobKey, //
     },
-    pool::PoolState, //
+    pool::PoolState,
+    quota::TeamUse, //
 };
 
 /// Time of a job beside its tasks', in milliseconds: records, orders, reports
@@ -53,7 +54,7 @@
 
 impl PoolState {
     /// Jobs with work, the one to serve first in front.
-    pub(crate) fn plan_order(&self, now: Millis) -> Vec<JobKey> {
+    pub(crate) fn plan_order(&self, uses: &HashMap<&str, TeamUse>, now: Millis) -> Vec<JobKey> {
         let jobs: Vec<(JobKey, &JobEntry, Millis)> = self
             .active
             .iter()
@@ -66,16 +67,12 @@
             lately && !job.spec.lasts() && !job.has_begun()
         });
         let overloaded: BTreeSet<u32> = missed.map(|(_, job, _)| job.policy.priority).collect();
-        let beyond = if self.was_full {
-            self.teams_beyond_share()
-        } else {
-            HashSet::new()
-        };
+        let beyond = self.teams_beyond_share(uses);
         let mut order: Vec<(JobRank, JobKey)> = jobs
             .iter()
             .map(|(key, job, start)| {
                 let overload = overloaded.contains(&job.policy.priority);
-                let beyond = beyond.contains(&job.team);
+                let beyond = beyond.contains(job.team.as_str());
                 (rank(job, *start, overload, beyond, now), *key)
             })
             .collect();
--- a/crates/hoisthitch-scheduler/src/owner/quota.rs
+++ b/crates/hoisthitch-scheduler/src/owner/quota.rs
@@ -89,7 +89,7 @@
         &mut self,
         pool: &str,
         teams: &TeamTable,
-        uses: &HashMap<String, TeamUse>,
+        uses: &HashMap<&str, TeamUse>,
     ) -> BTreeMap<String, QuotaParts> {
         let mut changes = BTreeMap::new();
         self.short = false;
