Read the team in a quota's key, and whether it has a limit, in one place

The desk and the owner each cut the prefix off the key, and two places of the owner asked for a limit in their own words. Keys of members and owners have such a function already. Behaviour is the same.

--- a/crates/hoisthitch-scheduler/src/desk.rs
+++ b/crates/hoisthitch-scheduler/src/desk.rs
@@ -316,7 +316,7 @@
         let prefix = self.keys.all_quotas();
         let values = self.store.read_prefix(&prefix).await?;
         let parts = values.iter().filter_map(|value| {
-            let team = value.key.strip_prefix(prefix.as_str())?.to_owned();
+            let team = self.keys.quota_of(&value.key)?.to_owned();
             let read = serde_json::from_slice(&value.value);
             Some(read.map(|parts| (team, parts)))
         });
--- a/crates/hoisthitch-scheduler/src/keys.rs
+++ b/crates/hoisthitch-scheduler/src/keys.rs
@@ -101,6 +101,12 @@
         format!("{}/quota/{team}", self.root)
     }
 
+    /// Name of the team in the key of its parts.
+    pub fn quota_of<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.root.as_str())?
+            .strip_prefix("/quota/")
+    }
+
     /// State of a wave.
     pub fn wave(&self, wave: u64) -> String {
         format!("{}/wave/{wave}", self.root)
--- a/crates/hoisthitch-scheduler/src/owner/quota.rs
+++ b/crates/hoisthitch-scheduler/src/owner/quota.rs
@@ -13,7 +13,6 @@
 use hoisthitch_jobs::{
     Millis,
     QuotaParts,
-    TaskNeed,
     TeamUse, //
 };
 use hoisthitch_store::{
@@ -143,7 +142,7 @@
 
 fn limited(teams: &TeamTable) -> impl Iterator<Item = &TeamPolicy> {
     let teams = teams.teams().iter();
-    teams.filter(|team| team.limit != TaskNeed::default())
+    teams.filter(|team| team.has_limit())
 }
 
 impl<P: Platform> PoolOwner<P> {
@@ -263,10 +262,10 @@
     }
 
     fn take_all(&mut self, values: &[StoredValue]) {
-        let prefix = self.context.keys.all_quotas();
+        let keys = &self.context.keys;
         let by_team: HashMap<&str, &StoredValue> = values
             .iter()
-            .filter_map(|value| Some((value.key.strip_prefix(prefix.as_str())?, value)))
+            .filter_map(|value| Some((keys.quota_of(&value.key)?, value)))
             .collect();
         let known: Vec<String> = self.quotas.records.keys().cloned().collect();
         for team in known {
@@ -277,10 +276,7 @@
 
     /// Limits the teams of a configuration, and no others.
     fn put_in_force(&mut self, teams: &TeamTable) {
-        let is_limited = |name: &str| {
-            let team = teams.find(name);
-            team.is_some_and(|team| team.limit != TaskNeed::default())
-        };
+        let is_limited = |name: &str| teams.find(name).is_some_and(TeamPolicy::has_limit);
         self.quotas.records.retain(|team, _| is_limited(team));
         for team in limited(teams) {
             self.quotas
--- a/crates/hoisthitch-scheduler/src/teams.rs
+++ b/crates/hoisthitch-scheduler/src/teams.rs
@@ -75,6 +75,13 @@
     pub keys: usize,
 }
 
+impl TeamPolicy {
+    /// Whether any amount of what it may have running is limited.
+    pub(crate) fn has_limit(&self) -> bool {
+        self.limit != TaskNeed::default()
+    }
+}
+
 /// A team and its keys, before they are checked.
 #[derive(Clone, Debug)]
 pub struct TeamEntry {
