A follower's pause is one type

A length and a flag beside it said how long to wait between two looks; the flag was only set where the length was zero. One of three kinds says it now. Behaviour is the same.

--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -51,21 +51,29 @@
 pub(crate) struct FollowOrder {
     /// Start of the keys.
     pub(crate) prefix: String,
-    /// Pause between two waits for changes, so that changes which come often share
-    /// a call.
-    pub(crate) pause: Duration,
-    /// Whether each node follows it, and what is written there comes of all nodes.
-    pub(crate) of_group: bool,
+    /// Pause between two waits for changes.
+    pub(crate) pause: FollowPause,
     /// Whether to tell up to when what was told is complete.
     pub(crate) confirms: bool,
 }
 
-impl FollowOrder {
-    fn pause_among(&self, store: &StoreWatch) -> Duration {
-        if self.of_group {
-            self.pause.max(store.group_pause())
-        } else {
-            self.pause
+/// Pause between two waits for changes, so that changes which come often share a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum FollowPause {
+    /// None: each change counts at once.
+    None,
+    /// So long.
+    Fixed(Duration),
+    /// The longer, the more nodes there are: each of them follows, and writes there.
+    ByNodes,
+}
+
+impl FollowPause {
+    fn length(self, store: &StoreWatch) -> Duration {
+        match self {
+            Self::None => Duration::ZERO,
+            Self::Fixed(length) => length,
+            Self::ByNodes => store.group_pause(),
         }
     }
 }
@@ -237,7 +245,7 @@
             // Whoever listens no more is seen at the next change.
             let _ = events.send(FollowEvent::Complete(at));
         }
-        let pause = order.pause_among(&shared.store);
+        let pause = order.pause.length(&shared.store);
         if !pause.is_zero() && watch.is_drained() {
             tokio::time::sleep(pause).await;
         }
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -26,6 +26,7 @@
     follow::{
         FollowEvent,
         FollowOrder,
+        FollowPause,
         follow_prefix, //
     },
     group::{
@@ -88,12 +89,11 @@
     let store = platform.store().clone();
     let codec = platform.codec().clone();
     let watched = shared.clone();
-    let follow = |prefix: String, pause: Duration, of_group: bool| {
+    let follow = |prefix: String, pause: FollowPause| {
         let (sender, told) = mpsc::unbounded_channel();
         let order = FollowOrder {
             prefix,
             pause,
-            of_group,
             confirms: false,
         };
         let follower = follow_prefix(store.clone(), order, watched.clone(), sender);
@@ -101,7 +101,7 @@
         told
     };
     let mut runners = None;
-    let mut changes = follow(keys.group(), Duration::ZERO, true);
+    let mut changes = follow(keys.group(), FollowPause::ByNodes);
     let (shows, listed) = watch::channel(true);
     let member = keep_member(
         store.clone(),
@@ -150,7 +150,10 @@
         let follows = stands_by || !control.running.is_empty();
         if follows && runners.is_none() {
             event!(Info, "runners_followed", node = control.identity.node);
-            runners = Some(follow(codec.runners_prefix(), RUNNERS_PAUSE, false));
+            runners = Some(follow(
+                codec.runners_prefix(),
+                FollowPause::Fixed(RUNNERS_PAUSE),
+            ));
         } else if !follows && runners.take().is_some() {
             event!(Info, "runners_left", node = control.identity.node);
             control.forget_runners();
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -71,6 +71,7 @@
     follow::{
         FollowEvent,
         FollowOrder,
+        FollowPause,
         follow_prefix, //
     },
     identity::NodeIdentity,
@@ -268,8 +269,7 @@
     let (sender, inbox) = mpsc::unbounded_channel();
     let order = FollowOrder {
         prefix: context.keys.inbox(&context.pool),
-        pause: Duration::ZERO,
-        of_group: false,
+        pause: FollowPause::None,
         confirms: false,
     };
     let store = context.platform.store().clone();
--- a/crates/hoisthitch-scheduler/src/table.rs
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -6,8 +6,7 @@
 
 use std::{
     rc::Rc,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use hoisthitch_store::{
@@ -29,6 +28,7 @@
     follow::{
         FollowEvent,
         FollowOrder,
+        FollowPause,
         follow_prefix, //
     },
     platform::{
@@ -54,8 +54,7 @@
     loop {
         let order = FollowOrder {
             prefix: prefix.clone(),
-            pause: Duration::ZERO,
-            of_group: false,
+            pause: FollowPause::None,
             confirms: true,
         };
         let follow = follow_prefix(store.clone(), order, shared.clone(), changes.clone());
