--- a/crates/hoisthitch-jobs/tests/decisions/fair.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/fair.rs
@@ -10,32 +10,21 @@
     Result,
     ensure, //
 };
-use hoisthitch_core::hash_name;
-use hoisthitch_jobs::{
-    EndKind,
-    JobPhase,
-    PoolState,
-    StartOrder, //
-};
 use hoisthitch_tests::cases;
 
 use crate::{
-    end_all,
-    new_job,
+    load::{
+        ComingJob,
+        LOOK_MS,
+        START_MS,
+        hand_in,
+        in_time,
+        play_jobs, //
+    },
     pool_of,
-    start_all,
-    step, //
+    start_all, //
 };
 
-/// Mean time of a task, in milliseconds; they vary by half of it.
-const TASK_MS: u64 = 500;
-
-/// Time between two looks, in milliseconds.
-const LOOK_MS: u64 = 25;
-
-/// Objective of the jobs of two steps: the aim, and the stretch of the longest chain.
-const OBJECTIVE_MS: u64 = 600 + 2 * 2 * TASK_MS;
-
 /// Time in which jobs come, and teams beside the one, each with a job a second.
 const DAY_MS: u64 = 8_000;
 const OTHERS: u64 = 9;
@@ -49,13 +38,6 @@
     share_that_others_leave_is_used => uses_what_is_left();
 }
 
-/// A job that comes at a time.
-struct ComingJob {
-    id: String,
-    team: String,
-    at: u64,
-}
-
 fn coming(gap_ms: u64) -> Vec<ComingJob> {
     let mut jobs = Vec::new();
     for at in (0..DAY_MS).step_by(usize::try_from(gap_ms).unwrap_or(1)) {
@@ -88,31 +70,7 @@
         state.set_weights(weights);
     }
     let jobs = coming(gap_ms);
-    let mut times: HashMap<String, u64> = HashMap::new();
-    let mut running: Vec<(u64, StartOrder)> = Vec::new();
-    for look in 0..4 * DAY_MS / LOOK_MS {
-        let now = 1_000 + look * LOOK_MS;
-        let (ended, going): (Vec<_>, Vec<_>) =
-            running.drain(..).partition(|(until, _)| *until <= now);
-        running = going;
-        let ended: Vec<StartOrder> = ended.into_iter().map(|(_, order)| order).collect();
-        end_all(&mut state, &ended, EndKind::Done, now);
-        for job in jobs.iter().filter(|job| job.at == look * LOOK_MS) {
-            hand_in(&mut state, job, now);
-        }
-        for job in &jobs {
-            let found = state.job(&job.id);
-            if found.is_some_and(|found| found.phase == JobPhase::Completed) {
-                let took = now - 1_000 - job.at;
-                times.entry(job.id.clone()).or_insert(took);
-            }
-        }
-        let orders = start_all(&mut state, now);
-        let timed = orders
-            .into_iter()
-            .map(|order| (now + time_of(&order), order));
-        running.extend(timed);
-    }
+    let times = play_jobs(&mut state, &jobs, 4 * DAY_MS / LOOK_MS);
     let of = |flood: bool| {
         let some = jobs.iter().filter(|job| (job.team == "flood") == flood);
         let mut times: Vec<u64> = some.filter_map(|job| times.get(&job.id).copied()).collect();
@@ -122,29 +80,6 @@
     (of(true), of(false))
 }
 
-fn hand_in(state: &mut PoolState, coming: &ComingJob, now: u64) {
-    let mut steps = vec![step(4), step(4)];
-    steps[1].after = vec![0];
-    for step in &mut steps {
-        step.need.cpu_milli = 4_000;
-    }
-    let mut job = new_job(&coming.id, steps);
-    job.accepted_at = now;
-    job.submission.team.clone_from(&coming.team);
-    job.submission.policy.aim_ms = 600;
-    job.submission.policy.stretch = 2.0;
-    state.add_job(job, now);
-}
-
-fn time_of(order: &StartOrder) -> u64 {
-    let name = hash_name(&order.name.to_string());
-    TASK_MS / 2 + name % (TASK_MS + 1)
-}
-
-fn in_time(times: &[u64]) -> usize {
-    times.iter().filter(|took| **took <= OBJECTIVE_MS).count()
-}
-
 fn tell(what: &str, times: &[u64]) {
     let at = |part: usize| times.get(times.len() * part / 100).copied();
     println!(
@@ -186,9 +121,9 @@
             team: "flood".to_owned(),
             at: 0,
         };
-        hand_in(&mut state, &job, 1_000);
+        hand_in(&mut state, &job, START_MS);
     }
-    let started = start_all(&mut state, 1_000).len();
+    let started = start_all(&mut state, START_MS).len();
     ensure!(started == 4, "{started} tasks of four cores on sixteen");
     Ok(())
 }
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod demand;
 mod fair;
 mod lives;
+mod load;
 mod order;
 mod outcomes;
 mod packing;
