Admit each copy of a start anew, by what holds when it is sent

Cause: a start without an answer was sent again after each hold that did not show its run, with a new time of decision, and nothing was asked but that it was absent; only the first order asked whether its runner stays. Class: decided once, checked once, carried out later. So one place admits the first order and each repeat: the runner leaves, is off the list or is emptied, its room has shrunk, the ticket is over, the team's limit was lowered, the task has become a suspect. What may run is stopped before it is planned anew; lasting tasks only where their step can miss them, for the stop ends one that has come to work meanwhile. Until then one waits off the list, and is sent to a VM that is emptied, which goes down only when the step allows.

Ruled out: the owner's list was not old (it listed the runner 0.3 s after the acknowledgement); the order was not under way (answered in 1 to 7 ms).

Thirteen decisions, of which 10 fail with repeats admitted as before. Jobs' and scheduler's decisions, contracts and ownership: all pass.

--- a/crates/hoisthitch-jobs/src/advice.rs
+++ b/crates/hoisthitch-jobs/src/advice.rs
@@ -146,8 +146,13 @@
         }
     }
 
-    /// Whether the runner may run the task's step.
+    /// Whether the runner may run the task's step for long enough to plan its start.
     pub(crate) fn is_advised(&self, task: TaskRef, runner: &RunnerEntry, now: Millis) -> bool {
+        self.has_leave(task, runner, now + TICKET_SLACK_MS)
+    }
+
+    /// Whether the runner may run the task's step at that time.
+    pub(crate) fn has_leave(&self, task: TaskRef, runner: &RunnerEntry, at: Millis) -> bool {
         let Some(job) = self.jobs.get(task.job) else {
             return false;
         };
@@ -155,7 +160,7 @@
             return true;
         }
         let ticket = self.find_ticket(task, &runner.facts.name);
-        ticket.is_some_and(|(_, until)| *until > now + TICKET_SLACK_MS)
+        ticket.is_some_and(|(_, until)| *until > at)
     }
 
     /// The ticket for a task on a runner.
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -7,6 +7,7 @@
 //! the owner's steady clock.
 
 mod account;
+mod admission;
 mod advice;
 mod arrivals;
 mod balance;
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Millis,
+    admission::StartAdmission,
     job::JobKey,
     pool::PoolState,
     record::JobPhase,
@@ -351,8 +352,8 @@
         self.give_up(now);
     }
 
-    /// Looks at tasks that should be on the runner and are not: starts that
-    /// got no answer are sent again, with the same run, which is safe.
+    /// Looks at tasks that should be on the runner and are not: starts that got no answer are
+    /// sent again, with the same run, while they may be.
     fn take_absent(
         &mut self,
         key: RunnerKey,
@@ -376,10 +377,7 @@
             };
             match entry.place {
                 TaskPlace::Ordered(_) if entry.unclear && entry.ordered_at < asked_at => {
-                    again.extend(self.copy_start(task, key));
-                    if let Some(entry) = self.task_mut(task) {
-                        entry.unclear = false;
-                    }
+                    again.extend(self.repeat_start(task, key, now));
                 }
                 TaskPlace::Running(_) if entry.ordered_at < asked_at => {
                     self.set_place(task, TaskPlace::Waiting, now);
@@ -398,6 +396,25 @@
         again
     }
 
+    /// The start of a task again, of which no copy was answered and whose run its runner does
+    /// not have, where it may be sent.
+    fn repeat_start(&mut self, task: TaskRef, key: RunnerKey, now: Millis) -> Option<StartOrder> {
+        match self.admit_start(task, key, now) {
+            StartAdmission::Send => {
+                if let Some(entry) = self.task_mut(task) {
+                    entry.unclear = false;
+                }
+                self.copy_start(task, key)
+            }
+            StartAdmission::Wait => None,
+            StartAdmission::Withdraw => {
+                self.stop_task(task, now);
+                self.break_gang(task, now);
+                None
+            }
+        }
+    }
+
     /// Takes in that a runner answered a stop: the run does not begin any more.
     pub fn take_stop(&mut self, order: &StopOrder, now: Millis) {
         let task = self.locate(&order.name.to_string());
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Millis,
+    admission::StartAdmission,
     job::JobKey,
     need::TaskNeed,
     pool::PoolState,
@@ -14,7 +15,6 @@
     },
     record::JobProgress,
     runner::{
-        RunnerEntry,
         RunnerKey,
         RunnerLife, //
     },
@@ -322,20 +322,16 @@
             if entry.run != *run {
                 continue;
             }
-            let stays = self
-                .runners
-                .get(runner)
-                .is_some_and(RunnerEntry::is_staying);
-            if !stays {
+            if let Some(entry) = self.task_mut(*task) {
+                entry.decided_at = now;
+                entry.copies = 0;
+            }
+            if self.admit_start(*task, runner, now) != StartAdmission::Send {
                 self.set_place(*task, TaskPlace::Waiting, now);
                 self.break_gang(*task, now);
                 continue;
             }
             self.set_place(*task, TaskPlace::Ordered(runner), now);
-            if let Some(entry) = self.task_mut(*task) {
-                entry.decided_at = now;
-                entry.copies = 0;
-            }
             orders.extend(self.copy_start(*task, runner));
         }
         self.drop_settled();
--- a/crates/hoisthitch-jobs/src/upkeep.rs
+++ b/crates/hoisthitch-jobs/src/upkeep.rs
@@ -111,7 +111,7 @@
     /// Whether these tasks may be ended together, beside those that are away.
     /// Each of them counts, for it may have come to work since its runner last
     /// told.
-    fn may_end(&self, tasks: &[TaskRef]) -> bool {
+    pub(crate) fn may_end(&self, tasks: &[TaskRef]) -> bool {
         let mut ending: HashMap<(JobKey, u32, u32), HashSet<usize>> = HashMap::new();
         for task in tasks {
             let Some(entry) = self.task(*task) else {
--- /dev/null
+++ b/crates/hoisthitch-jobs/tests/decisions/admission.rs
@@ -0,0 +1,196 @@
+//! Starts that were decided on and may not be sent any more when their turn comes, or
+//! when they are to be sent again.
+
+use eyre::{
+    OptionExt,
+    Result,
+    ensure, //
+};
+use hoisthitch_jobs::{
+    AdviceTicket,
+    HoldReport,
+    NewJob,
+    PoolState,
+    RunnerFacts,
+    RunnerKey,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+    StepSpec,
+    TaskNeed, //
+};
+use hoisthitch_tests::cases;
+
+use crate::{
+    decide,
+    new_job,
+    pool_of,
+    step, //
+};
+
+cases! {
+    repeat_is_stopped_on_a_runner_that_leaves => repeat(Change::Drains);
+    repeat_is_stopped_on_a_runner_off_the_list => repeat(Change::Unlisted);
+    repeat_is_stopped_on_a_runner_that_is_emptied => repeat(Change::Emptied);
+    repeat_is_stopped_where_the_room_has_shrunk => repeat(Change::Shrinks);
+    repeat_is_stopped_once_its_ticket_is_over => repeat(Change::TicketEnds);
+    repeat_is_stopped_once_its_team_is_over_its_limit => repeat(Change::LimitLowered);
+    repeat_that_may_be_sent_is_sent => repeat(Change::None);
+    first_order_is_not_sent_to_a_runner_that_leaves => first(Change::Drains);
+    first_order_is_not_sent_into_room_that_has_shrunk => first(Change::Shrinks);
+    first_order_is_not_sent_without_a_ticket => first(Change::TicketEnds);
+    lasting_repeat_waits_off_the_list_while_others_are_away => lasting(Change::Unlisted, false);
+    lasting_repeat_is_sent_to_an_emptied_runner_while_others_are_away => lasting(Change::Emptied, true);
+    lasting_repeat_is_stopped_on_a_leaving_runner => lasting_drains();
+}
+
+/// What changes between the decision on a start and its sending.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Change {
+    None,
+    Drains,
+    Unlisted,
+    Emptied,
+    Shrinks,
+    TicketEnds,
+    LimitLowered,
+}
+
+/// When the ticket of the tests is over.
+const TICKET_END: u64 = 1_990;
+
+fn change(state: &mut PoolState, key: RunnerKey, change: Change) -> Result<()> {
+    let runner = state.runner(key).ok_or_eyre("no runner")?;
+    let facts = runner.facts.clone();
+    match change {
+        Change::None | Change::TicketEnds => {}
+        Change::Drains => {
+            let draining = true;
+            state.set_runner(RunnerFacts { draining, ..facts }, 1_500);
+        }
+        Change::Unlisted => state.retire_runner(key),
+        Change::Emptied => state.set_leaving(key, true),
+        Change::Shrinks => {
+            let capacity = TaskNeed {
+                cpu_milli: 500,
+                ..facts.capacity
+            };
+            state.set_runner(RunnerFacts { capacity, ..facts }, 1_500);
+        }
+        Change::LimitLowered => state.set_allowance("choir", TaskNeed::default()),
+    }
+    Ok(())
+}
+
+/// A job of one task, of a team with a limit, on a queue with an adviser.
+fn advised_job() -> NewJob {
+    let mut new = new_job("a", vec![step(1)]);
+    new.submission.policy.advised = true;
+    new.submission.team = "choir".to_owned();
+    new
+}
+
+fn advise(state: &mut PoolState, until: u64) -> Result<()> {
+    let ask = state.ask_advice(1_000).ok_or_eyre("no question")?;
+    let ticket = AdviceTicket {
+        runner: "i-0".to_owned(),
+        ticket: "t".to_owned(),
+    };
+    state.take_advice(ask.task, vec![ticket], until);
+    Ok(())
+}
+
+/// A pool of one runner, in which the job waits with a ticket.
+fn advised_pool(ends: bool) -> Result<PoolState> {
+    let mut state = pool_of(1, 8);
+    let plenty = TaskNeed {
+        cpu_milli: 64_000,
+        memory_mb: 64_000,
+        gpus: 8,
+    };
+    state.set_allowance("choir", plenty);
+    state.add_job(advised_job(), 1_000);
+    state.begin_rounds(1_000, 0);
+    advise(&mut state, if ends { TICKET_END } else { 9_000 })?;
+    Ok(state)
+}
+
+/// A start gets no answer, something changes, and a hold does not show its run.
+async fn repeat(what: Change) -> Result<()> {
+    let mut state = advised_pool(what == Change::TicketEnds)?;
+    let order = decide(&mut state, 1_000).pop().ok_or_eyre("no order")?;
+    state.take_start(&order, StartOutcome::Unclear, 1_400);
+    change(&mut state, order.runner, what)?;
+    let again = state.take_hold(order.runner, &HoldReport::default(), 1_950, 2_000);
+    let stops = state.take_stops();
+    if what == Change::None {
+        ensure!(again.len() == 1 && stops.is_empty(), "{again:?}, {stops:?}");
+        ensure!(again[0].copy == 2, "{again:?}");
+    } else {
+        ensure!(again.is_empty() && stops.len() == 1, "{again:?}, {stops:?}");
+    }
+    Ok(())
+}
+
+/// Something changes while the record of a start is written.
+async fn first(what: Change) -> Result<()> {
+    let mut state = advised_pool(what == Change::TicketEnds)?;
+    state.plan(1_000);
+    let plan = state.begin_flush(100);
+    let key = state.runner_key("i-0").ok_or_eyre("no runner")?;
+    change(&mut state, key, what)?;
+    let orders = state.finish_flush(&plan, 2_000);
+    ensure!(orders.is_empty(), "{orders:?}");
+    ensure!(state.take_stops().is_empty(), "nothing was sent");
+    Ok(())
+}
+
+/// A pool in which a step that may miss one task has one that is away, and another whose
+/// start got no answer; answers with that.
+fn two_away() -> Result<(PoolState, StartOrder)> {
+    let mut state = pool_of(3, 1);
+    let lasting = StepSpec {
+        lasting: true,
+        spread: 1,
+        may_miss: 1,
+        ..step(3)
+    };
+    state.add_job(new_job("long", vec![lasting]), 1_000);
+    let orders = decide(&mut state, 1_000);
+    ensure!(orders.len() == 3, "{orders:?}");
+    // The first works, the second never began, the third got no answer.
+    state.take_start(&orders[0], StartOutcome::Started, 1_010);
+    let running = RunningTask {
+        name: orders[0].name.to_string(),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 100,
+        load: 0,
+    };
+    let report = HoldReport {
+        running: vec![running],
+        ..HoldReport::default()
+    };
+    state.take_hold(orders[0].runner, &report, 1_300, 1_310);
+    state.take_start(&orders[1], StartOutcome::Started, 1_010);
+    state.take_start(&orders[2], StartOutcome::Unclear, 1_400);
+    Ok((state, orders[2].clone()))
+}
+
+async fn lasting(what: Change, is_sent: bool) -> Result<()> {
+    let (mut state, order) = two_away()?;
+    change(&mut state, order.runner, what)?;
+    let again = state.take_hold(order.runner, &HoldReport::default(), 1_950, 2_000);
+    ensure!(state.take_stops().is_empty(), "it may have come to work");
+    ensure!(again.len() == usize::from(is_sent), "{again:?}");
+    Ok(())
+}
+
+async fn lasting_drains() -> Result<()> {
+    let (mut state, order) = two_away()?;
+    change(&mut state, order.runner, Change::Drains)?;
+    let again = state.take_hold(order.runner, &HoldReport::default(), 1_950, 2_000);
+    ensure!(again.is_empty(), "{again:?}");
+    ensure!(state.take_stops().len() == 1);
+    Ok(())
+}
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 //! adviser, tasks that stand still.
 
 mod account;
+mod admission;
 mod demand;
 mod fair;
 mod lives;
