Ask whether a runner leaves when a start's turn comes

Callers may see: a task begun on a runner that leaves, up to two seconds after its owner knew. A start that was admitted waits for its turn behind orders without an answer, for a second at most, and the turn asked for stops, age and lease, but not for what the node had heard of the runner since. It now looks at the list of runners at that moment.

--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -169,6 +169,12 @@
         renews.then_some(listed_at)
     }
 
+    /// Whether a runner has said that it leaves, or is listed no more.
+    pub(crate) fn is_going(&self, name: &str) -> bool {
+        let record = self.runners.get(name);
+        record.is_none_or(|record| record.facts.draining)
+    }
+
     /// The life that is listed under a name.
     pub(crate) fn life_of(&self, name: &str) -> RunnerLife {
         let record = self.runners.get(name);
--- a/crates/hoisthitch-scheduler/src/owner/lives.rs
+++ b/crates/hoisthitch-scheduler/src/owner/lives.rs
@@ -335,6 +335,7 @@
         let context = SessionContext {
             runners: self.context.platform.runners().clone(),
             shared: self.context.shared.clone(),
+            fleet: self.context.fleet.clone(),
             token,
             confirmed: self.confirmed.clone(),
             sessions: self.open_sessions.clone(),
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -48,6 +48,7 @@
     }, //
 };
 use crate::{
+    fleet::FleetView,
     platform::{
         RunnerAddress,
         RunnerControl, //
@@ -126,6 +127,8 @@
 pub(crate) struct SessionContext<R> {
     pub(crate) runners: R,
     pub(crate) shared: Arc<NodeShared>,
+    /// Which runners are listed, as the node knows when an order's turn comes.
+    pub(crate) fleet: watch::Receiver<Arc<FleetView>>,
     /// Fencing token of the orders, higher than those of all earlier sessions with a
     /// runner of that name: what was ordered of a life that is over may be carried out
     /// seconds later, and the next life refuses it once it was asked under this token.
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -47,6 +47,8 @@
 enum StartRefusal {
     /// Its run was told to stop, or the session is over.
     Withdrawn,
+    /// Its runner has left the list, or has said that it leaves.
+    RunnerLeaves,
     /// It waited too long.
     Waited,
     /// The runner would refuse it: its lease is over.
@@ -57,6 +59,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Withdrawn => "withdrawn",
+            Self::RunnerLeaves => "runner_leaves",
             Self::Waited => "waited",
             Self::LeaseOver => "lease_over",
         }
@@ -202,6 +205,9 @@
         if orders.is_withdrawn(order) {
             return Some(StartRefusal::Withdrawn);
         }
+        if self.fleet.borrow().is_going(&self.address.life.name) {
+            return Some(StartRefusal::RunnerLeaves);
+        }
         if now > admitted + START_AGE_MS {
             return Some(StartRefusal::Waited);
         }
--- a/crates/hoisthitch-scheduler/tests/ownership/drains.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/drains.rs
@@ -34,6 +34,7 @@
     no_task_is_moved_while_an_upkeep_is_under_way => meets_upkeep();
     unanswered_start_is_not_repeated_on_a_runner_that_leaves => repeats_start(Leave::Says);
     unanswered_start_is_not_repeated_on_a_runner_off_the_list => repeats_start(Leave::Vanishes);
+    start_that_waits_for_its_turn_is_not_sent_to_a_runner_that_leaves => waits_for_turn();
 }
 
 /// How a runner leaves.
@@ -147,3 +148,20 @@
     world.wait_phase("j", JobPhase::Completed, 6_000).await?;
     kept(&world)
 }
+
+/// Starts wait behind one that gets no answer, and their runner leaves meanwhile.
+async fn waits_for_turn() -> Result<()> {
+    let world = TestWorld::start(1, 1).await?;
+    let (runner, _) = world.fleet.living()[0].clone();
+    world.fleet.set_late_by(NEVER);
+    world.fleet.set_late(2);
+    world.submit("j", job("work 300", &[4])).await?;
+    sleep_ms(20).await;
+    world.drain_runner(&runner);
+    sleep_ms(400).await;
+    let sent = world.fleet.start_notes().len();
+    sleep_ms(3_000).await;
+    let later = world.fleet.start_notes().len();
+    ensure!(later == sent, "{later} starts came, {sent} before");
+    kept(&world)
+}
