Start no task by a list of runners that is old

Callers may see: tasks started on runners that leave, for as long as their owner's watch of the runners is turned away, cut or silent while its writes get through. The configuration had a bound on its age, the list of runners had none: docs/PROOFS.md held that starts need the store, and they need only its writes.

Now a start is planned, and sent when its turn comes, only within four fifths of drain_timeout_ms after the list was last confirmed. So that this holds nothing up in usual operation the list is confirmed several times a second: watches of it wait 0.3 s in place of 1.2, fail after 0.8 s in place of 1.7, and are tried again after 150 ms whatever the number of nodes, as the inbox is: only a few nodes follow either. That is one call a second more for each node that follows runners.

--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -24,6 +24,7 @@
     clock::NodeClock,
     shared::{
         NodeShared,
+        RETRY_WAIT,
         StoreWatch, //
     }, //
 };
@@ -53,8 +54,30 @@
     pub(crate) prefix: String,
     /// Pause between two waits for changes.
     pub(crate) pause: FollowPause,
-    /// Whether to tell up to when what was told is complete.
-    pub(crate) confirms: bool,
+    /// How soon to tell up to when what was told is complete.
+    pub(crate) confirms: FollowConfirm,
+    /// Waits after calls that failed.
+    pub(crate) retry: FollowRetry,
+}
+
+/// How soon a follower is told up to when what it was told is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FollowConfirm {
+    /// Never.
+    Never,
+    /// Soon after each change, and now and then.
+    AfterChange,
+    /// Several times a second.
+    Often,
+}
+
+/// Waits after calls of a follower that failed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum FollowRetry {
+    /// Short ones, for what only a few nodes follow.
+    Short,
+    /// The longer, the more nodes there are: each of them follows.
+    ByNodes,
 }
 
 /// Pause between two waits for changes, so that changes which come often share a call.
@@ -114,7 +137,11 @@
     let now = shared.clock.now();
     shared.store.note_failure(now);
     let failures = note_loss(lost, &order.prefix, err, now);
-    tokio::time::sleep(shared.store.retry_wait(failures)).await;
+    let wait = match order.retry {
+        FollowRetry::Short => RETRY_WAIT,
+        FollowRetry::ByNodes => shared.store.retry_wait(failures),
+    };
+    tokio::time::sleep(wait).await;
 }
 
 /// Counts a failure, and answers with how many there were in a row; tells of the first, and
@@ -197,6 +224,16 @@
     }
 }
 
+async fn next_change<W: WatchStream>(
+    watch: &mut W,
+    confirms: FollowConfirm,
+) -> Option<Result<WatchEvent, StoreError>> {
+    if confirms == FollowConfirm::Often {
+        watch.hurry();
+    }
+    watch.next().await
+}
+
 async fn follow_once<S: StoreClient>(
     store: &S,
     order: &FollowOrder,
@@ -207,7 +244,7 @@
     let prefix = order.prefix.as_str();
     let mut awake = AwakeMark::now(&shared.clock);
     let mut watch = store.watch(prefix, StoreRevision::default()).await?;
-    while let Some(change) = watch.next().await {
+    while let Some(change) = next_change(&mut watch, order.confirms).await {
         let change = match change {
             Err(err) if watch.goes_on_after(&err) => {
                 wait_after_loss(lost, order, shared, &err).await;
@@ -224,7 +261,7 @@
         let told = match change {
             WatchEvent::All(all) => events.send(FollowEvent::All(all)),
             WatchEvent::Put(stored) => {
-                if order.confirms {
+                if order.confirms == FollowConfirm::AfterChange {
                     watch.hurry();
                 }
                 events.send(FollowEvent::Put(stored))
@@ -235,7 +272,7 @@
         if told.is_err() {
             break;
         }
-        if order.confirms
+        if order.confirms != FollowConfirm::Never
             && watch.is_drained()
             && let Some(at) = watch.complete_at()
         {
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -24,9 +24,11 @@
         change_fleet, //
     },
     follow::{
+        FollowConfirm,
         FollowEvent,
         FollowOrder,
         FollowPause,
+        FollowRetry,
         follow_prefix, //
     },
     group::{
@@ -90,19 +92,19 @@
     let store = platform.store().clone();
     let codec = platform.codec().clone();
     let watched = shared.clone();
-    let follow = |prefix: String, pause: FollowPause, confirms: bool| {
+    let follow = |order: FollowOrder| {
         let (sender, told) = mpsc::unbounded_channel();
-        let order = FollowOrder {
-            prefix,
-            pause,
-            confirms,
-        };
         let follower = follow_prefix(store.clone(), order, watched.clone(), sender);
         actix_rt::spawn(follower);
         told
     };
     let mut runners = None;
-    let mut changes = follow(keys.group(), FollowPause::ByNodes, false);
+    let mut changes = follow(FollowOrder {
+        prefix: keys.group(),
+        pause: FollowPause::ByNodes,
+        confirms: FollowConfirm::Never,
+        retry: FollowRetry::ByNodes,
+    });
     let (shows, listed) = watch::channel(true);
     let member = keep_member(
         store.clone(),
@@ -151,11 +153,12 @@
         let follows = stands_by || !control.running.is_empty();
         if follows && runners.is_none() {
             event!(Info, "runners_followed", node = control.identity.node);
-            runners = Some(follow(
-                codec.runners_prefix(),
-                FollowPause::Fixed(RUNNERS_PAUSE),
-                true,
-            ));
+            runners = Some(follow(FollowOrder {
+                prefix: codec.runners_prefix(),
+                pause: FollowPause::Fixed(RUNNERS_PAUSE),
+                confirms: FollowConfirm::Often,
+                retry: FollowRetry::Short,
+            }));
         } else if !follows && runners.take().is_some() {
             event!(Info, "runners_left", node = control.identity.node);
             control.forget_runners();
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -69,9 +69,11 @@
 use crate::{
     fleet::FleetView,
     follow::{
+        FollowConfirm,
         FollowEvent,
         FollowOrder,
         FollowPause,
+        FollowRetry,
         follow_prefix, //
     },
     identity::NodeIdentity,
@@ -270,7 +272,8 @@
     let order = FollowOrder {
         prefix: context.keys.inbox(&context.pool),
         pause: FollowPause::None,
-        confirms: false,
+        confirms: FollowConfirm::Never,
+        retry: FollowRetry::Short,
     };
     let store = context.platform.store().clone();
     actix_rt::spawn(follow_prefix(store, order, context.shared.clone(), sender));
@@ -323,6 +326,11 @@
         self.context.shared.clock.now()
     }
 
+    /// Whether tasks may be started by the list of runners, as far as its age tells.
+    fn holds_list(&self, now: Millis) -> bool {
+        self.context.shared.runners_lease.is_held(now)
+    }
+
     /// Takes in what comes, and acts, until the pool is another's or the node
     /// stops.
     async fn serve(
@@ -390,7 +398,7 @@
     fn next_wake(&self) -> Instant {
         let wanted = || {
             let writes = self.state.needs_flush() || !self.is_noted() || self.lives.wants_token();
-            writes || self.state.needs_plan()
+            writes || (self.state.needs_plan() && self.holds_list(self.now()))
         };
         if self.journal.is_none() || self.awaited.is_some() || !wanted() {
             return Instant::now() + TICK;
@@ -418,7 +426,7 @@
         // pool's owner the processor time that its starts need: 4 in 100 of what is owed
         // on a fleet of 1,100 VMs (two plays, docs/MEASURED.md).
         self.look_at_quotas(now);
-        if due && self.may_write(now) && !self.awaits_policy(now) {
+        if due && self.holds_list(now) && self.may_write(now) && !self.awaits_policy(now) {
             self.state.plan(now);
         }
         self.ask_advice(now);
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -49,6 +49,8 @@
     Withdrawn,
     /// Its runner has left the list, or has said that it leaves.
     RunnerLeaves,
+    /// The list of runners was not confirmed for too long: this one may leave.
+    ListOld,
     /// It waited too long.
     Waited,
     /// The runner would refuse it: its lease is over.
@@ -60,6 +62,7 @@
         match self {
             Self::Withdrawn => "withdrawn",
             Self::RunnerLeaves => "runner_leaves",
+            Self::ListOld => "list_old",
             Self::Waited => "waited",
             Self::LeaseOver => "lease_over",
         }
@@ -208,6 +211,9 @@
         if self.fleet.borrow().is_going(&self.address.life.name) {
             return Some(StartRefusal::RunnerLeaves);
         }
+        if !self.shared.runners_lease.is_held(now) {
+            return Some(StartRefusal::ListOld);
+        }
         if now > admitted + START_AGE_MS {
             return Some(StartRefusal::Waited);
         }
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -35,7 +35,7 @@
 const FREE_NODES: u32 = 40;
 
 /// Wait after the first call of the store that failed; it doubles with each.
-const RETRY_WAIT: Duration = Duration::from_millis(150);
+pub(crate) const RETRY_WAIT: Duration = Duration::from_millis(150);
 
 /// What each node beyond those that are free adds to the longest such wait, in milliseconds,
 /// and that wait while the group is not known.
@@ -151,6 +151,11 @@
         let is_known = self.complete.load(Ordering::Acquire) > 0;
         is_known.then(|| self.age(now))
     }
+
+    /// Whether what is known may be acted on.
+    pub(crate) fn is_held(&self, now: Millis) -> bool {
+        self.age(now) <= self.hold
+    }
 }
 
 /// For how long a node acts on what it knows of the store without a confirmation.
--- a/crates/hoisthitch-scheduler/src/table.rs
+++ b/crates/hoisthitch-scheduler/src/table.rs
@@ -26,9 +26,11 @@
         change_fleet, //
     },
     follow::{
+        FollowConfirm,
         FollowEvent,
         FollowOrder,
         FollowPause,
+        FollowRetry,
         follow_prefix, //
     },
     platform::{
@@ -55,7 +57,8 @@
         let order = FollowOrder {
             prefix: prefix.clone(),
             pause: FollowPause::None,
-            confirms: true,
+            confirms: FollowConfirm::AfterChange,
+            retry: FollowRetry::ByNodes,
         };
         let follow = follow_prefix(store.clone(), order, shared.clone(), changes.clone());
         tokio::select! {
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Where a promise holds only for planned work, nothing else is drawn with it.
 
+mod drains;
 mod killers;
 mod lives;
 mod losses;
--- a/crates/hoisthitch-scheduler/tests/ownership/drains.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/drains.rs
@@ -13,6 +13,7 @@
     ensure, //
 };
 use hoisthitch_jobs::JobPhase;
+use hoisthitch_tests::world::StoreFaults;
 
 use super::{
     kept,
@@ -35,6 +36,8 @@
     unanswered_start_is_not_repeated_on_a_runner_that_leaves => repeats_start(Leave::Says);
     unanswered_start_is_not_repeated_on_a_runner_off_the_list => repeats_start(Leave::Vanishes);
     start_that_waits_for_its_turn_is_not_sent_to_a_runner_that_leaves => waits_for_turn();
+    no_task_is_started_by_a_list_of_runners_that_is_old => starts_by_old_list();
+    tasks_are_started_again_once_the_list_is_confirmed => confirms_list();
 }
 
 /// How a runner leaves.
@@ -165,3 +168,40 @@
     ensure!(later == sent, "{later} starts came, {sent} before");
     kept(&world)
 }
+
+/// The owner's watch of the runners gets no answer, while all else of the store works, and
+/// a runner leaves unseen.
+async fn starts_by_old_list() -> Result<()> {
+    let world = TestWorld::start(1, 2).await?;
+    silence_runners(&world, true);
+    for (runner, _) in world.fleet.living() {
+        world.drain_runner(&runner);
+    }
+    for number in 0..8 {
+        let id = format!("j{number}");
+        world.submit(&id, job("work 200", &[4])).await?;
+        sleep_ms(500).await;
+    }
+    kept(&world)
+}
+
+async fn confirms_list() -> Result<()> {
+    let world = TestWorld::start(1, 2).await?;
+    silence_runners(&world, true);
+    sleep_ms(4_000).await;
+    world.submit("j", job("work 200", &[4])).await?;
+    sleep_ms(1_000).await;
+    ensure!(world.fleet.done() == 0, "started by a list of four seconds");
+    silence_runners(&world, false);
+    world.wait_phase("j", JobPhase::Completed, 3_000).await?;
+    kept(&world)
+}
+
+/// Has watches of the runners get no answer, or get them again.
+fn silence_runners(world: &TestWorld, silent: bool) {
+    let silent_watches = if silent { "runner/" } else { "" };
+    world.store.set_faults(StoreFaults {
+        silent_watches: silent_watches.to_owned(),
+        ..StoreFaults::default()
+    });
+}
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -40,6 +40,9 @@
 /// Time for which a watch waits.
 const WATCH_TIME: Duration = Duration::from_millis(1_200);
 
+/// The same where the watch hurries.
+const HURRIED_TIME: Duration = Duration::from_millis(300);
+
 /// Time over which calls are counted.
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -186,6 +189,7 @@
             after,
             ready: VecDeque::new(),
             complete_at: Instant::now(),
+            hurries: false,
         };
         let mut changed = self.changed.subscribe();
         let until = Instant::now() + wait;
@@ -465,6 +469,7 @@
             after: self.state.borrow().revision,
             ready: VecDeque::from([WatchEvent::Opened]),
             complete_at: Instant::now(),
+            hurries: false,
         };
         if watch.is_silent() {
             tokio::time::sleep(GIVE_UP).await;
@@ -481,6 +486,8 @@
     after: i64,
     ready: VecDeque<WatchEvent>,
     complete_at: Instant,
+    /// Whether the next look is to wait only shortly.
+    hurries: bool,
 }
 
 impl MemoryWatch {
@@ -518,7 +525,8 @@
             return Some(Err(err));
         }
         let mut changed = self.store.changed.subscribe();
-        let until = Instant::now() + WATCH_TIME;
+        let hurries = std::mem::take(&mut self.hurries);
+        let until = Instant::now() + if hurries { HURRIED_TIME } else { WATCH_TIME };
         loop {
             changed.borrow_and_update();
             if self.store.is_cut() || self.store.is_unheard() || self.is_silent() {
@@ -553,6 +561,10 @@
         Some(self.complete_at)
     }
 
+    fn hurry(&mut self) {
+        self.hurries = true;
+    }
+
     fn goes_on_after(&self, err: &StoreError) -> bool {
         err.is_over_limit()
     }
