Repeat no stop that would end a lasting task beside one that is away

Callers may see: more tasks of a step away than its job allows (AVAIL). Where the first copy was lost and another task of the step went away meanwhile, the repeat ended one that was at work.

A stop now waits while its run is shown at work and its step can't miss it. It is sent again at once where its runner has said that it leaves, where the run is an earlier one, or is not shown any more.

Test: stop_of_a_task_at_work_is_not_repeated_while_others_are_away, failed before ("none is at work then").

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -142,6 +142,7 @@
         let starts = matches!(entry.place, TaskPlace::Ordered(_));
         let entry = self.task_mut(task)?;
         entry.load = row.load;
+        entry.shown = true;
         entry.unclear = false;
         entry.checkpoint.clone_from(&row.checkpoint);
         let moved_at = if moved { now } else { entry.moved_at };
@@ -372,9 +373,10 @@
             .collect();
         let mut again = Vec::new();
         for task in absent {
-            let Some(entry) = self.task(task) else {
+            let Some(entry) = self.task_mut(task) else {
                 continue;
             };
+            entry.shown = false;
             match entry.place {
                 TaskPlace::Ordered(_) if entry.unclear && entry.ordered_at < asked_at => {
                     again.extend(self.repeat_start(task, key, now));
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -357,6 +357,7 @@
         let after = entry.runner();
 
         if after.is_none() {
+            entry.shown = false;
             entry.unclear = false;
             entry.unanswered = false;
             entry.percent = 0;
--- a/crates/hoisthitch-jobs/src/stops.rs
+++ b/crates/hoisthitch-jobs/src/stops.rs
@@ -82,6 +82,19 @@
         std::mem::take(&mut self.stops)
     }
 
+    /// Whether a stop may be sent again: one that was decided on while its step could miss the
+    /// task waits while it can't.
+    fn may_stop_again(&self, task: TaskRef, key: RunnerKey) -> bool {
+        let drains = self
+            .runners
+            .get(key)
+            .is_some_and(|runner| runner.facts.draining);
+        let runs = self
+            .task(task)
+            .is_some_and(|entry| entry.shown && entry.stray_run.is_none());
+        drains || !runs || !self.lasts(task) || self.may_end(&[task])
+    }
+
     /// Sends stops again of which no end was heard.
     pub fn stop_again(&mut self, now: Millis) {
         let overdue: Vec<(TaskRef, RunnerKey)> = self
@@ -92,6 +105,7 @@
                 }
                 _ => None,
             })
+            .filter(|(task, runner)| self.may_stop_again(*task, *runner))
             .collect();
         for (task, runner) in overdue {
             self.order_stop(task, runner, now);
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -127,6 +127,8 @@
     pub copies: u32,
     /// When the runner answered a stop; none while it did not.
     pub stopped_at: Option<Millis>,
+    /// Whether its runner's last answer showed the run.
+    pub shown: bool,
     /// Whether a start was sent whose answer is not known.
     pub unclear: bool,
     /// Whether some copy of the run's start was not answered: it may be carried
@@ -195,6 +197,7 @@
             decided_at: 0,
             copies: 0,
             stopped_at: None,
+            shown: false,
             unclear: false,
             unanswered: false,
             failed_on: None,
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -10,7 +10,11 @@
     EndKind,
     HoldReport,
     PoolState,
-    StartOutcome, //
+    RunnerKey,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+    StepSpec, //
 };
 use hoisthitch_tests::cases;
 
@@ -32,6 +36,7 @@
     ends_are_acknowledged_though_some_records_are_always_behind => flush_rounds();
     stopped_start_that_never_came_frees_its_room => stopped_start();
     unanswered_start_is_sent_again_under_its_run => unanswered();
+    stop_of_a_task_at_work_is_not_repeated_while_others_are_away => repeated_stop();
 }
 
 async fn silent() -> Result<()> {
@@ -178,3 +183,53 @@
     ensure!(again.len() == 1 && again[0].run == orders[0].run);
     Ok(())
 }
+
+/// One of two lasting tasks on a runner that is emptied is moved, and its stop gets no answer.
+/// The other fails meanwhile: a second copy would end the only one that is at work.
+async fn repeated_stop() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    let lasting = StepSpec {
+        lasting: true,
+        may_miss: 1,
+        ..step(2)
+    };
+    state.add_job(new_job("long", vec![lasting]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    ensure!(orders.len() == 2, "{orders:?}");
+    let key = orders[0].runner;
+    hold(&mut state, key, &orders, 2_000);
+    state.set_leaving(key, true);
+    ensure!(state.relocate_one(key, 2_100), "none is moved");
+    let stops = state.take_stops();
+    let moved = orders.iter().find(|order| order.name == stops[0].name);
+    let moved = moved.ok_or_eyre("another task was stopped")?.clone();
+    let other = orders.iter().find(|order| order.name != moved.name);
+    let other = other.ok_or_eyre("no other task")?.clone();
+    state.stop_again(2_900);
+    ensure!(state.take_stops().len() == 1, "it is sent again");
+    end_all(&mut state, &[other], EndKind::Failed, 3_000);
+    hold(&mut state, key, std::slice::from_ref(&moved), 3_050);
+    state.stop_again(3_700);
+    ensure!(state.take_stops().is_empty(), "none is at work then");
+    // Once the step can miss it, or it is not there, the stop is sent again.
+    state.take_hold(key, &HoldReport::default(), 3_750, 3_760);
+    state.stop_again(4_500);
+    ensure!(state.take_stops().len() == 1);
+    Ok(())
+}
+
+/// Has a runner show runs at work.
+fn hold(state: &mut PoolState, key: RunnerKey, orders: &[StartOrder], now: u64) {
+    let running = orders.iter().map(|order| RunningTask {
+        name: order.name.to_string(),
+        run: order.run,
+        checkpoint: String::new(),
+        percent: 100,
+        load: 0,
+    });
+    let report = HoldReport {
+        running: running.collect(),
+        ..HoldReport::default()
+    };
+    state.take_hold(key, &report, now - 5, now);
+}
