Take a full answer of a watch for a part of what changed

Callers may see: tasks started on runners that leave, seconds after the bound, on a fleet whose runners write more often than one look can tell of.

The watch took each answer for all there was, so that the bound on the age did not help; nothing but the size of the answers showed it. Ruled out: the store turning watches away (no follow_failing there), pages of the list read at different times (followed from the first on).

Now an answer that is as full as any so far, and reaches no further than its last change, or is near a megabyte, tells nothing of what came after it, and the next look follows at once. A look that is not full shares changes of 300 ms as before.

--- a/crates/hoisthitch-scheduler/src/follow.rs
+++ b/crates/hoisthitch-scheduler/src/follow.rs
@@ -283,7 +283,7 @@
             let _ = events.send(FollowEvent::Complete(at));
         }
         let pause = order.pause.length(&shared.store);
-        if !pause.is_zero() && watch.is_drained() {
+        if !pause.is_zero() && watch.is_drained() && !watch.may_lag() {
             tokio::time::sleep(pause).await;
         }
     }
--- a/crates/hoisthitch-store/src/client.rs
+++ b/crates/hoisthitch-store/src/client.rs
@@ -112,6 +112,11 @@
     /// Has the next look wait only shortly, to learn soon whether there is more.
     fn hurry(&mut self) {}
 
+    /// Whether more may be ready than the last look was answered with.
+    fn may_lag(&self) -> bool {
+        false
+    }
+
     /// Whether the watch goes on where it was after such an error, and misses nothing.
     fn goes_on_after(&self, _err: &StoreError) -> bool {
         false
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -165,6 +165,16 @@
         state.values.get(key).map(|value| value.0.clone())
     }
 
+    /// Keys that begin so, and their values.
+    pub fn prefix(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        let state = self.state.borrow();
+        let values = state.values.iter();
+        let values = values.filter(|(key, _)| key.starts_with(prefix));
+        values
+            .map(|(key, value)| (key.clone(), value.0.clone()))
+            .collect()
+    }
+
     /// Whether nobody gets an answer.
     pub fn is_down(&self) -> bool {
         self.state.borrow().faults.down
