Test: the repeat of a suspect beside others

Two runners are lost right after they began tasks of a step; the start of a third got no answer, and its runner has other tasks.

--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -14,6 +14,7 @@
     RunnerKey,
     RunnerLoss,
     StartOrder,
+    StartOutcome,
     StepSpec,
     TaskNeed, //
 };
@@ -38,6 +39,7 @@
     job_that_was_given_up_keeps_nobody_planning => rests();
     what_counts_outlasts_the_owner => outlasts_owner();
     room_that_shrank_takes_nothing_more => shrunk_room();
+    repeat_of_a_suspect_is_stopped_beside_others => repeated_suspect();
 }
 
 /// Lets each runner be heard, with what it runs.
@@ -228,3 +230,41 @@
     ensure!(decide(&mut state, 1_200).len() == 2, "it has grown");
     Ok(())
 }
+
+/// A start got no answer, two runners are lost right after they began others of its step, and
+/// its own runner has other tasks: it is not sent again beside them.
+async fn repeated_suspect() -> Result<()> {
+    let spread = StepSpec {
+        spread: 1,
+        ..step(3)
+    };
+    let mut state = heard_pool(3, spread);
+    state.add_job(new_job("b", vec![step(12)]), 61_000);
+    let orders = decide(&mut state, 61_000);
+    let of_step = |index: u32| {
+        let mut found = orders.iter();
+        found.find(|order| order.name.job == "a" && order.name.index == index)
+    };
+    let unclear = of_step(2).ok_or_eyre("no third task")?.clone();
+    for order in orders.iter().filter(|order| order.name.job == "b") {
+        state.take_start(order, StartOutcome::Started, 61_000);
+    }
+    state.take_start(&unclear, StartOutcome::Unclear, 61_900);
+    for (index, at) in [(0, 62_000), (1, 65_000)] {
+        let order = of_step(index).ok_or_eyre("no task")?;
+        state.take_start(order, StartOutcome::Started, at);
+        crash(&mut state, order.runner, at + 10);
+    }
+    let report = HoldReport {
+        running: running_on(&state, unclear.runner, Some(&unclear), 10),
+        ..HoldReport::default()
+    };
+    let again = state.take_hold(unclear.runner, &report, 68_000, 68_000);
+    ensure!(again.is_empty(), "{again:?}");
+    let stops = state.take_stops();
+    ensure!(
+        stops.iter().any(|stop| stop.name == unclear.name),
+        "{stops:?}"
+    );
+    Ok(())
+}
