--- a/crates/hoisthitch-jobs/tests/decisions/admission.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/admission.rs
@@ -13,7 +13,6 @@
     PoolState,
     RunnerFacts,
     RunnerKey,
-    RunningTask,
     StartOrder,
     StartOutcome,
     StepSpec,
@@ -25,6 +24,7 @@
     decide,
     new_job,
     pool_of,
+    running_on,
     step, //
 };
 
@@ -160,15 +160,8 @@
     ensure!(orders.len() == 3, "{orders:?}");
     // The first works, the second never began, the third got no answer.
     state.take_start(&orders[0], StartOutcome::Started, 1_010);
-    let running = RunningTask {
-        name: orders[0].name.to_string(),
-        run: 1,
-        checkpoint: String::new(),
-        percent: 100,
-        load: 0,
-    };
     let report = HoldReport {
-        running: vec![running],
+        running: running_on(&state, orders[0].runner, None, 100),
         ..HoldReport::default()
     };
     state.take_hold(orders[0].runner, &report, 1_300, 1_310);
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -11,8 +11,6 @@
     HoldReport,
     PoolState,
     RunnerKey,
-    RunningTask,
-    StartOrder,
     StartOutcome,
     StepSpec, //
 };
@@ -23,6 +21,7 @@
     end_all,
     new_job,
     pool_of,
+    running_on,
     start_all,
     step, //
 };
@@ -197,18 +196,18 @@
     let orders = start_all(&mut state, 1_000);
     ensure!(orders.len() == 2, "{orders:?}");
     let key = orders[0].runner;
-    hold(&mut state, key, &orders, 2_000);
+    hold(&mut state, key, 2_000);
     state.set_leaving(key, true);
     ensure!(state.relocate_one(key, 2_100), "none is moved");
     let stops = state.take_stops();
     let moved = orders.iter().find(|order| order.name == stops[0].name);
-    let moved = moved.ok_or_eyre("another task was stopped")?.clone();
+    let moved = moved.ok_or_eyre("another task was stopped")?;
     let other = orders.iter().find(|order| order.name != moved.name);
     let other = other.ok_or_eyre("no other task")?.clone();
     state.stop_again(2_900);
     ensure!(state.take_stops().len() == 1, "it is sent again");
     end_all(&mut state, &[other], EndKind::Failed, 3_000);
-    hold(&mut state, key, std::slice::from_ref(&moved), 3_050);
+    hold(&mut state, key, 3_050);
     state.stop_again(3_700);
     ensure!(state.take_stops().is_empty(), "none is at work then");
     // Once the step can miss it, or it is not there, the stop is sent again.
@@ -218,17 +217,10 @@
     Ok(())
 }
 
-/// Has a runner show runs at work.
-fn hold(state: &mut PoolState, key: RunnerKey, orders: &[StartOrder], now: u64) {
-    let running = orders.iter().map(|order| RunningTask {
-        name: order.name.to_string(),
-        run: order.run,
-        checkpoint: String::new(),
-        percent: 100,
-        load: 0,
-    });
+/// Has a runner show all its runs at work.
+fn hold(state: &mut PoolState, key: RunnerKey, now: u64) {
     let report = HoldReport {
-        running: running.collect(),
+        running: running_on(state, key, None, 100),
         ..HoldReport::default()
     };
     state.take_hold(key, &report, now - 5, now);
