Trace the calls that reach simulated runners, and what proxies release

Simulated runners now record each start and stop, and each heartbeat that changes the token or acknowledges something new, with the instance and its fence. The proxy logs each plan and each piece of data that it held back.

--- a/crates/hoisthitch-standin/src/proxy.rs
+++ b/crates/hoisthitch-standin/src/proxy.rs
@@ -11,9 +11,13 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     net::SocketAddr,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime, //
+    }, //
 };
 
 use actix_web::{
@@ -79,7 +83,7 @@
     double: bool,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 enum Direction {
     /// From the near side to the far side.
     Forward,
@@ -129,6 +133,7 @@
     sender: web::Data<watch::Sender<ProxyPlan>>,
     plan: web::Json<ProxyPlan>,
 ) -> HttpResponse {
+    log_event(format_args!("event=plan_set plan={:?}", plan.0));
     sender.send_replace(plan.into_inner());
     HttpResponse::NoContent().finish()
 }
@@ -219,7 +224,17 @@
     if delay > 0 {
         tokio::time::sleep(Duration::from_millis(delay)).await;
     }
+    let held = is_held(&plan.borrow(), direction);
     let _ = plan.wait_for(|plan| !is_held(plan, direction)).await;
+    if held {
+        log_event(format_args!("event=data_released direction={direction:?}"));
+    }
+}
+
+/// Logs an event with the time of day, so that it can be compared with the logs of the nodes.
+fn log_event(event: fmt::Arguments<'_>) {
+    let time = humantime::format_rfc3339_millis(SystemTime::now());
+    println!("time={time} process=proxy {event}");
 }
 
 fn is_held(plan: &ProxyPlan, direction: Direction) -> bool {
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -16,6 +16,7 @@
 mod runners;
 mod sharing;
 mod store;
+mod trace;
 
 use std::{
     cell::RefCell,
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -40,6 +40,7 @@
     STARTUP_TIME, //
 };
 use super::rules::RuleBook;
+use super::trace::CallTrace;
 
 /// Travel time of a request or of a response.
 const ONE_WAY_TIME: Duration = Duration::from_millis(1);
@@ -96,6 +97,9 @@
     late_by: Duration,
     /// Orders so far, for the count of late ones.
     orders: u64,
+    /// Whether calls to a runner that is cut off arrive once the cut is healed, as from a network
+    /// that holds them back.
+    holds_calls: bool,
     /// Each start of this many is refused for lack of capacity; zero for none.
     refuse_every: u64,
     /// Starts so far, for the count of refused ones.
@@ -122,6 +126,8 @@
     pub(super) rules: RuleBook,
     /// When the cancel of a job got its response.
     cancel_answers: HashMap<String, Instant>,
+    /// The latest calls to the runners.
+    pub(super) trace: CallTrace,
 }
 
 /// The simulated runners and VMs, as a node calls them.
@@ -193,6 +199,12 @@
         self.state.borrow_mut().late_by = time;
     }
 
+    /// Sets whether starts and heartbeats that are sent while a runner is cut off arrive once the
+    /// cut is healed, possibly at a later instance.
+    pub fn set_calls_held(&self, held: bool) {
+        self.state.borrow_mut().holds_calls = held;
+    }
+
     /// Refuses each start of this many for lack of capacity; zero for none.
     pub fn set_refusing(&self, every: u64) {
         self.state.borrow_mut().refuse_every = every;
@@ -320,6 +332,17 @@
     }
 
     fn start(&self, name: &str, order: &StartOrder, lease: OrderLease) -> StartOutcome {
+        let outcome = self.carry_out_start(name, order, lease);
+        let (task, run, token) = (&order.name, order.run, lease.token);
+        self.state.borrow_mut().trace(
+            name,
+            "start_arrived",
+            format_args!("task={task} run={run} token={token} outcome={outcome:?}"),
+        );
+        outcome
+    }
+
+    fn carry_out_start(&self, name: &str, order: &StartOrder, lease: OrderLease) -> StartOutcome {
         self.settle();
         let now = Instant::now();
         let task = order.name.to_string();
@@ -404,6 +427,12 @@
     fn stop(&self, name: &str, order: &StopOrder, epoch: u64) -> Result<(), RunnerError> {
         self.settle();
         let mut state = self.state.borrow_mut();
+        let (task, run) = (&order.name, order.run);
+        state.trace(
+            name,
+            "stop_arrived",
+            format_args!("task={task} run={run} token={epoch}"),
+        );
         let Some(runner) = state.runners.get_mut(name).filter(|runner| runner.alive) else {
             return Err(RunnerError::WrongLife);
         };
@@ -440,6 +469,7 @@
         let now = Instant::now();
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
+        state.trace_heartbeat(name, request);
         let Some(runner) = state.runners.get_mut(name).filter(|runner| runner.alive) else {
             return Err(RunnerError::WrongLife);
         };
--- a/crates/hoisthitch-tests/src/world/runners/instances.rs
+++ b/crates/hoisthitch-tests/src/world/runners/instances.rs
@@ -33,6 +33,7 @@
                 ..Runner::begin(&runner.vm, started_at)
             };
         }
+        state.trace(name, "runner_restarted", format_args!(""));
     }
 
     /// Start time of a runner's process in milliseconds since 1970, if the runner reports it.
