Stop a run that a later instance began than the one it was ordered from

A run that a runner reports, ordered from another instance of it by the start times, is stopped before it ends; its task is started again elsewhere. This also holds for the next owner, by the start time in the job's record. Long-running tasks go on, since they have no end that could be lost.

Test `run_ordered_from_the_life_before_is_stopped`: "the run was not stopped" before.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -148,6 +148,12 @@
             return self.task(task)?.earlier_run.map(|_| task);
         }
         let was_unconfirmed = matches!(entry.state, TaskState::Unconfirmed { .. });
+        // A long-running task has no end that could be lost.
+        if self.is_stray_run(task, key) && !self.is_long_running(task) {
+            self.wait_for_earlier_run(task, key, row.run, now);
+            self.break_gang(task, now);
+            return Some(task);
+        }
         let has_progress = row.percent != entry.percent;
         let was_ordered = matches!(entry.state, TaskState::Ordered(_));
         let entry = self.task_mut(task)?;
--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -53,6 +53,7 @@
             ..runner.facts.clone()
         };
         let name = facts.name.clone();
+        let ordered_from = runner.facts.started_at;
         let until = until.max(runner.lease_until);
         let tasks = runner.tasks.iter().copied();
         let (unconfirmed, ended): (Vec<TaskRef>, Vec<TaskRef>) =
@@ -66,7 +67,7 @@
                 *task,
                 TaskState::Unconfirmed {
                     runner,
-                    started_at: None,
+                    started_at: ordered_from,
                     until,
                 },
                 now,
@@ -117,6 +118,20 @@
         ended.len()
     }
 
+    /// Whether a run that was reported by a runner was ordered from an earlier instance of it:
+    /// the start was carried out late. Acknowledgements meant for the earlier instance may have
+    /// been delayed with the start, and then the runner drops the run's end unread.
+    pub(crate) fn is_stray_run(&self, task: TaskRef, key: RunnerKey) -> bool {
+        let reporting = self.runners.get(key).and_then(|r| r.facts.started_at);
+        let ordered_from = match self.task(task).map(|entry| &entry.state) {
+            Some(TaskState::Unconfirmed { started_at, .. }) => *started_at,
+            _ => None,
+        };
+        reporting
+            .zip(ordered_from)
+            .is_some_and(|(reporting, ordered_from)| reporting != ordered_from)
+    }
+
     /// Whether a later instance of the runner may run the task, or may still get the order to
     /// run it.
     fn may_run_on_next(&self, task: TaskRef, runner: &RunnerEntry) -> bool {
--- a/crates/hoisthitch-jobs/tests/decisions/lives.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/lives.rs
@@ -35,6 +35,7 @@
     runs_that_were_heard_end_with_their_life => reported_runs();
     starts_after_the_last_answer_wait_for_the_next_life => unreported_starts();
     end_on_the_next_life_counts => unreported_end();
+    run_ordered_from_the_life_before_is_stopped => stray_run();
     next_life_gets_nothing_before_it_is_listed => unlisted_instance();
     earlier_run_that_is_at_work_keeps_the_task => earlier_run();
     start_is_withdrawn_for_an_earlier_run => withdrawn_start();
@@ -123,6 +124,36 @@
     Ok(())
 }
 
+/// A start and an acknowledgement of ends were delayed, and reached the next instance: it drops
+/// the end of the run unread, and the task ran again after it was done. Such a run is stopped
+/// before it ends.
+async fn stray_run() -> Result<()> {
+    let (mut state, order) = one_started()?;
+    state.record_start_time(order.runner, STARTED_AT_MS - 1);
+    let restarted = state.replace_restarted_runner(order.runner, STARTED_AT_MS, UNTIL_MS, 2_000);
+    let next = restarted.ok_or_eyre("the runner is unknown")?.key;
+    report_run(&mut state, next, &order, 2_200);
+    let stop = state.take_stop_orders().pop();
+    let stop = stop.ok_or_eyre("the run was not stopped")?;
+    ensure!(stop.runner == next && stop.run == order.run);
+    ensure!(decide(&mut state, 2_300).is_empty(), "a second run began");
+    // An end that is reported all the same counts.
+    let mut ended = state;
+    let report = HeartbeatReport {
+        ended: vec![EndedTask {
+            number: 1,
+            name: order.name.to_string(),
+            run: order.run,
+            kind: EndKind::Done,
+            checkpoint: String::new(),
+        }],
+        ..HeartbeatReport::default()
+    };
+    ended.record_heartbeat(next, &report, 2_400, 2_401);
+    ensure!(ended.task(order.task).is_some_and(|task| task.is_done()));
+    Ok(())
+}
+
 /// The next instance reports the end of a start that the previous one never reported: the task
 /// is done.
 async fn unreported_end() -> Result<()> {
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -4,6 +4,7 @@
 //! Where an invariant holds for planned work only, the history injects no unplanned faults.
 //! `DRAWS` sets the number of seeds of each kind, and `FIRST_SEED` the first of them.
 
+mod delays;
 mod drains;
 mod killers;
 mod lives;
--- a/crates/hoisthitch-tests/src/world/runners/control.rs
+++ b/crates/hoisthitch-tests/src/world/runners/control.rs
@@ -29,6 +29,18 @@
     ONE_WAY_TIME, //
 };
 
+/// Time between two checks whether a cut is healed.
+const HEALED_TICK: Duration = Duration::from_millis(1);
+
+impl MemoryFleet {
+    /// Waits until calls of this node reach the runner.
+    async fn wait_healed(&self, name: &str) {
+        while !self.request_arrives(name) {
+            tokio::time::sleep(HEALED_TICK).await;
+        }
+    }
+}
+
 impl RunnerControl for MemoryFleet {
     async fn start(
         &self,
@@ -41,13 +53,18 @@
             return StartOutcome::NotSent;
         }
         let cut = !self.request_arrives(&runner.instance.name);
+        let held = cut && self.state.borrow().holds_calls;
         if cut || self.is_late() {
             let (fleet, name, order) = (self.clone(), runner.instance.name.clone(), order.clone());
             let late_by = self.state.borrow().late_by;
             let late = late_by + Duration::from_millis(u64::from(order.run) * 700);
             let sent = Instant::now();
             spawn_detached(async move {
-                tokio::time::sleep(late).await;
+                if held {
+                    fleet.wait_healed(&name).await;
+                } else {
+                    tokio::time::sleep(late).await;
+                }
                 let unguarded = fleet.is_unguarded(&name, sent);
                 fleet.state.borrow_mut().rules.set_late(true);
                 fleet.state.borrow_mut().unguarded = unguarded;
@@ -111,6 +128,14 @@
             return Err(RunnerError::NotListening);
         }
         if !self.request_arrives(&runner.instance.name) {
+            if self.state.borrow().holds_calls {
+                let (fleet, name) = (self.clone(), runner.instance.name.clone());
+                spawn_detached(async move {
+                    fleet.wait_healed(&name).await;
+                    // The caller has timed out, so that nothing waits for the result.
+                    let _ = MemoryFleet::heartbeat(&fleet, &name, request);
+                });
+            }
             tokio::time::sleep(request.wait + CALL_TIMEOUT).await;
             return Err(RunnerError::NoAnswer("cut".to_owned()));
         }
