Make a seed of the histories in memory play the same each time

Drawn seeds ran on paused time and still differed from play to play: "5 of 40 plays" of a seed said little about a cause, and trials of a mend had to be repeated dozens of times.

Cause: hash maps that are iterated (sessions, listed runners, tasks of a runner, suspects, leases of the store), and `select!`, which polls in random order. The maps are ordered now, and each `select!` of the control path is biased. In the owner's loop session events come last, and each iteration drains them anyway; in the node's loop changes of runners come last. The other sources are rare.

--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -7,9 +7,8 @@
 
 use std::{
     collections::{
-        BTreeSet,
-        HashMap,
-        HashSet, //
+        BTreeMap,
+        BTreeSet, //
     },
     fmt::{
         self,
@@ -129,10 +128,10 @@
 pub(crate) struct RecentLoss {
     moment: LossMoment,
     /// Tasks that it may have run, and their steps.
-    tasks: HashSet<TaskRef>,
-    steps: HashSet<RoundStep>,
+    tasks: BTreeSet<TaskRef>,
+    steps: BTreeSet<RoundStep>,
     /// Those of the steps of which it had just begun a task.
-    young_steps: HashSet<RoundStep>,
+    young_steps: BTreeSet<RoundStep>,
 }
 
 /// A runner that was lost, with the tasks that it may have run.
@@ -300,7 +299,7 @@
         };
         // Tasks of a step may be alike, and any of them the cause; so their step shares the
         // blame as a whole.
-        let mut by_step: HashMap<RoundStep, f64> = HashMap::new();
+        let mut by_step: BTreeMap<RoundStep, f64> = BTreeMap::new();
         for task in &lost.tasks {
             if let Some(step) = self.round_step(*task) {
                 *by_step.entry(step).or_default() += inverse_time(task);
--- a/crates/hoisthitch-jobs/src/maintenance.rs
+++ b/crates/hoisthitch-jobs/src/maintenance.rs
@@ -4,8 +4,8 @@
 //! more tasks unavailable than it allows (its disruption budget).
 
 use std::collections::{
-    HashMap,
-    HashSet, //
+    BTreeMap,
+    BTreeSet, //
 };
 
 use crate::{
@@ -124,7 +124,7 @@
     /// Each of them counts, even if it was unavailable in its runner's last report, because it
     /// may have become available since.
     pub(crate) fn may_disrupt(&self, tasks: &[TaskRef]) -> bool {
-        let mut ending: HashMap<(JobKey, u32, u32), HashSet<usize>> = HashMap::new();
+        let mut ending: BTreeMap<(JobKey, u32, u32), BTreeSet<usize>> = BTreeMap::new();
         for task in tasks {
             let Some(entry) = self.task(*task) else {
                 continue;
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -5,8 +5,8 @@
 //! runners.
 
 use std::collections::{
-    HashMap,
-    HashSet, //
+    BTreeSet,
+    HashMap, //
 };
 
 use slotmap::SlotMap;
@@ -96,9 +96,9 @@
     /// Since when runners have responded to this owner; none before the first response.
     pub(crate) responding_since: Option<Millis>,
     /// Tasks that losses of runners count against.
-    pub(crate) suspects: HashSet<TaskRef>,
+    pub(crate) suspects: BTreeSet<TaskRef>,
     /// Steps of which several runners were lost right after they had begun a task of it.
-    pub(crate) suspect_steps: HashSet<RoundStep>,
+    pub(crate) suspect_steps: BTreeSet<RoundStep>,
     /// Tasks whose jobs are to be failed, because they crash their runners.
     pub(crate) tasks_to_fail: Vec<TaskRef>,
     /// Tasks that were failed as the cause of crashes since they were last read.
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -5,7 +5,7 @@
 //! and refusals decide how long it is in backoff, that is, gets no tasks.
 
 use std::{
-    collections::HashSet,
+    collections::BTreeSet,
     fmt::{
         self,
         Display, //
@@ -165,7 +165,7 @@
     /// Resources reserved by tasks.
     pub used: ResourceAmounts,
     /// Tasks that have resources reserved on it.
-    pub tasks: HashSet<TaskRef>,
+    pub tasks: BTreeSet<TaskRef>,
     /// Number of those tasks that are long-running. Kept as a counter because each choice of a
     /// runner reads it for all runners.
     long_running: u32,
@@ -206,7 +206,7 @@
             reports_start_time: false,
             first_seen_at: now,
             used: ResourceAmounts::default(),
-            tasks: HashSet::new(),
+            tasks: BTreeSet::new(),
             long_running: 0,
             last_seen_end: 0,
             was_reset: false,
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -16,7 +16,7 @@
 };
 
 /// Reference to a task in the owner's memory.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TaskRef {
     /// Job of the task.
     pub job: JobKey,
--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FleetView {
     /// Runners by name, as last written.
-    pub(crate) runners: HashMap<String, RunnerRecord>,
+    pub(crate) runners: BTreeMap<String, RunnerRecord>,
     /// Queue policies by name of the queue.
     pub(crate) policies: HashMap<String, QueuePolicy>,
     /// Pools.
@@ -46,7 +46,7 @@
     pub(crate) listed: bool,
     /// Instances of runners that were listed since this node follows the list, by address and by
     /// VM, and when each was first listed.
-    instances: HashMap<String, BTreeMap<RunnerInstance, Millis>>,
+    instances: BTreeMap<String, BTreeMap<RunnerInstance, Millis>>,
 }
 
 /// An instance of another runner at the same address or on the same VM.
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -139,16 +139,17 @@
     while !control.shared.is_stopping() {
         let mut group_changed = false;
         tokio::select! {
+            biased;
+            _ = check.tick() => control.hand_over_pool(&group),
+            Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
             Some(()) = operator_changes.recv() => group_changed = true,
-            Some(change) = next_change(&mut runner_changes) => control.apply_runner_change(change),
             Some(change) = group_changes.recv() => {
                 group.apply(&control.keys, change, control.shared.clock.now());
                 control.shared.store.record_node_count(group.members.len());
                 listed.send_replace(group.has_instance(&control.identity));
                 group_changed = true;
             }
-            Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
-            _ = check.tick() => control.hand_over_pool(&group),
+            Some(change) = next_change(&mut runner_changes) => control.apply_runner_change(change),
         }
         control.campaign(&mut group);
         if group_changed {
--- a/crates/hoisthitch-scheduler/src/operators.rs
+++ b/crates/hoisthitch-scheduler/src/operators.rs
@@ -62,6 +62,7 @@
         };
         let follow = follow_prefix(store.clone(), options, shared.clone(), changes.clone());
         tokio::select! {
+            biased;
             () = follow => return,
             version = shared.policy_refresh.requested() => event!(
                 Info,
--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -12,6 +12,7 @@
 
 use std::{
     collections::{
+        BTreeMap,
         HashMap,
         HashSet, //
     },
@@ -100,7 +101,7 @@
     conflicts_checked: HashSet<RunnerKey>,
     pub(super) tokens: TokenSource,
     /// Runners whose sessions wait for a higher token, with their addresses.
-    waiting: HashMap<RunnerKey, SocketAddr>,
+    waiting: BTreeMap<RunnerKey, SocketAddr>,
 }
 
 impl InstanceTracker {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -159,7 +159,7 @@
     quotas: QuotaLedger,
     quota_results: mpsc::UnboundedSender<QuotaResult>,
     events: mpsc::UnboundedSender<SessionEvent>,
-    sessions: HashMap<RunnerKey, RunnerSession>,
+    sessions: BTreeMap<RunnerKey, RunnerSession>,
     /// Number of sessions, shared with them.
     session_count: Rc<Cell<u32>>,
     /// Whether a list of runners was applied before.
@@ -236,7 +236,7 @@
         quotas: QuotaLedger::default(),
         quota_results,
         events,
-        sessions: HashMap::new(),
+        sessions: BTreeMap::new(),
         session_count: Rc::default(),
         instances: InstanceTracker::new(takeover.epoch),
         awaited_policy: None,
@@ -353,13 +353,10 @@
         let mut fleet = self.context.fleet.clone();
         let mut stop = self.context.stop.clone();
         loop {
+            // Each iteration handles queued session events below, so that the sources before
+            // them can't starve them.
             tokio::select! {
-                Some(event) = channels.events.recv() => {
-                    if self.handle_event(event) {
-                        return OwnerEnd::Deposed;
-                    }
-                }
-                Some(change) = channels.inbox.recv() => self.apply_inbox_change(change, recorded),
+                biased;
                 Some(result) = channels.journal_results.recv() => {
                     if self.finish_write(result).is_err() {
                         return OwnerEnd::Deposed;
@@ -378,6 +375,12 @@
                         return OwnerEnd::Stopped;
                     }
                 }
+                Some(change) = channels.inbox.recv() => self.apply_inbox_change(change, recorded),
+                Some(event) = channels.events.recv() => {
+                    if self.handle_event(event) {
+                        return OwnerEnd::Deposed;
+                    }
+                }
                 () = sleep_until(self.next_wake()) => {}
             }
             // Leases that were extended must be known before deadlines are checked.
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -160,6 +160,7 @@
     let waves = WaveLoop::new(ledger.clone(), list);
     // The first loop that finds another owner ends both.
     tokio::select! {
+        biased;
         () = run_loop(&ledger, moves) => {}
         () = run_loop(&ledger, waves) => {}
     }
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -12,8 +12,7 @@
     cell::RefCell,
     collections::{
         BTreeMap,
-        HashMap,
-        HashSet, //
+        BTreeSet, //
     },
     rc::Rc,
     time::Duration, //
@@ -60,7 +59,7 @@
 pub(super) struct FleetState {
     pub(super) runners: BTreeMap<String, Runner>,
     /// VMs that are down for maintenance, and until when.
-    in_maintenance: HashMap<String, Instant>,
+    in_maintenance: BTreeMap<String, Instant>,
     /// Names given to instances so far.
     named_instances: u64,
     /// Whether runners don't report their start times.
@@ -72,23 +71,23 @@
     /// Instances started so far; makes their start times unique.
     started_instances: u64,
     /// When the end `done` of a task was first acknowledged.
-    acked_at: HashMap<String, Instant>,
+    acked_at: BTreeMap<String, Instant>,
     /// Tasks with a start that was ordered from an earlier instance and that the new one could
     /// not reject.
-    unguarded_tasks: HashSet<String>,
+    unguarded_tasks: BTreeSet<String>,
     /// When the order that is being carried out was sent, if it was delayed.
     sent: Option<Instant>,
     /// Whether the start that is being carried out was ordered from an earlier instance, and
     /// the present one can't reject it.
     unguarded: bool,
     /// Tasks whose end `done` was acknowledged.
-    pub(super) acked_done: HashSet<String>,
+    pub(super) acked_done: BTreeSet<String>,
     /// Tasks that ended `done`.
-    pub(super) done: HashSet<String>,
+    pub(super) done: BTreeSet<String>,
     /// Number of acknowledged failures, by task.
-    failed: HashMap<String, u32>,
+    failed: BTreeMap<String, u32>,
     /// Number of starts, by task.
-    starts: HashMap<String, u32>,
+    starts: BTreeMap<String, u32>,
     /// Violations that the checkers found.
     pub(super) violations: Vec<String>,
     /// Each order of this many is carried out late and gets no response; zero for none.
@@ -109,9 +108,9 @@
     /// Most VMs that were in maintenance at once.
     down_most: usize,
     /// Last order about each VM: the node that sent it, and when it arrived.
-    vm_orders: HashMap<String, (String, Instant)>,
+    vm_orders: BTreeMap<String, (String, Instant)>,
     /// Maintenance orders that arrived, by VM.
-    maintenance_orders: HashMap<String, usize>,
+    maintenance_orders: BTreeMap<String, usize>,
     /// Whether orders about VMs are lost.
     vms_lost: bool,
     /// Whether orders about VMs are carried out and their responses are lost.
@@ -119,13 +118,13 @@
     /// Delay of orders about VMs.
     vm_order_delay: Duration,
     /// Jobs that their caller cancelled, so that their tasks may be stopped.
-    pub(super) cancelled: HashSet<String>,
+    pub(super) cancelled: BTreeSet<String>,
     /// Tasks that crash their runners.
     pub(super) crashing: CrashingTasks,
     /// Specifications of jobs, and their checkers.
     pub(super) rules: RuleBook,
     /// When the cancel of a job got its response.
-    cancel_answers: HashMap<String, Instant>,
+    cancel_answers: BTreeMap<String, Instant>,
     /// The latest calls to the runners.
     pub(super) trace: CallTrace,
 }
@@ -292,7 +291,7 @@
     }
 
     /// Jobs of which a task was ever started.
-    pub fn started_jobs(&self) -> HashSet<String> {
+    pub fn started_jobs(&self) -> BTreeSet<String> {
         let state = self.state.borrow();
         let tasks = state.starts.keys();
         tasks
@@ -313,7 +312,7 @@
     /// Number of VMs that went down for maintenance, and the most at once.
     pub fn maintenance_counts(&self) -> (usize, usize) {
         let state = self.state.borrow();
-        let vms: HashSet<&String> = state.maintenance_starts.iter().map(|row| &row.0).collect();
+        let vms: BTreeSet<&String> = state.maintenance_starts.iter().map(|row| &row.0).collect();
         (vms.len(), state.down_most)
     }
 
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -5,8 +5,7 @@
     cell::RefCell,
     collections::{
         BTreeMap,
-        HashMap,
-        HashSet,
+        BTreeSet,
         VecDeque, //
     },
     rc::Rc,
@@ -55,9 +54,9 @@
     /// No call gets a response, and none is carried out.
     pub down: bool,
     /// Calls of these nodes are not carried out, and get no response.
-    pub cut: HashSet<String>,
+    pub cut: BTreeSet<String>,
     /// Calls of these nodes are carried out, but get no response.
-    pub unanswered: HashSet<String>,
+    pub unanswered: BTreeSet<String>,
     /// Watches of keys with this prefix get no response; empty for none.
     pub silent_watches: String,
     /// Each write of this many is carried out but gets no response; zero for none.
@@ -96,7 +95,7 @@
     values: BTreeMap<String, (Vec<u8>, i64, i64)>,
     revision: i64,
     log: Vec<(i64, WatchEvent)>,
-    leases: HashMap<i64, (Duration, Instant)>,
+    leases: BTreeMap<i64, (Duration, Instant)>,
     next_lease: i64,
     writes: u64,
     faults: StoreFaults,
@@ -412,7 +411,7 @@
         if items.len() + conditions.count() > ENTRY_LIMIT {
             return Err(refused("swap_all"));
         }
-        let keys: HashSet<&String> = items.iter().map(|item| &item.key).collect();
+        let keys: BTreeSet<&String> = items.iter().map(|item| &item.key).collect();
         if keys.len() != items.len() {
             return Err(refused("swap_all"));
         }
