Keep acknowledgements that reach a later instance from losing ends there

Callers saw: tasks ran again after they were done, on runners that had restarted under their names while the network held calls back.

Also, a response from a new instance to a heartbeat that acknowledged ends was taken to say that nothing had strayed.

- An end is acknowledged by one heartbeat, which does not wait, and not by all that follow.
Starts and acknowledgements are never in transit together (session/gate.rs); while one has no response, the other is not sent until the instance has responded to a later heartbeat.
- A runner whose earlier instance had an unanswered acknowledgement is unproven: it gets long-running tasks, and one short task at a time, which is stopped once it runs.
When an end is listed, all later ones will be.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -20,7 +20,10 @@
         RunningTask,
         StartOutcome, //
     },
-    runner::RunnerKey,
+    runner::{
+        EndListing,
+        RunnerKey, //
+    },
     task::{
         StartOrder,
         StopOrder,
@@ -68,6 +71,7 @@
             && let Some(runner) = self.runners.get_mut(key)
         {
             runner.last_seen_end = runner.last_seen_end.max(last);
+            runner.end_listing = EndListing::Complete;
         }
         self.release_unreported(key, now);
         self.resolve_missing_runs(key, &present, sent_at, now)
@@ -166,6 +170,7 @@
         if was_unconfirmed || was_ordered {
             self.set_task_state(task, TaskState::Running(key), now);
             self.begin_job(task.job);
+            self.probe_end_listing(task, key, now);
         }
         let entry = self.task_mut(task)?;
         entry.changed_at = entry.changed_at.max(changed_at);
@@ -407,12 +412,14 @@
                 TaskState::Running(_) if entry.ordered_at < sent_at => {
                     self.set_task_state(task, TaskState::Waiting, now);
                     self.mark_dirty(task.job);
+                    self.record_dropped_end(key, now);
                 }
                 // The stop was acknowledged before the heartbeat was sent, so the run can't
                 // begin any more. It may never have begun, and then no end of it is reported.
                 TaskState::Stopping(_) if entry.stopped_at.is_some_and(|at| at < sent_at) => {
                     self.set_task_state(task, TaskState::Waiting, now);
                     self.mark_dirty(task.job);
+                    self.record_dropped_end(key, now);
                 }
                 _ => {}
             }
@@ -469,6 +476,7 @@
                 }
                 self.set_task_state(task, TaskState::Running(order.runner), now);
                 self.begin_job(task.job);
+                self.probe_end_listing(task, order.runner, now);
             }
             // This outcome adds nothing: an earlier copy shows in the next heartbeat, and a
             // missing run is sent again. Stopping the run would end a long-running task that
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -71,11 +71,14 @@
         now: Millis,
     ) -> impl Iterator<Item = (RunnerKey, &'a RunnerEntry)> {
         let isolate = self.must_isolate(task, now);
+        let avoids_unproven = self.avoids_unproven(task, now);
         self.runners
             .iter()
             .filter(move |(_, runner)| runner.takes_tasks(now) && runner.fits(step))
             .filter(move |(_, runner)| self.allows_isolation(task, isolate, runner, now))
             .filter(|(_, runner)| !runner.is_on_probation() || runner.tasks.is_empty())
+            .filter(move |(_, runner)| runner.lists_end_of(step, now))
+            .filter(move |(_, runner)| !avoids_unproven || !runner.is_unproven())
             .filter(move |(_, runner)| has_label(runner, step))
             .filter(move |(_, runner)| self.is_advised(task, runner, now))
             .filter(move |(_, runner)| {
--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -160,6 +160,34 @@
         self.break_gang(task, now);
     }
 
+    /// Records that acknowledgements for an earlier instance may have reached a runner.
+    pub fn doubt_end_listing(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.doubt_end_listing();
+        }
+    }
+
+    /// Records that a run on a runner has ended and is not listed.
+    pub(crate) fn record_dropped_end(&mut self, key: RunnerKey, now: Millis) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.record_dropped_end(now);
+        }
+    }
+
+    /// Stops a short task that has begun on a runner that may drop its end unread: once the
+    /// stopped run is listed as ended, all later ends will be. A suspect goes on, since each
+    /// start of it may cost a runner.
+    pub(crate) fn probe_end_listing(&mut self, task: TaskRef, key: RunnerKey, now: Millis) {
+        let is_unproven = self.runners.get(key).is_some_and(RunnerEntry::is_unproven);
+        let is_suspect = self
+            .task(task)
+            .is_some_and(|entry| entry.suspicion.is_suspect());
+        if is_unproven && !is_suspect && !self.is_long_running(task) {
+            self.stop_task(task, now);
+            self.break_gang(task, now);
+        }
+    }
+
     /// Records the start time of the instance that responded, where the platform's record does
     /// not have it.
     pub fn record_start_time(&mut self, key: RunnerKey, started_at: u64) {
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -42,10 +42,33 @@
 /// one owner sent 2,500 starts a second in this way for seconds, and none of them ran.
 const START_LEASE_MIN_MS: Millis = 1_000;
 
+/// Time for which a runner that dropped an end unread gets no short tasks, in milliseconds; it
+/// doubles with each further end that is dropped.
+const DROPPED_END_PAUSE_MS: Millis = 1_000;
+
+/// How often that time is doubled at most: up to 64 s, as all runners of a pool may be affected.
+const DROPPED_END_DOUBLINGS_MAX: u32 = 6;
+
 /// How often the backoff after refusals is doubled at most: up to 4.8 s, about as long as
 /// troubles of runners last.
 const REFUSAL_DOUBLINGS_MAX: u32 = 3;
 
+/// Whether the list of ended runs in a runner's responses can be relied on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EndListing {
+    /// It contains all ends that were not acknowledged.
+    #[default]
+    Complete,
+    /// Acknowledgements for an earlier instance may have reached this one, which then drops as
+    /// many ends unread, until it has listed one.
+    Unproven {
+        /// Number of ends that it dropped.
+        dropped: u32,
+        /// Time until which it gets no short tasks.
+        paused_until: Millis,
+    },
+}
+
 new_key_type! {
     /// Key of a runner in the pool's state.
     pub struct RunnerKey;
@@ -171,6 +194,8 @@
     long_running: u32,
     /// Number of the last end that was processed.
     pub last_seen_end: u64,
+    /// Whether it lists all ends.
+    pub end_listing: EndListing,
     /// Whether its connections were reset when it was last lost: its process has ended.
     pub(crate) was_reset: bool,
     /// Whether its loss was recorded, and it has not responded since.
@@ -209,6 +234,7 @@
             tasks: BTreeSet::new(),
             long_running: 0,
             last_seen_end: 0,
+            end_listing: EndListing::Complete,
             was_reset: false,
             loss_recorded: false,
             isolated_task: None,
@@ -243,6 +269,47 @@
         self.failures >= FAILURE_STREAK
     }
 
+    /// Whether it may drop ends unread.
+    pub fn is_unproven(&self) -> bool {
+        self.end_listing != EndListing::Complete
+    }
+
+    /// Whether its list of ends allows a task of the step. A long-running task does not end by
+    /// itself; otherwise one task at a time is started and stopped, until an end is listed.
+    pub fn lists_end_of(&self, step: &StepSpec, now: Millis) -> bool {
+        match self.end_listing {
+            EndListing::Complete => true,
+            EndListing::Unproven { .. } if step.long_running => true,
+            EndListing::Unproven { paused_until, .. } => {
+                let only_long_running = self.tasks.len() == self.long_running as usize;
+                !step.gang && only_long_running && paused_until <= now
+            }
+        }
+    }
+
+    /// Records that it may drop ends unread.
+    pub fn doubt_end_listing(&mut self) {
+        if self.end_listing == EndListing::Complete {
+            self.end_listing = EndListing::Unproven {
+                dropped: 0,
+                paused_until: 0,
+            };
+        }
+    }
+
+    /// Records that a run on it has ended and is not listed.
+    pub fn record_dropped_end(&mut self, now: Millis) {
+        if let EndListing::Unproven {
+            dropped,
+            paused_until,
+        } = &mut self.end_listing
+        {
+            let doublings = (*dropped).min(DROPPED_END_DOUBLINGS_MAX);
+            *paused_until = now + (DROPPED_END_PAUSE_MS << doublings);
+            *dropped += 1;
+        }
+    }
+
     /// Whether a task of the step fits beside what it runs.
     pub fn fits(&self, step: &StepSpec) -> bool {
         self.facts
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -240,17 +240,30 @@
     /// Whether a task is placed on a runner of its own. One that has waited for too long is
     /// placed beside others.
     pub(crate) fn must_isolate(&self, task: TaskRef, now: Millis) -> bool {
-        let Some(entry) = self.task(task) else {
-            return false;
-        };
+        // If crashes in isolation point to the step, its tasks are never placed beside others.
+        let waited = || self.has_waited_for_runner(task, now);
+        self.needs_isolation(task) && (self.step_weight(task) > 0 || !waited())
+    }
+
+    /// Whether a task has waited as long as a suspect waits for a runner that suits it.
+    fn has_waited_for_runner(&self, task: TaskRef, now: Millis) -> bool {
         let wait = if self.is_long_running(task) {
             LONG_RUNNING_ISOLATION_WAIT_MS
         } else {
             ISOLATION_WAIT_MS
         };
-        let waited = || entry.state == TaskState::Waiting && entry.changed_at + wait <= now;
-        // If crashes in isolation point to the step, its tasks are never placed beside others.
-        self.needs_isolation(task) && (self.step_weight(task) > 0 || !waited())
+        self.task(task).is_some_and(|entry| {
+            entry.state == TaskState::Waiting && entry.changed_at + wait <= now
+        })
+    }
+
+    /// Whether a task is kept off runners that may drop its end unread. Others are stopped
+    /// there and started again, which may cost a runner for each start of a suspect.
+    pub(crate) fn avoids_unproven(&self, task: TaskRef, now: Millis) -> bool {
+        let is_suspect = |entry: &TaskEntry| entry.suspicion.is_suspect();
+        self.task(task).is_some_and(is_suspect)
+            && !self.is_long_running(task)
+            && !self.has_waited_for_runner(task, now)
     }
 
     /// Whether another suspect may be isolated now.
--- a/crates/hoisthitch-scheduler/src/journal.rs
+++ b/crates/hoisthitch-scheduler/src/journal.rs
@@ -5,7 +5,10 @@
 //! late changes nothing, and a write whose answer was lost is recognised by its head.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::Arc,
     time::Duration, //
 };
@@ -54,6 +57,26 @@
     /// written a head that does not name it.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) silent: BTreeMap<String, Millis>,
+    /// Instances of runners that may drop ends unread, as `name@start time`.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub(crate) unproven: BTreeSet<String>,
+}
+
+impl HeadRecord {
+    /// What it says about runners.
+    pub(crate) fn runner_notes(self) -> RunnerNotes {
+        RunnerNotes {
+            silent: self.silent,
+            unproven: self.unproven,
+        }
+    }
+}
+
+/// What an owner's head record tells the next owner about runners, as in [`HeadRecord`].
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunnerNotes {
+    pub(crate) silent: BTreeMap<String, Millis>,
+    pub(crate) unproven: BTreeSet<String>,
 }
 
 /// Error of a journal write.
@@ -92,7 +115,7 @@
         }
     }
 
-    /// Writes values and the list of silent runners. Returns the time at which the successful
+    /// Writes values and the notes on runners. Returns the time at which the successful
     /// write was sent; this node owned the pool then.
     ///
     /// # Errors
@@ -101,11 +124,12 @@
     pub(crate) async fn write(
         &mut self,
         values: Vec<SwapItem>,
-        silent: BTreeMap<String, Millis>,
+        notes: RunnerNotes,
     ) -> Result<Millis, JournalError> {
         let head = HeadRecord {
             sequence: self.head.sequence + 1,
-            silent,
+            silent: notes.silent,
+            unproven: notes.unproven,
             ..self.head.clone()
         };
         loop {
--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -13,6 +13,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         HashMap,
         HashSet, //
     },
@@ -48,8 +49,8 @@
 /// longer than a heartbeat waits, shorter than a VM takes to come back with another runner.
 const LIVENESS_PROOF_MS: Millis = 1_200;
 
-/// Time for which the token of a runner's last session is kept, in milliseconds: longer than
-/// any order of that session may be in transit.
+/// Time for which the token and unanswered acknowledgements of a runner's last session are
+/// kept, in milliseconds: longer than any call of that session may be in transit.
 const TOKEN_KEPT_MS: Millis = 60_000;
 
 /// Number of tokens from which on old ones are removed.
@@ -100,15 +101,23 @@
     /// Runners that were checked for conflicting instances since the list last changed.
     conflicts_checked: HashSet<RunnerKey>,
     pub(super) tokens: TokenSource,
+    /// Instances to which an acknowledgement of ends may still be in transit, by the runner's
+    /// name, and since when.
+    unanswered_acks: HashMap<String, (RunnerInstance, Millis)>,
+    /// Instances that may drop ends unread, as the previous owner recorded them, and with which
+    /// there was no session yet.
+    inherited_unproven: BTreeSet<RunnerInstance>,
     /// Runners whose sessions wait for a higher token, with their addresses.
     waiting: BTreeMap<RunnerKey, SocketAddr>,
 }
 
 impl InstanceTracker {
     /// State of a new owner.
-    pub(super) fn new(epoch: u64) -> Self {
+    pub(super) fn new(epoch: u64, unproven: &BTreeSet<String>) -> Self {
+        let unproven = unproven.iter().map(|text| RunnerInstance::parse(text));
         Self {
             tokens: TokenSource::new(epoch),
+            inherited_unproven: unproven.collect(),
             ..Self::default()
         }
     }
@@ -133,6 +142,24 @@
         self.waiting.clear();
     }
 
+    /// Records that an acknowledgement of ends may still be in transit to an instance.
+    fn record_unanswered_ack(&mut self, instance: RunnerInstance, now: Millis) {
+        if self.unanswered_acks.len() >= TOKENS_KEPT_MAX {
+            let since = now.saturating_sub(TOKEN_KEPT_MS);
+            self.unanswered_acks.retain(|_, sent| sent.1 > since);
+        }
+        let name = instance.name.clone();
+        self.unanswered_acks.insert(name, (instance, now));
+    }
+
+    /// Whether an acknowledgement for an earlier instance may have reached this one, or may
+    /// still reach it.
+    fn may_get_stray_ack(&mut self, instance: &RunnerInstance, now: Millis) -> bool {
+        let sent = self.unanswered_acks.get(&instance.name);
+        self.inherited_unproven.remove(instance)
+            || sent.is_some_and(|(before, at)| before != instance && at + TOKEN_KEPT_MS > now)
+    }
+
     /// Removes everything that is known by a runner's key.
     pub(super) fn remove_key(&mut self, key: RunnerKey) {
         self.conflicts_checked.remove(&key);
@@ -158,6 +185,10 @@
         } else {
             MAX_RUN_MS
         };
+        // What an earlier owner acknowledged to the instance before is not known.
+        if restarted_lately && !runner.restarted {
+            self.doubt_end_listing(key);
+        }
         self.state.fence_runner(key, now + max_run_ms);
     }
 
@@ -240,7 +271,12 @@
         let now = self.now();
         let before = self.instance_text(key);
         self.mark_ended(key);
-        self.sessions.remove(&key);
+        let responded = self.state.runner(key).is_some_and(|runner| runner.fenced);
+        if let Some(before) = self.state.instance_of(key).filter(|_| !responded) {
+            // An earlier owner may have acknowledged ends to it.
+            self.instances.record_unanswered_ack(before, now);
+        }
+        self.end_session(key);
         self.instances.remove_key(key);
         self.publish_session_count();
         let until = now + MAX_STRAY_RUN_MS;
@@ -323,6 +359,40 @@
         self.state.record_unlisted_loss(&conflict.name, now);
     }
 
+    /// Ends the session with a runner.
+    pub(super) fn end_session(&mut self, key: RunnerKey) {
+        let ended = self.sessions.remove(&key);
+        if ended.is_some_and(|session| session.has_unanswered_acks())
+            && let Some(instance) = self.state.instance_of(key)
+        {
+            self.instances.record_unanswered_ack(instance, self.now());
+        }
+    }
+
+    /// Instances that may drop ends unread, for the journal.
+    pub(super) fn unproven_instances(&self) -> BTreeSet<String> {
+        let unproven = self
+            .state
+            .runners()
+            .filter(|(_, runner)| runner.is_unproven());
+        let unproven = unproven.map(|(_, runner)| runner.facts.instance());
+        let inherited = self.instances.inherited_unproven.iter().cloned();
+        let unproven = unproven.chain(inherited);
+        unproven.map(|instance| instance.to_string()).collect()
+    }
+
+    /// Records that a runner may drop ends unread, since acknowledgements for an earlier
+    /// instance may have reached it.
+    fn doubt_end_listing(&mut self, key: RunnerKey) {
+        self.state.doubt_end_listing(key);
+        event!(
+            Info,
+            "runner_ends_doubted",
+            pool = self.context.pool,
+            runner = self.instance_text(key)
+        );
+    }
+
     /// Opens a session with a runner, or queues it until there is a token for it.
     fn open_session(&mut self, key: RunnerKey, address: SocketAddr) {
         let Some(instance) = self.state.instance_of(key).filter(|_| !self.handing_over) else {
@@ -333,6 +403,9 @@
             self.instances.waiting.insert(key, address);
             return;
         };
+        if self.instances.may_get_stray_ack(&instance, now) {
+            self.doubt_end_listing(key);
+        }
         event!(
             Info,
             "runner_taken",
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -23,6 +23,7 @@
     cell::Cell,
     collections::{
         BTreeMap,
+        BTreeSet,
         HashMap, //
     },
     rc::Rc,
@@ -174,6 +175,9 @@
     owner_since: Millis,
     /// Silent runners that may still run something, as of the last check.
     silent: BTreeMap<String, SilentRuns>,
+    /// Instances that may drop ends unread, as the journal's head names them, or will once the
+    /// write in progress is done.
+    recorded_unproven: BTreeSet<String>,
     /// What the journal records of silent runners.
     silence: SilenceTracker,
     /// When the ownership was last confirmed; shared with sessions and VM loops.
@@ -228,7 +232,7 @@
     let now = context.shared.clock.now();
     let mut owner = PoolOwner {
         epoch: takeover.epoch,
-        state: PoolState::new(inherited_runs(&takeover.silent, now)),
+        state: PoolState::new(inherited_runs(&takeover.notes.silent, now)),
         journal: Some(takeover.journal),
         journal_results,
         advice_results,
@@ -238,12 +242,13 @@
         events,
         sessions: BTreeMap::new(),
         session_count: Rc::default(),
-        instances: InstanceTracker::new(takeover.epoch),
+        instances: InstanceTracker::new(takeover.epoch, &takeover.notes.unproven),
         awaited_policy: None,
         handing_over: false,
         owner_since: now,
         silent: BTreeMap::new(),
-        silence: SilenceTracker::inherited(&takeover.silent),
+        silence: SilenceTracker::inherited(&takeover.notes.silent),
+        recorded_unproven: takeover.notes.unproven,
         has_synced: false,
         confirmed_at,
         checked_at: 0,
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -211,7 +211,7 @@
     pub(super) fn remove_runner(&mut self, key: RunnerKey, reason: RemovalReason) {
         let now = self.now();
         let instance = self.state.instance_of(key);
-        self.sessions.remove(&key);
+        self.end_session(key);
         self.instances.remove_key(key);
         self.publish_session_count();
         if let Some(instance) = instance {
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -24,6 +24,7 @@
         BATCH_LIMIT,
         JournalError,
         PoolJournal,
+        RunnerNotes,
         encode_record, //
     },
     platform::Platform, //
@@ -89,16 +90,26 @@
             .collect();
         items.extend(self.counts_item(now));
         self.add_deletions(&mut items, now);
-        if items.is_empty() && !self.needs_silence_write(now) && !self.instances.needs_token() {
+        let unproven = self.unproven_instances();
+        let notes_changed = unproven != self.recorded_unproven;
+        if items.is_empty()
+            && !self.needs_silence_write(now)
+            && !self.instances.needs_token()
+            && !notes_changed
+        {
             self.start_confirmation(journal, now);
             return;
         }
         self.wrote_at = now;
-        let silent = self.begin_silence_write(now);
+        self.recorded_unproven.clone_from(&unproven);
+        let notes = RunnerNotes {
+            silent: self.begin_silence_write(now),
+            unproven,
+        };
         let results = self.journal_results.clone();
         let mut journal = journal;
         actix_rt::spawn(async move {
-            let result = journal.write(items, silent).await;
+            let result = journal.write(items, notes).await;
             // The send fails only if the owner has ended.
             let _ = results.send((journal, plan, result));
         });
--- a/crates/hoisthitch-scheduler/src/session/heartbeats.rs
+++ b/crates/hoisthitch-scheduler/src/session/heartbeats.rs
@@ -1,8 +1,8 @@
 //! Heartbeats of a session: sent one after the other for as long as the session lasts.
 //!
-//! A heartbeat is a long poll. It renews the lease of what runs on the runner, acknowledges
-//! the last recorded end and returns what runs there and what has ended since. What the owner
-//! has to know is sent to it as [`SessionEvent`]s.
+//! A heartbeat renews the lease of what runs on the runner, and returns what runs there and what
+//! has ended. It is a long poll, except where it acknowledges the last recorded end. What the
+//! owner has to know is sent to it as [`SessionEvent`]s.
 
 use std::{
     rc::Rc,
@@ -16,6 +16,7 @@
 use hoisthitch_telemetry::event;
 use tokio::{
     sync::{
+        MutexGuard,
         Notify,
         watch, //
     },
@@ -25,6 +26,7 @@
 use super::{
     SessionContext,
     SessionEvent,
+    gate::TransitGate,
     lease::{
         GrantedLease,
         LeaseClock, //
@@ -61,6 +63,10 @@
 /// never read. After a longer time, a heartbeat that acknowledges nothing is sent first.
 const FRESH_RESPONSE_MS: Millis = 140;
 
+/// Longest wait of a heartbeat that has ends to acknowledge for starts in transit; after that
+/// it is sent without the acknowledgement, since it also renews the lease.
+const ACK_TURN_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Maximum interval between two heartbeats of a runner that responds.
 const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -85,6 +91,7 @@
     pub(super) cleared_misses: watch::Receiver<u64>,
     /// Notified when the runner may have another instance.
     pub(super) instance_check: Rc<Notify>,
+    pub(super) gate: Rc<TransitGate>,
 }
 
 /// The heartbeats of a session.
@@ -101,6 +108,8 @@
     misses: u64,
     /// Consecutive heartbeats that found nothing listening; none before the first response.
     refusals: Option<u32>,
+    /// Number of the last end whose acknowledgement was answered.
+    acked_end: u64,
 }
 
 /// A heartbeat that is about to be sent.
@@ -109,8 +118,11 @@
     sent_at: Millis,
     /// Number of the last recorded end, whether this heartbeat acknowledges it or not.
     recorded_end: u64,
-    /// Whether the heartbeat acknowledges it.
+    /// Whether the heartbeat acknowledges it. Each end is acknowledged by one heartbeat only,
+    /// which does not wait: it is in transit for as short a time as possible.
     acknowledges: bool,
+    /// Whether there is an end to acknowledge.
+    has_unacked: bool,
     lease: Option<GrantedLease>,
 }
 
@@ -128,6 +140,7 @@
             responded_at: None,
             misses: 1,
             refusals: None,
+            acked_end: 0,
         }
     }
 
@@ -135,15 +148,25 @@
     /// another runner or a higher fencing token.
     pub(super) async fn run(mut self) {
         while self.signals.recorded_end.has_changed().is_ok() {
-            let plan = self.plan();
+            let gate = self.signals.gate.clone();
+            // The gate is passed first, since the plan depends on the time.
+            let turn = self.turn_to_acknowledge(&gate).await;
+            let plan = self.plan(turn.is_some());
             let call = self
                 .context
                 .runners
                 .heartbeat(&self.context.address, self.request(plan));
             let response = tokio::select! {
+                biased;
                 response = call => Some(response),
                 () = self.signals.instance_check.notified() => None,
             };
+            let now = self.context.shared.clock.now();
+            let failed_at_once = self.failed_at_once(plan, now);
+            if plan.acknowledges && self.may_have_strayed(&response, failed_at_once) {
+                gate.record_unanswered_ack(now);
+            }
+            drop(turn);
             match response {
                 Some(Ok(report)) => {
                     if let Some(started_at) = self.new_start_time(&report) {
@@ -165,9 +188,7 @@
                 Some(Err(err)) => {
                     self.log_lost(&err);
                     self.count_refusal(&err);
-                    let now = self.context.shared.clock.now();
-                    let waited = Duration::from_millis(now.saturating_sub(plan.sent_at));
-                    self.record_miss(waited < self.request(plan).wait + RESET_TIMEOUT);
+                    self.record_miss(failed_at_once);
                     if self.refusals == Some(REFUSALS_OF_ENDED_PROCESS) {
                         let runner = self.context.key;
                         self.context.emit(SessionEvent::ProcessExited { runner });
@@ -183,22 +204,24 @@
 
     /// Plans the next heartbeat. It grants a lease only if the runner responded to the last one,
     /// and if the owner allows leases again after the missed ones.
-    fn plan(&mut self) -> HeartbeatPlan {
+    fn plan(&mut self, has_turn: bool) -> HeartbeatPlan {
         let recorded_end = *self.signals.recorded_end.borrow_and_update();
         let sent_at = self.context.shared.clock.now();
         let is_fresh = |at| sent_at < at + FRESH_RESPONSE_MS;
         let is_cleared = *self.signals.cleared_misses.borrow() >= self.misses;
         let may_extend = self.responded_at.is_some() && is_cleared;
+        let is_safe = self.signals.gate.allows_ack() && self.responded_at.is_some_and(is_fresh);
         HeartbeatPlan {
             sent_at,
             recorded_end,
-            acknowledges: self.responded_at.is_some_and(is_fresh),
+            acknowledges: has_turn && recorded_end > self.acked_end && is_safe,
+            has_unacked: recorded_end > self.acked_end,
             lease: self.context.next_lease(&self.clock, sent_at, may_extend),
         }
     }
 
     fn request(&self, plan: HeartbeatPlan) -> HeartbeatRequest {
-        let waits = plan.lease.is_some() && plan.acknowledges_all();
+        let waits = plan.lease.is_some() && !plan.has_unacked;
         HeartbeatRequest {
             token: self.context.token,
             acked_end: if plan.acknowledges {
@@ -215,6 +238,36 @@
         }
     }
 
+    /// Passes the gate if there are ends to acknowledge, and no start is in transit for long.
+    async fn turn_to_acknowledge<'a>(&self, gate: &'a TransitGate) -> Option<MutexGuard<'a, ()>> {
+        if *self.signals.recorded_end.borrow() <= self.acked_end {
+            return None;
+        }
+        timeout(ACK_TURN_TIMEOUT, gate.turn()).await.ok()
+    }
+
+    /// Whether an acknowledgement that got this response may have reached, or may still reach,
+    /// a later instance. One that was refused, or whose process ended, does not.
+    fn may_have_strayed(
+        &self,
+        response: &Option<Result<HeartbeatReport, RunnerError>>,
+        failed_at_once: bool,
+    ) -> bool {
+        match response {
+            Some(Ok(report)) => self.new_start_time(report).is_some(),
+            Some(Err(RunnerError::NoAnswer(_))) => !failed_at_once,
+            Some(Err(_)) => false,
+            None => true,
+        }
+    }
+
+    /// Whether a heartbeat that failed by `now` did so because its connection was reset or
+    /// refused.
+    fn failed_at_once(&self, plan: HeartbeatPlan, now: Millis) -> bool {
+        let waited = Duration::from_millis(now.saturating_sub(plan.sent_at));
+        waited < self.request(plan).wait + RESET_TIMEOUT
+    }
+
     /// Start time of the instance that responded, if it is not the one before. Heartbeats of a
     /// session go one after the other, so that another instance is always a later one, whatever
     /// the start times say: a VM's time of day may have been set back.
@@ -229,6 +282,10 @@
         self.responded_at = Some(now);
         self.refusals = Some(0);
         self.started_at = report.started_at.or(self.started_at);
+        self.signals.gate.record_response(plan.sent_at);
+        if plan.acknowledges {
+            self.acked_end = plan.recorded_end;
+        }
         self.clock.record_reading(report.clock_ms, now);
         let last = report.ended.iter().map(|end| end.number).max();
         self.context.emit(SessionEvent::HeartbeatSucceeded {
@@ -245,7 +302,7 @@
                 .wait_for(|recorded| *recorded >= last);
             // If they are not recorded in time, the next heartbeat reports the same ends.
             let _ = timeout(RECORD_TIMEOUT, all_recorded).await;
-        } else if plan.acknowledges_all() {
+        } else if !plan.has_unacked {
             tokio::time::sleep(self.context.heartbeat_interval()).await;
         }
         // A heartbeat that may not grant a lease is not useful yet.
@@ -287,13 +344,6 @@
     }
 }
 
-impl HeartbeatPlan {
-    /// Whether no end is left to acknowledge with another heartbeat.
-    fn acknowledges_all(self) -> bool {
-        self.acknowledges || self.recorded_end == 0
-    }
-}
-
 impl<R> SessionContext<R> {
     /// Interval between two heartbeats; it grows with the number of the owner's sessions.
     fn heartbeat_interval(&self) -> Duration {
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -5,6 +5,7 @@
 //! Independently of them, orders are sent one after the other ([`orders`]). The owner drops a
 //! [`RunnerSession`] to end the session, and receives [`SessionEvent`]s.
 
+mod gate;
 mod heartbeats;
 mod lease;
 mod orders;
@@ -37,6 +38,7 @@
     MAX_STRAY_RUN_MS, //
 };
 use self::{
+    gate::TransitGate,
     heartbeats::{
         HeartbeatLoop,
         HeartbeatSignals, //
@@ -44,8 +46,8 @@
     lease::LeaseClock,
     orders::{
         OrderQueue,
-        WithdrawnRuns,
-        send_orders, //
+        OrderSender,
+        WithdrawnRuns, //
     }, //
 };
 use crate::{
@@ -123,6 +125,7 @@
     cleared_misses: watch::Sender<u64>,
     /// Notified when the runner may have another instance.
     instance_check: Rc<Notify>,
+    gate: Rc<TransitGate>,
     /// Where the runner listens.
     pub(crate) address: SocketAddr,
 }
@@ -157,17 +160,24 @@
         let clock = Rc::new(LeaseClock::default());
         let (cleared_misses, miss_receiver) = watch::channel(0);
         let instance_check = Rc::new(Notify::new());
+        let gate = Rc::new(TransitGate::default());
         let withdrawn = WithdrawnRuns::default();
         let address = context.address.address;
         let order_queue = OrderQueue {
             queue,
             withdrawn: withdrawn.clone(),
         };
-        actix_rt::spawn(send_orders(context.clone(), clock.clone(), order_queue));
+        let sender = OrderSender {
+            context: context.clone(),
+            clock: clock.clone(),
+            gate: gate.clone(),
+        };
+        actix_rt::spawn(sender.run(order_queue));
         let signals = HeartbeatSignals {
             recorded_end: end_receiver,
             cleared_misses: miss_receiver,
             instance_check: instance_check.clone(),
+            gate: gate.clone(),
         };
         actix_rt::spawn(HeartbeatLoop::new(context, clock, signals).run());
         Self {
@@ -176,10 +186,16 @@
             withdrawn,
             cleared_misses,
             instance_check,
+            gate,
             address,
         }
     }
 
+    /// Whether an acknowledgement of ends may still be in transit to the runner.
+    pub(crate) fn has_unanswered_acks(&self) -> bool {
+        self.gate.has_unanswered_acks()
+    }
+
     /// Sends a heartbeat at once, to learn which instance of the runner is current.
     pub(crate) fn check_instance(&self) {
         self.instance_check.notify_one();
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -24,6 +24,7 @@
     RunnerOrder,
     SessionContext,
     SessionEvent,
+    gate::TransitGate,
     lease::LeaseClock, //
 };
 use crate::{
@@ -58,6 +59,8 @@
     QueuedTooLong,
     /// The runner would refuse it, since the lease has expired.
     LeaseExpired,
+    /// An acknowledgement of ends got no response, and may reach a later instance with it.
+    AckUnanswered,
 }
 
 impl StartRefusal {
@@ -68,6 +71,7 @@
             Self::ListStale => "list_old",
             Self::QueuedTooLong => "waited",
             Self::LeaseExpired => "lease_over",
+            Self::AckUnanswered => "ack_unanswered",
         }
     }
 }
@@ -89,36 +93,68 @@
     }
 }
 
-/// Sends queued orders one after the other until the session ends.
-pub(super) async fn send_orders<R: RunnerControl>(
-    context: Rc<SessionContext<R>>,
-    clock: Rc<LeaseClock>,
-    mut orders: OrderQueue,
-) {
-    while let Some(order) = orders.queue.recv().await {
-        match order {
-            RunnerOrder::Start(order, admitted_at) => {
-                match context.start_refusal(&order, admitted_at, &clock, &orders) {
-                    Some(refusal) => context.drop_start(order, admitted_at, refusal),
-                    None => send_start(&context, &clock, order).await,
+/// Sends the orders of a session.
+pub(super) struct OrderSender<R> {
+    pub(super) context: Rc<SessionContext<R>>,
+    pub(super) clock: Rc<LeaseClock>,
+    pub(super) gate: Rc<TransitGate>,
+}
+
+impl<R: RunnerControl> OrderSender<R> {
+    /// Sends queued orders one after the other until the session ends.
+    pub(super) async fn run(self, mut orders: OrderQueue) {
+        let context = &*self.context;
+        while let Some(order) = orders.queue.recv().await {
+            match order {
+                RunnerOrder::Start(order, admitted_at) => {
+                    let _turn = self.gate.turn().await;
+                    match self.start_refusal(&order, admitted_at, &orders) {
+                        Some(refusal) => context.drop_start(order, admitted_at, refusal),
+                        None => self.send_start(order).await,
+                    }
                 }
+                RunnerOrder::Stop(order) => {
+                    let run = (order.name.clone(), order.run);
+                    send_stop(context, order).await;
+                    orders.withdrawn.borrow_mut().remove(&run);
+                }
+                RunnerOrder::Pace(order) => send_pace(context, order).await,
             }
-            RunnerOrder::Stop(order) => {
-                let run = (order.name.clone(), order.run);
-                send_stop(&context, order).await;
-                orders.withdrawn.borrow_mut().remove(&run);
-            }
-            RunnerOrder::Pace(order) => send_pace(&context, order).await,
         }
     }
+
+    /// Sends a start and reports its outcome to the owner.
+    async fn send_start(&self, order: StartOrder) {
+        let outcome = send_start(&self.context, &self.clock, &order).await;
+        if outcome == StartOutcome::Unclear {
+            let now = self.context.shared.clock.now();
+            self.gate.record_unanswered_start(now);
+        }
+        self.context
+            .emit(SessionEvent::StartFinished { order, outcome });
+    }
+
+    /// Why a start that was admitted and queued at `admitted_at` is not sent now; none if it is.
+    fn start_refusal(
+        &self,
+        order: &StartOrder,
+        admitted_at: Millis,
+        orders: &OrderQueue,
+    ) -> Option<StartRefusal> {
+        let refusal = self
+            .context
+            .start_refusal(order, admitted_at, &self.clock, orders);
+        let is_held = || !self.gate.allows_start();
+        refusal.or_else(|| is_held().then_some(StartRefusal::AckUnanswered))
+    }
 }
 
-/// Sends a start and reports its outcome to the owner.
+/// Sends a start and logs its outcome.
 async fn send_start<R: RunnerControl>(
     context: &SessionContext<R>,
     clock: &LeaseClock,
-    order: StartOrder,
-) {
+    order: &StartOrder,
+) -> StartOutcome {
     let lease = OrderLease {
         token: context.token,
         lease_end_ms: clock.granted_until_remote.get(),
@@ -129,7 +165,7 @@
     context.shared.metrics.start_age.observe(seconds(age_ms));
     let histogram = &context.shared.metrics.start_list_age;
     histogram.observe(seconds(list_age_ms));
-    let outcome = context.runners.start(&context.address, &order, lease).await;
+    let outcome = context.runners.start(&context.address, order, lease).await;
     event!(
         Info,
         "task_ordered",
@@ -157,7 +193,7 @@
         let runner = context.key;
         context.emit(SessionEvent::Replaced { runner });
     }
-    context.emit(SessionEvent::StartFinished { order, outcome });
+    outcome
 }
 
 /// Sends a stop; only an acknowledged stop is reported to the owner.
--- a/crates/hoisthitch-scheduler/src/takeover.rs
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -4,10 +4,7 @@
 //! pool's journal and the owner record. The revision of that write is the owner's epoch
 //! and its first fencing token.
 
-use std::{
-    collections::BTreeMap,
-    sync::Arc, //
-};
+use std::sync::Arc;
 
 use hoisthitch_jobs::Millis;
 use hoisthitch_store::{
@@ -27,6 +24,7 @@
     journal::{
         HeadRecord,
         PoolJournal,
+        RunnerNotes,
         decode_head,
         encode_record, //
     },
@@ -45,9 +43,8 @@
     /// When the election's write was sent; no other node owned the pool at that time. Every
     /// lease is limited relative to the last such time.
     pub(crate) confirmed_at: Millis,
-    /// The silent runners that the previous owner recorded: the time after which all runs on
-    /// each have ended, in milliseconds, by name.
-    pub(crate) silent: BTreeMap<String, Millis>,
+    /// What the previous owner recorded about runners.
+    pub(crate) notes: RunnerNotes,
 }
 
 /// Tries to become the owner; none when another node was first, or when the outcome can't be
@@ -67,16 +64,17 @@
     let found = store.read(&keys.journal_head(pool)).await?;
     let previous = found.as_ref().and_then(decode_head);
     let term = previous.as_ref().map_or(0, |head| head.term) + 1;
-    // The list of silent runners is kept, since an owner may be lost before it writes anything.
-    // Its times then count from this later write, which only makes them longer.
-    let silent = previous.map(|head| head.silent).unwrap_or_default();
+    // The notes on runners are kept, since an owner may be lost before it writes anything.
+    // Times of silent runners then count from this later write, which only makes them longer.
+    let notes = previous.map(HeadRecord::runner_notes).unwrap_or_default();
     let expected = found.map_or(StoreRevision::default(), |stored| stored.revision);
     let head = HeadRecord {
         node: identity.node.clone(),
         instance: identity.instance,
         term,
         sequence: 0,
-        silent: silent.clone(),
+        silent: notes.silent.clone(),
+        unproven: notes.unproven.clone(),
     };
     let owner = OwnerRecord {
         node: head.node.clone(),
@@ -116,6 +114,6 @@
         elected: revision,
         epoch,
         confirmed_at: sent,
-        silent,
+        notes,
     }))
 }
