Count a run that was lost with a leaving runner once

Callers saw: innocent jobs came closer to being given up.

A planned loss now marks the run like any other. Test `run_lost_with_a_runner_that_leaves_is_not_lost_again`: two losses before.

--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -95,10 +95,13 @@
 impl PoolState {
     /// Records what the loss of a runner says against a task that was on it.
     pub(crate) fn add_evidence(&mut self, task: TaskRef, evidence: LossEvidence) {
-        let counts = evidence.loss != RunnerLoss::Planned;
-        let Some(entry) = self.task_mut(task).filter(|_| counts) else {
+        let Some(entry) = self.task_mut(task) else {
             return;
         };
+        if evidence.loss == RunnerLoss::Planned {
+            entry.suspicion.add_planned(evidence.run);
+            return;
+        }
         let mut must_fail = entry.suspicion.add(evidence);
         let needs_isolation = entry.suspicion.needs_isolation();
         if entry.suspicion.is_suspect() {
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -118,8 +118,8 @@
     /// Running times before these crashes, as far as they are known.
     #[serde(rename = "b", skip_serializing_if = "is_default")]
     pub(crate) isolated_span: Option<RunSpan>,
-    /// Number of the last run that was lost, so that a loss is counted once, whoever detects
-    /// it.
+    /// Number of the last run that was lost, in whatever way, so that a loss is counted once,
+    /// whoever detects it.
     #[serde(rename = "u", skip_serializing_if = "is_default")]
     last_run: u32,
     /// Longest time that it had been running when a runner was lost, in milliseconds.
@@ -266,7 +266,12 @@
 
     /// Whether the loss of a run is counted already.
     pub(crate) fn is_counted(&self, run: u32) -> bool {
-        self.losses > 0 && self.last_run == run
+        run > 0 && self.last_run == run
+    }
+
+    /// Records that a run was lost without anything that counts against the task.
+    pub(crate) fn add_planned(&mut self, run: u32) {
+        self.last_run = run;
     }
 
     /// Whether any loss counts against the task.
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -40,6 +40,7 @@
     neighbour_that_runs_on_is_cleared => cleared();
     runners_lost_at_one_moment_count_against_nobody => one_moment();
     runner_that_leaves_as_announced_counts_against_nobody => announced();
+    run_lost_with_a_runner_that_leaves_is_not_lost_again => lost_once();
     job_that_was_given_up_keeps_nobody_planning => needs_no_plan();
     what_counts_outlasts_the_owner => outlasts_owner();
     room_that_shrank_takes_nothing_more => shrunk_capacity();
@@ -204,6 +205,43 @@
     Ok(())
 }
 
+/// A new owner finds that a draining runner has restarted: its runs count as lost as announced.
+/// The next instance's first response counted them once more, as lost in a crash.
+async fn lost_once() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let order = first(&start_all(&mut state, 1_000))?;
+    state.record_start_time(order.runner, 5_000);
+    let plan = state.begin_flush(10);
+    let (_, record) = plan.records.first().cloned().ok_or_eyre("no record")?;
+    let mut job = new_job("a", vec![step(1)]);
+    job.progress = Some(record);
+    let mut next = PoolState::new(InheritedRuns {
+        until: 100_000,
+        ..InheritedRuns::default()
+    });
+    let facts = RunnerFacts {
+        started_at: Some(5_000),
+        draining: true,
+        ..state
+            .runner(order.runner)
+            .map(|runner| runner.facts.clone())
+            .ok_or_eyre("the runner is unknown")?
+    };
+    let key = next.set_runner(facts, 2_000);
+    next.add_job(job, 2_000);
+    let restarted = next.replace_restarted_runner(key, 9_000, 100_000, 2_100);
+    let restarted = restarted.ok_or_eyre("the runner is unknown")?;
+    next.record_heartbeat(restarted.key, &HeartbeatReport::default(), 2_200, 2_201);
+    let lost = next.take_lost_runs();
+    ensure!(
+        lost.len() == 1 && lost[0].loss == RunnerLoss::Planned,
+        "{lost:?}"
+    );
+    ensure!(lost[0].suspicion.losses == 0, "{lost:?}");
+    Ok(())
+}
+
 /// The next owner gets the losses that count against a task from the job's record.
 async fn outlasts_owner() -> Result<()> {
     let mut state = reporting_pool(8, step(1));
