Try runners that may drop ends with tasks that cost no runner

A suspect that is run in isolation is not stopped on an unproven runner, and avoids it for 15 s: each start of it may crash a runner.

Test `life_that_may_drop_ends_is_tried_with_one_start`.

--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -175,14 +175,11 @@
     }
 
     /// Stops a short task that has begun on a runner that may drop its end unread: once the
-    /// stopped run is listed as ended, all later ends will be. A suspect goes on, since each
-    /// start of it may cost a runner.
+    /// stopped run is listed as ended, all later ends will be. A task that is run in
+    /// isolation goes on, since each start of it may cost a runner.
     pub(crate) fn probe_end_listing(&mut self, task: TaskRef, key: RunnerKey, now: Millis) {
         let is_unproven = self.runners.get(key).is_some_and(RunnerEntry::is_unproven);
-        let is_suspect = self
-            .task(task)
-            .is_some_and(|entry| entry.suspicion.is_suspect());
-        if is_unproven && !is_suspect && !self.is_long_running(task) {
+        if is_unproven && !self.needs_isolation(task) && !self.is_long_running(task) {
             self.stop_task(task, now);
             self.break_gang(task, now);
         }
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -49,6 +49,10 @@
 /// The same for a long-running task, which may be unavailable for less time.
 const LONG_RUNNING_ISOLATION_WAIT_MS: Millis = 1_500;
 
+/// Longest time that a suspect that is run in isolation waits for a runner that lists all ends,
+/// in milliseconds.
+const UNPROVEN_WAIT_MS: Millis = 15_000;
+
 /// Time for which a runner is reserved for a suspect, in milliseconds: the duration of
 /// some short tasks.
 const RESERVE_MS: Millis = 3_000;
@@ -243,30 +247,26 @@
     /// Whether a task is placed on a runner of its own. One that has waited for too long is
     /// placed beside others.
     pub(crate) fn must_isolate(&self, task: TaskRef, now: Millis) -> bool {
-        // If crashes in isolation point to the step, its tasks are never placed beside others.
-        let waited = || self.has_waited_for_runner(task, now);
-        self.needs_isolation(task) && (self.step_weight(task) > 0 || !waited())
-    }
-
-    /// Whether a task has waited as long as a suspect waits for a runner that suits it.
-    fn has_waited_for_runner(&self, task: TaskRef, now: Millis) -> bool {
+        let Some(entry) = self.task(task) else {
+            return false;
+        };
         let wait = if self.is_long_running(task) {
             LONG_RUNNING_ISOLATION_WAIT_MS
         } else {
             ISOLATION_WAIT_MS
         };
-        self.task(task).is_some_and(|entry| {
-            entry.state == TaskState::Waiting && entry.changed_at + wait <= now
-        })
+        let waited = || entry.state == TaskState::Waiting && entry.changed_at + wait <= now;
+        // If crashes in isolation point to the step, its tasks are never placed beside others.
+        self.needs_isolation(task) && (self.step_weight(task) > 0 || !waited())
     }
 
     /// Whether a task is kept off runners that may drop its end unread. Others are stopped
     /// there and started again, which may cost a runner for each start of a suspect.
     pub(crate) fn avoids_unproven(&self, task: TaskRef, now: Millis) -> bool {
-        let is_suspect = |entry: &TaskEntry| entry.suspicion.is_suspect();
-        self.task(task).is_some_and(is_suspect)
+        let is_recent = |entry: &TaskEntry| entry.changed_at + UNPROVEN_WAIT_MS > now;
+        self.needs_isolation(task)
             && !self.is_long_running(task)
-            && !self.has_waited_for_runner(task, now)
+            && self.task(task).is_some_and(is_recent)
     }
 
     /// Whether another suspect may be isolated now.
--- a/crates/hoisthitch-jobs/tests/decisions/lives.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/lives.rs
@@ -36,6 +36,7 @@
     starts_after_the_last_answer_wait_for_the_next_life => unreported_starts();
     end_on_the_next_life_counts => unreported_end();
     run_ordered_from_the_life_before_is_stopped => stray_run();
+    life_that_may_drop_ends_is_tried_with_one_start => unproven_instance();
     next_life_gets_nothing_before_it_is_listed => unlisted_instance();
     earlier_run_that_is_at_work_keeps_the_task => earlier_run();
     start_is_withdrawn_for_an_earlier_run => withdrawn_start();
@@ -175,6 +176,44 @@
     Ok(())
 }
 
+/// An acknowledgement for the previous instance may have reached a runner, which then drops its
+/// first ends unread; tasks that were done there ran again. One task is started and stopped at a
+/// time, until an end is listed.
+async fn unproven_instance() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    state.add_job(new_job("a", vec![step(3)]), 1_000);
+    let runner = state.runners().map(|(key, _)| key).next();
+    let runner = runner.ok_or_eyre("the pool has no runner")?;
+    state.doubt_end_listing(runner);
+    let order = start_all(&mut state, 1_000);
+    ensure!(order.len() == 1, "{} tasks were started", order.len());
+    let stop = state.take_stop_orders().pop();
+    let stop = stop.ok_or_eyre("the task was not stopped")?;
+    ensure!(stop.run == order[0].run);
+    // The end is not listed: the runner gets nothing for a while, and then another task.
+    state.record_stop_ack(&stop, 1_100);
+    state.record_heartbeat(runner, &HeartbeatReport::default(), 1_200, 1_201);
+    ensure!(decide(&mut state, 1_300).is_empty(), "no pause was made");
+    let order = start_all(&mut state, 2_300);
+    ensure!(order.len() == 1, "{} tasks were started", order.len());
+    state.take_stop_orders();
+    let report = HeartbeatReport {
+        ended: vec![EndedTask {
+            number: 2,
+            name: order[0].name.to_string(),
+            run: order[0].run,
+            kind: EndKind::Stopped,
+            checkpoint: String::new(),
+        }],
+        ..HeartbeatReport::default()
+    };
+    state.record_heartbeat(runner, &report, 2_400, 2_401);
+    let all = start_all(&mut state, 2_500);
+    ensure!(all.len() == 3, "{} tasks were started", all.len());
+    ensure!(state.take_stop_orders().is_empty(), "a task was stopped");
+    Ok(())
+}
+
 /// The next instance gets no tasks before its record is read, since its capacity may differ.
 async fn unlisted_instance() -> Result<()> {
     let (mut state, order) = one_started()?;
