Tell tasks that crash their runners by when they do

- Running times before resets are grouped (pattern.rs).
Three in one group, one of them in isolation, are a clear pattern, and decide from 80 as before, however the last loss showed.
- Without it, alike crashes in isolation (40 ms, a twentieth) decide from 130, others from 170.
- An order after the estimated end says nothing about its running time.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod maintenance;
 mod observe;
 mod pace;
+mod pattern;
 mod place;
 mod plan;
 mod pool;
@@ -65,6 +66,7 @@
     JobKey, //
 };
 pub use losses::{
+    LossDetection,
     LostRun,
     RunnerLoss, //
 };
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -87,6 +87,27 @@
     }
 }
 
+/// How the loss of a runner was detected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LossDetection {
+    /// Its connections were reset or refused: its process had ended.
+    Reset,
+    /// Its responses did not come.
+    Silence,
+    /// A later instance was found, or its leases ended, and it never responded to this owner.
+    Record,
+}
+
+impl Display for LossDetection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Reset => "reset",
+            Self::Silence => "silence",
+            Self::Record => "record",
+        })
+    }
+}
+
 /// A run that was lost with its runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LostRun {
@@ -98,6 +119,8 @@
     pub runner: RunnerInstance,
     /// How the runner was lost.
     pub loss: RunnerLoss,
+    /// How that was detected.
+    pub detection: LossDetection,
     /// How long the run had been running when the runner was lost, in milliseconds. For a
     /// start without an answer it is the time since the order, if that was short; none if
     /// nothing is known.
@@ -163,6 +186,14 @@
 }
 
 impl LossMoment {
+    fn detection(self) -> LossDetection {
+        match (self.known, self.reset) {
+            (false, _) => LossDetection::Record,
+            (true, true) => LossDetection::Reset,
+            (true, false) => LossDetection::Silence,
+        }
+    }
+
     /// Whether both losses may have happened at the same moment, as far as that can be told.
     fn may_coincide(self, other: Self) -> bool {
         let limit = if self.reset && other.reset {
@@ -363,6 +394,7 @@
             run: evidence.run,
             runner: lost.instance.clone(),
             loss: lost.loss,
+            detection: lost.moment.detection(),
             ran: evidence.ran,
             other_runs,
             concurrent_loss: evidence.concurrent_loss,
@@ -507,8 +539,8 @@
             // It is not known whether and when the run began; an order without an answer may
             // still have been carried out.
             TaskState::Ordered(_) => {
-                let age = time.saturating_sub(self.changed_at);
-                Some(age).filter(|age| *age <= UNANSWERED_START_MS)
+                let age = time.checked_sub(self.changed_at);
+                age.filter(|age| *age <= UNANSWERED_START_MS)
             }
             TaskState::Unconfirmed { .. } => None,
             _ => Some(0),
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -14,6 +14,7 @@
 use crate::{
     Millis,
     losses::RunnerLoss,
+    pattern::CrashPattern,
     record::is_default, //
 };
 
@@ -63,7 +64,11 @@
 /// task that crashes its runners may be started twice after three crashes, and no more.
 const DECIDING_LOSSES: u32 = 5;
 
-/// Deciding limit, in tenths of a bit.
+/// Deciding limit if the crashes in isolation are alike, but too few for a clear pattern, in
+/// tenths of a bit.
+const ALIKE_DECIDING_LIMIT: i32 = 130;
+
+/// Deciding limit if there is a clear pattern, in tenths of a bit.
 const DECIDING_LIMIT: i32 = 80;
 
 /// The same for a long-running task: it is running during most crashes, and the losses of a
@@ -72,14 +77,14 @@
 
 /// Difference between the shortest and the longest running time before a crash up to which
 /// they count as alike, in milliseconds.
-const ALIKE_MS: Millis = 60;
+const ALIKE_MS: Millis = 40;
 
 /// The same as a part of the shortest running time: one in this many.
-const ALIKE_DIVISOR: Millis = 4;
+const ALIKE_DIVISOR: Millis = 20;
 
 /// Least limit for a task whose crashes are not known to be alike, in tenths of a bit: delays
 /// of orders and missing responses blur the times, so the task may still be the cause.
-const SCATTERED_LIMIT: i32 = 110;
+const SCATTERED_LIMIT: i32 = 170;
 
 /// The same for a long-running task.
 const LONG_RUNNING_SCATTERED_LIMIT: i32 = 250;
@@ -118,6 +123,9 @@
     /// Running times before these crashes, as far as they are known.
     #[serde(rename = "b", skip_serializing_if = "is_default")]
     pub(crate) isolated_span: Option<RunSpan>,
+    /// Running times before crashes with reset connections, in isolation or not.
+    #[serde(rename = "p", skip_serializing_if = "is_default")]
+    pattern: CrashPattern,
     /// Number of the last run that was lost, in whatever way, so that a loss is counted once,
     /// whoever detects it.
     #[serde(rename = "u", skip_serializing_if = "is_default")]
@@ -201,6 +209,10 @@
         let excused = evidence.concurrent_loss && self.recent < EXCUSED_LOSSES;
         self.losses += 1;
         self.recent += 1;
+        let is_timed = evidence.timed && !evidence.silent;
+        if let Some(ran) = evidence.ran.filter(|_| is_timed) {
+            self.pattern.add(ran, evidence.isolated);
+        }
         if excused {
             return false;
         }
@@ -234,9 +246,17 @@
         };
         let crashes = i32::try_from(self.isolated_crashes).unwrap_or(i32::MAX);
         let reduced = initial.saturating_sub(crashes.saturating_mul(LIMIT_REDUCTION));
-        let decides = evidence.isolated && self.recent >= DECIDING_LOSSES;
+        let has_many = self.recent >= DECIDING_LOSSES;
+        if has_many && self.pattern.is_clear() {
+            return if evidence.long_running {
+                LONG_RUNNING_DECIDING_LIMIT
+            } else {
+                DECIDING_LIMIT
+            };
+        }
+        let decides = evidence.isolated && has_many;
         let (deciding, least) = match (self.crashes_alike(), evidence.long_running) {
-            (true, false) => (DECIDING_LIMIT, LIMIT_MIN),
+            (true, false) => (ALIKE_DECIDING_LIMIT, LIMIT_MIN),
             (true, true) => (LONG_RUNNING_DECIDING_LIMIT, LIMIT_MIN),
             (false, false) => (SCATTERED_LIMIT, SCATTERED_LIMIT),
             (false, true) => (LONG_RUNNING_SCATTERED_LIMIT, LONG_RUNNING_SCATTERED_LIMIT),
--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -26,6 +26,7 @@
                 runner = lost.runner,
                 pool = self.context.pool,
                 loss = lost.loss,
+                shown_by = lost.detection,
                 ran_ms = lost
                     .ran
                     .map_or_else(|| "unknown".to_owned(), |ran| ran.to_string()),
