Tell the next owner of leases that may outlast their runner's restart

Cause, from a trace of the leases: an order for an instance reached the next one and granted a lease by the earlier instance's clock, which ended at 14.58 s. The owner of that time waited for it. The next owner had begun to follow the list of runners after the restart, took the runner for one that never restarted, and started the task elsewhere at 13.41 s, when a lease of its own would have ended.

--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -82,7 +82,7 @@
     /// Number of tasks that may run on a runner which has not confirmed it.
     unconfirmed: usize,
     /// What earlier owners ordered, as far as they published it.
-    inherited: InheritedRuns,
+    pub(crate) inherited: InheritedRuns,
     /// Mean time of a task, by queue, in milliseconds.
     pub(crate) task_times: HashMap<String, Millis>,
     /// Tickets of the advisers, by job, round and step.
--- a/crates/hoisthitch-jobs/src/silent.rs
+++ b/crates/hoisthitch-jobs/src/silent.rs
@@ -24,13 +24,21 @@
     pub until: Millis,
     /// On runners that an earlier owner published as unresponsive, by name.
     pub silent: BTreeMap<String, Millis>,
+    /// On runners that have restarted lately, by name: orders for the previous instance may have
+    /// granted leases that last longer there.
+    pub stray: BTreeMap<String, Millis>,
 }
 
 impl InheritedRuns {
     /// When they have ended on a runner.
     pub(crate) fn until_on(&self, runner: &str) -> Millis {
         let silent = self.silent.get(runner).copied();
-        silent.map_or(self.until, |until| until.min(self.until))
+        let until = silent.map_or(self.until, |until| until.min(self.until));
+        until.max(self.stray_until(runner))
+    }
+
+    fn stray_until(&self, runner: &str) -> Millis {
+        self.stray.get(runner).copied().unwrap_or(0)
     }
 }
 
@@ -99,7 +107,24 @@
             && !runner.fenced
         {
             runner.fenced = true;
-            runner.lease_until = runner.lease_until.min(until);
+            let stray = self.inherited.stray_until(&runner.facts.name);
+            runner.lease_until = runner.lease_until.min(until.max(stray));
         }
     }
+
+    /// Records that orders for a previous instance of a runner may have granted it leases until
+    /// `until`.
+    pub fn record_stray_leases(&mut self, key: RunnerKey, until: Millis) {
+        if let Some(runner) = self.runners.get(key) {
+            let name = runner.facts.name.clone();
+            let known = self.inherited.stray.entry(name).or_insert(0);
+            *known = until.max(*known);
+        }
+    }
+
+    /// Runners that may have such leases at `now`, by name, and until when.
+    pub fn stray_leases(&mut self, now: Millis) -> BTreeMap<String, Millis> {
+        self.inherited.stray.retain(|_, until| *until > now);
+        self.inherited.stray.clone()
+    }
 }
--- a/crates/hoisthitch-scheduler/src/journal.rs
+++ b/crates/hoisthitch-scheduler/src/journal.rs
@@ -60,6 +60,10 @@
     /// Instances of runners that may drop ends unread, as `name@start time`.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub(crate) unproven: BTreeSet<String>,
+    /// Runners that have restarted lately, by name, with the time from this write on after which
+    /// leases granted by orders for the previous instance have ended, in milliseconds.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) stray: BTreeMap<String, Millis>,
 }
 
 impl HeadRecord {
@@ -68,6 +72,7 @@
         RunnerNotes {
             silent: self.silent,
             unproven: self.unproven,
+            stray: self.stray,
         }
     }
 }
@@ -77,6 +82,7 @@
 pub(crate) struct RunnerNotes {
     pub(crate) silent: BTreeMap<String, Millis>,
     pub(crate) unproven: BTreeSet<String>,
+    pub(crate) stray: BTreeMap<String, Millis>,
 }
 
 /// Error of a journal write.
@@ -130,6 +136,7 @@
             sequence: self.head.sequence + 1,
             silent: notes.silent,
             unproven: notes.unproven,
+            stray: notes.stray,
             ..self.head.clone()
         };
         loop {
--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -186,9 +186,13 @@
             MAX_RUN_MS
         };
         // What an earlier owner acknowledged to the instance before is not known.
-        if restarted_lately && !runner.restarted {
+        let is_restarted = runner.restarted;
+        if restarted_lately && !is_restarted {
             self.doubt_end_listing(key);
         }
+        if restarted_lately || is_restarted {
+            self.state.record_stray_leases(key, now + max_run_ms);
+        }
         self.state.fence_runner(key, now + max_run_ms);
     }
 
@@ -286,6 +290,7 @@
         else {
             return;
         };
+        self.state.record_stray_leases(restarted.key, until);
         let Some(instance) = self.state.instance_of(restarted.key) else {
             return;
         };
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -232,7 +232,7 @@
     let now = context.shared.clock.now();
     let mut owner = PoolOwner {
         epoch: takeover.epoch,
-        state: PoolState::new(inherited_runs(&takeover.notes.silent, now)),
+        state: PoolState::new(inherited_runs(&takeover.notes, now)),
         journal: Some(takeover.journal),
         journal_results,
         advice_results,
--- a/crates/hoisthitch-scheduler/src/owner/silent.rs
+++ b/crates/hoisthitch-scheduler/src/owner/silent.rs
@@ -25,6 +25,7 @@
 
 use super::PoolOwner;
 use crate::{
+    journal::RunnerNotes,
     platform::Platform,
     session::{
         MAX_RUN_AFTER_CONFIRMATION_MS,
@@ -67,15 +68,18 @@
     }
 }
 
-/// Ends of the runs that a new owner inherits, with the times that the previous owner recorded
-/// for silent runners.
-pub(super) fn inherited_runs(previous: &BTreeMap<String, Millis>, now: Millis) -> InheritedRuns {
+/// Ends of the runs that a new owner inherits, with the times that the previous owner recorded.
+pub(super) fn inherited_runs(previous: &RunnerNotes, now: Millis) -> InheritedRuns {
+    let ends = |times: &BTreeMap<String, Millis>| {
+        let times = times.iter();
+        times
+            .map(|(runner, time)| (runner.clone(), now + time))
+            .collect()
+    };
     InheritedRuns {
         until: now + MAX_RUN_AFTER_CONFIRMATION_MS,
-        silent: previous
-            .iter()
-            .map(|(runner, time)| (runner.clone(), now + time))
-            .collect(),
+        silent: ends(&previous.silent),
+        stray: ends(&previous.stray),
     }
 }
 
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -102,7 +102,9 @@
         }
         self.wrote_at = now;
         self.recorded_unproven.clone_from(&unproven);
+        let stray = self.state.stray_leases(now).into_iter();
         let notes = RunnerNotes {
+            stray: stray.map(|(name, until)| (name, until - now)).collect(),
             silent: self.begin_silence_write(now),
             unproven,
         };
--- a/crates/hoisthitch-scheduler/src/takeover.rs
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -65,7 +65,7 @@
     let previous = found.as_ref().and_then(decode_head);
     let term = previous.as_ref().map_or(0, |head| head.term) + 1;
     // The notes on runners are kept, since an owner may be lost before it writes anything.
-    // Times of silent runners then count from this later write, which only makes them longer.
+    // Times in them then count from this later write, which only makes them longer.
     let notes = previous.map(HeadRecord::runner_notes).unwrap_or_default();
     let expected = found.map_or(StoreRevision::default(), |stored| stored.revision);
     let head = HeadRecord {
@@ -75,6 +75,7 @@
         sequence: 0,
         silent: notes.silent.clone(),
         unproven: notes.unproven.clone(),
+        stray: notes.stray.clone(),
     };
     let owner = OwnerRecord {
         node: head.node.clone(),
