Doubt a runner's ends only where its calls may have been delayed

A task was tried on a runner that had come back from maintenance, or after another one on its VM, and so started twice where nothing was lost.

Cause, from their events: `runner_ends_doubted` followed the first response of each runner whose restart was listed within ten seconds, which was meant for owners that took over since. It holds now only for restarts from before this owner, and its own calls count as delayed only where the runner was silent, not where its VM was shut down or another runner responded in its place.

--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -53,6 +53,10 @@
 /// kept, in milliseconds: longer than any call of that session may be in transit.
 const TOKEN_KEPT_MS: Millis = 60_000;
 
+/// Time from the restart of a runner until its record is listed, in milliseconds; most take
+/// less.
+const LISTING_MS: Millis = 2_000;
+
 /// Number of tokens from which on old ones are removed.
 const TOKENS_KEPT_MAX: usize = 4_096;
 
@@ -187,7 +191,8 @@
         };
         // What an earlier owner acknowledged to the instance before is not known.
         let is_restarted = runner.restarted;
-        if restarted_lately && !is_restarted {
+        let was_earlier_owner = restarted_at.is_some_and(|at| at < self.owner_since + LISTING_MS);
+        if restarted_lately && was_earlier_owner && !is_restarted {
             self.doubt_end_listing(key);
         }
         if restarted_lately || is_restarted {
@@ -280,7 +285,7 @@
             // An earlier owner may have acknowledged ends to it.
             self.instances.record_unanswered_ack(before, now);
         }
-        self.end_session(key);
+        self.end_session(key, true);
         self.instances.remove_key(key);
         self.publish_session_count();
         let until = now + MAX_STRAY_RUN_MS;
@@ -364,9 +369,9 @@
         self.state.record_unlisted_loss(&conflict.name, now);
     }
 
-    /// Ends the session with a runner.
-    pub(super) fn end_session(&mut self, key: RunnerKey) {
-        let ended = self.sessions.remove(&key);
+    /// Ends the session with a runner; `delayed` is whether its calls may still be in transit.
+    pub(super) fn end_session(&mut self, key: RunnerKey, delayed: bool) {
+        let ended = self.sessions.remove(&key).filter(|_| delayed);
         if ended.is_some_and(|session| session.has_unanswered_acks())
             && let Some(instance) = self.state.instance_of(key)
         {
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -41,6 +41,15 @@
 }
 
 impl RemovalReason {
+    /// Whether calls to the runner may still be in transit. If its VM was shut down, or another
+    /// runner responds in its place, nothing holds them back.
+    fn may_delay_calls(self) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::Down | Self::Ended | Self::Replaced => false,
+        }
+    }
+
     /// The kind of loss of its runs.
     fn loss_kind(self) -> RunnerLoss {
         match self {
@@ -211,7 +220,7 @@
     pub(super) fn remove_runner(&mut self, key: RunnerKey, reason: RemovalReason) {
         let now = self.now();
         let instance = self.state.instance_of(key);
-        self.end_session(key);
+        self.end_session(key, reason.may_delay_calls());
         self.instances.remove_key(key);
         self.publish_session_count();
         if let Some(instance) = instance {
