Play regression seeds in different orders of ready tasks again

Cause: since a seed plays the same each time, the 4 to 8 runs of each regression seed were one play, which weakened those tests without a word.

Change: a number varies how often a simulated call yields before it travels; all times stay. Regression tests play each seed in as many orders as they had runs; ORDERS and FIRST_ORDER do it for drawn seeds.

--- a/crates/hoisthitch-scheduler/tests/draws/killers.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/killers.rs
@@ -26,7 +26,7 @@
     TestWorld,
     job,
     lasting,
-    play,
+    play_in_order,
     sleep_ms, //
 };
 
@@ -87,14 +87,15 @@
 /// its runner after 600 ms, in a pool in which three others crash runners too.
 const LATE_FAILURE_SEED: u64 = 378;
 
-/// Runs of each of these seeds, as the order of tasks that are ready at the same time differs.
-const RUNS_PER_SEED: u32 = 8;
+/// Runs of each of these seeds, each in another order of tasks that are ready at the same time.
+const RUNS_PER_SEED: u64 = 8;
 
 #[test]
 fn seeds_that_broke_a_promise_keep_it() -> Result<()> {
     for (seed, cause) in REGRESSION_SEEDS {
-        for _ in 0..RUNS_PER_SEED {
-            play(history(seed)).wrap_err_with(|| format!("seed {seed}: {cause}"))?;
+        for order in 0..RUNS_PER_SEED {
+            play_in_order(order, history(seed))
+                .wrap_err_with(|| format!("seed {seed} order {order}: {cause}"))?;
         }
     }
     Ok(())
@@ -102,8 +103,8 @@
 
 #[test]
 fn killer_beside_three_others_is_given_up_in_time() -> Result<()> {
-    for _ in 0..RUNS_PER_SEED {
-        play(history(LATE_FAILURE_SEED))?;
+    for order in 0..RUNS_PER_SEED {
+        play_in_order(order, history(LATE_FAILURE_SEED))?;
     }
     Ok(())
 }
--- a/crates/hoisthitch-scheduler/tests/draws/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/lives.rs
@@ -25,7 +25,7 @@
     TestWorld,
     job,
     lasting,
-    play,
+    play_in_order,
     sleep_ms, //
 };
 
@@ -66,14 +66,15 @@
 /// tenths of a bit after 119, 285 and 28 ms).
 const RESTART_STORM_SEED: u64 = 54;
 
-/// Runs of each of these seeds, as the order of tasks that are ready at the same time differs.
-const RUNS_PER_SEED: u32 = 6;
+/// Runs of each of these seeds, each in another order of tasks that are ready at the same time.
+const RUNS_PER_SEED: u64 = 6;
 
 #[test]
 fn jobs_given_up_for_crashes_by_chance_are_completed() -> Result<()> {
     for seed in REGRESSION_SEEDS {
-        for _ in 0..RUNS_PER_SEED {
-            play(history(seed)).wrap_err_with(|| format!("seed {seed}"))?;
+        for order in 0..RUNS_PER_SEED {
+            play_in_order(order, history(seed))
+                .wrap_err_with(|| format!("seed {seed} order {order}"))?;
         }
     }
     Ok(())
@@ -81,8 +82,8 @@
 
 #[test]
 fn job_lost_six_times_by_chance_is_completed() -> Result<()> {
-    for _ in 0..RUNS_PER_SEED {
-        play(history(RESTART_STORM_SEED))?;
+    for order in 0..RUNS_PER_SEED {
+        play_in_order(order, history(RESTART_STORM_SEED))?;
     }
     Ok(())
 }
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -2,7 +2,9 @@
 //! do not reach. Each kind of history combines two or three faults at random times.
 //!
 //! Where an invariant holds for planned work only, the history injects no unplanned faults.
-//! `DRAWS` sets the number of seeds of each kind, and `FIRST_SEED` the first of them.
+//! `DRAWS` sets the number of seeds of each kind, and `FIRST_SEED` the first of them. `ORDERS`
+//! sets in how many orders of tasks that are ready at the same time each is played, and
+//! `FIRST_ORDER` the first of these.
 
 mod delays;
 mod drains;
@@ -26,7 +28,7 @@
     env_number,
     world::{
         TestWorld,
-        play,
+        play_in_order,
         sleep_ms, //
     }, //
 };
@@ -38,6 +40,12 @@
 /// leases have reached their full length.
 const WARM_UP_MS: u64 = 8_000;
 
+/// Orders in which each history is played.
+fn orders() -> std::ops::Range<u64> {
+    let first = env_number("FIRST_ORDER", 0);
+    first..first + env_number("ORDERS", 1)
+}
+
 /// Runs the histories of a kind, one for each seed.
 fn run_seeds<F>(history: impl Fn(u64) -> F) -> Result<()>
 where
@@ -45,7 +53,10 @@
 {
     let first = env_number("FIRST_SEED", 1);
     for seed in first..first + env_number("DRAWS", DRAWS) {
-        play(history(seed)).wrap_err_with(|| format!("seed {seed}"))?;
+        for order in orders() {
+            let played = play_in_order(order, history(seed));
+            played.wrap_err_with(|| format!("seed {seed} order {order}"))?;
+        }
     }
     Ok(())
 }
--- a/crates/hoisthitch-scheduler/tests/histories.rs
+++ b/crates/hoisthitch-scheduler/tests/histories.rs
@@ -3,9 +3,9 @@
 //! writes, runners crash and are cut off, and orders are carried out late. Under all of these
 //! faults no task may run twice and no accepted job may be lost.
 //!
-//! The seed of a history determines its faults, and a failure names the seed. The order of
-//! tasks that are ready at the same time depends on the runtime. The environment variable
-//! `HISTORIES` sets the number of seeds, and `FIRST_SEED` the first of them. [`draws`] holds
+//! The seed of a history determines its faults, and a failure names the seed. A seed
+//! plays the same each time; regression seeds are played in several orders of tasks that are
+//! ready at the same time. The environment variable `HISTORIES` sets the number of seeds, and `FIRST_SEED` the first of them. [`draws`] holds
 //! histories for particular combinations of faults.
 
 mod draws;
@@ -32,6 +32,7 @@
     job,
     lasting,
     play,
+    play_in_order,
     sleep_ms, //
 };
 
@@ -44,8 +45,8 @@
     "records of live nodes were removed by their previous instances and never written again",
 )];
 
-/// Runs of each of these seeds, as the order of tasks that are ready at the same time differs.
-const RUNS_PER_SEED: u32 = 4;
+/// Runs of each of these seeds, each in another order of tasks that are ready at the same time.
+const RUNS_PER_SEED: u64 = 4;
 
 /// Faults injected in a history.
 const FAULTS: usize = 8;
@@ -76,8 +77,9 @@
 #[test]
 fn histories_that_failed_once_keep_every_promise() -> Result<()> {
     for (seed, cause) in REGRESSION_SEEDS {
-        for _ in 0..RUNS_PER_SEED {
-            play(history(seed)).wrap_err_with(|| format!("seed {seed}: {cause}"))?;
+        for order in 0..RUNS_PER_SEED {
+            let played = play_in_order(order, history(seed));
+            played.wrap_err_with(|| format!("seed {seed} order {order}: {cause}"))?;
         }
     }
     Ok(())
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -59,6 +59,7 @@
     StoreFaults,
     discard_detached,
     run_detached,
+    set_play_order,
     show_events, //
 };
 use tokio::task::{
@@ -540,6 +541,17 @@
 ///
 /// Returns the error of the test, or that of the runtime's start.
 pub fn play(test: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+    play_in_order(0, test)
+}
+
+/// Runs a test as [`play`] does, in another order of tasks that are ready at the same time;
+/// zero is the plain one.
+///
+/// # Errors
+///
+/// As [`play`].
+pub fn play_in_order(order: u64, test: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+    set_play_order(order);
     discard_detached();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -12,6 +12,7 @@
 mod events;
 mod gangs;
 mod instance;
+mod order;
 mod rules;
 mod runners;
 mod sharing;
@@ -32,6 +33,7 @@
 pub use capacity::DEFAULT_CAPACITY;
 pub use crashing::CrashedRunner;
 pub use events::show_events;
+pub use order::set_play_order;
 pub use rules::StartRecord;
 pub use runners::MemoryFleet;
 pub use sharing::PaceFate;
--- a/crates/hoisthitch-tests/src/world/runners/control.rs
+++ b/crates/hoisthitch-tests/src/world/runners/control.rs
@@ -21,6 +21,7 @@
 
 use super::{
     super::{
+        order::yield_in_order,
         sharing::PaceFate,
         spawn_detached, //
     },
@@ -29,6 +30,12 @@
     ONE_WAY_TIME, //
 };
 
+/// Travels one way.
+async fn travel() {
+    yield_in_order().await;
+    tokio::time::sleep(ONE_WAY_TIME).await;
+}
+
 /// Time between two checks whether a cut is healed.
 const HEALED_TICK: Duration = Duration::from_millis(1);
 
@@ -48,7 +55,7 @@
         order: &StartOrder,
         lease: OrderLease,
     ) -> StartOutcome {
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         if self.refuses(&runner.instance.name) {
             return StartOutcome::NotSent;
         }
@@ -78,7 +85,7 @@
             return StartOutcome::Unclear;
         }
         if self.is_refused() {
-            tokio::time::sleep(ONE_WAY_TIME).await;
+            travel().await;
             return StartOutcome::NoRoom;
         }
         let task = order.name.to_string();
@@ -87,7 +94,7 @@
         if self.starts(&task) > before {
             self.check_cancel(order);
         }
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         if !self.response_arrives(&runner.instance.name) {
             tokio::time::sleep(CALL_TIMEOUT).await;
             return StartOutcome::Unclear;
@@ -101,7 +108,7 @@
         order: &StopOrder,
         epoch: u64,
     ) -> Result<(), RunnerError> {
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         if self.refuses(&runner.instance.name) {
             return Err(RunnerError::NotListening);
         }
@@ -110,7 +117,7 @@
             return Err(RunnerError::NoAnswer("lost".to_owned()));
         }
         let stopped = MemoryFleet::stop(self, &runner.instance.name, order, epoch);
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         if !self.response_arrives(&runner.instance.name) {
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(RunnerError::NoAnswer("response lost".to_owned()));
@@ -123,7 +130,7 @@
         runner: &RunnerAddress,
         request: HeartbeatRequest,
     ) -> Result<HeartbeatReport, RunnerError> {
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         if self.refuses(&runner.instance.name) {
             return Err(RunnerError::NotListening);
         }
@@ -162,7 +169,7 @@
                 ..request
             },
         );
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         if !self.response_arrives(&runner.instance.name) {
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(RunnerError::NoAnswer("cut".to_owned()));
@@ -176,7 +183,7 @@
         order: &PaceOrder,
         epoch: u64,
     ) -> Result<(), RunnerError> {
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         let fate = self.next_pace_fate();
         if !self.request_arrives(&runner.instance.name) || fate == PaceFate::Lost {
             tokio::time::sleep(CALL_TIMEOUT).await;
@@ -193,7 +200,7 @@
             return Err(RunnerError::NoAnswer("late".to_owned()));
         }
         let paced = self.set_pace(&runner.instance.name, order, epoch);
-        tokio::time::sleep(ONE_WAY_TIME).await;
+        travel().await;
         if !self.response_arrives(&runner.instance.name) {
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(RunnerError::NoAnswer("response lost".to_owned()));
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -220,6 +220,7 @@
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(timeout(call));
         }
+        super::order::yield_in_order().await;
         tokio::time::sleep(CALL_TIME + delay).await;
         self.count_call(call)?;
         if self.is_cut() {
