Weigh the losses of a clear pattern by its running time

The weight of all losses is reckoned by the longest running time, so that it stood at 75 where 80 decide.

Measured: test `crash_that_is_noticed_late_does_not_hide_the_others`, fails without the change.

--- a/crates/hoisthitch-jobs/src/pattern.rs
+++ b/crates/hoisthitch-jobs/src/pattern.rs
@@ -33,6 +33,9 @@
     main: CrashGroup,
     #[serde(rename = "o", skip_serializing_if = "is_default")]
     other: CrashGroup,
+    /// Number of all crashes.
+    #[serde(rename = "n", skip_serializing_if = "is_default")]
+    crashes: u32,
 }
 
 /// Crashes after alike running times.
@@ -56,6 +59,7 @@
 impl CrashPattern {
     /// Adds a crash after a running time.
     pub(crate) fn add(&mut self, ran: Millis, isolated: bool) {
+        self.crashes += 1;
         if !self.main.add(ran, isolated) && !self.other.add(ran, isolated) {
             self.other = CrashGroup::default();
             self.other.add(ran, isolated);
@@ -65,10 +69,12 @@
         }
     }
 
-    /// Whether the task crashes its runners after the same running time, also without other
-    /// tasks beside it.
-    pub(crate) fn is_clear(&self) -> bool {
-        self.main.crashes >= PATTERN_CRASHES && self.main.isolated > 0
+    /// Running time after which the task crashes its runners, in milliseconds; none unless most
+    /// crashes came after it, and one of them without other tasks on the runner.
+    pub(crate) fn crash_time(&self) -> Option<Millis> {
+        let main = self.main;
+        let is_most = main.crashes >= PATTERN_CRASHES && 2 * main.crashes > self.crashes;
+        (is_most && main.isolated > 0).then_some(main.longest)
     }
 }
 
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -247,7 +247,7 @@
         let crashes = i32::try_from(self.isolated_crashes).unwrap_or(i32::MAX);
         let reduced = initial.saturating_sub(crashes.saturating_mul(LIMIT_REDUCTION));
         let has_many = self.recent >= DECIDING_LOSSES;
-        if has_many && self.pattern.is_clear() {
+        if has_many && self.pattern.crash_time().is_some() {
             return if evidence.long_running {
                 LONG_RUNNING_DECIDING_LIMIT
             } else {
@@ -279,7 +279,9 @@
     /// counts.
     pub fn weight(&self) -> i32 {
         let counted = i32::try_from(self.counted).unwrap_or(i32::MAX);
-        let time = self.longest.max(RUN_TIME_MIN_MS);
+        // A crash that is noticed late does not hide a clear pattern.
+        let time = self.pattern.crash_time().unwrap_or(self.longest);
+        let time = time.max(RUN_TIME_MIN_MS);
         let each = tenths_of_bits(seconds(time));
         self.sum.saturating_sub(counted.saturating_mul(each)).max(0)
     }
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -35,6 +35,7 @@
 
 cases! {
     task_alone_under_crashes_right_after_its_start_is_given_up => failed();
+    crash_that_is_noticed_late_does_not_hide_the_others => late_notice();
     lasting_task_is_given_up_alike => failed_long_running();
     suspect_gets_a_runner_alone => runs_in_isolation();
     neighbour_that_runs_on_is_cleared => cleared();
@@ -112,6 +113,39 @@
     Ok(())
 }
 
+/// Adds a runner that reports once and then crashes on its own.
+fn crash_other(state: &mut PoolState, number: u64, now: u64) {
+    let facts = RunnerFacts {
+        name: format!("other-{number}"),
+        ..RunnerFacts::default()
+    };
+    let key = state.set_runner(facts, now);
+    state.record_heartbeat(key, &HeartbeatReport::default(), now, now);
+    state.record_missed_heartbeat(key, true, now);
+    state.remove_runner(key, RunnerLoss::Crashed, now);
+}
+
+/// Other runners crash all the time, so that a loss says little. A task crashes its runners
+/// after 600 ms, and one of the crashes is noticed late: all losses were weighed by that longest
+/// time, and the task was started once too often (drawn killers seed 378).
+async fn late_notice() -> Result<()> {
+    let mut state = reporting_pool(8, step(1));
+    for number in 0..140 {
+        crash_other(&mut state, number, 31_000 + number * 210);
+    }
+    let mut now = 61_000;
+    for ran in [599, 603, 605, 1_427, 605] {
+        report_all(&mut state, now);
+        let order = first(&start_all(&mut state, now))?;
+        state.record_missed_heartbeat(order.runner, true, now + ran);
+        state.remove_runner(order.runner, RunnerLoss::Crashed, now + ran);
+        now += 2_000;
+    }
+    let crashing = state.take_crashing_tasks();
+    ensure!(crashing.len() == 1, "{:?}", state.take_lost_runs());
+    Ok(())
+}
+
 /// The tasks of a failed job never run again, and no plan is needed for them.
 async fn needs_no_plan() -> Result<()> {
     let mut state = reporting_pool(8, step(3));
