Keep a stray lease past the end recorded for a silent runner

Cause: the owner of before recorded a runner as silent, with the time by which its runs end. The runner restarted, and a delayed start of that owner granted the next instance a lease by the earlier instance's clock. The next owner knew of the restart (`runner_ends_doubted`) and recorded the stray lease, but `fence_runner` only lowered the end of the runner's runs: the smaller of the recorded end and the stray one was kept. Its own run of the task outlived that end by the stray lease.

Change: stray leases raise the end.

--- a/crates/hoisthitch-jobs/src/silent.rs
+++ b/crates/hoisthitch-jobs/src/silent.rs
@@ -101,14 +101,16 @@
     }
 
     /// Records that a runner responded to this owner for the first time, and from now on
-    /// refuses earlier owners: what they ordered there ends by `until`.
+    /// refuses earlier owners: what they ordered there ends by `until`, or with the leases that
+    /// orders for a previous instance may have granted. Those may outlast the end that an earlier
+    /// owner recorded for a silent runner.
     pub fn fence_runner(&mut self, key: RunnerKey, until: Millis) {
         if let Some(runner) = self.runners.get_mut(key)
             && !runner.fenced
         {
             runner.fenced = true;
             let stray = self.inherited.stray_until(&runner.facts.name);
-            runner.lease_until = runner.lease_until.min(until.max(stray));
+            runner.lease_until = runner.lease_until.min(until).max(stray);
         }
     }
 
--- a/crates/hoisthitch-jobs/tests/decisions/lives.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/lives.rs
@@ -13,7 +13,9 @@
     EndKind,
     EndedTask,
     HeartbeatReport,
+    InheritedRuns,
     PoolState,
+    RunnerFacts,
     RunnerInstance,
     RunnerKey,
     RunningTask,
@@ -37,6 +39,7 @@
     end_on_the_next_life_counts => unreported_end();
     run_ordered_from_the_life_before_is_stopped => stray_run();
     life_that_may_drop_ends_is_tried_with_one_start => unproven_instance();
+    stray_lease_outlasts_the_recorded_end_of_a_silence => stray_lease();
     next_life_gets_nothing_before_it_is_listed => unlisted_instance();
     earlier_run_that_is_at_work_keeps_the_task => earlier_run();
     start_is_withdrawn_for_an_earlier_run => withdrawn_start();
@@ -176,6 +179,28 @@
     Ok(())
 }
 
+/// An earlier owner recorded when the runs of a silent runner end. The runner restarted since,
+/// and a delayed order granted a lease that lasts longer; a task that it kept ran twice.
+async fn stray_lease() -> Result<()> {
+    let name = "i-1".to_owned();
+    let mut state = PoolState::new(InheritedRuns {
+        until: 8_000,
+        silent: [(name.clone(), 5_000)].into(),
+        ..InheritedRuns::default()
+    });
+    let facts = RunnerFacts {
+        name,
+        started_at: Some(STARTED_AT_MS),
+        ..RunnerFacts::default()
+    };
+    let runner = state.set_runner(facts, 0);
+    state.record_stray_leases(runner, UNTIL_MS);
+    state.fence_runner(runner, UNTIL_MS);
+    let until = state.runner(runner).map(|runner| runner.lease_until);
+    ensure!(until == Some(UNTIL_MS), "its runs end by {until:?}");
+    Ok(())
+}
+
 /// An acknowledgement for the previous instance may have reached a runner, which then drops its
 /// first ends unread; tasks that were done there ran again. One task is started and stopped at a
 /// time, until an end is listed.
--- a/crates/hoisthitch-scheduler/tests/draws/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/lives.rs
@@ -80,6 +80,19 @@
     Ok(())
 }
 
+/// A seed in which a long-running task ran twice at once. An owner recorded a runner as silent
+/// with an end of its runs; the runner restarted, and a delayed order of that owner granted the
+/// next instance a lease past that end.
+const STRAY_LEASE_SEED: u64 = 660;
+
+#[test]
+fn stray_lease_past_a_recorded_silence_runs_nothing_twice() -> Result<()> {
+    for order in 0..RUNS_PER_SEED {
+        play_in_order(order, history(STRAY_LEASE_SEED))?;
+    }
+    Ok(())
+}
+
 #[test]
 fn job_lost_six_times_by_chance_is_completed() -> Result<()> {
     for order in 0..RUNS_PER_SEED {
