Recognise by the jobs' records that a runner restarted unseen

What callers would see: a task of a new owner runs twice at once, or again after its end.

Cause: a new owner knows of a runner's restart from the records that its node has followed. A node that started after the restart has not seen the earlier instance, so that it took a lease of the usual length for the longest one, and trusted the runner to list all ends. The jobs' records name the instance from which each run was ordered, and this was not used.

Change: runs that were ordered from another instance than the one that responds count as a restart of that moment: the longest lease is waited for and recorded, and the runner's ends are doubted.

Test `new_owner_waits_for_leases_of_a_restart_it_did_not_see`: "next.0.0.0 runs twice at once" without the change, passes with it.

--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -283,6 +283,14 @@
         let Some(instance) = self.instance_of(key) else {
             return;
         };
+        let tasks = self.earlier_instance_tasks(&instance);
+        let lost = LostRunner::unknown(instance.name, RunnerLoss::Crashed, tasks, now);
+        self.record_lost_runs(&lost, None);
+    }
+
+    /// Tasks that an earlier owner ordered on a previous instance of a runner, and that the
+    /// runner has not reported.
+    fn earlier_instance_tasks(&self, instance: &RunnerInstance) -> Vec<TaskRef> {
         let was_on_earlier_instance = |entry: &TaskEntry| match &entry.state {
             TaskState::Unconfirmed {
                 started_at: Some(started_at),
@@ -294,8 +302,14 @@
         };
         let mut tasks = self.unconfirmed_tasks_on(&instance.name);
         tasks.retain(|task| self.task(*task).is_some_and(was_on_earlier_instance));
-        let lost = LostRunner::unknown(instance.name, RunnerLoss::Crashed, tasks, now);
-        self.record_lost_runs(&lost, None);
+        tasks
+    }
+
+    /// Whether an earlier owner ordered tasks on a previous instance of a runner and did not
+    /// record that it had restarted.
+    pub fn has_unrecorded_restart(&self, key: RunnerKey) -> bool {
+        let instance = self.instance_of(key);
+        instance.is_some_and(|instance| !self.earlier_instance_tasks(&instance).is_empty())
     }
 
     /// Records as lost the runs that earlier owners ordered on runners that have not responded
--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -177,13 +177,16 @@
     ///
     /// Orders for a previous instance carry leases by that instance's clock, so that what the
     /// current one runs may run as long as the longest possible lease. A node that became the
-    /// owner since then recognises such a runner by the records.
+    /// owner since then recognises such a runner by its own record and by those of the jobs.
     pub(super) fn handle_first_response(&mut self, key: RunnerKey, now: Millis) {
         let Some(runner) = self.state.runner(key).filter(|runner| !runner.fenced) else {
             return;
         };
         let restarted_at = self.context.fleet.borrow().restarted_at(&runner.facts.name);
-        let restarted_lately = restarted_at.is_some_and(|at| at + MAX_STRAY_RUN_MS > now);
+        // Jobs' records show a restart that this node did not see, and not when it was.
+        let is_unrecorded = self.state.has_unrecorded_restart(key);
+        let restarted_lately =
+            is_unrecorded || restarted_at.is_some_and(|at| at + MAX_STRAY_RUN_MS > now);
         let max_run_ms = if runner.restarted || restarted_lately {
             MAX_STRAY_RUN_MS
         } else {
@@ -191,7 +194,8 @@
         };
         // What an earlier owner acknowledged to the instance before is not known.
         let is_restarted = runner.restarted;
-        let was_earlier_owner = restarted_at.is_some_and(|at| at < self.owner_since + LISTING_MS);
+        let was_earlier_owner =
+            is_unrecorded || restarted_at.is_some_and(|at| at < self.owner_since + LISTING_MS);
         if restarted_lately && was_earlier_owner && !is_restarted {
             self.doubt_end_listing(key);
         }
--- a/crates/hoisthitch-scheduler/tests/ownership/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/lives.rs
@@ -38,6 +38,7 @@
     late_record_of_the_life_before_ends_nothing => late_record();
     later_life_may_tell_an_earlier_birth => earlier_start_times();
     new_owner_knows_the_life_from_the_one_before => new_owner();
+    new_owner_waits_for_leases_of_a_restart_it_did_not_see => unseen_restart();
     runner_keeps_its_name_through_an_upkeep => maintenance();
     life_that_tells_no_birth_is_its_name => no_start_times();
 }
@@ -260,6 +261,41 @@
     check_invariants(&world)
 }
 
+/// A start is held up until its runner has restarted and no node is up. It then grants a lease by
+/// the clock of the instance before, under which everything on the runner runs on. The next owner
+/// knows of the restart from the job's record alone, and is cut off from the runner after it has
+/// ordered another task there.
+async fn unseen_restart() -> Result<()> {
+    let mut world = TestWorld::start(1, 1).await?;
+    // The clock of the instance before is far ahead of the next one's.
+    sleep_ms(8_000).await;
+    let (name, vm) = runners(&world)[0].clone();
+    let node = world.owner();
+    world.fleet.set_calls_held(true);
+    world.fleet.cut(&name, std::slice::from_ref(&node));
+    world.submit("held", lasting(1, 1)).await?;
+    sleep_ms(300).await;
+    world.nodes[&node].kill();
+    world.fleet.crash(&name);
+    sleep_ms(RESTART_MS).await;
+    world.fleet.restart(&name);
+    world.record_runner(&name, &vm);
+    world.fleet.cut(&name, &[]);
+    sleep_ms(100).await;
+    ensure!(world.fleet.starts("held.0.0.0") == 1, "the start arrived");
+    world.start_node(&node)?;
+    sleep_ms(500).await;
+    world.submit("next", lasting(1, 1)).await?;
+    sleep_ms(500).await;
+    ensure!(world.fleet.starts("next.0.0.0") == 1, "it runs");
+    world.fleet.set_calls_held(false);
+    world.fleet.cut(&name, std::slice::from_ref(&node));
+    world.begin_runner("vm-9");
+    sleep_ms(14_000).await;
+    ensure!(world.fleet.starts("next.0.0.0") == 2, "it runs again");
+    check_invariants(&world)
+}
+
 /// VMs come back from maintenance with runners of the same names as before.
 async fn maintenance() -> Result<()> {
     let world = start_after_jobs(1, 3).await?;
