Judge the stop of a run, not of its task, in the world in memory

The judge asked whether the task is at work anywhere.

By the rule a stop must not end a task that is at work, so that the case is allowed, and the check now asks for the run that is named on the runner that is called.

--- a/crates/hoisthitch-scheduler/tests/draws/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/lives.rs
@@ -93,6 +93,18 @@
     Ok(())
 }
 
+/// A seed in which the stop of a run that had ended on one runner was taken for a stop of the
+/// task's next run on another, while the other task of the step was unavailable.
+const ENDED_RUN_STOP_SEED: u64 = 991;
+
+#[test]
+fn stop_of_an_ended_run_makes_no_task_unavailable() -> Result<()> {
+    for order in 0..RUNS_PER_SEED {
+        play_in_order(order, history(ENDED_RUN_STOP_SEED))?;
+    }
+    Ok(())
+}
+
 #[test]
 fn job_lost_six_times_by_chance_is_completed() -> Result<()> {
     for order in 0..RUNS_PER_SEED {
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -440,9 +440,11 @@
         }
         runner.fence = epoch;
         let task = order.name.to_string();
-        let unguarded = runner.running.get(&task).is_some_and(|run| run.unguarded);
+        let run = runner.running.get(&task);
+        // A stop of a run that is not there ends nothing, whatever runs elsewhere.
+        let ends_run = run.is_some_and(|run| run.run == order.run && !run.unguarded);
         // Tasks on a draining runner may be ended at any time.
-        if !unguarded && runner.draining_since.is_none() {
+        if ends_run && runner.draining_since.is_none() {
             state.check_end(&task);
         }
         let Some(runner) = state.runners.get_mut(name) else {
