Leave runs that began after a loss out of it

Cause: a runner's connections are reset, and a start that is sent while it restarts is answered by the next instance. Once that instance is found, the loss of the earlier one is recorded with all tasks of the runner, and the run that had begun after the loss counted as one that was lost right after its start (0 ms), the heaviest kind of evidence. Orders without an answer were left out already.

Test `run_that_begins_on_the_next_instance_is_not_lost` fails without the change ("ran: Some(0)").

--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -242,8 +242,8 @@
         }
     }
 
-    /// Tasks that a runner may have run when it was lost, without those whose start was sent
-    /// after that.
+    /// Tasks that a runner may have run when it was lost, without those whose start was sent or
+    /// confirmed after that: the next instance runs these.
     fn tasks_lost(&self, runner: &RunnerEntry, moment: LossMoment) -> Vec<TaskRef> {
         let may_have_run = |task: &&TaskRef| {
             self.task(**task).is_some_and(|entry| match entry.state {
@@ -251,6 +251,9 @@
                 TaskState::Ordered(_) => {
                     !moment.reset || entry.ordered_at <= moment.at + SIMULTANEOUS_RESET_MS
                 }
+                TaskState::Running(_) | TaskState::Stopping(_) => {
+                    !moment.reset || entry.began_at <= moment.at + SIMULTANEOUS_RESET_MS
+                }
                 _ => true,
             })
         };
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -42,6 +42,7 @@
     runners_lost_at_one_moment_count_against_nobody => one_moment();
     runner_that_leaves_as_announced_counts_against_nobody => announced();
     run_lost_with_a_runner_that_leaves_is_not_lost_again => lost_once();
+    run_that_begins_on_the_next_instance_is_not_lost => begun_on_next();
     job_that_was_given_up_keeps_nobody_planning => needs_no_plan();
     what_counts_outlasts_the_owner => outlasts_owner();
     room_that_shrank_takes_nothing_more => shrunk_capacity();
@@ -276,6 +277,20 @@
     Ok(())
 }
 
+/// A runner is lost, and the answer to a start comes from the next instance: the task runs there.
+/// It was counted as lost with the earlier instance right after its start, and an innocent job was
+/// given up (drawn lives, seed 12 in order 1).
+async fn begun_on_next() -> Result<()> {
+    let mut state = reporting_pool(3, step(1));
+    let order = first(&decide(&mut state, 61_000))?;
+    state.record_missed_heartbeat(order.runner, true, 61_010);
+    state.record_start_outcome(&order, StartOutcome::Started, 61_200);
+    state.replace_restarted_runner(order.runner, 9_000, 100_000, 61_260);
+    let lost = state.take_lost_runs();
+    ensure!(lost.is_empty(), "{lost:?}");
+    Ok(())
+}
+
 /// The next owner gets the losses that count against a task from the job's record.
 async fn outlasts_owner() -> Result<()> {
     let mut state = reporting_pool(8, step(1));
