Start nothing in a data hall that operators have evacuated

Nothing read the operators' request.

Cause: the records below `op/evacuate/` were not decoded, and runners had no data hall.

Waves go on there. - What runs goes on, long-running tasks too: the request is that nothing further is sent. - All halls cordoned: a submission is refused at once (503, with a Retry-After), one that was kept before is answered as kept. - `hoisthitch halls`, GET /cordons, two gauges, one line each for noticed, in force, taken back, and `explain` names the cordon.

Tests: 15 in `ownership/cordons`, drawn cordons, explain. With one part taken out each, tests fail: placement 3, admission 1, the complete list 2, the age 1, the queued start 1.

--- a/crates/hoisthitch-api/src/job.rs
+++ b/crates/hoisthitch-api/src/job.rs
@@ -60,6 +60,26 @@
 /// Path of the list of teams.
 pub const TEAMS_PATH: &str = "/teams";
 
+/// Path of the cordoned data halls.
+pub const CORDONS_PATH: &str = "/cordons";
+
+/// A data hall that operators have cordoned: nothing is started there.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CordonRow {
+    /// Name.
+    pub hall: String,
+    /// Time since the node noticed, in milliseconds.
+    pub cordoned_ms: u64,
+    /// Runners of all pools in it; `None` while that can't be read.
+    pub runners: Option<usize>,
+    /// Tasks that still run there, as pools reported within the last second or two; `None` while
+    /// that can't be read.
+    pub tasks: Option<usize>,
+    /// Time since the node's list of cordoned halls was last confirmed, in milliseconds; `None`
+    /// before the first time.
+    pub confirmed_ms: Option<u64>,
+}
+
 /// A team of callers. A limit of zero means no limit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TeamRow {
--- a/crates/hoisthitch-api/src/lib.rs
+++ b/crates/hoisthitch-api/src/lib.rs
@@ -17,6 +17,8 @@
 };
 
 pub use job::{
+    CORDONS_PATH,
+    CordonRow,
     JOBS_PATH,
     JobAnswer,
     JobCall,
--- a/crates/hoisthitch-cli/src/commands/mod.rs
+++ b/crates/hoisthitch-cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 
 mod check;
 mod explain;
+mod halls;
 mod job;
 mod keys;
 mod status;
@@ -70,6 +71,8 @@
     Check(check::CheckCommand),
     /// Rebuilds a job's story from logs.
     Explain(explain::ExplainCommand),
+    /// Shows the cordoned data halls.
+    Halls(halls::HallsCommand),
     /// Submits, follows and cancels jobs.
     Job(job::JobCommand),
     /// Generates keys for tests.
@@ -96,6 +99,7 @@
         match self {
             Self::Check(command) => command.run(),
             Self::Explain(command) => command.run(context),
+            Self::Halls(command) => command.run(context).await,
             Self::Job(command) => command.run(context).await,
             Self::Keys(command) => command.run(),
             Self::Status(command) => command.run(context).await,
--- a/crates/hoisthitch-cli/src/story/delay.rs
+++ b/crates/hoisthitch-cli/src/story/delay.rs
@@ -1,5 +1,7 @@
 //! Finds why a job began late, or has not begun.
 
+use std::collections::BTreeMap;
+
 use super::event::{
     EventKind,
     EventSubject,
@@ -116,6 +118,7 @@
     let from = delay.picked_up_ms.unwrap_or(delay.accepted_ms);
     let until = delay.started_ms.unwrap_or(u64::MAX);
     let within = |event: &&StoryEvent| (from..=until).contains(&event.time_ms);
+    let cordon = cordon_cause(related, from, until);
     let own: Vec<&StoryEvent> = own.iter().filter(within).collect();
     let related: Vec<&StoryEvent> = related.iter().filter(within).collect();
     if let Some(event) = related.iter().rfind(|event| is_takeover(event)) {
@@ -142,7 +145,33 @@
     if refused > 0 {
         return format!("{refused} of its starts were refused by the runners");
     }
-    capacity_cause(&related)
+    cordon.unwrap_or_else(|| capacity_cause(&related))
+}
+
+/// Names the data halls of the pool that were cordoned at some time from `from` to `until`.
+fn cordon_cause(related: &[StoryEvent], from: u64, until: u64) -> Option<String> {
+    let mut cordons: BTreeMap<&str, String> = BTreeMap::new();
+    for event in related.iter().filter(|event| event.time_ms <= until) {
+        match &event.kind {
+            EventKind::HallCordoned { hall } => {
+                cordons.insert(hall, event.formatted_time());
+            }
+            EventKind::HallReleased { hall } if event.time_ms < from => {
+                cordons.remove(hall.as_str());
+            }
+            _ => {}
+        }
+    }
+    let halls = cordons
+        .iter()
+        .map(|(hall, at)| format!("{hall} since {at}"));
+    let halls: Vec<String> = halls.collect();
+    (!halls.is_empty()).then(|| {
+        format!(
+            "its pool has runners in cordoned data halls, which get no starts ({})",
+            halls.join(", ")
+        )
+    })
 }
 
 fn capacity_cause(related: &[&StoryEvent]) -> String {
--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -85,7 +85,7 @@
         /// The runner's response.
         outcome: OrderOutcome,
     },
-    /// A start was dropped because it waited too long.
+    /// A start was dropped because it was not allowed any more when its turn came.
     StartDropped,
     /// A stop was sent to a runner.
     TaskStopped {
@@ -124,6 +124,16 @@
     RunnerFenced,
     /// The owner's work on the pool's VMs stalled.
     VmWorkStalled,
+    /// A data hall was cordoned, in which the pool has runners.
+    HallCordoned {
+        /// Data hall.
+        hall: String,
+    },
+    /// The cordon of a data hall is over.
+    HallReleased {
+        /// Data hall.
+        hall: String,
+    },
     /// The pool published how many VMs it wants and has.
     PoolNeeds {
         /// VMs that it wants.
@@ -321,6 +331,14 @@
         "task_given_up" => return known_or_broken(parse_given_up(line)),
         "task_stopped" => return known_or_broken(parse_stopped(line)),
         "pool_needs" => return known_or_broken(parse_needs(line)),
+        "hall_cordon_in_force" => {
+            let hall = line.owned("hall");
+            return known_or_broken(hall.map(|hall| EventKind::HallCordoned { hall }));
+        }
+        "hall_cordon_over" => {
+            let hall = line.owned("hall");
+            return known_or_broken(hall.map(|hall| EventKind::HallReleased { hall }));
+        }
         "pool_left" => return known_or_broken(parse_left(line)),
         "runner_gone" => return known_or_broken(parse_gone(line)),
         "upkeep_waits" => return known_or_broken(parse_waits(line)),
@@ -396,9 +414,18 @@
             let (job, _) = line.text("task")?.split_once('.')?;
             EventSubject::Job(job.to_owned())
         }
-        "pool_taken" | "pool_left" | "pool_not_taken" | "pool_handed_on" | "pool_offered"
-        | "pool_released" | "takeover_unclear" | "runner_fenced" | "vm_work_stalled"
-        | "pool_needs" => EventSubject::Pool(line.owned("pool")?),
+        "pool_taken"
+        | "pool_left"
+        | "pool_not_taken"
+        | "pool_handed_on"
+        | "pool_offered"
+        | "pool_released"
+        | "takeover_unclear"
+        | "runner_fenced"
+        | "vm_work_stalled"
+        | "pool_needs"
+        | "hall_cordon_in_force"
+        | "hall_cordon_over" => EventSubject::Pool(line.owned("pool")?),
         "runner_taken"
         | "runner_lost"
         | "lease_lapsed"
--- a/crates/hoisthitch-cli/src/story/window.rs
+++ b/crates/hoisthitch-cli/src/story/window.rs
@@ -235,7 +235,10 @@
     fn is_about_pool(&self, event: &StoryEvent) -> bool {
         let from = match event.kind {
             EventKind::PoolNeeds { .. } => return false,
-            EventKind::PoolTaken => self.owners_since_ms,
+            // A hall may have been cordoned before the job was submitted.
+            EventKind::PoolTaken
+            | EventKind::HallCordoned { .. }
+            | EventKind::HallReleased { .. } => self.owners_since_ms,
             _ => self.start_ms.saturating_sub(MAX_CLOCK_SKEW_MS),
         };
         event.pool().is_some()
--- a/crates/hoisthitch-jobs/src/admission.rs
+++ b/crates/hoisthitch-jobs/src/admission.rs
@@ -3,7 +3,7 @@
 //!
 //! A run is planned, recorded and then ordered, and a start without an answer is sent again
 //! after heartbeats that do not show its run. By then the runner may be draining or have less
-//! capacity, the ticket may have expired, or the team's limit may have been lowered. So each
+//! capacity, its data hall may be cordoned, the ticket may have expired, or the team's limit may have been lowered. So each
 //! copy of a start is checked against the present state.
 //!
 //! A run of which no copy was sent is planned again. A run of which a copy may still be
@@ -42,6 +42,8 @@
     Unlisted,
     /// The runner does not respond, or has no lease yet.
     NotReady,
+    /// The runner's data hall is cordoned.
+    Cordoned,
     /// The runner is being evacuated.
     Evacuating,
     /// The runner's capacity has shrunk.
@@ -66,7 +68,8 @@
         };
         let may_stop = is_first || !self.is_long_running(task) || self.may_disrupt(&[task]);
         match obstacle {
-            StartObstacle::Draining => StartAdmission::Withdraw,
+            // The run is not there, so that the stop ends nothing that is available.
+            StartObstacle::Draining | StartObstacle::Cordoned => StartAdmission::Withdraw,
             _ if may_stop => StartAdmission::Withdraw,
             // It is available there until its VM goes down, and that waits for the step.
             StartObstacle::Evacuating => StartAdmission::Send,
@@ -84,6 +87,9 @@
         if runner.facts.draining {
             return Some(StartObstacle::Draining);
         }
+        if runner.cordoned {
+            return Some(StartObstacle::Cordoned);
+        }
         if runner.unlisted {
             return Some(StartObstacle::Unlisted);
         }
--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -2,9 +2,16 @@
 
 use crate::{
     Millis,
-    job::JobEntry,
+    job::{
+        JobEntry,
+        JobKey, //
+    },
     pool::PoolState,
-    runner::RunnerKey, //
+    runner::{
+        RunnerEntry,
+        RunnerKey, //
+    },
+    task::TaskRef, //
 };
 
 /// Capacity wanted for each core of arriving work, in percent. A VM-second costs a twentieth
@@ -63,7 +70,7 @@
             if let Some(job) = self.jobs.get(*key)
                 && !job.phase.is_final()
             {
-                self.add_demand(&mut sums, job, now);
+                self.add_demand(&mut sums, *key, job, now);
             }
         }
         let arriving = self.arrivals.rate(now) * HEADROOM_PERCENT / 100;
@@ -76,9 +83,12 @@
             .max()
             .unwrap_or(DEFAULT_CAPACITY_MILLI)
             .max(1);
+        let spread = sums
+            .spread
+            .saturating_sub(self.count_cordoned_long_running());
         let vms = |cores: u64| {
             let vms = cores.div_ceil(capacity);
-            u32::try_from(vms).unwrap_or(u32::MAX).max(sums.spread)
+            u32::try_from(vms).unwrap_or(u32::MAX).max(spread)
         };
         WantedVms {
             steady: vms(cores),
@@ -86,19 +96,22 @@
         }
     }
 
-    fn add_demand(&self, sums: &mut DemandSums, job: &JobEntry, now: Millis) {
+    fn add_demand(&self, sums: &mut DemandSums, key: JobKey, job: &JobEntry, now: Millis) {
         let time = self.task_time(&job.queue);
         let late = self.latest_start(job) < now;
         let has_missed = self.has_missed_objective(job, now);
         let wait = if late { LATE_BACKLOG_MS } else { BACKLOG_MS };
         for step in job.spec.steps.iter().filter(|step| step.long_running) {
-            let vms = step.count.div_ceil(step.max_together());
-            sums.spread = sums.spread.max(vms);
+            sums.spread = sums.spread.max(step.count.div_ceil(step.max_together()));
         }
         for (slot, task) in job.tasks.iter().enumerate() {
             let Some(step) = job.step_of(slot).filter(|step| !step.best_effort) else {
                 continue;
             };
+            // It needs no further VM while it runs in a cordoned hall.
+            if self.is_cordoned(TaskRef { job: key, slot }) {
+                continue;
+            }
             let cpu = step.need.cpu_milli;
             let runs = task.runner().is_some();
             let waits = job.waits_for_runner(slot);
@@ -144,10 +157,18 @@
         self.arrivals.note(at, work.sum(), now);
     }
 
-    /// VMs of the pool's runners, without those that are about to leave.
+    /// Number of runners in cordoned halls that have long-running tasks.
+    fn count_cordoned_long_running(&self) -> u32 {
+        let runners = self.runners.values();
+        let cordoned = runners.filter(|runner| runner.cordoned && runner.has_long_running());
+        u32::try_from(cordoned.count()).unwrap_or(u32::MAX)
+    }
+
+    /// VMs of the pool's runners, without those that are about to leave or are in a cordoned
+    /// hall.
     pub fn vms(&self) -> Vec<String> {
         let runners = self.runners.values();
-        let staying = runners.filter(|runner| !runner.is_departing());
+        let staying = runners.filter(|runner| has_available_vm(runner));
         staying.map(|runner| runner.facts.vm.clone()).collect()
     }
 
@@ -156,7 +177,7 @@
         let mut spare: Vec<(bool, u64, RunnerKey)> = self
             .runners
             .iter()
-            .filter(|(_, runner)| runner.ready && !runner.is_departing())
+            .filter(|(_, runner)| runner.ready && has_available_vm(runner))
             .filter(|(_, runner)| runner.first_seen_at + STAY_MIN_MS <= now)
             .filter(|(_, runner)| !runner.has_long_running())
             .map(|(key, runner)| (!runner.evacuating, runner.used.cpu_milli, key))
@@ -166,3 +187,8 @@
         spare.into_iter().map(|(_, _, key)| key).collect()
     }
 }
+
+/// Whether the runner's VM counts as one of the pool's, and may be given to another pool.
+fn has_available_vm(runner: &RunnerEntry) -> bool {
+    !runner.is_departing() && !runner.cordoned
+}
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -12,6 +12,7 @@
 mod advice;
 mod arrivals;
 mod balance;
+mod cordon;
 mod demand;
 mod drain;
 mod evict;
@@ -56,6 +57,7 @@
     VmMove,
     plan_moves, //
 };
+pub use cordon::CordonedLoad;
 pub use demand::WantedVms;
 pub use forecast::{
     DemandHistory,
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -113,6 +113,8 @@
     pub(crate) weights: HashMap<String, f64>,
     /// Number of tasks that a quota kept from starting when starts were last planned, by team.
     pub(crate) tasks_over_quota: HashMap<String, u32>,
+    /// Data halls that operators have cordoned.
+    pub(crate) cordoned_halls: BTreeSet<String>,
     /// Batch of records that is being written, where one write does not take them all.
     pub(crate) flush_batch: Option<FlushBatch>,
 }
@@ -219,12 +221,14 @@
                 ..facts
             };
             runner.unlisted = false;
+            self.update_cordon(key);
             return key;
         }
         let name = facts.name.clone();
         let until = self.inherited.until_on(&name);
         let key = self.runners.insert(RunnerEntry::new(facts, until, now));
         self.runner_names.insert(name, key);
+        self.update_cordon(key);
         key
     }
 
--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -84,6 +84,7 @@
         next.restarted = true;
         let key = self.runners.insert(next);
         self.runner_names.insert(name, key);
+        self.update_cordon(key);
         self.fail_crashing_tasks(now);
         Some(RestartedRunner {
             key,
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -138,6 +138,8 @@
     pub labels: Vec<String>,
     /// Rack that it is in.
     pub rack: String,
+    /// Data hall that it is in; empty where that is not known.
+    pub hall: String,
     /// Whether it has announced its shutdown.
     pub draining: bool,
 }
@@ -164,6 +166,8 @@
     pub unlisted: bool,
     /// Whether it is being evacuated for maintenance or a move of its VM.
     pub evacuating: bool,
+    /// Whether it is in a cordoned data hall.
+    pub cordoned: bool,
     /// Latest time at which its leases may end, and with them everything that runs on it, if
     /// it gets no further heartbeat.
     pub lease_until: Millis,
@@ -221,6 +225,7 @@
             ready: false,
             unlisted: false,
             evacuating: false,
+            cordoned: false,
             lease_until,
             lease_confirmed_until: None,
             relocating_until: 0,
@@ -250,9 +255,9 @@
         self.facts.draining || self.unlisted
     }
 
-    /// Whether it responds, and is neither departing nor evacuating.
+    /// Whether it responds, and is neither departing nor evacuating nor in a cordoned hall.
     pub fn is_staying(&self) -> bool {
-        self.ready && !self.is_departing() && !self.evacuating
+        self.ready && !self.is_departing() && !self.evacuating && !self.cordoned
     }
 
     /// Whether it may get tasks at `now`: its lease has to outlast the write of the record and
--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    cordons::HallCordons,
     follow::FollowEvent,
     platform::{
         FleetCodec,
@@ -41,6 +42,8 @@
     pub(crate) pools: Vec<String>,
     /// Waves by number.
     pub(crate) waves: BTreeMap<u64, WaveRequest>,
+    /// Cordoned data halls.
+    pub(crate) cordons: HallCordons,
     /// Whether the list of runners was read; only nodes that own pools, or are standbys, follow
     /// it.
     pub(crate) listed: bool,
@@ -183,6 +186,13 @@
         record.is_none_or(|record| record.facts.draining)
     }
 
+    /// Whether a runner is in a cordoned data hall.
+    pub(crate) fn is_cordoned(&self, name: &str) -> bool {
+        let record = || self.runners.get(name);
+        !self.cordons.is_empty()
+            && record().is_some_and(|record| self.cordons.contains(&record.facts.hall))
+    }
+
     /// The instance that is listed under a name.
     pub(crate) fn instance_of(&self, name: &str) -> RunnerInstance {
         let record = self.runners.get(name);
--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -9,6 +9,8 @@
     web, //
 };
 use hoisthitch_api::{
+    CORDONS_PATH,
+    CordonRow,
     FaultAnswer,
     JOBS_PATH,
     JobAnswer,
@@ -51,6 +53,7 @@
     config
         .route(QUEUES_PATH, web::get().to(list_queues::<S>))
         .route(TEAMS_PATH, web::get().to(list_teams::<S>))
+        .route(CORDONS_PATH, web::get().to(list_cordons::<S>))
         .route(&job, web::post().to(submit::<S>))
         .route(&job, web::get().to(describe::<S>))
         .route(&job, web::delete().to(cancel::<S>));
@@ -94,6 +97,27 @@
     HttpResponse::Ok().json(rows.collect::<Vec<TeamRow>>())
 }
 
+/// Lists the cordoned data halls, with what pools reported lately to run there.
+async fn list_cordons<S: StoreClient>(service: web::Data<JobService<S>>) -> HttpResponse {
+    let shared = service.shared();
+    let now = shared.clock.now();
+    let loads = service.cordoned_loads().await.ok();
+    let cordons = shared.cordons.load();
+    let rows = cordons.iter().map(|(hall, since)| {
+        let load = loads
+            .as_ref()
+            .map(|loads| loads.get(hall).copied().unwrap_or_default());
+        CordonRow {
+            hall: hall.clone(),
+            cordoned_ms: now.saturating_sub(since),
+            runners: load.map(|load| load.runners),
+            tasks: load.map(|load| load.tasks),
+            confirmed_ms: shared.cordons_age(),
+        }
+    });
+    HttpResponse::Ok().json(rows.collect::<Vec<CordonRow>>())
+}
+
 async fn submit<S: StoreClient>(
     service: web::Data<JobService<S>>,
     id: web::Path<String>,
@@ -132,6 +156,10 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "not taken, and will not run; hand it in again",
         ),
+        SubmitAnswer::Cordoned => fault(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "all data halls are cordoned; not taken, and will not run",
+        ),
         SubmitAnswer::Foreign => fault(StatusCode::CONFLICT, "the id is taken"),
         SubmitAnswer::Unknown => fault(
             StatusCode::GATEWAY_TIMEOUT,
--- a/crates/hoisthitch-scheduler/src/keys.rs
+++ b/crates/hoisthitch-scheduler/src/keys.rs
@@ -83,6 +83,16 @@
         format!("{}/count/{pool}", self.root)
     }
 
+    /// Prefix of the reports of all pools on cordoned halls.
+    pub fn cordon_reports_prefix(&self) -> String {
+        format!("{}/cordon/", self.root)
+    }
+
+    /// Key of the report of a pool on cordoned halls: what it still runs there.
+    pub fn cordon_report(&self, pool: &str) -> String {
+        format!("{}/cordon/{pool}", self.root)
+    }
+
     /// Prefix of the VM balances of all pools.
     pub fn vm_balances_prefix(&self) -> String {
         format!("{}/share/", self.root)
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 //! The platform is accessed through the traits of [`platform`].
 
 mod clock;
+mod cordons;
 mod create;
 mod fleet;
 mod follow;
@@ -33,6 +34,7 @@
 mod vms;
 
 pub use clock::NodeClock;
+pub use cordons::HallCordons;
 pub use http::job_routes;
 pub use identity::NodeIdentity;
 pub use keys::JobKeys;
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -9,6 +9,7 @@
     HistogramVec,
     IntCounterVec,
     IntGauge,
+    IntGaugeVec,
     Opts,
     Registry, //
 };
@@ -44,6 +45,10 @@
     pub platform_bytes: IntCounterVec,
     /// Version of the configuration in effect; zero before the first.
     pub policy_version: IntGauge,
+    /// Number of data halls that are cordoned, as far as this node knows.
+    pub cordoned_halls: IntGauge,
+    /// Tasks that run in cordoned halls, by pool of this node and hall.
+    pub cordoned_tasks: IntGaugeVec,
 }
 
 impl NodeMetrics {
@@ -81,7 +86,22 @@
             "Version of the configuration in force",
         )?;
         registry.register(Box::new(policy_version.clone()))?;
+        let cordoned_halls = IntGauge::new(
+            "hoisthitch_cordoned_halls",
+            "Data halls that operators have cordoned",
+        )?;
+        registry.register(Box::new(cordoned_halls.clone()))?;
+        let cordoned_tasks = IntGaugeVec::new(
+            Opts::new(
+                "hoisthitch_cordoned_tasks",
+                "Tasks that run in cordoned data halls",
+            ),
+            &["pool", "hall"],
+        )?;
+        registry.register(Box::new(cordoned_tasks.clone()))?;
         Ok(Self {
+            cordoned_halls,
+            cordoned_tasks,
             loop_seconds,
             policy_version,
             platform_calls: counter(
--- a/crates/hoisthitch-scheduler/src/operators.rs
+++ b/crates/hoisthitch-scheduler/src/operators.rs
@@ -1,5 +1,5 @@
 //! Follows the operators' records: puts each newer configuration into effect on this node, and
-//! adds the requested waves to the [`FleetView`].
+//! adds the requested waves and the cordoned data halls to the [`FleetView`].
 //!
 //! It runs for as long as the process does. A node that stops hands over its pools and then serves
 //! its callers' open connections for some seconds more, by the configuration of that moment.
@@ -9,6 +9,7 @@
     sync::Arc, //
 };
 
+use hoisthitch_jobs::Millis;
 use hoisthitch_store::{
     StoreClient,
     StoreRevision,
@@ -21,6 +22,7 @@
 };
 
 use crate::{
+    cordons::HallCordons,
     fleet::{
         FleetView,
         update_fleet, //
@@ -121,12 +123,48 @@
     fn apply_change(&self, change: FollowEvent) {
         match change {
             FollowEvent::Snapshot(values) => {
-                values.iter().for_each(|value| self.apply_record(value))
+                // Cordons first, so that no owner starts anything in a cordoned hall meanwhile.
+                self.replace_cordons(&values);
+                values.iter().for_each(|value| self.apply_record(value));
             }
-            FollowEvent::Put(value) => self.apply_record(&value),
-            FollowEvent::Deleted(key) => event!(Warn, "operators_key_gone", key = key),
-            FollowEvent::Progress(at) => self.shared.policy_lease.renew(at),
+            FollowEvent::Put(value) => match self.codec.parse_cordon(&value.key) {
+                Some(hall) => self.change_cordons(|cordons, now| cordons.add(hall, now)),
+                None => self.apply_record(&value),
+            },
+            FollowEvent::Deleted(key) => match self.codec.parse_cordon(&key) {
+                Some(hall) => self.change_cordons(|cordons, now| cordons.remove(hall, now)),
+                None => event!(Warn, "operators_key_gone", key = key),
+            },
+            FollowEvent::Progress(at) => {
+                self.shared.policy_lease.renew(at);
+                self.shared.cordons_lease.renew(at);
+            }
+        }
+    }
+
+    /// Replaces the cordoned halls by those of a complete list of records.
+    fn replace_cordons(&self, values: &[StoredValue]) {
+        let keys = values.iter().map(|value| value.key.as_str());
+        let listed = keys
+            .filter_map(|key| self.codec.parse_cordon(key))
+            .collect();
+        self.change_cordons(|cordons, now| cordons.replace(&listed, now));
+    }
+
+    /// Changes the cordoned halls; `change` returns whether it did.
+    fn change_cordons(&self, change: impl FnOnce(&mut HallCordons, Millis) -> bool) {
+        let now = self.shared.clock.now();
+        let mut cordons = HallCordons::clone(&self.shared.cordons.load());
+        if !change(&mut cordons, now) {
+            return;
         }
+        self.shared.cordons.store(Arc::new(cordons.clone()));
+        let number = i64::try_from(cordons.names().len()).unwrap_or(i64::MAX);
+        self.shared.metrics.cordoned_halls.set(number);
+        update_fleet(&self.fleet, |fleet| {
+            fleet.cordons = cordons;
+            true
+        });
     }
 
     fn apply_record(&self, value: &StoredValue) {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -11,6 +11,7 @@
 
 mod advice;
 mod awaited;
+mod cordons;
 mod inbox;
 mod instances;
 mod quota;
@@ -62,6 +63,7 @@
 
 use self::advice::AdviceResult;
 use self::awaited::AwaitedPolicy;
+use self::cordons::CordonReporter;
 use self::instances::InstanceTracker;
 use self::quota::{
     QuotaLedger,
@@ -189,6 +191,7 @@
     /// Number of waiting jobs of each queue, as last written.
     waiting_counts: HashMap<String, u32>,
     counts_written_at: Millis,
+    cordon_reporter: CordonReporter,
 }
 
 /// Receiving ends of the owner's event sources.
@@ -255,6 +258,7 @@
         wrote_at: 0,
         waiting_counts: HashMap::new(),
         counts_written_at: 0,
+        cordon_reporter: CordonReporter::default(),
         context,
     };
     owner.count_event("pool_taken");
@@ -344,9 +348,11 @@
         self.context.shared.clock.now()
     }
 
-    /// Whether the list of runners is recent enough to start tasks by it.
-    fn is_runner_list_valid(&self, now: Millis) -> bool {
-        self.context.shared.runner_list_lease.is_valid(now)
+    /// Whether the lists of runners and of cordoned halls are recent enough to start tasks by
+    /// them.
+    fn are_lists_valid(&self, now: Millis) -> bool {
+        let shared = &self.context.shared;
+        shared.runner_list_lease.is_valid(now) && shared.cordons_lease.is_valid(now)
     }
 
     /// Runs the event loop until another node owns the pool or this node stops.
@@ -421,7 +427,7 @@
             let writes = self.state.needs_flush()
                 || !self.is_silence_recorded()
                 || self.instances.needs_token();
-            writes || (self.state.needs_plan() && self.is_runner_list_valid(self.now()))
+            writes || (self.state.needs_plan() && self.are_lists_valid(self.now()))
         };
         if self.journal.is_none() || self.awaited_policy.is_some() || !wanted() {
             return Instant::now() + MAX_SLEEP;
@@ -450,8 +456,7 @@
         // time that its starts need: it cost 4 percent of the attainable value on a fleet of
         // 1,100 VMs (two simulated days, docs/MEASURED.md).
         self.update_quotas(now);
-        if due && self.is_runner_list_valid(now) && self.may_write(now) && !self.awaits_policy(now)
-        {
+        if due && self.are_lists_valid(now) && self.may_write(now) && !self.awaits_policy(now) {
             self.state.plan(now);
         }
         self.request_advice(now);
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -178,6 +178,8 @@
         self.instances.handle_list_change();
         let fleet = self.context.fleet.borrow().clone();
         self.state.set_policies(&fleet.policies);
+        let cordoned_before = self.state.cordoned_load();
+        let cordons_changed = self.state.set_cordoned_halls(fleet.cordons.names());
         let own: Vec<_> = fleet
             .runners
             .values()
@@ -197,6 +199,9 @@
                 self.remove_if_expired(key, now);
             }
         }
+        if cordons_changed {
+            self.log_cordons(&cordoned_before, &fleet.cordons);
+        }
     }
 
     /// Removes a runner that is not listed any more, once nothing can run on it.
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -89,6 +89,9 @@
             })
             .collect();
         items.extend(self.counts_item(now));
+        if items.len() < BATCH_LIMIT {
+            items.extend(self.cordon_item(now));
+        }
         self.add_deletions(&mut items, now);
         let unproven = self.unproven_instances();
         let notes_changed = unproven != self.recorded_unproven;
@@ -206,7 +209,7 @@
     }
 }
 
-fn put(key: String, value: Vec<u8>) -> SwapItem {
+pub(super) fn put(key: String, value: Vec<u8>) -> SwapItem {
     SwapItem {
         key,
         expected: StoreRevision::ANY,
--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -152,6 +152,8 @@
     pub name: String,
     /// Pool that it belongs to.
     pub pool: String,
+    /// Data hall that it is in; empty where that is not known.
+    pub hall: String,
     /// State.
     pub condition: VmCondition,
     /// Instance of its runner, if it has one.
@@ -234,6 +236,10 @@
     /// Parses a wave, if the key is a wave's.
     fn parse_wave(&self, key: &str, value: &[u8]) -> Option<Result<WaveRequest, String>>;
 
+    /// Name of the data hall, if the key is that of the request to cordon one. The hall is
+    /// cordoned for as long as the key exists, whatever its value.
+    fn parse_cordon<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Name of the runner's instance, if the key is a runner's.
     fn parse_runner_name<'a>(&self, key: &'a str) -> Option<&'a str>;
 
--- a/crates/hoisthitch-scheduler/src/service.rs
+++ b/crates/hoisthitch-scheduler/src/service.rs
@@ -6,12 +6,16 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     rc::Rc,
     sync::Arc, //
 };
 
 use hoisthitch_jobs::{
+    CordonedLoad,
     JobPhase,
     JobProgress,
     JobSpec,
@@ -58,6 +62,9 @@
     Unknown,
     /// The identifier belongs to another team's job; nothing was stored.
     Foreign,
+    /// All data halls are cordoned, so that nothing can run; the job was not stored and never
+    /// runs.
+    Cordoned,
 }
 
 /// Answer to a query for a job's state.
@@ -136,6 +143,9 @@
             self.record_call("submit", id, &queue.name, "store_lost", started);
             return SubmitAnswer::Refused;
         }
+        if self.shared.are_all_halls_cordoned() {
+            return self.refuse_cordoned(id, scope, queue, started).await;
+        }
         let location = JobLocation {
             pool: queue.pool.clone(),
             queue: queue.name.clone(),
@@ -172,6 +182,27 @@
         answer
     }
 
+    /// Answers a submission while all data halls are cordoned: a new job is refused, since nothing
+    /// can run, and one that was accepted before stays accepted.
+    async fn refuse_cordoned(
+        &self,
+        id: &str,
+        scope: CallScope<'_>,
+        queue: &QueueRoute,
+        started: Millis,
+    ) -> SubmitAnswer {
+        let (answer, outcome) = match self.locate(id, CallScope::All).await {
+            Ok(None) => (SubmitAnswer::Cordoned, "halls_cordoned"),
+            Ok(Some(_)) => self.answer_present(id, scope).await,
+            Err(err) => {
+                event!(Warn, "submission_unknown", job = id, error = err);
+                (SubmitAnswer::Unknown, "unknown")
+            }
+        };
+        self.record_call("submit", id, &queue.name, outcome, started);
+        answer
+    }
+
     /// Answers a submission whose identifier exists already: the answer to an earlier attempt was
     /// lost, or the job is another team's.
     async fn answer_present(&self, id: &str, scope: CallScope<'_>) -> (SubmitAnswer, &'static str) {
@@ -334,6 +365,29 @@
             })
     }
 
+    /// What each pool still runs in cordoned halls, by hall, added up.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be read or a record is malformed.
+    pub async fn cordoned_loads(&self) -> Result<BTreeMap<String, CordonedLoad>, StoreError> {
+        let prefix = self.keys.cordon_reports_prefix();
+        let mut loads: BTreeMap<String, CordonedLoad> = BTreeMap::new();
+        for value in self.store.read_prefix(&prefix).await? {
+            let report: BTreeMap<String, CordonedLoad> = serde_json::from_slice(&value.value)
+                .map_err(|err| StoreError::Malformed {
+                    call: "cordon report",
+                    fault: err.to_string(),
+                })?;
+            for (hall, load) in report {
+                let sum = loads.entry(hall).or_default();
+                sum.runners += load.runners;
+                sum.tasks += load.tasks;
+            }
+        }
+        Ok(loads)
+    }
+
     /// Finds a job if the caller may know of it.
     async fn locate(
         &self,
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -53,6 +53,10 @@
     Withdrawn,
     /// Its runner is not listed any more, or is draining.
     RunnerDeparting,
+    /// Its runner's data hall is cordoned.
+    HallCordoned,
+    /// The list of cordoned halls was not confirmed for too long.
+    CordonsStale,
     /// The list of runners was not confirmed for too long, and the runner may be draining.
     ListStale,
     /// It was queued for too long.
@@ -68,6 +72,8 @@
         match self {
             Self::Withdrawn => "withdrawn",
             Self::RunnerDeparting => "runner_leaves",
+            Self::HallCordoned => "hall_cordoned",
+            Self::CordonsStale => "cordons_old",
             Self::ListStale => "list_old",
             Self::QueuedTooLong => "waited",
             Self::LeaseExpired => "lease_over",
@@ -257,9 +263,15 @@
         {
             return Some(StartRefusal::RunnerDeparting);
         }
+        if self.fleet.borrow().is_cordoned(&self.address.instance.name) {
+            return Some(StartRefusal::HallCordoned);
+        }
         if !self.shared.runner_list_lease.is_valid(now) {
             return Some(StartRefusal::ListStale);
         }
+        if !self.shared.cordons_lease.is_valid(now) {
+            return Some(StartRefusal::CordonsStale);
+        }
         if now > admitted_at + MAX_START_QUEUED_MS {
             return Some(StartRefusal::QueuedTooLong);
         }
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -5,6 +5,7 @@
 //! while the [`ViewLease`] of each is valid.
 
 use std::{
+    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{
@@ -17,7 +18,10 @@
     time::Duration, //
 };
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{
+    ArcSwap,
+    ArcSwapOption, //
+};
 use hoisthitch_jobs::Millis;
 use tokio::sync::{
     Notify,
@@ -26,6 +30,7 @@
 
 use crate::{
     clock::NodeClock,
+    cordons::HallCordons,
     metrics::NodeMetrics,
     platform::FleetPolicy, //
 };
@@ -172,6 +177,8 @@
     pub policy: Duration,
     /// Time for the list of runners.
     pub runners: Duration,
+    /// Time for the list of cordoned data halls.
+    pub cordons: Duration,
 }
 
 /// The configuration by which a request may be answered now.
@@ -223,6 +230,12 @@
     pub(crate) policy_lease: ViewLease,
     /// Whether the node may still start tasks by its list of runners.
     pub(crate) runner_list_lease: ViewLease,
+    /// The cordoned data halls.
+    pub cordons: ArcSwap<HallCordons>,
+    /// All data halls of the deployment; empty where they are not known.
+    pub halls: BTreeSet<String>,
+    /// Whether the node may still start tasks by its list of cordoned halls.
+    pub(crate) cordons_lease: ViewLease,
     /// Request to read the configuration at once.
     pub(crate) policy_refresh: PolicyRefresh,
     /// Permit to call the adviser, which serves one call of a node at a time.
@@ -231,15 +244,20 @@
 
 impl NodeShared {
     /// State of a node that starts. `limits` says for how long it acts on its views of the store
-    /// after they were last confirmed.
-    pub fn new(metrics: NodeMetrics, limits: StalenessLimits) -> Arc<Self> {
-        Self::with_clock(metrics, limits, NodeClock::start())
+    /// after they were last confirmed, and `halls` names all data halls of the deployment.
+    pub fn new(
+        metrics: NodeMetrics,
+        limits: StalenessLimits,
+        halls: BTreeSet<String>,
+    ) -> Arc<Self> {
+        Self::with_clock(metrics, limits, halls, NodeClock::start())
     }
 
     /// State of a node that starts, with a given clock.
     pub fn with_clock(
         metrics: NodeMetrics,
         limits: StalenessLimits,
+        halls: BTreeSet<String>,
         clock: NodeClock,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -250,6 +268,9 @@
             metrics,
             policy_lease: ViewLease::new(limits.policy),
             runner_list_lease: ViewLease::new(limits.runners),
+            cordons: ArcSwap::default(),
+            halls,
+            cordons_lease: ViewLease::new(limits.cordons),
             policy_refresh: PolicyRefresh::default(),
             advice_permit: Semaphore::new(1),
         })
@@ -294,6 +315,17 @@
         }
     }
 
+    /// Time since the list of cordoned halls was last confirmed, in milliseconds; none before the
+    /// first confirmation.
+    pub(crate) fn cordons_age(&self) -> Option<Millis> {
+        self.cordons_lease.known_age(self.clock.now())
+    }
+
+    /// Whether all data halls of the deployment are cordoned, so that nothing can be started.
+    pub fn are_all_halls_cordoned(&self) -> bool {
+        self.cordons.load().cover(&self.halls)
+    }
+
     /// Whether the node is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/hoisthitch-scheduler/src/vms/balance.rs
+++ b/crates/hoisthitch-scheduler/src/vms/balance.rs
@@ -93,13 +93,17 @@
         }
     }
 
-    /// VMs of a pool whose VMs are off; records since when each has been listed.
+    /// VMs of a pool whose VMs are off, without those in cordoned halls; records since when each
+    /// has been listed.
     pub(super) async fn list_idle(&mut self, now: Millis) -> Result<Vec<String>, VmWorkError> {
         let context = &self.ledger.context;
         let rows = self.list.read(context).await?;
+        // A VM in a cordoned hall gives no other pool any capacity.
+        let fleet = context.fleet.borrow().clone();
         let own = rows
             .iter()
-            .filter(|row| row.pool == context.pool && row.condition == VmCondition::Up);
+            .filter(|row| row.pool == context.pool && row.condition == VmCondition::Up)
+            .filter(|row| !fleet.cordons.contains(&row.hall));
         let names: BTreeSet<String> = own.map(|row| row.name.clone()).collect();
         self.idle.retain(|vm, _| names.contains(vm));
         // VMs that were listed before the first pass have stayed long enough, or are blocked.
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -32,6 +32,7 @@
 
 mod cancels;
 mod configuration;
+mod cordons;
 mod drains;
 mod killers;
 mod lives;
--- a/crates/hoisthitch-scheduler/tests/world/codec.rs
+++ b/crates/hoisthitch-scheduler/tests/world/codec.rs
@@ -20,7 +20,9 @@
 };
 use hoisthitch_tests::world::{
     DEFAULT_CAPACITY,
-    POOL, //
+    POOL,
+    hall_of,
+    vm_number, //
 };
 
 /// Suffix of the record of a runner that is draining.
@@ -42,6 +44,9 @@
 /// Separates the VM from the label of its runner in the record of the runner.
 pub const LABELLED: &str = " is ";
 
+/// Prefix of the keys that cordon data halls.
+pub const CORDONS_PREFIX: &str = "op/cordon/";
+
 /// Codec of the records that the tests write.
 #[derive(Clone)]
 pub struct TestCodec;
@@ -81,6 +86,10 @@
         }))
     }
 
+    fn parse_cordon<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(CORDONS_PREFIX)
+    }
+
     fn parse_runner_name<'a>(&self, key: &'a str) -> Option<&'a str> {
         key.strip_prefix("runner/")
     }
@@ -92,7 +101,7 @@
         let (text, room) = text.split_once(CAPACITY_MARK).unwrap_or((text, ""));
         let (text, started_at) = text.split_once(STARTED_AT_MARK).unwrap_or((text, ""));
         let (vm, label) = text.split_once(LABELLED).unwrap_or((text, ""));
-        let number: u16 = vm.trim_start_matches("vm-").parse().unwrap_or(0);
+        let number = vm_number(vm);
         Ok(RunnerRecord {
             pool: POOL.to_owned(),
             address: ([127, 0, 0, 1], 10_000 + number).into(),
@@ -103,6 +112,7 @@
                 capacity: parse_capacity(room),
                 labels: vec![label.to_owned()],
                 rack: String::new(),
+                hall: hall_of(vm),
                 draining,
             },
         })
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -9,7 +9,10 @@
 
 use std::{
     cell::Cell,
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     future::Future,
     pin::Pin,
     rc::Rc,
@@ -53,6 +56,7 @@
 };
 use hoisthitch_tests::world::{
     DEFAULT_CAPACITY,
+    HALLS,
     MemoryAdviser,
     MemoryFleet,
     MemoryStore,
@@ -69,6 +73,7 @@
 
 use codec::{
     CAPACITY_MARK,
+    CORDONS_PREFIX,
     DRAINING,
     STARTED_AT_MARK,
     TestCodec,
@@ -83,8 +88,14 @@
 const STALENESS_LIMITS: StalenessLimits = StalenessLimits {
     policy: Duration::from_secs(3),
     runners: Duration::from_millis(1_600),
+    cordons: Duration::from_millis(1_600),
 };
 
+/// All data halls.
+fn halls() -> BTreeSet<String> {
+    (0..HALLS).map(|number| format!("hall-{number}")).collect()
+}
+
 /// The platform that a node of the tests runs on.
 #[derive(Clone)]
 pub struct TestPlatform {
@@ -291,6 +302,19 @@
         }
     }
 
+    /// Cordons a data hall, as operators do.
+    pub fn cordon_hall(&self, hall: &str) {
+        let key = format!("{CORDONS_PREFIX}{hall}");
+        self.store.put(&key, Some(b""), 0);
+        self.fleet.mark_cordoned(hall);
+    }
+
+    /// Takes the cordon of a data hall back.
+    pub fn uncordon_hall(&self, hall: &str) {
+        self.store.put(&format!("{CORDONS_PREFIX}{hall}"), None, 0);
+        self.fleet.mark_uncordoned(hall);
+    }
+
     /// Restarts each runner that a task crashed, `down_ms` after the crash, until the test
     /// ends: under its own name if `named`, or else a new runner on the same VM.
     pub fn keep_begun(&self, down_ms: u64, named: bool) {
@@ -344,7 +368,7 @@
         let suspended_ms = Arc::new(AtomicU64::new(0));
         let unix_ms = self.fleet.unix_ms().saturating_add_signed(ahead);
         let clock = NodeClock::start_for_test(unix_ms, suspended_ms.clone());
-        let shared = NodeShared::with_clock(metrics, STALENESS_LIMITS, clock);
+        let shared = NodeShared::with_clock(metrics, STALENESS_LIMITS, halls(), clock);
         let platform = TestPlatform {
             store: self.store.for_node(name),
             fleet: self.fleet.for_node(name),
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -7,6 +7,7 @@
 
 mod adviser;
 mod capacity;
+mod cordons;
 mod crashing;
 mod draining;
 mod events;
@@ -31,6 +32,11 @@
     MemoryAdviser, //
 };
 pub use capacity::DEFAULT_CAPACITY;
+pub use cordons::{
+    HALLS,
+    hall_of,
+    vm_number, //
+};
 pub use crashing::CrashedRunner;
 pub use events::show_events;
 pub use order::set_play_order;
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -90,6 +90,8 @@
     starts: BTreeMap<String, u32>,
     /// Violations that the checkers found.
     pub(super) violations: Vec<String>,
+    /// Cordoned data halls, and since when.
+    pub(super) cordoned: BTreeMap<String, Instant>,
     /// Each order of this many is carried out late and gets no response; zero for none.
     late_every: u64,
     /// Least delay of late orders.
@@ -416,6 +418,7 @@
         if !late {
             state.check_capacity(name, &task, now);
             state.check_draining(name, &task, now);
+            state.check_cordoned(name, &task, now);
         }
         *state.starts.entry(task).or_insert(0) += 1;
         drop(guard);
--- a/crates/hoisthitch-tests/src/world/runners/vms.rs
+++ b/crates/hoisthitch-tests/src/world/runners/vms.rs
@@ -16,6 +16,7 @@
 use super::{
     super::{
         POOL,
+        cordons::hall_of,
         spawn_detached, //
     },
     CALL_TIMEOUT,
@@ -83,6 +84,7 @@
             .iter()
             .filter(|(_, runner)| runner.alive)
             .map(|(name, runner)| VmStatus {
+                hall: hall_of(&runner.vm),
                 name: runner.vm.clone(),
                 pool: POOL.to_owned(),
                 condition: VmCondition::Up,
@@ -90,6 +92,7 @@
             })
             .collect();
         rows.extend(state.in_maintenance.keys().map(|vm| VmStatus {
+            hall: hall_of(vm),
             name: vm.clone(),
             pool: POOL.to_owned(),
             condition: VmCondition::Maintenance,
--- a/crates/hoisthitch-tests/tests/explain/main.rs
+++ b/crates/hoisthitch-tests/tests/explain/main.rs
@@ -30,6 +30,7 @@
     late_job_names_the_new_owner => late_without_owner();
     job_of_an_ownerless_pool_is_not_taken => never_taken();
     pool_that_is_handed_over_shows_both_nodes => handed_over();
+    job_that_waits_while_a_hall_is_cordoned => cordoned_hall();
     job_without_room_names_what_the_pool_lacked => no_room();
     starts_without_answer_explain_a_wait => unclear_starts();
     start_sent_again_is_one_run => start_sent_again();
@@ -219,6 +220,35 @@
     Ok(())
 }
 
+/// A hall was cordoned before the job was submitted, another one was released before it.
+async fn cordoned_hall() -> Result<()> {
+    let log = [
+        line(1_000, "node-2", "pool_taken pool=p term=1 epoch=11"),
+        line(
+            2_000,
+            "node-2",
+            "hall_cordon_in_force pool=p hall=h-1 runners=4 tasks=2 age_ms=0",
+        ),
+        line(
+            2_100,
+            "node-2",
+            "hall_cordon_in_force pool=p hall=h-2 runners=4 tasks=2 age_ms=0",
+        ),
+        line(3_000, "node-2", "hall_cordon_over pool=p hall=h-2"),
+        submitted(5_000, "accepted"),
+        taken(5_010, "node-2", 20, false),
+    ]
+    .concat();
+    let wanted = [
+        "data hall cordoned: no starts there  pool=p hall=h-1",
+        "Kind of failure: 2,",
+        "its pool has runners in cordoned data halls, which get no starts (h-1 since ",
+    ];
+    let text = check("cordoned", &log, &wanted).await?;
+    ensure!(!text.contains("h-2 since"), "{text}");
+    Ok(())
+}
+
 async fn unclear_starts() -> Result<()> {
     let log = [
         line(1_000, "node-2", "pool_taken pool=p term=1 epoch=11"),
