--- a/crates/hoisthitch-jobs/src/admission.rs
+++ b/crates/hoisthitch-jobs/src/admission.rs
@@ -3,8 +3,8 @@
 //!
 //! A run is planned, recorded and then ordered, and a start without an answer is sent again
 //! after heartbeats that do not show its run. By then the runner may be draining or have less
-//! capacity, its data hall may be cordoned, the ticket may have expired, or the team's limit may have been lowered. So each
-//! copy of a start is checked against the present state.
+//! capacity, its data hall may be cordoned, the ticket may have expired, or the team's limit may
+//! have been lowered. So each copy of a start is checked against the present state.
 //!
 //! A run of which no copy was sent is planned again. A run of which a copy may still be
 //! carried out is stopped first. The stop also ends the run if it has begun meanwhile, so a
