Test the room of a pool beside a cordoned hall, and gangs

What callers would see: work that waits for a hall which gets none, VMs moved into a pool that give it no capacity, members of a gang left alone. The tests of jobs build again: runners have a data hall.

--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod admission;
+mod cordons;
 mod demand;
 mod fair;
 mod lives;
@@ -117,7 +118,8 @@
     }
 }
 
-/// A pool of ready runners of so many cores and 10,000 MB each, two to a rack, whose leases
+/// A pool of ready runners of so many cores and 10,000 MB each, two to a rack, in two data halls by
+/// turns, whose leases
 /// end at 1,000 s.
 fn pool_of(runners: u32, cores: u64) -> PoolState {
     let mut state = PoolState::new(InheritedRuns::default());
@@ -134,6 +136,7 @@
                 },
                 labels: Vec::new(),
                 rack: format!("r-{}", number / 2),
+                hall: format!("hall-{}", number % 2),
                 draining: false,
             },
             0,
--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -167,6 +167,7 @@
                 gpus: 0,
             },
             rack: String::new(),
+            hall: String::new(),
             labels: Vec::new(),
             draining: false,
         };
--- a/crates/hoisthitch-scheduler/tests/contracts/gang.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/gang.rs
@@ -37,6 +37,7 @@
     gang_with_a_runner_that_is_cut_off_starts_anew => cuts_runner();
     gang_with_a_runner_that_crashes_starts_anew => crashes_runner();
     gang_on_a_runner_that_leaves_ends_there => drains_runner();
+    gang_beside_a_cordoned_hall_starts_as_a_whole => cordons_hall();
     runner_that_refuses_a_member_leaves_none_alone => refuses_member();
     orders_done_late_mix_no_runs => orders_late();
     writes_done_late_mix_no_runs => writes_late();
@@ -260,6 +261,24 @@
     Ok(())
 }
 
+/// A hall is cordoned while the gang is started, and released later. Members whose starts are not
+/// sent any more leave no other one alone.
+async fn cordons_hall() -> Result<()> {
+    for delay_ms in FAULT_DELAYS_MS {
+        let world = gang_world().await?;
+        let spec = gang("work 1500");
+        world.submit("j", spec.clone()).await?;
+        sleep_ms(delay_ms).await;
+        world.cordon_hall("hall-1");
+        sleep_ms(6_000).await;
+        world.uncordon_hall("hall-1");
+        world.wait_phase("j", JobPhase::Completed, 20_000).await?;
+        check_ran_together(&world, "j", &spec)?;
+        check_invariants(&world)?;
+    }
+    Ok(())
+}
+
 /// One runner refuses each start, and another one joins later. The other members must not
 /// be left waiting for a member that does not exist.
 async fn refuses_member() -> Result<()> {
