--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -177,11 +177,7 @@
                     self.put(keys, &value);
                 }
                 self.visit(before.len());
-                let instances = |(node, member): (&String, &MemberRecord)| {
-                    (node.clone(), member.instance) //
-                };
-                let mut now = self.members.iter().map(instances);
-                !now.by_ref().eq(before.iter().map(instances))
+                !instances(&self.members).eq(instances(&before))
             }
             FollowEvent::Put(value) => self.put(keys, &value),
             FollowEvent::Progress(_) => false,
@@ -436,6 +432,12 @@
     }
 }
 
+/// Names of the members and their instances.
+fn instances(members: &BTreeMap<String, MemberRecord>) -> impl Iterator<Item = (&str, u64)> {
+    let members = members.iter();
+    members.map(|(node, member)| (node.as_str(), member.instance))
+}
+
 /// Number of pools of a node in relation to its processor time, scaled by [`LOAD_SCALE`].
 fn relative_load(pools: usize, cpu_milli: u64) -> usize {
     pools * LOAD_SCALE / usize::try_from(cpu_milli.max(1)).unwrap_or(1)
