Refuse no job by a list of cordoned halls that is too old

Cause: while all halls are cordoned, jobs are refused at once; the refusal asked the node's list without its age, so that it went on for as long as the operators' watch was silent. Starts asked for the age.

(In the node's binary the configuration's own bound refuses too, with its true reason.)

Change: the refusal holds only while the list is confirmed.

--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -322,8 +322,9 @@
     }
 
     /// Whether all data halls of the deployment are cordoned, so that nothing can be started.
+    /// False while the list of cordoned halls is too old to tell: a cordon may be over.
     pub fn are_all_halls_cordoned(&self) -> bool {
-        self.cordons.load().cover(&self.halls)
+        self.cordons_lease.is_valid(self.clock.now()) && self.cordons.load().cover(&self.halls)
     }
 
     /// Whether the node is stopping.
--- a/crates/hoisthitch-scheduler/tests/draws/cordons.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/cordons.rs
@@ -22,6 +22,7 @@
     TestWorld,
     job,
     lasting,
+    play_in_order,
     sleep_ms, //
 };
 
@@ -39,6 +40,17 @@
     run_seeds(history)
 }
 
+/// A seed in which a job was refused for as long as a node's list of cordoned halls was old.
+const OLD_LIST_SEED: u64 = 112;
+
+#[test]
+fn old_list_of_cordons_refuses_no_job() -> Result<()> {
+    for order in 0..4 {
+        play_in_order(order, history(OLD_LIST_SEED))?;
+    }
+    Ok(())
+}
+
 /// Submits jobs while halls are cordoned and released.
 async fn history(seed: u64) -> Result<()> {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/hoisthitch-scheduler/tests/ownership/cordons.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/cordons.rs
@@ -49,6 +49,7 @@
     cordon_that_was_lifted_unseen_is_noticed => lifted_unseen();
     two_cordoned_halls_leave_the_third => two_halls();
     jobs_are_refused_while_all_halls_are_cordoned => all_halls();
+    jobs_are_accepted_while_an_old_list_tells_of_cordons => accepts_by_old_list();
     wave_goes_on_in_a_cordoned_hall => maintenance();
     drained_task_leaves_for_a_hall_that_is_not_cordoned => drains();
 }
@@ -280,6 +281,32 @@
     check_invariants(&world)
 }
 
+/// All halls are cordoned, and the operators' records fall silent right before one is released.
+/// Jobs were refused for as long as the silence lasted (drawn cordons, seed 112).
+async fn accepts_by_old_list() -> Result<()> {
+    let world = TestWorld::start(2, 3).await?;
+    for number in 0..3 {
+        world.cordon_hall(&format!("hall-{number}"));
+    }
+    sleep_ms(500).await;
+    world.store.set_faults(StoreFaults {
+        silent_watches: "op/".to_owned(),
+        ..StoreFaults::default()
+    });
+    sleep_ms(100).await;
+    world.uncordon_hall("hall-1");
+    sleep_ms(LAST_START_MS + 2_000).await;
+    let node = world.nodes.values().next();
+    let node = node.ok_or_else(|| eyre::eyre!("no node"))?;
+    let answer = node
+        .submit(&queue(), "j", job("work 300", &[1]), 2_000)
+        .await;
+    ensure!(answer == SubmitAnswer::Accepted, "{answer:?}");
+    world.store.set_faults(StoreFaults::default());
+    world.wait_phase("j", JobPhase::Completed, 20_000).await?;
+    check_invariants(&world)
+}
+
 async fn maintenance() -> Result<()> {
     let world = TestWorld::start(1, 6).await?;
     world.cordon_hall("hall-0");
