--- a/crates/hoisthitch-scheduler/tests/ownership/members.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/members.rs
@@ -105,9 +105,9 @@
 /// Each node decides after each change of the group, and ten times a second, whether it is to
 /// own a pool.
 ///
-/// The failure: each of these decisions ordered all members for each pool. On a fleet of 588
-/// nodes of which a third lost the store for a while, a node took six times the processor time of
-/// one in a group of 39.
+/// The failure: each of these decisions ordered all members for each pool, so that the work of a
+/// change grew with the square of the group. On a fleet of 588 nodes the busiest one took 0.34 of
+/// a core on a calm day, and 0.19 without it.
 async fn visits_few() -> Result<()> {
     let small = count_visited(SMALL_GROUP).await?;
     let large = count_visited(LARGE_GROUP).await?;
