Send no stop of an available task that waited behind other orders

Cause: the stop of a withdrawn start is decided on while the step can do without the task, and then waits in the runner's queue behind orders without a response, 0.9 s each. Repeats were queued every 0.7 s beside it, so that copies were sent up to 2 s after they were decided on. Meanwhile the start arrived late, the task came to work and was reported, and the other task of the step was lost. may_resend_stop was asked when a copy was queued, not when it was sent.

Change: a stop is not queued again before its last copy was sent, and one that has become harmful while it waits is revoked (stop_not_sent reason=revoked). It is decided on again as soon as the step can do without the task.

--- a/crates/hoisthitch-jobs/src/stops.rs
+++ b/crates/hoisthitch-jobs/src/stops.rs
@@ -96,6 +96,22 @@
         drains || !runs || !self.is_long_running(task) || self.may_disrupt(&[task])
     }
 
+    /// Stops of long-running tasks whose steps can't do without them any more. They were decided
+    /// on before another task of the step became unavailable, and must not be sent if they still
+    /// wait for earlier orders.
+    pub fn harmful_stops(&self) -> Vec<StopOrder> {
+        let stopping = self.active_tasks().filter_map(|(task, entry)| {
+            let TaskState::Stopping(runner) = entry.state else {
+                return None;
+            };
+            let is_harmful = entry.stopped_at.is_none() && !self.may_resend_stop(task, runner);
+            let name = self.name_of(task).filter(|_| is_harmful)?;
+            let run = entry.current_run();
+            Some(StopOrder { runner, name, run })
+        });
+        stopping.collect()
+    }
+
     /// Sends stops again whose runs have not ended.
     pub fn resend_stops(&mut self, now: Millis) {
         let overdue: Vec<(TaskRef, RunnerKey)> = self
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -219,6 +219,7 @@
         state.take_stop_orders().len() == 1,
         "the stop is not sent again"
     );
+    ensure!(state.harmful_stops().is_empty());
     end_all(&mut state, &[other], EndKind::Failed, 3_000);
     report_available(&mut state, key, 3_050);
     state.resend_stops(3_700);
@@ -226,10 +227,14 @@
         state.take_stop_orders().is_empty(),
         "the stop leaves no task available"
     );
+    // A copy that still waits behind other orders is revoked.
+    let harmful = state.harmful_stops();
+    ensure!(harmful.len() == 1 && harmful[0].name == moved.name);
     // Once the step can miss the task, or the runner does not list it, the stop is sent again.
     state.record_heartbeat(key, &HeartbeatReport::default(), 3_750, 3_760);
     state.resend_stops(4_500);
     ensure!(state.take_stop_orders().len() == 1);
+    ensure!(state.harmful_stops().is_empty());
     Ok(())
 }
 
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -478,6 +478,11 @@
         let today = self.context.shared.clock.unix_ms();
         self.state.begin_due_rounds(now, today);
         self.state.resend_stops(now);
+        for stop in self.state.harmful_stops() {
+            if let Some(session) = self.sessions.get(&stop.runner) {
+                session.revoke_stop(&stop);
+            }
+        }
         self.state.clear_suspects(now);
         self.state.move_off_draining(now);
         for runner in self.state.stop_stalled(now) {
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashSet,
+    collections::HashMap,
     rc::Rc, //
 };
 
@@ -41,10 +41,21 @@
 /// runner is about to shut down; the platform allows two seconds.
 const MAX_START_QUEUED_MS: Millis = 1_000;
 
-/// Runs with a queued stop order. A start of such a run that is queued before the stop is not
-/// sent: behind orders without a response the run could begin a second after its job was
-/// cancelled, or after its task was done elsewhere.
-pub(super) type WithdrawnRuns = Rc<RefCell<HashSet<(TaskName, u32)>>>;
+/// What became of the stop of a withdrawn run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum StopProgress {
+    /// There was no room for it in the queue.
+    NotQueued,
+    /// It is queued, or was sent and has no response yet.
+    Queued,
+    /// It is queued and must not be sent any more.
+    Revoked,
+}
+
+/// Runs that were ordered to stop, until that order is sent. A start of such a run that is queued
+/// before the stop is not sent: behind orders without a response the run could begin a second
+/// after its job was cancelled, or after its task was done elsewhere.
+pub(super) type WithdrawnRuns = Rc<RefCell<HashMap<(TaskName, u32), StopProgress>>>;
 
 /// Why a queued start is not sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -94,7 +105,7 @@
     fn is_withdrawn(&self, order: &StartOrder) -> bool {
         let withdrawn = self.withdrawn.borrow();
         // There may be thousands of starts in a second, of which hardly any is withdrawn.
-        let is_named = || withdrawn.contains(&(order.name.clone(), order.run));
+        let is_named = || withdrawn.contains_key(&(order.name.clone(), order.run));
         self.queue.is_closed() || (!withdrawn.is_empty() && is_named())
     }
 }
@@ -121,7 +132,12 @@
                 }
                 RunnerOrder::Stop(order) => {
                     let run = (order.name.clone(), order.run);
-                    send_stop(context, order).await;
+                    let progress = orders.withdrawn.borrow().get(&run).copied();
+                    if progress == Some(StopProgress::Revoked) {
+                        context.drop_stop(&order);
+                    } else {
+                        send_stop(context, order).await;
+                    }
                     orders.withdrawn.borrow_mut().remove(&run);
                 }
                 RunnerOrder::Pace(order) => send_pace(context, order).await,
@@ -300,6 +316,19 @@
         self.emit(SessionEvent::StartFinished { order, outcome });
     }
 
+    /// Drops a stop that was revoked.
+    fn drop_stop(&self, order: &StopOrder) {
+        event!(
+            Info,
+            "stop_not_sent",
+            task = order.name,
+            run = order.run,
+            runner = self.address.instance,
+            reason = "revoked"
+        );
+        self.count("stop", "not_sent");
+    }
+
     /// Counts an order in the metrics.
     fn count(&self, order: &str, outcome: &str) {
         let counter = &self.shared.metrics.orders;
--- a/crates/hoisthitch-scheduler/tests/draws/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/lives.rs
@@ -105,6 +105,22 @@
     Ok(())
 }
 
+/// Seeds in which the stop of a withdrawn start waited behind orders without a response. Meanwhile
+/// the start was carried out late and the task became available, the other task of the step was
+/// lost, and the stop was sent.
+const WAITING_STOP_SEEDS: [u64; 2] = [1_158, 53_158];
+
+#[test]
+fn stop_that_waited_makes_no_second_task_unavailable() -> Result<()> {
+    for seed in WAITING_STOP_SEEDS {
+        for order in 0..RUNS_PER_SEED {
+            play_in_order(order, history(seed))
+                .wrap_err_with(|| format!("seed {seed} order {order}"))?;
+        }
+    }
+    Ok(())
+}
+
 #[test]
 fn job_lost_six_times_by_chance_is_completed() -> Result<()> {
     for order in 0..RUNS_PER_SEED {
