Tell a lost connection from a missing response by its error

Cause: a heartbeat that failed within 500 ms beyond its wait was taken for one whose connection was reset, whatever the error. One whose response was lost was taken for a reset up to 0.9 s after the crash, as a crash at a time known to a few milliseconds: for a task that crashes after 600 ms, 939, 1,127 and 1,164 ms were recorded. On such times a task is cleared or failed.

Change: RunnerError::ConnectionLost, which the platform returns for a failed connection; a timeout is never a reset. The limit on time stays beside it.

--- a/crates/hoisthitch-scheduler/src/platform.rs
+++ b/crates/hoisthitch-scheduler/src/platform.rs
@@ -95,6 +95,10 @@
     /// Nothing listens at the runner's address, so the order was not sent.
     #[error("nothing listens at the runner's address")]
     NotListening,
+    /// The connection failed before there was an answer, as it does when the runner's process
+    /// ends; the order may have been carried out.
+    #[error("the connection to the runner failed: {0}")]
+    ConnectionLost(String),
     /// There was no valid answer; the order may still be carried out.
     #[error("no answer from the runner: {0}")]
     NoAnswer(String),
--- a/crates/hoisthitch-scheduler/src/session/heartbeats.rs
+++ b/crates/hoisthitch-scheduler/src/session/heartbeats.rs
@@ -162,7 +162,7 @@
                 () = self.signals.instance_check.notified() => None,
             };
             let now = self.context.shared.clock.now();
-            let failed_at_once = self.failed_at_once(plan, now);
+            let failed_at_once = self.failed_at_once(plan, &response, now);
             if plan.acknowledges && self.may_have_strayed(&response, failed_at_once) {
                 gate.record_unanswered_ack(now);
             }
@@ -255,17 +255,28 @@
     ) -> bool {
         match response {
             Some(Ok(report)) => self.new_start_time(report).is_some(),
-            Some(Err(RunnerError::NoAnswer(_))) => !failed_at_once,
+            Some(Err(RunnerError::NoAnswer(_) | RunnerError::ConnectionLost(_))) => !failed_at_once,
             Some(Err(_)) => false,
             None => true,
         }
     }
 
     /// Whether a heartbeat that failed by `now` did so because its connection was reset or
-    /// refused.
-    fn failed_at_once(&self, plan: HeartbeatPlan, now: Millis) -> bool {
+    /// refused. A connection that fails later may have been cut off.
+    fn failed_at_once(
+        &self,
+        plan: HeartbeatPlan,
+        response: &Option<Result<HeartbeatReport, RunnerError>>,
+        now: Millis,
+    ) -> bool {
+        let has_failed = matches!(
+            response,
+            Some(Err(
+                RunnerError::NotListening | RunnerError::ConnectionLost(_)
+            ))
+        );
         let waited = Duration::from_millis(now.saturating_sub(plan.sent_at));
-        waited < self.request(plan).wait + RESET_TIMEOUT
+        has_failed && waited < self.request(plan).wait + RESET_TIMEOUT
     }
 
     /// Start time of the instance that responded, if it is not the one before. Heartbeats of a
--- a/crates/hoisthitch-tests/src/world/runners/control.rs
+++ b/crates/hoisthitch-tests/src/world/runners/control.rs
@@ -156,7 +156,7 @@
             if self.instance_began(&runner.instance.name) != instance
                 || self.refuses(&runner.instance.name)
             {
-                return Err(RunnerError::NoAnswer("reset".to_owned()));
+                return Err(RunnerError::ConnectionLost("reset".to_owned()));
             }
         }
         let ahead = self.state.borrow().acks_cover_later_ends;
