Weigh the losses under a task over ranges of its running time

Cause: some twenty limits decided one question, whether the task is the cause or chance at the pool's rate of losses. A time was alike or not, known or not. What an owner knows is a range.

Ruled out now: a higher rate for losses at one moment.

--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -211,7 +211,7 @@
             },
             run: task.run,
             failed: task.failed,
-            suspicion: task.suspicion,
+            suspicion: task.suspicion.clone(),
             runner: instance.name,
             started_at: instance.started_at,
             checkpoint: task.checkpoint.clone(),
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -19,6 +19,10 @@
 use crate::{
     Millis,
     job::JobKey,
+    likelihood::{
+        LossCertainty,
+        RunTimeRange, //
+    },
     pool::PoolState,
     runner::{
         RunnerEntry,
@@ -46,6 +50,10 @@
 /// The same if one of them shows by a heartbeat without a response, in milliseconds.
 const SIMULTANEOUS_SILENCE_MS: Millis = 1_500;
 
+/// Time within which the reset of a connection that waits for a response is noticed, in
+/// milliseconds.
+const RESET_NOTICE_MS: Millis = 10;
+
 /// Window over which the rate of runner losses in the pool is estimated, in milliseconds;
 /// losses are kept for as long.
 const RATE_WINDOW_MS: Millis = 60_000;
@@ -109,7 +117,7 @@
 }
 
 /// A run that was lost with its runner.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct LostRun {
     /// Name of the task.
     pub task: TaskName,
@@ -125,6 +133,11 @@
     /// start without an answer it is the time since the order, if that was short; none if
     /// nothing is known.
     pub ran: Option<Millis>,
+    /// Shortest and longest possible running time, in milliseconds, as it is weighed.
+    pub ran_between: (Millis, Millis),
+    /// Rate at which the runner was expected to be lost for reasons other than the task, per
+    /// second.
+    pub rate: f64,
     /// Number of other runs that were lost with it.
     pub other_runs: usize,
     /// Whether other runners were lost at the same moment.
@@ -162,6 +175,8 @@
     instance: RunnerInstance,
     loss: RunnerLoss,
     moment: LossMoment,
+    /// Earliest time at which it may have been lost; the latest is that of the moment.
+    earliest: Millis,
     /// Estimated end of its runs: the time of the loss if its connections were reset, otherwise
     /// midway between its last response and the first that did not come.
     ended_at: Millis,
@@ -179,6 +194,7 @@
                 reset: false,
                 known: false,
             },
+            earliest: 0,
             ended_at: now,
             tasks,
         }
@@ -205,6 +221,33 @@
     }
 }
 
+impl LostRunner {
+    /// How certain it is that this shows a crash, if the task is the cause.
+    fn certainty(&self, entry: &TaskEntry) -> LossCertainty {
+        let has_begun = matches!(entry.state, TaskState::Running(_) | TaskState::Stopping(_));
+        match (self.moment.detection(), self.loss) {
+            (LossDetection::Record, _) => LossCertainty::Unconfirmed,
+            _ if !has_begun => LossCertainty::Unanswered,
+            (LossDetection::Reset, _) => LossCertainty::Crashed,
+            (LossDetection::Silence, RunnerLoss::Silent) => LossCertainty::Silent,
+            (LossDetection::Silence, _) => LossCertainty::Unresponsive,
+        }
+    }
+}
+
+impl RunnerEntry {
+    /// Earliest time at which the runner may have been lost.
+    fn earliest_loss(&self, moment: LossMoment) -> Millis {
+        let noticed = moment.at.saturating_sub(RESET_NOTICE_MS);
+        let waited = |sent_at| moment.reset && sent_at < noticed;
+        if self.first_miss_sent_at.is_some_and(waited) {
+            noticed
+        } else {
+            self.last_response_at.unwrap_or(0)
+        }
+    }
+}
+
 impl PoolState {
     /// Records that a runner was lost with all that it ran; must be called before its tasks
     /// are moved off it.
@@ -228,6 +271,7 @@
             instance: runner.facts.instance(),
             loss,
             moment,
+            earliest: runner.earliest_loss(moment),
             ended_at: last_heartbeat_at.map_or(moment.at, |at| at.midpoint(moment.at)),
             tasks: self.tasks_lost(runner, moment),
         };
@@ -377,15 +421,15 @@
             return;
         }
         let (run, ran) = (entry.current_run(), entry.running_time_at(lost.ended_at));
+        let (from, to) = entry.running_time_between(lost);
         let evidence = LossEvidence {
             run,
             loss: lost.loss,
             ran,
-            timed: lost.moment.known,
-            long_running: self.is_long_running(task),
+            range: RunTimeRange::new(from, to, self.is_long_running(task)),
+            certainty: lost.certainty(entry),
             // Members of a gang on the same runner count as one suspect.
             share: if isolated { 1.0 } else { share },
-            silent: lost.moment.known && !lost.moment.reset,
             isolated,
             concurrent_loss: self.has_concurrent_loss(task, lost.moment, key),
             rate: self.loss_rate(task, ran, lost.moment.at, key),
@@ -413,9 +457,11 @@
             loss: lost.loss,
             detection: lost.moment.detection(),
             ran: evidence.ran,
+            ran_between: (evidence.range.from, evidence.range.to),
+            rate: evidence.rate,
             other_runs,
             concurrent_loss: evidence.concurrent_loss,
-            suspicion: entry.suspicion,
+            suspicion: entry.suspicion.clone(),
         };
         self.lost_runs.push(lost_run);
     }
@@ -547,6 +593,20 @@
 }
 
 impl TaskEntry {
+    /// Shortest and longest time for which the last run may have been running when its runner was
+    /// lost; the longest is none where it is not known when the run was ordered.
+    fn running_time_between(&self, lost: &LostRunner) -> (Millis, Option<Millis>) {
+        let has_begun = matches!(self.state, TaskState::Running(_) | TaskState::Stopping(_));
+        let from = if has_begun && lost.moment.known {
+            lost.earliest.saturating_sub(self.began_at)
+        } else {
+            0
+        };
+        let begun_after = self.begun_after;
+        let to = begun_after.map(|begun_after| lost.moment.at.saturating_sub(begun_after));
+        (from, to)
+    }
+
     /// How long the last run had been running at a time, in milliseconds, as in [`LostRun`].
     fn running_time_at(&self, time: Millis) -> Option<Millis> {
         match self.state {
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -58,6 +58,7 @@
         self.responding_since.get_or_insert(now);
         runner.silent_since = None;
         runner.loss_recorded = false;
+        runner.last_response_at = Some(now);
         runner.last_heartbeat_at = runner.last_heartbeat_at.max(Some(sent_at));
         let last_seen_end = runner.last_seen_end;
         let mut present = HashSet::new();
@@ -92,14 +93,21 @@
         }
     }
 
-    /// Records that a heartbeat got no response; `reset` if this was known at once, because
-    /// nothing listens there any more.
-    pub fn record_missed_heartbeat(&mut self, key: RunnerKey, reset: bool, now: Millis) {
+    /// Records that the heartbeat that was sent at `sent_at` got no response; `reset` if this
+    /// was known at once, because nothing listens there any more.
+    pub fn record_missed_heartbeat(
+        &mut self,
+        key: RunnerKey,
+        reset: bool,
+        sent_at: Millis,
+        now: Millis,
+    ) {
         if let Some(runner) = self.runners.get_mut(key) {
             runner.ready = false;
             if runner.silent_since.is_none() {
                 runner.silent_since = Some(now);
                 runner.was_reset = reset;
+                runner.first_miss_sent_at = Some(sent_at);
             }
         }
     }
@@ -471,6 +479,7 @@
         let any_start_unanswered = entry.any_start_unanswered;
         match outcome {
             StartOutcome::Started if ordered => {
+                entry.begun_after = order.sent_at.or(Some(now));
                 if let Some(runner) = self.runners.get_mut(order.runner) {
                     runner.record_acceptance();
                 }
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -342,6 +342,7 @@
             }
             if let Some(entry) = self.task_mut(*task) {
                 entry.decided_at = now;
+                entry.begun_after = Some(now);
                 entry.copies = 0;
             }
             if self.admit_start(*task, runner, now) != StartAdmission::Send {
@@ -387,6 +388,7 @@
             ticket,
             decided_at: entry.decided_at,
             copy: entry.copies,
+            sent_at: None,
             checkpoint: if saves {
                 entry.checkpoint.clone()
             } else {
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -183,7 +183,7 @@
             };
             task.run = recorded.run;
             task.failed = recorded.failed;
-            task.suspicion = recorded.suspicion;
+            task.suspicion = recorded.suspicion.clone();
             task.checkpoint = recorded.checkpoint;
             let (round, step) = (task.round, task.step);
             match recorded.phase {
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -200,6 +200,10 @@
     pub last_seen_end: u64,
     /// Whether it lists all ends.
     pub end_listing: EndListing,
+    /// When its last response came; none before the first.
+    pub(crate) last_response_at: Option<Millis>,
+    /// When the first heartbeat was sent that got no response since then.
+    pub(crate) first_miss_sent_at: Option<Millis>,
     /// Whether its connections were reset when it was last lost: its process has ended.
     pub(crate) was_reset: bool,
     /// Whether its loss was recorded, and it has not responded since.
@@ -240,6 +244,8 @@
             long_running: 0,
             last_seen_end: 0,
             end_listing: EndListing::Complete,
+            last_response_at: None,
+            first_miss_sent_at: None,
             was_reset: false,
             loss_recorded: false,
             isolated_task: None,
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     Millis,
+    likelihood::crash_weight,
     losses::RunnerLoss,
     pool::PoolState,
     record::JobPhase,
@@ -26,7 +27,6 @@
     },
     suspicion::{
         LossEvidence,
-        RunSpan,
         TaskSuspicion, //
     },
     task::{
@@ -122,28 +122,21 @@
         self.mark_dirty(task.job);
     }
 
-    /// Weight of all tasks of a step that crashed a runner in isolation; zero if one of the
-    /// step's tasks is done, or if the crashes are not alike.
+    /// Weight of all losses of runners that ran a task of the step in isolation, as if they were of
+    /// one task; zero if one of the step's tasks is done.
     fn step_weight(&self, task: TaskRef) -> i32 {
         let job = self.jobs.get(task.job);
         let Some((job, entry)) = job.zip(self.task(task)) else {
             return 0;
         };
-        let (mut weight, mut span) = (0, None);
+        let mut losses = Vec::new();
         for (_, other) in job.tasks_of(entry.round, entry.step) {
             if other.is_done() {
                 return 0;
             }
-            if other.suspicion.isolated_crashes > 0 {
-                weight += other.suspicion.weight();
-                span = RunSpan::join(span, other.suspicion.isolated_span);
-            }
-        }
-        if span.is_some_and(RunSpan::is_narrow) {
-            weight
-        } else {
-            0
+            losses.extend(other.suspicion.isolated_losses());
         }
+        crash_weight(&losses)
     }
 
     /// Fails the jobs of tasks that were found to crash their runners.
@@ -157,7 +150,7 @@
                 self.crashing_tasks.push(CrashingTask {
                     task: name,
                     run: entry.run,
-                    suspicion: entry.suspicion,
+                    suspicion: entry.suspicion.clone(),
                 });
             }
             self.end_job(task.job, JobPhase::Failed, now);
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -129,6 +129,8 @@
     pub ordered_at: Millis,
     /// When the last run was decided on, that is, when its record was written.
     pub decided_at: Millis,
+    /// Earliest time at which the last run may have begun; none where an earlier owner ordered it.
+    pub begun_after: Option<Millis>,
     /// Number of copies of the last run's start that were sent, or are about to be.
     pub copies: u32,
     /// When the runner acknowledged a stop; none before.
@@ -167,6 +169,8 @@
     pub decided_at: Millis,
     /// Number of this copy of the run's start, from 1.
     pub copy: u32,
+    /// When it was sent; none before that.
+    pub sent_at: Option<Millis>,
 }
 
 /// Order to stop a task.
@@ -201,6 +205,7 @@
             pace_unconfirmed_until: 0,
             ordered_at: 0,
             decided_at: 0,
+            begun_after: None,
             copies: 0,
             stopped_at: None,
             reported: false,
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -44,7 +44,7 @@
     let mut state = pool_of(2, 8);
     state.add_job(new_job("a", vec![step(1)]), 1_000);
     let orders = start_all(&mut state, 1_000);
-    state.record_missed_heartbeat(orders[0].runner, false, 1_000);
+    state.record_missed_heartbeat(orders[0].runner, false, 100, 1_000);
     ensure!(state.stop_stalled(60_000).is_empty());
     ensure!(decide(&mut state, 60_000).is_empty());
     Ok(())
@@ -55,7 +55,7 @@
     let mut state = pool_of(2, 8);
     state.add_job(new_job("a", vec![step(1)]), 1_000);
     let orders = start_all(&mut state, 1_000);
-    state.record_missed_heartbeat(orders[0].runner, false, 1_000);
+    state.record_missed_heartbeat(orders[0].runner, false, 100, 1_000);
     ensure!(state.expire_leases(999_999).is_empty());
     ensure!(state.expire_leases(1_000_001) == [orders[0].runner]);
     let again = start_all(&mut state, 1_000_002);
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -36,6 +36,8 @@
 cases! {
     task_alone_under_crashes_right_after_its_start_is_given_up => failed();
     crash_that_is_noticed_late_does_not_hide_the_others => late_notice();
+    losses_at_any_time_fail_no_task => scattered();
+    crashes_at_one_time_are_not_hidden_by_other_losses => hidden();
     lasting_task_is_given_up_alike => failed_long_running();
     suspect_gets_a_runner_alone => runs_in_isolation();
     neighbour_that_runs_on_is_cleared => cleared();
@@ -64,7 +66,7 @@
 /// A runner's connections are reset; 2 s later it is removed as crashed, as when another
 /// instance is found in its place.
 fn crash(state: &mut PoolState, runner: RunnerKey, now: u64) {
-    state.record_missed_heartbeat(runner, true, now);
+    state.record_missed_heartbeat(runner, true, now, now);
     state.remove_runner(runner, RunnerLoss::Crashed, now + 2_000);
 }
 
@@ -122,7 +124,7 @@
     };
     let key = state.set_runner(facts, now);
     state.record_heartbeat(key, &HeartbeatReport::default(), now, now);
-    state.record_missed_heartbeat(key, true, now);
+    state.record_missed_heartbeat(key, true, now, now);
     state.remove_runner(key, RunnerLoss::Crashed, now);
 }
 
@@ -138,7 +140,9 @@
     for ran in [599, 603, 605, 1_427, 605] {
         report_all(&mut state, now);
         let order = first(&start_all(&mut state, now))?;
-        state.record_missed_heartbeat(order.runner, true, now + ran);
+        // The late one shows by the next heartbeat, the others by one that waits.
+        let sent_at = if ran > 1_000 { now + ran } else { now };
+        state.record_missed_heartbeat(order.runner, true, sent_at, now + ran);
         state.remove_runner(order.runner, RunnerLoss::Crashed, now + ran);
         now += 2_000;
     }
@@ -209,7 +213,7 @@
         runners.extend(orders.iter().map(|order| order.runner));
         runners.dedup();
         for key in runners.iter().rev().take(2) {
-            state.record_missed_heartbeat(*key, true, now + 10);
+            state.record_missed_heartbeat(*key, true, now + 10, now + 10);
         }
         for key in runners.iter().rev().take(2) {
             state.remove_runner(*key, RunnerLoss::Crashed, now + 2_000);
@@ -283,7 +287,7 @@
 async fn begun_on_next() -> Result<()> {
     let mut state = reporting_pool(3, step(1));
     let order = first(&decide(&mut state, 61_000))?;
-    state.record_missed_heartbeat(order.runner, true, 61_010);
+    state.record_missed_heartbeat(order.runner, true, 61_010, 61_010);
     state.record_start_outcome(&order, StartOutcome::Started, 61_200);
     state.replace_restarted_runner(order.runner, 9_000, 100_000, 61_260);
     let lost = state.take_lost_runs();
@@ -380,3 +384,67 @@
     );
     Ok(())
 }
+
+/// Running time of a task before the loss of its runner, in milliseconds, and how the loss shows.
+#[derive(Clone, Copy)]
+enum Loss {
+    /// A connection that waits for a response is reset.
+    Reset(u64),
+    /// The runner does not respond until another instance is found.
+    Silence(u64),
+}
+
+/// Loses the task's runner after each of these running times, in a pool of eight runners in which
+/// others crashed in the minute before; returns the losses after which the task is failed.
+fn losses_until_failed(losses: &[Loss], others: u64) -> Result<Option<usize>> {
+    let mut state = reporting_pool(8, step(1));
+    for number in 0..others {
+        crash_other(&mut state, number, 31_000 + number * 29_000 / others);
+    }
+    let mut now = 61_000;
+    for (number, loss) in (1..).zip(losses) {
+        report_all(&mut state, now);
+        let order = first(&start_all(&mut state, now))?;
+        let (reset, ran) = match loss {
+            Loss::Reset(ran) => (true, *ran),
+            Loss::Silence(ran) => (false, *ran),
+        };
+        state.record_missed_heartbeat(order.runner, reset, now, now + ran);
+        state.remove_runner(order.runner, RunnerLoss::Crashed, now + ran);
+        if !state.take_crashing_tasks().is_empty() {
+            return Ok(Some(number));
+        }
+        now += 2_000;
+    }
+    Ok(None)
+}
+
+/// Losses at any time of the runs say nothing, and neither do silences.
+async fn scattered() -> Result<()> {
+    let resets = [300, 813, 130, 451, 1_040, 630, 17, 218].map(Loss::Reset);
+    ensure!(
+        losses_until_failed(&resets, 50)?.is_none(),
+        "losses at any time"
+    );
+    let silences = [600; 8].map(Loss::Silence);
+    ensure!(losses_until_failed(&silences, 140)?.is_none(), "silences");
+    Ok(())
+}
+
+/// Losses by other causes before the task's crash time, and a silence, do not hide three crashes
+/// at the same time (drawn killers seeds 774, 1382 and 1501).
+async fn hidden() -> Result<()> {
+    let earlier = [155, 603, 551, 606, 605].map(Loss::Reset);
+    let silent = [
+        Loss::Reset(600),
+        Loss::Silence(900),
+        Loss::Reset(604),
+        Loss::Silence(700),
+        Loss::Reset(601),
+    ];
+    for losses in [earlier, silent] {
+        let failed = losses_until_failed(&losses, 50)?;
+        ensure!(failed == Some(5), "failed after {failed:?} losses");
+    }
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -530,9 +530,13 @@
                     self.queue_order(runner, RunnerOrder::Pace(pace));
                 }
             }
-            SessionEvent::HeartbeatMissed { runner, reset } => {
-                self.state.record_missed_heartbeat(runner, reset, now)
-            }
+            SessionEvent::HeartbeatMissed {
+                runner,
+                reset,
+                sent_at,
+            } => self
+                .state
+                .record_missed_heartbeat(runner, reset, sent_at, now),
             SessionEvent::ProcessExited { runner } => self.handle_process_exit(runner, now),
             SessionEvent::Replaced { runner } => {
                 self.mark_ended(runner);
--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -30,6 +30,9 @@
                 ran_ms = lost
                     .ran
                     .map_or_else(|| "unknown".to_owned(), |ran| ran.to_string()),
+                least_ms = lost.ran_between.0,
+                most_ms = lost.ran_between.1,
+                rate = format_args!("{:.4}", lost.rate),
                 beside = lost.other_runs,
                 company = lost.concurrent_loss,
                 losses = lost.suspicion.losses,
--- a/crates/hoisthitch-scheduler/src/session/heartbeats.rs
+++ b/crates/hoisthitch-scheduler/src/session/heartbeats.rs
@@ -188,7 +188,7 @@
                 Some(Err(err)) => {
                     self.log_lost(&err);
                     self.count_refusal(&err);
-                    self.record_miss(failed_at_once);
+                    self.record_miss(plan, failed_at_once);
                     if self.refusals == Some(REFUSALS_OF_ENDED_PROCESS) {
                         let runner = self.context.key;
                         self.context.emit(SessionEvent::ProcessExited { runner });
@@ -197,7 +197,7 @@
                 }
                 // The heartbeat was cancelled for one that is sent at once. Whether it arrived is
                 // not known, so it counts as missed.
-                None => self.record_miss(false),
+                None => self.record_miss(plan, false),
             }
         }
     }
@@ -346,12 +346,15 @@
     }
 
     /// Handles a heartbeat without a response; `reset` says that it failed at once.
-    fn record_miss(&mut self, reset: bool) {
+    fn record_miss(&mut self, plan: HeartbeatPlan, reset: bool) {
         self.responded_at = None;
         self.misses += 1;
         let runner = self.context.key;
-        self.context
-            .emit(SessionEvent::HeartbeatMissed { runner, reset });
+        self.context.emit(SessionEvent::HeartbeatMissed {
+            runner,
+            reset,
+            sent_at: plan.sent_at,
+        });
     }
 }
 
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -85,6 +85,8 @@
         runner: RunnerKey,
         /// Whether it failed at once, since nothing listens at the address.
         reset: bool,
+        /// When the heartbeat was sent.
+        sent_at: Millis,
     },
     /// The runner's process has ended, and no other runs in its place.
     ProcessExited { runner: RunnerKey },
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -146,7 +146,8 @@
     }
 
     /// Sends a start and reports its outcome to the owner.
-    async fn send_start(&self, order: StartOrder) {
+    async fn send_start(&self, mut order: StartOrder) {
+        order.sent_at = Some(self.context.shared.clock.now());
         let outcome = send_start(&self.context, &self.clock, &order).await;
         if outcome == StartOutcome::Unclear {
             let now = self.context.shared.clock.now();
--- a/crates/hoisthitch-scheduler/tests/draws/killers.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/killers.rs
@@ -51,7 +51,7 @@
 }
 
 /// Seeds that once broke an invariant, each with the cause.
-const REGRESSION_SEEDS: [(u64, &str); 11] = [
+const REGRESSION_SEEDS: [(u64, &str); 17] = [
     (
         23,
         "a task that crashes its runner after 600 ms is failed one start too late, as three others crash runners of the pool",
@@ -81,6 +81,24 @@
         1_913,
         "a new owner does not know of a lease that outlasts its runner's restart",
     ),
+    (
+        567,
+        "three other tasks crash runners, and a new owner does not know when the run began",
+    ),
+    (
+        658,
+        "losses that show by silence hide that the others came at one time",
+    ),
+    (774, "two losses by other causes before the task's own"),
+    (
+        1_382,
+        "a start that is carried out late crashes a runner that the owner never heard of",
+    ),
+    (1_501, "a silence hides a crash at the same time"),
+    (
+        1_704,
+        "a response that is lost is taken for a reset of the connection",
+    ),
 ];
 
 /// A seed that did so in about 5 of 64 runs, while plays of a seed differed: a task that crashes
