Revoke waiting stops without holding back further copies

Now each copy is queued as before, and a revoked stop drops all queued copies until the next one is decided on.

--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -47,7 +47,7 @@
     orders::{
         OrderQueue,
         OrderSender,
-        StopProgress,
+        StopState,
         WithdrawnRuns, //
     }, //
 };
@@ -225,38 +225,22 @@
     }
 
     /// Queues an order; returns whether there was room for it.
-    ///
-    /// A stop is not queued again before the last copy was sent: behind orders without a response
-    /// the copies would be sent seconds after they were decided on.
     pub(crate) fn queue_order(&self, order: RunnerOrder) -> bool {
         if let RunnerOrder::Stop(stop) = &order {
             let run = (stop.name.clone(), stop.run);
             let mut withdrawn = self.withdrawn.borrow_mut();
-            let is_queued = matches!(
-                withdrawn.get(&run),
-                Some(StopProgress::Queued | StopProgress::Revoked)
-            ) || self.orders.try_send(order).is_ok();
-            let progress = if is_queued {
-                StopProgress::Queued
-            } else {
-                StopProgress::NotQueued
-            };
-            withdrawn.insert(run, progress);
-            return is_queued;
+            withdrawn.insert(run, StopState::Wanted);
         }
         self.orders.try_send(order).is_ok()
     }
 }
 
 impl RunnerSession {
-    /// Revokes the stop of a run, if it is queued and was not sent yet.
+    /// Revokes the stops of a run that are queued: none is sent until the next one is decided on.
     pub(crate) fn revoke_stop(&self, stop: &StopOrder) {
         let run = (stop.name.clone(), stop.run);
-        if let Some(progress) = self.withdrawn.borrow_mut().get_mut(&run)
-            && *progress == StopProgress::Queued
-        {
-            *progress = StopProgress::Revoked;
-        }
+        let mut withdrawn = self.withdrawn.borrow_mut();
+        withdrawn.insert(run, StopState::Revoked);
     }
 }
 
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -41,21 +41,19 @@
 /// runner is about to shut down; the platform allows two seconds.
 const MAX_START_QUEUED_MS: Millis = 1_000;
 
-/// What became of the stop of a withdrawn run.
+/// Whether the queued stops of a withdrawn run are to be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum StopProgress {
-    /// There was no room for it in the queue.
-    NotQueued,
-    /// It is queued, or was sent and has no response yet.
-    Queued,
-    /// It is queued and must not be sent any more.
+pub(super) enum StopState {
+    /// They are to be sent.
+    Wanted,
+    /// They were decided on too long ago, and must not be sent.
     Revoked,
 }
 
 /// Runs that were ordered to stop, until that order is sent. A start of such a run that is queued
 /// before the stop is not sent: behind orders without a response the run could begin a second
 /// after its job was cancelled, or after its task was done elsewhere.
-pub(super) type WithdrawnRuns = Rc<RefCell<HashMap<(TaskName, u32), StopProgress>>>;
+pub(super) type WithdrawnRuns = Rc<RefCell<HashMap<(TaskName, u32), StopState>>>;
 
 /// Why a queued start is not sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -132,13 +130,17 @@
                 }
                 RunnerOrder::Stop(order) => {
                     let run = (order.name.clone(), order.run);
-                    let progress = orders.withdrawn.borrow().get(&run).copied();
-                    if progress == Some(StopProgress::Revoked) {
+                    let state = orders.withdrawn.borrow().get(&run).copied();
+                    if state == Some(StopState::Revoked) {
                         context.drop_stop(&order);
-                    } else {
-                        send_stop(context, order).await;
+                        continue;
+                    }
+                    send_stop(context, order).await;
+                    // It may have been revoked meanwhile, for further copies.
+                    let mut withdrawn = orders.withdrawn.borrow_mut();
+                    if withdrawn.get(&run) == Some(&StopState::Wanted) {
+                        withdrawn.remove(&run);
                     }
-                    orders.withdrawn.borrow_mut().remove(&run);
                 }
                 RunnerOrder::Pace(order) => send_pace(context, order).await,
             }
