--- a/crates/hoisthitch-jobs/src/likelihood.rs
+++ b/crates/hoisthitch-jobs/src/likelihood.rs
@@ -6,11 +6,10 @@
 //! not known, so the ratio of the two likelihoods is averaged over all times, by a prior that is
 //! uniform in the logarithm of the time.
 //!
-//! The running time before a loss is a range: from the latest moment at which the run is known
-//! not to have begun and the earliest at which the runner may be gone, to the opposite. A loss
-//! with a narrow range says much if the other ranges overlap with it, one with a wide range says
-//! little, and one that is shorter than the others says nothing: the runner was lost by chance
-//! before the task could crash it.
+//! The running time before a loss is a range, since neither the begin of the run nor the loss is
+//! known exactly. A loss with a narrow range says much if other ranges overlap with it, one with a
+//! wide range says little, and one that is shorter than the others says nothing: the runner was
+//! lost by chance before the task could crash it.
 
 use serde::{
     Deserialize,
