--- a/crates/hoisthitch-jobs/src/likelihood.rs
+++ b/crates/hoisthitch-jobs/src/likelihood.rs
@@ -91,7 +91,8 @@
 }
 
 impl LossCertainty {
-    /// Probability that such a loss shows a crash, if the task crashes its runners.
+    /// Probability that a crash by the task shows as such a loss, relative to one that shows by a
+    /// reset of the connections.
     fn factor(self) -> f64 {
         match self {
             Self::Crashed => 1.0,
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -59,7 +59,8 @@
 /// be started twice after three crashes, and no more.
 const DECIDING_LOSSES: u32 = 5;
 
-/// Number of losses up to which those do not count that came with others.
+/// Number of losses up to which those do not count that came together with losses of other
+/// runners.
 const EXCUSED_LOSSES: usize = 2;
 
 /// Number of losses that are kept; older ones are dropped.
--- a/crates/hoisthitch-scheduler/tests/draws/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/lives.rs
@@ -55,9 +55,8 @@
 /// tenths of a bit, which is more than the deciding 80 (seed 12: 316, 813, 299, 287 and
 /// 130 ms; 13 of 100 runs). An order without a response counted as a run of 0 ms (seeds 31,
 /// 126, 174), and the losses of the tasks of a step were added up although some of these
-/// tasks were done. In the last seven the times of five losses lie anywhere within a second,
-/// or two of them are alike by chance. In the last four, losses without a known time counted
-/// like ones that came at the same time of the runs.
+/// tasks were done. From seed 30 on the times of five losses lie anywhere within a second, or two
+/// of them are alike by chance, or some are not known and counted as if they were (1713, 1920).
 const REGRESSION_SEEDS: [u64; 20] = [
     12, 31, 91, 126, 140, 166, 168, 169, 174, 30, 55, 215, 421, 426, 480, 522, 1_153, 1_362, 1_713,
     1_920,
