Agree on the interfaces of the parts for two new customers

Interfaces that the parts are built against, without their behaviour: DeploymentTerms (read from the settings, checked at the start; the loss of all halls is an error that names the field), PoolTerms, IntakeReport with its decision (admits everything so far), the key of the report below the group's prefix, halls that count as lost. No part is on: an earlier deployment's settings give terms that call for none.

Ruled out: a field of each part in the platform's settings type, since only platform/ may know those names; parameters in place of one type, since tests build nodes in three places.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -19,6 +19,8 @@
 mod fair;
 mod forecast;
 mod gang;
+mod hall_loss;
+mod intake;
 mod job;
 mod likelihood;
 mod losses;
@@ -63,6 +65,15 @@
     DemandHistory,
     VmForecast, //
 };
+pub use intake::{
+    IntakeDecision,
+    IntakeRefusal,
+    IntakeReport,
+    IntakeRequest,
+    RefusalReason,
+    TeamLoad,
+    USELESS_AFTER_OBJECTIVES, //
+};
 pub use job::{
     JobEntry,
     JobKey, //
@@ -77,7 +88,8 @@
 pub use plan::FlushPlan;
 pub use pool::{
     NewJob,
-    PoolState, //
+    PoolState,
+    PoolTerms, //
 };
 pub use quota::{
     QuotaAllocations,
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -66,6 +66,16 @@
     pub accepted_at: Millis,
 }
 
+/// Optional rules that the terms of a deployment call for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolTerms {
+    /// Whether work whose end is of no use any more asks for no VM and yields to other work.
+    pub useless_work_yields: bool,
+    /// Number of data halls that may be lost at the same time; with zero, halls are not told
+    /// apart.
+    pub tolerated_halls: u32,
+}
+
 /// What the owner of a pool knows of its jobs and runners.
 #[derive(Debug, Default)]
 pub struct PoolState {
@@ -115,6 +125,10 @@
     pub(crate) tasks_over_quota: HashMap<String, u32>,
     /// Data halls that operators have cordoned.
     pub(crate) cordoned_halls: BTreeSet<String>,
+    /// Data halls whose runners count as lost together.
+    pub(crate) lost_halls: BTreeSet<String>,
+    /// Optional rules of the deployment.
+    pub(crate) terms: PoolTerms,
     /// Batch of records that is being written, where one write does not take them all.
     pub(crate) flush_batch: Option<FlushBatch>,
 }
@@ -128,6 +142,11 @@
         }
     }
 
+    /// Sets the optional rules of the deployment.
+    pub fn set_terms(&mut self, terms: PoolTerms) {
+        self.terms = terms;
+    }
+
     /// Adds a job; returns whether it is new.
     pub fn add_job(&mut self, new: NewJob, now: Millis) -> bool {
         if self.job_ids.contains_key(&new.id) {
@@ -222,6 +241,7 @@
             };
             runner.unlisted = false;
             self.update_cordon(key);
+            self.update_hall_loss(key);
             return key;
         }
         let name = facts.name.clone();
@@ -229,6 +249,7 @@
         let key = self.runners.insert(RunnerEntry::new(facts, until, now));
         self.runner_names.insert(name, key);
         self.update_cordon(key);
+        self.update_hall_loss(key);
         key
     }
 
--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -85,6 +85,7 @@
         let key = self.runners.insert(next);
         self.runner_names.insert(name, key);
         self.update_cordon(key);
+        self.update_hall_loss(key);
         self.fail_crashing_tasks(now);
         Some(RestartedRunner {
             key,
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -168,6 +168,8 @@
     pub evacuating: bool,
     /// Whether it is in a cordoned data hall.
     pub cordoned: bool,
+    /// Whether its data hall counts as lost.
+    pub hall_lost: bool,
     /// Latest time at which its leases may end, and with them everything that runs on it, if
     /// it gets no further heartbeat.
     pub lease_until: Millis,
@@ -230,6 +232,7 @@
             unlisted: false,
             evacuating: false,
             cordoned: false,
+            hall_lost: false,
             lease_until,
             lease_confirmed_until: None,
             relocating_until: 0,
@@ -261,9 +264,11 @@
         self.facts.draining || self.unlisted
     }
 
-    /// Whether it responds, and is neither departing nor evacuating nor in a cordoned hall.
+    /// Whether it responds, and is neither departing nor evacuating nor in a data hall that is
+    /// cordoned or lost.
     pub fn is_staying(&self) -> bool {
-        self.ready && !self.is_departing() && !self.evacuating && !self.cordoned
+        let usable_hall = !self.cordoned && !self.hall_lost;
+        self.ready && !self.is_departing() && !self.evacuating && usable_hall
     }
 
     /// Whether it may get tasks at `now`: its lease has to outlast the write of the record and
--- a/crates/hoisthitch-scheduler/src/keys.rs
+++ b/crates/hoisthitch-scheduler/src/keys.rs
@@ -43,6 +43,18 @@
             .strip_prefix("/group/owner/")
     }
 
+    /// Key of the report by which nodes admit jobs of a pool. It is in the group, which every node
+    /// follows.
+    pub fn intake_report(&self, pool: &str) -> String {
+        format!("{}/group/intake/{pool}", self.root)
+    }
+
+    /// Name of the pool in the key of its intake report.
+    pub fn intake_report_of<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.root.as_str())?
+            .strip_prefix("/group/intake/")
+    }
+
     /// Key of the head of a pool's journal, which each write of the pool's owner changes.
     pub fn journal_head(&self, pool: &str) -> String {
         format!("{}/head/{pool}", self.root)
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -31,6 +31,7 @@
 mod shared;
 mod takeover;
 mod teams;
+mod terms;
 mod vms;
 
 pub use clock::NodeClock;
@@ -57,3 +58,7 @@
     CallerError,
     CallerTeam, //
 };
+pub use terms::{
+    DeploymentTerms,
+    TermsError, //
+};
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -87,7 +87,8 @@
     identity::NodeIdentity,
     journal::{
         JournalError,
-        PoolJournal, //
+        PoolJournal,
+        RunnerNotes, //
     },
     keys::JobKeys,
     platform::Platform,
@@ -235,7 +236,7 @@
     let now = context.shared.clock.now();
     let mut owner = PoolOwner {
         epoch: takeover.epoch,
-        state: PoolState::new(inherited_runs(&takeover.notes, now)),
+        state: new_state(&context, &takeover.notes, now),
         journal: Some(takeover.journal),
         journal_results,
         advice_results,
@@ -287,6 +288,17 @@
     Ok(end)
 }
 
+/// The pool's state before anything is known of it but what earlier owners published.
+fn new_state<P: Platform>(
+    context: &OwnerContext<P>,
+    notes: &RunnerNotes,
+    now: Millis,
+) -> PoolState {
+    let mut state = PoolState::new(inherited_runs(notes, now));
+    state.set_terms(context.shared.terms.pool_terms());
+    state
+}
+
 /// Watches the pool's inbox in the store.
 fn follow_inbox<P: Platform>(context: &OwnerContext<P>) -> mpsc::UnboundedReceiver<FollowEvent> {
     let (sender, inbox) = mpsc::unbounded_channel();
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -5,7 +5,6 @@
 //! while the [`ViewLease`] of each is valid.
 
 use std::{
-    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{
@@ -32,7 +31,8 @@
     clock::NodeClock,
     cordons::HallCordons,
     metrics::NodeMetrics,
-    platform::FleetPolicy, //
+    platform::FleetPolicy,
+    terms::DeploymentTerms, //
 };
 
 /// Time without a successful call after which the store counts as lost, in milliseconds: longer
@@ -232,8 +232,8 @@
     pub(crate) runner_list_lease: ViewLease,
     /// The cordoned data halls.
     pub cordons: ArcSwap<HallCordons>,
-    /// All data halls of the deployment; empty where they are not known.
-    pub halls: BTreeSet<String>,
+    /// Terms of the deployment.
+    pub terms: DeploymentTerms,
     /// Whether the node may still start tasks by its list of cordoned halls.
     pub(crate) cordons_lease: ViewLease,
     /// Request to read the configuration at once.
@@ -244,20 +244,16 @@
 
 impl NodeShared {
     /// State of a node that starts. `limits` says for how long it acts on its views of the store
-    /// after they were last confirmed, and `halls` names all data halls of the deployment.
-    pub fn new(
-        metrics: NodeMetrics,
-        limits: StalenessLimits,
-        halls: BTreeSet<String>,
-    ) -> Arc<Self> {
-        Self::with_clock(metrics, limits, halls, NodeClock::start())
+    /// after they were last confirmed.
+    pub fn new(metrics: NodeMetrics, limits: StalenessLimits, terms: DeploymentTerms) -> Arc<Self> {
+        Self::with_clock(metrics, limits, terms, NodeClock::start())
     }
 
     /// State of a node that starts, with a given clock.
     pub fn with_clock(
         metrics: NodeMetrics,
         limits: StalenessLimits,
-        halls: BTreeSet<String>,
+        terms: DeploymentTerms,
         clock: NodeClock,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -269,7 +265,7 @@
             policy_lease: ViewLease::new(limits.policy),
             runner_list_lease: ViewLease::new(limits.runners),
             cordons: ArcSwap::default(),
-            halls,
+            terms,
             cordons_lease: ViewLease::new(limits.cordons),
             policy_refresh: PolicyRefresh::default(),
             advice_permit: Semaphore::new(1),
@@ -324,7 +320,8 @@
     /// Whether all data halls of the deployment are cordoned, so that nothing can be started.
     /// False while the list of cordoned halls is too old to tell: a cordon may be over.
     pub fn are_all_halls_cordoned(&self) -> bool {
-        self.cordons_lease.is_valid(self.clock.now()) && self.cordons.load().cover(&self.halls)
+        self.cordons_lease.is_valid(self.clock.now())
+            && self.cordons.load().cover(&self.terms.halls)
     }
 
     /// Whether the node is stopping.
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -39,6 +39,7 @@
 use hoisthitch_scheduler::{
     CallScope,
     CancelAnswer,
+    DeploymentTerms,
     JobKeys,
     JobService,
     NodeClock,
@@ -230,6 +231,8 @@
     /// How far the time of day of each node is ahead, in milliseconds, by its name. A change
     /// takes effect when the node starts next.
     pub ahead: BTreeMap<String, i64>,
+    /// Terms of the deployment. A change takes effect for nodes that start later.
+    pub terms: DeploymentTerms,
     instances: u64,
 }
 
@@ -264,6 +267,7 @@
             fleet,
             nodes: BTreeMap::new(),
             ahead: BTreeMap::new(),
+            terms: DeploymentTerms::with_halls(halls()),
             instances: 0,
         };
         spawn_local(run_detached());
@@ -368,7 +372,8 @@
         let suspended_ms = Arc::new(AtomicU64::new(0));
         let unix_ms = self.fleet.unix_ms().saturating_add_signed(ahead);
         let clock = NodeClock::start_for_test(unix_ms, suspended_ms.clone());
-        let shared = NodeShared::with_clock(metrics, STALENESS_LIMITS, halls(), clock);
+        let terms = self.terms.clone();
+        let shared = NodeShared::with_clock(metrics, STALENESS_LIMITS, terms, clock);
         let platform = TestPlatform {
             store: self.store.for_node(name),
             fleet: self.fleet.for_node(name),
