Allocate of a team's limit only what a pool's runners can take

Cause: the part of a team's limit that a pool holds covered all that waits there, far beyond its runners (12,658 of 13,263 cores in one pool), and nothing was left to the team's other pools.

Change: waiting work counts as far as the pool's runners could take it, in its own proportions of cores and memory; a part of more than a quarter beyond the need is released while less than an eighth of the limit is left (before, twice the need was kept always).

Tests: two cases of decisions/quota. With the bound on waiting work taken out the first fails ("idle may not use all of its 32 cores"); the second was not run without its rule.

--- a/crates/hoisthitch-jobs/src/quota.rs
+++ b/crates/hoisthitch-jobs/src/quota.rs
@@ -34,6 +34,10 @@
 /// by this number.
 const LIMIT_DIVISOR: u64 = 64;
 
+/// Part of the limit below which what is left of it counts as scarce: the limit divided by this
+/// number. Other pools may then lack what this one does not need.
+const SCARCE_DIVISOR: u64 = 8;
+
 /// Resources of a pool that a team uses or waits for.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TeamUsage {
@@ -127,15 +131,21 @@
 
 /// The allocation of one amount that a pool should have: its need and some extra, as far as
 /// the other pools leave that much, and never less than it uses. An allocation that is close
-/// enough stays as it is. Without a limit (zero) it is zero.
+/// enough stays as it is: up to twice the target, or a quarter beyond it while the limit is
+/// scarce. Without a limit (zero) it is zero.
 fn next_amount(limit: u64, allocation: u64, free: u64, used: u64, need: u64) -> u64 {
     if limit == 0 || need == 0 {
         return 0;
     }
     let target = need + need / EXTRA_DIVISOR + limit / LIMIT_DIVISOR;
     let wanted = used.max(target.min(free));
-    let close_enough =
-        allocation >= need && allocation <= wanted.saturating_mul(2) && allocation <= free;
+    let is_scarce = free.saturating_sub(allocation) < limit / SCARCE_DIVISOR;
+    let most = if is_scarce {
+        wanted.saturating_add(wanted / EXTRA_DIVISOR)
+    } else {
+        wanted.saturating_mul(2)
+    };
+    let close_enough = allocation >= need && allocation <= most && allocation <= free;
     if close_enough { allocation } else { wanted }
 }
 
@@ -208,6 +218,23 @@
         usage
     }
 
+    /// The same, with no more waiting than the pool's runners could take beside what the team
+    /// runs. A part of a limit that is allocated for work which can't run here is missing in the
+    /// other pools.
+    pub fn servable_usage(&self) -> HashMap<&str, TeamUsage> {
+        let runners = self.runners.values();
+        let usable = runners.filter(|runner| !runner.is_departing() && !runner.cordoned);
+        let capacity = usable.fold(ResourceAmounts::default(), |sum, runner| {
+            sum.plus(runner.facts.capacity)
+        });
+        let mut usage = self.team_usage();
+        for team_usage in usage.values_mut() {
+            let room = capacity.minus(team_usage.used);
+            team_usage.waiting = team_usage.waiting.scaled_to_fit(room);
+        }
+        usage
+    }
+
     /// Number of tasks, by team, that a quota kept from starting when starts were last
     /// planned.
     pub fn tasks_over_quota(&self) -> &HashMap<String, u32> {
--- a/crates/hoisthitch-jobs/src/resources.rs
+++ b/crates/hoisthitch-jobs/src/resources.rs
@@ -48,6 +48,24 @@
         Self::each(|index| one[index].min(two[index]))
     }
 
+    /// The largest part of these amounts that fits into `room`, with their proportions kept.
+    pub(crate) fn scaled_to_fit(self, room: Self) -> Self {
+        let (amounts, rooms) = (self.amounts(), room.amounts());
+        let tight = (0..amounts.len()).filter(|index| amounts[*index] > rooms[*index]);
+        // The least of the ratios of room to amount, compared without division.
+        let least = tight.min_by(|one, other| {
+            let left = u128::from(rooms[*one]) * u128::from(amounts[*other]);
+            left.cmp(&(u128::from(rooms[*other]) * u128::from(amounts[*one])))
+        });
+        let Some(least) = least else {
+            return self;
+        };
+        Self::each(|index| {
+            let part = u128::from(amounts[index]) * u128::from(rooms[least]);
+            u64::try_from(part / u128::from(amounts[least])).unwrap_or(u64::MAX)
+        })
+    }
+
     /// Whether this is enough for `asked`; only amounts that have a limit are compared.
     pub fn is_enough(self, limit: Self, asked: Self) -> bool {
         let has = self.amounts().into_iter().zip(limit.amounts());
--- a/crates/hoisthitch-jobs/tests/decisions/quota.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/quota.rs
@@ -59,6 +59,8 @@
     amounts_without_a_limit_are_free => frees();
     plan_starts_no_more_than_its_part => plans();
     team_that_is_held_back_holds_up_no_other => delays_none();
+    backlog_beyond_the_runners_takes_no_part_from_other_pools => leaves_what_cannot_run();
+    part_that_is_not_needed_is_released_while_the_limit_is_scarce => releases_scarce();
 }
 
 /// An allocation covers what the pool's tasks request and at most half more, stays while their
@@ -184,6 +186,60 @@
     Ok(())
 }
 
+/// A team's flood in one pool asked for the whole limit, far more than that pool's runners take,
+/// and the team's jobs in another pool waited beside idle runners until the backlog was done.
+async fn leaves_what_cannot_run() -> Result<()> {
+    let limit = ResourceAmounts {
+        memory_mb: 9_600,
+        ..cores(96)
+    };
+    let mut allocations = QuotaAllocations::default();
+    for (pool, jobs) in [("flooded", 100), ("idle", 8)] {
+        let mut state = pool_of(4, 8);
+        for number in 0..jobs {
+            submit(&mut state, &format!("{pool}-{number}"), "choir");
+        }
+        state.begin_due_rounds(NOW_MS, 0);
+        let usage = state.servable_usage()["choir"];
+        allocations.set(pool, allocations.next_allocation(pool, limit, usage));
+    }
+    for pool in ["flooded", "idle"] {
+        let allocation = allocations.allocation(pool);
+        ensure!(
+            allocation.cpu_milli >= 32_000,
+            "{pool} may not use all of its 32 cores: {allocation:?}"
+        );
+    }
+    // Tasks of a core and 100 MB: 32 cores hold no more than 3,200 MB of them.
+    let flooded = allocations.allocation("flooded");
+    ensure!(
+        flooded.memory_mb <= 3_200 * 3 / 2,
+        "memory for more tasks than the cores hold: {flooded:?}"
+    );
+    Ok(())
+}
+
+/// A pool that lost most of its runners kept an allocation up to twice its need, and with it
+/// nearly the whole limit, while another pool of the team had nothing.
+async fn releases_scarce() -> Result<()> {
+    let mut allocations = QuotaAllocations::default();
+    let limit = cores(96);
+    allocations.set("shrunk", cores(90));
+    let allocation = allocations.next_allocation("shrunk", limit, usage(30, 6));
+    ensure!(
+        allocation.cpu_milli >= 36_000 && allocation.cpu_milli <= 54_000,
+        "{allocation:?} for 36 cores of work"
+    );
+    allocations.set("shrunk", cores(64));
+    allocations.set("other", cores(8));
+    let kept = allocations.next_allocation("shrunk", limit, usage(30, 6));
+    ensure!(
+        kept == cores(64),
+        "a quarter of the limit is free, and the allocation changed to {kept:?}"
+    );
+    Ok(())
+}
+
 quickcheck! {
     /// Pools that raise and lower their allocations in any order, each by the team's record,
     /// never use more than the limit in sum, and each pool's allocation always covers what it
--- a/crates/hoisthitch-scheduler/src/owner/quota.rs
+++ b/crates/hoisthitch-scheduler/src/owner/quota.rs
@@ -179,7 +179,7 @@
             return;
         }
         self.quotas.checked_at = now;
-        let usage = self.state.team_usage();
+        let usage = self.state.servable_usage();
         let written = self.quotas.changes(&self.context.pool, teams, &usage);
         if !written.is_empty() {
             self.write_allocations(written);
