Decide on new jobs of a pool under pressure

Nothing that a node knows could refuse a job.

A node refuses a job only if the wait, by the pool's capacity and by the team's share of it, or by the team's own limit, takes the job past three objectives. The limit is spread by the hash of the job's identifier, and rises as the caller's time runs out. Long-running, timed and best-effort jobs are always admitted.

Ruled out: a limit by a job's own size, and telling loads before VMs of other pools can have been sent.

--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Millis,
+    intake::is_payable,
     job::{
         JobEntry,
         JobKey, //
@@ -30,13 +31,13 @@
 const LATE_BACKLOG_MS: Millis = 10_000;
 
 /// Time assumed for a task of a queue of which no task was done yet, in milliseconds.
-const DEFAULT_TASK_MS: Millis = 1_000;
+pub(crate) const DEFAULT_TASK_MS: Millis = 1_000;
 
 /// Weight of a new value in a running mean: one part in this many.
 const MEAN_DIVISOR: u64 = 8;
 
 /// Capacity assumed for a VM while the pool has no runner, in thousandths of a core.
-const DEFAULT_CAPACITY_MILLI: u64 = 32_000;
+pub(crate) const DEFAULT_CAPACITY_MILLI: u64 = 32_000;
 
 /// Least time that a runner stays in its pool, in milliseconds: two owners may not order about
 /// the same VM within the platform's three seconds.
@@ -76,13 +77,7 @@
         let arriving = self.arrivals.rate(now) * HEADROOM_PERCENT / 100;
         let steady = sums.running.max(arriving);
         let cores = steady + sums.long_running;
-        let capacity = self
-            .runners
-            .values()
-            .map(|runner| runner.facts.capacity.cpu_milli)
-            .max()
-            .unwrap_or(DEFAULT_CAPACITY_MILLI)
-            .max(1);
+        let capacity = self.vm_capacity();
         let spread = sums
             .spread
             .saturating_sub(self.count_cordoned_long_running());
@@ -154,7 +149,12 @@
         let time = self.task_time(&job.queue);
         let steps = job.spec.steps.iter().filter(|step| !step.long_running);
         let work = steps.map(|step| u64::from(step.count) * step.need.cpu_milli * time);
-        self.arrivals.note(at, work.sum(), now);
+        let work = work.sum();
+        self.arrivals.note(at, work, now);
+        if is_payable(&job.spec) {
+            let priority = job.policy.priority;
+            self.team_arrivals.note(priority, &job.team, at, work, now);
+        }
     }
 
     /// Number of runners in cordoned halls that have long-running tasks.
--- a/crates/hoisthitch-jobs/src/intake.rs
+++ b/crates/hoisthitch-jobs/src/intake.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeMap;
 
+use hoisthitch_core::hash_name;
 use serde::{
     Deserialize,
     Serialize, //
@@ -17,7 +18,9 @@
 
 use crate::{
     Millis,
-    pool::PoolState,
+    demand::DEFAULT_TASK_MS,
+    job::scale,
+    rank::OVERHEAD_MS,
     record::QueuePolicy,
     spec::JobSpec, //
 };
@@ -25,6 +28,43 @@
 /// Factor of a job's objective after which its end is of no use to its caller.
 pub const USELESS_AFTER_OBJECTIVES: u64 = 3;
 
+/// Age from which a report says nothing any more, in milliseconds.
+const REPORT_AGE_MAX_MS: Millis = 3_000;
+
+/// Longest wait that is told apart from one without end, in milliseconds.
+const WAIT_MAX_MS: Millis = 3_600_000;
+
+/// Time in which a team could do all its waiting work if it had the capacity, in milliseconds.
+/// It limits what a team takes of its share.
+const SHARE_HORIZON_MS: Millis = 1_000;
+
+/// Time for which callers wait for an answer, in milliseconds. A caller with less of it left
+/// has been refused before.
+const CALLER_WAIT_MS: Millis = 3_000;
+
+/// Part by which the limit of a caller rises until its time is over, in percent. It is the whole
+/// width of the spread of limits, so that such a caller comes before all newer ones.
+const RETURN_PERCENT: u64 = 2 * LIMIT_SPREAD_PERCENT + 3;
+
+/// Part of a job's limit by which it is spread in both directions, in percent.
+const LIMIT_SPREAD_PERCENT: u64 = 10;
+
+/// Part of the time until a return by which it is spread in both directions, in percent.
+const RETRY_SPREAD_PERCENT: u64 = 25;
+
+/// Number of values of a spread.
+const SPREAD_STEPS: u64 = 1_024;
+
+/// Least part of the capacity by which waiting work is expected to shrink: one in this many.
+const DRAIN_DIVISOR: u64 = 4;
+
+/// Least time after which a refused caller is asked to return, in milliseconds: reports are
+/// about half a second apart.
+const RETRY_MIN_MS: Millis = 300;
+
+/// Most of it, in milliseconds: by then VMs may have moved.
+const RETRY_MAX_MS: Millis = 10_000;
+
 /// Work of one team in one priority class that can still be of use to its callers.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct TeamLoad {
@@ -105,15 +145,304 @@
 
 impl IntakeReport {
     /// Decides on a job by this report, which was made `age` milliseconds ago.
-    pub fn decide(&self, _request: &IntakeRequest<'_>, _age: Millis) -> IntakeDecision {
-        IntakeDecision::Admit { wait_ms: None }
+    pub fn decide(&self, request: &IntakeRequest<'_>, age: Millis) -> IntakeDecision {
+        if self.loads.is_empty() || age > REPORT_AGE_MAX_MS || !is_payable(request.spec) {
+            return IntakeDecision::Admit { wait_ms: None };
+        }
+        let limit = self.limit(request);
+        let ahead = WorkAhead::new(self, request, age);
+        let allowed = ahead.allowed_line();
+        if allowed.wait() > limit {
+            return self.refuse(request, RefusalReason::TeamExcess, allowed, limit);
+        }
+        let pool = ahead.pool_line(self.capacity);
+        if pool.wait() <= limit {
+            let wait_ms = Some(pool.wait().max(allowed.wait()));
+            return IntakeDecision::Admit { wait_ms };
+        }
+        let shares = ahead.shares(self.capacity);
+        let own = shares.line(request.team);
+        if own.wait() <= limit {
+            let wait_ms = Some(own.wait().max(allowed.wait()));
+            return IntakeDecision::Admit { wait_ms };
+        }
+        let reason = if shares.any_other_within(request.team, limit) {
+            RefusalReason::TeamExcess
+        } else {
+            RefusalReason::PoolFull
+        };
+        let sooner = if own.time_until(limit) < pool.time_until(limit) {
+            own
+        } else {
+            pool
+        };
+        self.refuse(request, reason, sooner, limit)
+    }
+
+    fn refuse(
+        &self,
+        request: &IntakeRequest<'_>,
+        reason: RefusalReason,
+        line: WorkLine,
+        limit: Millis,
+    ) -> IntakeDecision {
+        let until = line.time_until(limit).clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        let spread = Spread::of(request.id);
+        IntakeDecision::Refuse(IntakeRefusal {
+            reason,
+            wait_ms: line.wait(),
+            limit_ms: limit,
+            retry_after_ms: spread.retry(until).min(request.remaining_ms),
+        })
+    }
+
+    /// Longest wait at which the job is admitted, in milliseconds.
+    fn limit(&self, request: &IntakeRequest<'_>) -> Millis {
+        let mean = self.task_times.get(request.queue).copied();
+        let times = JobTimes {
+            spec: request.spec,
+            policy: request.policy,
+            mean: mean.unwrap_or(DEFAULT_TASK_MS),
+        };
+        let limit = times
+            .useful_time()
+            .saturating_sub(times.chain() + OVERHEAD_MS);
+        let spread = Spread::of(request.id).limit(limit);
+        // A caller that returns comes before newer ones.
+        let waited = CALLER_WAIT_MS.saturating_sub(request.remaining_ms);
+        spread + spread * RETURN_PERCENT * waited / (100 * CALLER_WAIT_MS)
+    }
+}
+
+/// Expected times of a job.
+pub(crate) struct JobTimes<'a> {
+    pub(crate) spec: &'a JobSpec,
+    pub(crate) policy: &'a QueuePolicy,
+    /// Mean time of a task of its queue, in milliseconds.
+    pub(crate) mean: Millis,
+}
+
+impl JobTimes<'_> {
+    /// Expected time of a task, in milliseconds: the greater of the caller's estimate and the
+    /// queue's mean.
+    pub(crate) fn of_step(&self, step: u32) -> Millis {
+        let step = usize::try_from(step).ok();
+        let spec = step.and_then(|step| self.spec.steps.get(step));
+        spec.map_or(self.mean, |spec| self.mean.max(spec.estimate_ms))
+    }
+
+    /// Expected time of the whole job without any wait, in milliseconds.
+    pub(crate) fn chain(&self) -> Millis {
+        self.spec.critical_path(|step| self.of_step(step))
+    }
+
+    /// Time after its acceptance up to which its end is of use, in milliseconds.
+    pub(crate) fn useful_time(&self) -> Millis {
+        let objective = self.policy.target_latency_ms + scale(self.chain(), self.policy.stretch);
+        USELESS_AFTER_OBJECTIVES * objective
+    }
+}
+
+/// Whether the job's end is of use up to a time, and the job may be refused: it ends by itself
+/// and has neither a schedule nor best-effort tasks.
+pub(crate) fn is_payable(spec: &JobSpec) -> bool {
+    let best_effort = spec.steps.iter().any(|step| step.best_effort);
+    !spec.is_long_running() && spec.schedule.is_none() && !best_effort
+}
+
+/// Work that waits for a part of the capacity.
+#[derive(Clone, Copy)]
+struct WorkLine {
+    /// In thousandths of a core times milliseconds.
+    work: u64,
+    /// Capacity for it, in thousandths of a core.
+    rate: u64,
+    /// Rate at which further work arrives, in thousandths of a core.
+    arriving: u64,
+}
+
+impl WorkLine {
+    /// Work `age` milliseconds later.
+    fn after(self, age: Millis) -> Self {
+        let arrived = self.arriving.saturating_mul(age);
+        let work = self.work.saturating_add(arrived);
+        let work = work.saturating_sub(self.rate.saturating_mul(age));
+        Self { work, ..self }
+    }
+
+    /// Time in which the work is done, in milliseconds.
+    fn wait(self) -> Millis {
+        if self.work == 0 {
+            return 0;
+        }
+        let wait = self.work.checked_div(self.rate);
+        wait.map_or(WAIT_MAX_MS, |wait| wait.min(WAIT_MAX_MS))
+    }
+
+    /// Time until the wait is down to `limit`, in milliseconds.
+    fn time_until(self, limit: Millis) -> Millis {
+        let excess = self.work.saturating_sub(self.rate.saturating_mul(limit));
+        let drain = self.rate.saturating_sub(self.arriving);
+        let drain = drain.max(self.rate / DRAIN_DIVISOR);
+        excess
+            .checked_div(drain)
+            .map_or(WAIT_MAX_MS, |time| time.min(WAIT_MAX_MS))
+    }
+}
+
+/// Work that is served before a job of some priority, or beside it.
+struct WorkAhead<'a> {
+    report: &'a IntakeReport,
+    priority: u32,
+    age: Millis,
+    own: TeamLoad,
+}
+
+impl<'a> WorkAhead<'a> {
+    fn new(report: &'a IntakeReport, request: &IntakeRequest<'_>, age: Millis) -> Self {
+        let mut ahead = Self {
+            report,
+            priority: request.policy.priority,
+            age,
+            own: TeamLoad::default(),
+        };
+        ahead.own = ahead.sum(|team| team == request.team);
+        ahead
+    }
+
+    fn loads(&self) -> impl Iterator<Item = (&'a String, &'a TeamLoad)> {
+        let loads = self.report.loads.range(..=self.priority);
+        loads.flat_map(|(_, teams)| teams)
+    }
+
+    fn sum(&self, counts: impl Fn(&str) -> bool) -> TeamLoad {
+        let loads = self.loads().filter(|(team, _)| counts(team));
+        loads.fold(TeamLoad::default(), |sum, (_, load)| sum.plus(load))
+    }
+
+    /// All the work at the capacity of the pool.
+    fn pool_line(&self, capacity: u64) -> WorkLine {
+        let all = self.sum(|_| true);
+        all.line(capacity).after(self.age)
+    }
+
+    /// The work of the job's team at what its limit allows; no work where it has none.
+    fn allowed_line(&self) -> WorkLine {
+        match self.own.allowed {
+            Some(allowed) => self.own.line(allowed).after(self.age),
+            None => TeamLoad::default().line(self.report.capacity),
+        }
+    }
+
+    /// The shares of all teams with work. A team gets what it can use at most, and the rest
+    /// goes to the others by weight.
+    fn shares(&self, capacity: u64) -> TeamShares<'a> {
+        let mut loads: BTreeMap<&str, TeamLoad> = BTreeMap::new();
+        for (team, load) in self.loads() {
+            let sum = loads.entry(team.as_str()).or_default();
+            *sum = sum.plus(load);
+        }
+        let mut teams: Vec<(&str, TeamLoad)> = loads.into_iter().collect();
+        teams.sort_by(|(_, one), (_, other)| one.fill_level().total_cmp(&other.fill_level()));
+        let mut weights: f64 = teams.iter().map(|(_, load)| load.usable_weight()).sum();
+        let mut left = capacity;
+        let mut lines = BTreeMap::new();
+        for (team, load) in teams {
+            let weight = load.usable_weight();
+            let share = scale(left, (weight / weights).min(1.0)).min(load.usable());
+            left -= share;
+            weights = (weights - weight).max(f64::MIN_POSITIVE);
+            lines.insert(team, load.line(share).after(self.age));
+        }
+        TeamShares { lines }
+    }
+}
+
+/// The work of each team at its share of the capacity.
+struct TeamShares<'a> {
+    lines: BTreeMap<&'a str, WorkLine>,
+}
+
+impl TeamShares<'_> {
+    fn line(&self, team: &str) -> WorkLine {
+        let line = self.lines.get(team).copied();
+        line.unwrap_or(TeamLoad::default().line(0))
+    }
+
+    /// Whether another team has work that its share serves within the limit.
+    fn any_other_within(&self, team: &str, limit: Millis) -> bool {
+        let mut others = self.lines.iter().filter(|(other, _)| **other != team);
+        others.any(|(_, line)| line.wait() <= limit)
     }
 }
 
-impl PoolState {
-    /// What to publish for the nodes that accept the pool's jobs. `coming` is the number of VMs
-    /// that other pools have sent here and that have not arrived.
-    pub fn intake_report(&self, _coming: u32, _now: Millis) -> IntakeReport {
-        IntakeReport::default()
+impl TeamLoad {
+    fn line(&self, rate: u64) -> WorkLine {
+        WorkLine {
+            work: self.work,
+            rate,
+            arriving: self.arriving,
+        }
+    }
+
+    /// The sum of both, for a team's loads of several priorities.
+    fn plus(&self, other: &Self) -> Self {
+        Self {
+            work: self.work.saturating_add(other.work),
+            arriving: self.arriving.saturating_add(other.arriving),
+            weight: self.weight.max(other.weight),
+            allowed: self.allowed.or(other.allowed),
+        }
+    }
+
+    /// Capacity that the team can use at most, in thousandths of a core.
+    fn usable(&self) -> u64 {
+        let work = self.work.div_ceil(SHARE_HORIZON_MS);
+        let usable = self.arriving.saturating_add(work);
+        usable.min(self.allowed.unwrap_or(u64::MAX))
+    }
+
+    fn usable_weight(&self) -> f64 {
+        if self.weight > 0.0 { self.weight } else { 1.0 }
+    }
+
+    /// Capacity for each unit of weight at which the team has all that it can use.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "amounts of processors are far below 2^52 thousandths of a core"
+    )]
+    fn fill_level(&self) -> f64 {
+        self.usable() as f64 / self.usable_weight()
+    }
+}
+
+/// Spread of decisions by the hash of a job's identifier, so that nodes which follow one report
+/// don't all admit or refuse at once, and refused callers don't return together.
+#[derive(Clone, Copy)]
+struct Spread {
+    hash: u64,
+}
+
+impl Spread {
+    fn of(id: &str) -> Self {
+        Self {
+            hash: hash_name(id),
+        }
+    }
+
+    /// The limit, moved by at most [`LIMIT_SPREAD_PERCENT`] up or down.
+    fn limit(self, limit: Millis) -> Millis {
+        Self::scatter(limit, self.hash % SPREAD_STEPS, LIMIT_SPREAD_PERCENT)
+    }
+
+    /// The time, moved by at most [`RETRY_SPREAD_PERCENT`] up or down.
+    fn retry(self, time: Millis) -> Millis {
+        let step = self.hash / SPREAD_STEPS % SPREAD_STEPS;
+        Self::scatter(time, step, RETRY_SPREAD_PERCENT)
+    }
+
+    fn scatter(time: Millis, step: u64, percent: u64) -> Millis {
+        let least = time * (100 - percent) / 100;
+        least + time * 2 * percent * step / (100 * (SPREAD_STEPS - 1))
     }
 }
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -30,6 +30,7 @@
 mod place;
 mod plan;
 mod pool;
+mod pressure;
 mod quota;
 mod rank;
 mod record;
@@ -44,6 +45,7 @@
 mod suspects;
 mod suspicion;
 mod task;
+mod useless;
 mod wave;
 
 pub use account::{
@@ -139,6 +141,7 @@
     TaskRef,
     TaskState, //
 };
+pub use useless::UselessWork;
 pub use wave::{
     WaveChange,
     WaveProgress, //
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -4,9 +4,12 @@
 //! [`PoolState::set_task_state`] alone, which also keeps the resources that are reserved on
 //! runners.
 
-use std::collections::{
-    BTreeSet,
-    HashMap, //
+use std::{
+    cell::Cell,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    }, //
 };
 
 use slotmap::SlotMap;
@@ -28,6 +31,7 @@
     },
     pace::UNKNOWN_PACE,
     plan::FlushBatch,
+    pressure::TeamArrivals,
     record::{
         JobPhase,
         JobProgress,
@@ -115,6 +119,10 @@
     pub(crate) crashing_tasks: Vec<CrashingTask>,
     /// Work that arrived lately.
     pub(crate) arrivals: ArrivalLog,
+    /// The same by paid priority and team.
+    pub(crate) team_arrivals: TeamArrivals,
+    /// Since when the pool has been under pressure; none while it is not.
+    pub(crate) pressed_since: Cell<Option<Millis>>,
     /// Quota allocations of this pool, by team; a team without one is not limited.
     pub(crate) quota_allocations: HashMap<String, ResourceAmounts>,
     /// Whether some task found no runner when starts were last planned.
--- a/crates/hoisthitch-jobs/src/rank.rs
+++ b/crates/hoisthitch-jobs/src/rank.rs
@@ -29,7 +29,7 @@
 
 /// Time of a job besides that of its tasks, in milliseconds: records, orders, reports and the
 /// caller's query.
-const OVERHEAD_MS: Millis = 150;
+pub(crate) const OVERHEAD_MS: Millis = 150;
 
 /// Time after a job passed its latest start without having begun during which its priority
 /// class counts as overloaded, in milliseconds. Rises of demand last several seconds, and jobs
