Let work whose end is of no use yield to other work

With PoolTerms::useless_work_yields such a job, whether it has begun or not, asks for no VM beyond one, its VMs are spared first, and its tasks start after all others, in the room that work in time neither reserves, waits for nor is expected to need, or while less than half of the pool is in use. Without the term decisions are as before.

One VM is kept because a pool without any would never do an accepted job.

--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -58,6 +58,8 @@
     running: u64,
     long_running: u64,
     backlog: u64,
+    /// Number of jobs whose end is of no use any more.
+    useless_jobs: u64,
     /// Number of VMs needed to spread long-running tasks.
     spread: u32,
 }
@@ -74,7 +76,7 @@
                 self.add_demand(&mut sums, *key, job, now);
             }
         }
-        let arriving = self.arrivals.rate(now) * HEADROOM_PERCENT / 100;
+        let arriving = self.arriving_demand(now);
         let steady = sums.running.max(arriving);
         let cores = steady + sums.long_running;
         let capacity = self.vm_capacity();
@@ -87,13 +89,23 @@
         };
         WantedVms {
             steady: vms(cores),
-            now: vms(cores + sums.backlog),
+            // Useless work is done by what there is, and is not left without any VM.
+            now: vms(cores + sums.backlog).max(u32::from(sums.useless_jobs > 0)),
         }
     }
 
+    /// Capacity wanted for the work that arrives, in thousandths of a core.
+    pub(crate) fn arriving_demand(&self, now: Millis) -> u64 {
+        self.arrivals.rate(now) * HEADROOM_PERCENT / 100
+    }
+
     fn add_demand(&self, sums: &mut DemandSums, key: JobKey, job: &JobEntry, now: Millis) {
         let time = self.task_time(&job.queue);
         let late = self.latest_start(job) < now;
+        if self.yields_as_useless(job, now) {
+            sums.useless_jobs += 1;
+            return;
+        }
         let has_missed = self.has_missed_objective(job, now);
         let wait = if late { LATE_BACKLOG_MS } else { BACKLOG_MS };
         for step in job.spec.steps.iter().filter(|step| step.long_running) {
@@ -174,17 +186,23 @@
 
     /// At most `limit` runners without long-running tasks, the easiest to spare first.
     pub fn spare_runners(&self, now: Millis, limit: usize) -> Vec<RunnerKey> {
-        let mut spare: Vec<(bool, u64, RunnerKey)> = self
+        let useless = self.useless_on_runners(now);
+        let useless_on = |key: &RunnerKey| useless.get(key).copied().unwrap_or(0);
+        let mut spare: Vec<(bool, u64, u64, RunnerKey)> = self
             .runners
             .iter()
             .filter(|(_, runner)| runner.ready && has_available_vm(runner))
             .filter(|(_, runner)| runner.first_seen_at + STAY_MIN_MS <= now)
             .filter(|(_, runner)| !runner.has_long_running())
-            .map(|(key, runner)| (!runner.evacuating, runner.used.cpu_milli, key))
+            .map(|(key, runner)| {
+                let used = runner.used.cpu_milli;
+                let useful = used.saturating_sub(useless_on(&key));
+                (!runner.evacuating, useful, used, key)
+            })
             .collect();
         spare.sort();
         spare.truncate(limit);
-        spare.into_iter().map(|(_, _, key)| key).collect()
+        spare.into_iter().map(|(_, _, _, key)| key).collect()
     }
 }
 
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -29,7 +29,8 @@
         StartOrder,
         TaskRef,
         TaskState, //
-    }, //
+    },
+    useless::StartRoom, //
 };
 
 /// Records that are written together, and what may be done after the write.
@@ -116,8 +117,13 @@
         let mut budget = self.quota_budget(&usage);
         let order = self.plan_order(&usage, now);
         self.tasks_over_quota.clear();
-        for key in order {
-            planned += self.plan_job(key, &mut full, &mut budget, now);
+        let mut room = StartRoom::Any;
+        for (key, useless) in order {
+            // Useless jobs come last, when all others have been placed.
+            if useless && room == StartRoom::Any {
+                room = self.room_for_useless(now);
+            }
+            planned += self.plan_job(key, &mut full, &mut budget, &mut room, now);
         }
         self.lacked_capacity = !full.reservations.is_empty();
         planned
@@ -128,13 +134,20 @@
         key: JobKey,
         full: &mut FullResources,
         budget: &mut QuotaBudget,
+        room: &mut StartRoom,
         now: Millis,
     ) -> usize {
         let Some(job) = self.jobs.get(key) else {
             return 0;
         };
         let team = budget.find(&job.team);
-        let allows_gangs = !team.is_limited() || budget.allows(team, gangs_waiting(job));
+        let is_bounded = team.is_limited() || room.is_limited();
+        let gangs = if is_bounded {
+            gangs_waiting(job)
+        } else {
+            ResourceAmounts::default()
+        };
+        let allows_gangs = budget.allows(team, gangs) && room.allows(gangs);
         let ready: Vec<TaskRef> = job
             .tasks
             .iter()
@@ -148,6 +161,9 @@
             if let Some(job) = self.jobs.get(key).filter(|_| team.is_limited()) {
                 budget.take(team, gangs_planned(job));
             }
+            if let Some(job) = self.jobs.get(key).filter(|_| room.is_limited()) {
+                room.take(gangs.minus(gangs_waiting(job)));
+            }
         }
         let mut unplaceable_step = None;
         for task in ready {
@@ -160,9 +176,13 @@
                 self.count_over_quota(key);
                 continue;
             }
+            if !room.allows(need) {
+                continue;
+            }
             if self.must_isolate(task, now) {
                 if self.plan_isolated(task, now) {
                     budget.take(team, need);
+                    room.take(need);
                     planned += 1;
                 }
                 continue;
@@ -174,6 +194,7 @@
             };
             self.plan_task(task, runner, now);
             budget.take(team, need);
+            room.take(need);
             planned += 1;
         }
         planned
--- a/crates/hoisthitch-jobs/src/rank.rs
+++ b/crates/hoisthitch-jobs/src/rank.rs
@@ -11,6 +11,9 @@
 //! newest first. The newest have slack, so that as many are in time as there is capacity for,
 //! and the others are late as they would have been anyway. Jobs that have begun go before
 //! them, because their work would be lost if they waited.
+//!
+//! Where useless work yields, jobs whose end is of no use any more come after all others, whatever
+//! their priority, and start only in the room that [`crate::useless`] leaves them.
 
 use std::collections::{
     BTreeSet,
@@ -39,6 +42,8 @@
 /// Sort key of a job; the smallest is served first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct JobRank {
+    /// Whether its end is of no use any more, and it yields to other work.
+    useless: bool,
     /// Paid priority.
     priority: u32,
     /// Whether the job ends by itself, that is, is not long-running.
@@ -53,8 +58,13 @@
 }
 
 impl PoolState {
-    /// Active jobs in the order in which they are to be served.
-    pub(crate) fn plan_order(&self, usage: &HashMap<&str, TeamUsage>, now: Millis) -> Vec<JobKey> {
+    /// Active jobs in the order in which they are to be served, with whether each yields to the
+    /// others because its end is of no use any more.
+    pub(crate) fn plan_order(
+        &self,
+        usage: &HashMap<&str, TeamUsage>,
+        now: Millis,
+    ) -> Vec<(JobKey, bool)> {
         let jobs: Vec<(JobKey, &JobEntry, Millis)> = self
             .active
             .iter()
@@ -73,11 +83,16 @@
             .map(|(key, job, start)| {
                 let overload = overloaded.contains(&job.policy.priority);
                 let beyond = beyond.contains(job.team.as_str());
-                (rank(job, *start, overload, beyond, now), *key)
+                let rank = JobRank {
+                    useless: self.yields_as_useless(job, now),
+                    ..rank(job, *start, overload, beyond, now)
+                };
+                (rank, *key)
             })
             .collect();
         order.sort_by_key(|(rank, _)| *rank);
-        order.into_iter().map(|(_, key)| key).collect()
+        let order = order.into_iter();
+        order.map(|(rank, key)| (key, rank.useless)).collect()
     }
 
     /// When the remaining work of a job has to start for the job to be in time, given the mean
@@ -117,6 +132,7 @@
     let late = finite && latest_start < now;
     let newest_first = overload && finite && !late && !job.has_begun();
     JobRank {
+        useless: false,
         priority: job.policy.priority,
         finite,
         beyond_share: beyond && finite && !job.has_begun(),
--- a/crates/hoisthitch-jobs/src/useless.rs
+++ b/crates/hoisthitch-jobs/src/useless.rs
@@ -3,6 +3,8 @@
 //! It is done all the same, because no job may be lost. It must not keep work that can be in
 //! time from the pool's capacity, nor take VMs from other pools.
 
+use std::collections::HashMap;
+
 use crate::{
     Millis,
     intake::{
@@ -18,7 +20,9 @@
         remaining_time,
         remaining_work, //
     },
-    task::TaskState, //
+    resources::ResourceAmounts,
+    runner::RunnerKey,
+    task::TaskRef, //
 };
 
 /// Accepted work that can't end any more while that is of use.
@@ -30,6 +34,46 @@
     pub core_ms: u64,
 }
 
+/// Room in which tasks may start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StartRoom {
+    /// All there is.
+    Any,
+    /// What work that can be in time leaves to useless work, in thousandths of a core.
+    Left {
+        /// Beyond what the other work reserves, waits for and is expected to need.
+        free: u64,
+        /// Reserved by all tasks.
+        used: u64,
+        /// Up to which amount in use useless work may start in any case: no job may stand
+        /// still in a pool that is less than half used.
+        half: u64,
+    },
+}
+
+impl StartRoom {
+    /// Whether there is a limit.
+    pub(crate) fn is_limited(&self) -> bool {
+        *self != Self::Any
+    }
+
+    /// Whether tasks with this need may start.
+    pub(crate) fn allows(&self, need: ResourceAmounts) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Left { free, used, half } => need.cpu_milli <= *free || used < half,
+        }
+    }
+
+    /// Deducts the need of planned tasks.
+    pub(crate) fn take(&mut self, need: ResourceAmounts) {
+        if let Self::Left { free, used, .. } = self {
+            *free = free.saturating_sub(need.cpu_milli);
+            *used += need.cpu_milli;
+        }
+    }
+}
+
 impl PoolState {
     /// Jobs that have not ended.
     pub(crate) fn unended_jobs(&self) -> impl Iterator<Item = (JobKey, &JobEntry)> {
@@ -73,6 +117,65 @@
         now + left > end
     }
 
+    /// Whether the job yields to others because its end is of no use any more.
+    pub(crate) fn yields_as_useless(&self, job: &JobEntry, now: Millis) -> bool {
+        // Few jobs are late, and each that is useless is.
+        let is_late = || self.latest_start(job) < now;
+        self.terms.useless_work_yields && is_late() && self.is_useless(job, now)
+    }
+
+    /// Room for tasks that yield, once the others have been placed.
+    pub(crate) fn room_for_useless(&self, now: Millis) -> StartRoom {
+        let staying = || self.runners.values().filter(|runner| runner.is_staying());
+        let room: u64 = staying()
+            .map(|runner| runner.facts.capacity.cpu_milli)
+            .sum();
+        let used: u64 = staying().map(|runner| runner.used.cpu_milli).sum();
+        let (mut useless, mut waiting, mut long_running) = (0, 0, 0);
+        for (key, job) in self.unended_jobs() {
+            let yields = self.yields_as_useless(job, now);
+            for (slot, entry) in job.tasks.iter().enumerate() {
+                let Some(step) = job.step_of(slot) else {
+                    continue;
+                };
+                let cpu = step.reservation().cpu_milli;
+                let runner = entry.runner().and_then(|runner| self.runners.get(runner));
+                long_running += self.long_running_need(job, TaskRef { job: key, slot });
+                if yields && runner.is_some_and(|runner| runner.is_staying()) {
+                    useless += cpu;
+                }
+                if !yields && job.waits_for_runner(slot) {
+                    waiting += cpu;
+                }
+            }
+        }
+        let reserved = used.saturating_sub(useless);
+        let steady = self.arriving_demand(now) + long_running;
+        let needed = steady.max(reserved + waiting);
+        StartRoom::Left {
+            free: room.saturating_sub(needed + useless),
+            used,
+            half: room / 2,
+        }
+    }
+
+    /// What tasks that yield reserve on each runner, in thousandths of a core.
+    pub(crate) fn useless_on_runners(&self, now: Millis) -> HashMap<RunnerKey, u64> {
+        let mut sums = HashMap::new();
+        if !self.terms.useless_work_yields {
+            return sums;
+        }
+        let jobs = self.unended_jobs().map(|(_, job)| job);
+        for job in jobs.filter(|job| self.yields_as_useless(job, now)) {
+            for (slot, task) in job.tasks.iter().enumerate() {
+                if let Some((runner, step)) = task.runner().zip(job.step_of(slot)) {
+                    *sums.entry(runner).or_insert(0) += step.reservation().cpu_milli;
+                }
+            }
+        }
+        sums
+    }
+
     /// Accepted work that can't end any more while that is of use.
     pub fn useless_work(&self, now: Millis) -> UselessWork {
         let mut sum = UselessWork::default();
@@ -80,9 +183,9 @@
             .unended_jobs()
             .filter(|(_, job)| self.is_useless(job, now))
         {
-            let tasks = job.tasks.iter();
-            let undone = tasks.filter(|task| task.state != TaskState::Done).count();
-            sum.tasks += u64::try_from(undone).unwrap_or(u64::MAX);
+            let done = job.tasks.iter().filter(|task| task.is_done()).count();
+            let done = u64::try_from(done).unwrap_or(u64::MAX);
+            sum.tasks += u64::from(job.spec.tasks_per_round()).saturating_sub(done);
             sum.core_ms += remaining_work(job, self.task_time(&job.queue), now) / 1_000;
         }
         sum
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -19,6 +19,7 @@
 mod pools;
 mod quota;
 mod suspects;
+mod useless;
 mod waves;
 
 use std::collections::BTreeMap;
