--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Millis,
+    intake::is_payable,
     job::{
         JobEntry,
         JobKey, //
@@ -30,13 +31,13 @@
 const LATE_BACKLOG_MS: Millis = 10_000;
 
 /// Time assumed for a task of a queue of which no task was done yet, in milliseconds.
-const DEFAULT_TASK_MS: Millis = 1_000;
+pub(crate) const DEFAULT_TASK_MS: Millis = 1_000;
 
 /// Weight of a new value in a running mean: one part in this many.
 const MEAN_DIVISOR: u64 = 8;
 
 /// Capacity assumed for a VM while the pool has no runner, in thousandths of a core.
-const DEFAULT_CAPACITY_MILLI: u64 = 32_000;
+pub(crate) const DEFAULT_CAPACITY_MILLI: u64 = 32_000;
 
 /// Least time that a runner stays in its pool, in milliseconds: two owners may not order about
 /// the same VM within the platform's three seconds.
@@ -57,6 +58,8 @@
     running: u64,
     long_running: u64,
     backlog: u64,
+    /// Number of jobs whose end is of no use any more.
+    useless_jobs: u64,
     /// Number of VMs needed to spread long-running tasks.
     spread: u32,
 }
@@ -73,16 +76,10 @@
                 self.add_demand(&mut sums, *key, job, now);
             }
         }
-        let arriving = self.arrivals.rate(now) * HEADROOM_PERCENT / 100;
+        let arriving = self.arriving_demand(now);
         let steady = sums.running.max(arriving);
         let cores = steady + sums.long_running;
-        let capacity = self
-            .runners
-            .values()
-            .map(|runner| runner.facts.capacity.cpu_milli)
-            .max()
-            .unwrap_or(DEFAULT_CAPACITY_MILLI)
-            .max(1);
+        let capacity = self.vm_capacity();
         let spread = sums
             .spread
             .saturating_sub(self.count_cordoned_long_running());
@@ -92,13 +89,23 @@
         };
         WantedVms {
             steady: vms(cores),
-            now: vms(cores + sums.backlog),
+            // Useless work is done by what there is, and is not left without any VM.
+            now: vms(cores + sums.backlog).max(u32::from(sums.useless_jobs > 0)),
         }
     }
 
+    /// Capacity wanted for the work that arrives, in thousandths of a core.
+    pub(crate) fn arriving_demand(&self, now: Millis) -> u64 {
+        self.arrivals.rate(now) * HEADROOM_PERCENT / 100
+    }
+
     fn add_demand(&self, sums: &mut DemandSums, key: JobKey, job: &JobEntry, now: Millis) {
         let time = self.task_time(&job.queue);
         let late = self.latest_start(job) < now;
+        if self.yields_as_useless(job, now) {
+            sums.useless_jobs += 1;
+            return;
+        }
         let has_missed = self.has_missed_objective(job, now);
         let wait = if late { LATE_BACKLOG_MS } else { BACKLOG_MS };
         for step in job.spec.steps.iter().filter(|step| step.long_running) {
@@ -154,7 +161,12 @@
         let time = self.task_time(&job.queue);
         let steps = job.spec.steps.iter().filter(|step| !step.long_running);
         let work = steps.map(|step| u64::from(step.count) * step.need.cpu_milli * time);
-        self.arrivals.note(at, work.sum(), now);
+        let work = work.sum();
+        self.arrivals.note(at, work, now);
+        if is_payable(&job.spec) {
+            let priority = job.policy.priority;
+            self.team_arrivals.note(priority, &job.team, at, work, now);
+        }
     }
 
     /// Number of runners in cordoned halls that have long-running tasks.
@@ -174,17 +186,23 @@
 
     /// At most `limit` runners without long-running tasks, the easiest to spare first.
     pub fn spare_runners(&self, now: Millis, limit: usize) -> Vec<RunnerKey> {
-        let mut spare: Vec<(bool, u64, RunnerKey)> = self
+        let useless = self.useless_on_runners(now);
+        let useless_on = |key: &RunnerKey| useless.get(key).copied().unwrap_or(0);
+        let mut spare: Vec<(bool, u64, u64, RunnerKey)> = self
             .runners
             .iter()
             .filter(|(_, runner)| runner.ready && has_available_vm(runner))
             .filter(|(_, runner)| runner.first_seen_at + STAY_MIN_MS <= now)
             .filter(|(_, runner)| !runner.has_long_running())
-            .map(|(key, runner)| (!runner.evacuating, runner.used.cpu_milli, key))
+            .map(|(key, runner)| {
+                let used = runner.used.cpu_milli;
+                let useful = used.saturating_sub(useless_on(&key));
+                (!runner.evacuating, useful, used, key)
+            })
             .collect();
         spare.sort();
         spare.truncate(limit);
-        spare.into_iter().map(|(_, _, key)| key).collect()
+        spare.into_iter().map(|(_, _, _, key)| key).collect()
     }
 }
 
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod cordons;
 mod demand;
 mod fair;
+mod intake;
 mod lives;
 mod load;
 mod order;
@@ -18,6 +19,7 @@
 mod pools;
 mod quota;
 mod suspects;
+mod useless;
 mod waves;
 
 use std::collections::BTreeMap;
