Admit jobs by a report that each pool's owner publishes

A node uses a report for 2.5 s, by its own clock since it came and by the time of day (clocks may differ by 1 s), and none of an earlier epoch than it has seen; otherwise it admits. A refusal is checked by one read of the job's location: an accepted job is answered as accepted, an unanswered read gives 504. A job of which a creation waits or is being written on this node, on any thread, is not refused (CreateLog). 429 for a team's excess, 503 for the pool, Retry-After by the refusal within the caller's time. The estimate goes with the submission and is compared with the time to the first start.

Of VMs on their way the owner learns by one read of the balances a second while it wants more VMs than it has.

Ruled out: a write for each refusal, which would tell all nodes of it (one read a refused call is the limit); the age by the time of receipt alone, since a node that starts receives the report of an owner that is gone.

The decision itself admits everything so far; the tests put a fake in its place (IntakeRules).

--- a/crates/hoisthitch-jobs/src/job.rs
+++ b/crates/hoisthitch-jobs/src/job.rs
@@ -47,6 +47,8 @@
     pub spec: JobSpec,
     /// When it was accepted.
     pub accepted_at: Millis,
+    /// Time until the first task starts as it was estimated then; none without an estimate.
+    pub expected_wait: Option<Millis>,
     /// Phase that callers see.
     pub phase: JobPhase,
     /// Whether the stored record is older than this state.
@@ -77,6 +79,7 @@
             team: String::new(),
             spec,
             accepted_at,
+            expected_wait: None,
             phase: JobPhase::Queued,
             dirty: false,
             ended_at: None,
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -166,6 +166,7 @@
             accepted_at,
         );
         job.team = submission.team;
+        job.expected_wait = submission.expected_wait_ms;
         if let Some(progress) = progress {
             self.restore(&mut job, progress, now);
         }
--- a/crates/hoisthitch-jobs/src/record.rs
+++ b/crates/hoisthitch-jobs/src/record.rs
@@ -30,6 +30,10 @@
     pub version: u64,
     /// When the entry accepted it, in milliseconds since 1970 by the entry's clock.
     pub accepted_ms: u64,
+    /// Time until the first task starts as the entry estimated it, in milliseconds; none without
+    /// an estimate.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expected_wait_ms: Option<u64>,
     /// Steps and schedule to run.
     pub spec: JobSpec,
 }
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -107,6 +107,7 @@
                 advised: false,
             },
             accepted_ms: 0,
+            expected_wait_ms: None,
             spec: JobSpec {
                 payload: "work".to_owned(),
                 steps,
--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -234,6 +234,7 @@
                     advised: false,
                 },
                 accepted_ms: 0,
+                expected_wait_ms: None,
                 spec: job.spec.clone(),
             },
             progress: None,
--- a/crates/hoisthitch-scheduler/src/create.rs
+++ b/crates/hoisthitch-scheduler/src/create.rs
@@ -5,9 +5,16 @@
 //! may exist.
 
 use std::{
-    collections::HashSet,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     mem,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -36,6 +43,13 @@
 /// Wait before a failed write is retried.
 const RETRY_WAIT: Duration = Duration::from_millis(60);
 
+/// Time for which a creation that has ended is remembered, in milliseconds: longer than a read of
+/// its key that began before.
+const CREATE_KEPT_MS: Millis = 5_000;
+
+/// Number of remembered creations from which on old ones are dropped at each new one.
+const KEPT_CREATES: usize = 4_096;
+
 /// Outcome of a creation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CreateOutcome {
@@ -62,6 +76,58 @@
     pub(crate) deadline: Millis,
 }
 
+/// The creations of this node that wait or are being written, and those that have taken effect
+/// lately, or may have, by key. All threads of the node share it.
+#[derive(Debug, Default)]
+pub(crate) struct CreateLog {
+    creates: Mutex<HashMap<String, LoggedCreates>>,
+}
+
+/// Creations of one key.
+#[derive(Clone, Copy, Debug, Default)]
+struct LoggedCreates {
+    /// Number of those that have no outcome yet.
+    pending: u32,
+    /// Time until which the key is remembered beyond them.
+    kept_until: Millis,
+}
+
+impl CreateLog {
+    /// Whether a creation of this key may take effect, or may have done so lately.
+    pub(crate) fn may_exist(&self, key: &str, now: Millis) -> bool {
+        let creates = self.creates.lock().unwrap_or_else(PoisonError::into_inner);
+        creates.get(key).is_some_and(|create| create.is_kept(now))
+    }
+
+    fn begin(&self, key: &str, now: Millis) {
+        let mut creates = self.creates.lock().unwrap_or_else(PoisonError::into_inner);
+        if creates.len() >= KEPT_CREATES {
+            creates.retain(|_, create| create.is_kept(now));
+        }
+        creates.entry(key.to_owned()).or_default().pending += 1;
+    }
+
+    fn finish(&self, key: &str, outcome: CreateOutcome, now: Millis) {
+        let mut creates = self.creates.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(create) = creates.get_mut(key) else {
+            return;
+        };
+        create.pending = create.pending.saturating_sub(1);
+        if outcome != CreateOutcome::Refused {
+            create.kept_until = now + CREATE_KEPT_MS;
+        }
+        if !create.is_kept(now) {
+            creates.remove(key);
+        }
+    }
+}
+
+impl LoggedCreates {
+    fn is_kept(&self, now: Millis) -> bool {
+        self.pending > 0 || self.kept_until > now
+    }
+}
+
 struct PendingCreate {
     request: CreateRequest,
     reply: oneshot::Sender<CreateOutcome>,
@@ -73,20 +139,29 @@
 #[derive(Clone, Debug)]
 pub(crate) struct CreateBatcher {
     queue: mpsc::Sender<(CreateRequest, oneshot::Sender<CreateOutcome>)>,
+    shared: Arc<NodeShared>,
 }
 
 impl CreateBatcher {
     /// Starts the writer on this thread.
     pub(crate) fn start<S: StoreClient>(store: S, shared: Arc<NodeShared>) -> Self {
         let (queue, requests) = mpsc::channel(QUEUE_CAPACITY);
-        actix_rt::spawn(run_writer(store, shared, requests));
-        Self { queue }
+        actix_rt::spawn(run_writer(store, shared.clone(), requests));
+        Self { queue, shared }
     }
 
     /// Creates a record. Returns by about the request's deadline.
     pub(crate) async fn create(&self, request: CreateRequest) -> CreateOutcome {
         let (reply, outcome) = oneshot::channel();
-        if self.queue.try_send((request, reply)).is_err() {
+        let log = &self.shared.creates;
+        let now = self.shared.clock.now();
+        // Only refusals ask for it.
+        if self.shared.terms.admission_control {
+            log.begin(&request.key, now);
+        }
+        if let Err(unsent) = self.queue.try_send((request, reply)) {
+            let (request, _) = unsent.into_inner();
+            log.finish(&request.key, CreateOutcome::Refused, now);
             return CreateOutcome::Refused;
         }
         outcome.await.unwrap_or(CreateOutcome::Unknown)
@@ -120,7 +195,7 @@
             Ok(BatchOutcome::Written(_)) => {
                 shared.store.record_success(sent);
                 for create in batch {
-                    create.answer(CreateOutcome::Created);
+                    create.answer(CreateOutcome::Created, &shared);
                 }
             }
             Ok(BatchOutcome::Conflict(found)) => {
@@ -133,7 +208,7 @@
                         found.next();
                     }
                     if present {
-                        create.answer(CreateOutcome::Present);
+                        create.answer(CreateOutcome::Present, &shared);
                     } else {
                         waiting.push(create);
                     }
@@ -168,7 +243,7 @@
         } else {
             CreateOutcome::Refused
         };
-        create.answer(outcome);
+        create.answer(outcome, shared);
     }
 }
 
@@ -217,7 +292,9 @@
         }
     }
 
-    fn answer(self, outcome: CreateOutcome) {
+    fn answer(self, outcome: CreateOutcome, shared: &NodeShared) {
+        let now = shared.clock.now();
+        shared.creates.finish(&self.request.key, outcome, now);
         // Fails only if the caller no longer waits.
         let _ = self.reply.send(outcome);
     }
--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -21,8 +21,10 @@
     TeamRow, //
 };
 use hoisthitch_jobs::{
+    IntakeRefusal,
     JobProgress,
     Millis,
+    RefusalReason,
     TaskPhase, //
 };
 use hoisthitch_store::{
@@ -31,6 +33,7 @@
 };
 
 use crate::{
+    intake::retry_after_s,
     location::CallScope,
     service::{
         CancelAnswer,
@@ -160,6 +163,7 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "all data halls are cordoned; not taken, and will not run",
         ),
+        SubmitAnswer::Overloaded(refusal) => refuse_overloaded(&refusal),
         SubmitAnswer::Foreign => fault(StatusCode::CONFLICT, "the id is taken"),
         SubmitAnswer::Unknown => fault(
             StatusCode::GATEWAY_TIMEOUT,
@@ -196,6 +200,22 @@
     }
 }
 
+/// Refuses a job for want of room, and says when to submit it again.
+fn refuse_overloaded(refusal: &IntakeRefusal) -> HttpResponse {
+    let (status, whose) = match refusal.reason {
+        RefusalReason::TeamExcess => (StatusCode::TOO_MANY_REQUESTS, "its team has"),
+        RefusalReason::PoolFull => (StatusCode::SERVICE_UNAVAILABLE, "the pool has"),
+    };
+    let text = format!(
+        "not taken, and will not run: {whose} too much work waiting; it would start in {} ms, and {} ms are of use",
+        refusal.wait_ms, refusal.limit_ms
+    );
+    let wait = retry_after_s(refusal.retry_after_ms, Millis::MAX);
+    HttpResponseBuilder::new(status)
+        .insert_header(("Retry-After", wait.to_string()))
+        .json(FaultAnswer { error: text })
+}
+
 fn summarize(id: String, pool: String, progress: &JobProgress) -> JobAnswer {
     let count = |phase: TaskPhase| {
         let tasks = progress.tasks.iter();
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -17,6 +17,7 @@
 mod http;
 mod identity;
 mod index;
+mod intake;
 mod journal;
 mod keys;
 mod location;
@@ -38,6 +39,11 @@
 pub use cordons::HallCordons;
 pub use http::job_routes;
 pub use identity::NodeIdentity;
+pub use intake::{
+    IntakeRules,
+    IntakeView,
+    retry_after_s, //
+};
 pub use keys::JobKeys;
 pub use location::CallScope;
 pub use metrics::NodeMetrics;
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -52,6 +52,16 @@
     pub cordoned_halls: IntGauge,
     /// Tasks that run in cordoned halls, by pool of this node and hall.
     pub cordoned_tasks: IntGaugeVec,
+    /// Jobs that were refused for want of room, by reason.
+    pub refusals: IntCounterVec,
+    /// Estimated seconds, at a job's admission, until its first task starts.
+    pub expected_wait: Histogram,
+    /// Seconds by which that estimate was wrong.
+    pub expected_wait_error: Histogram,
+    /// Accepted work of pools of this node that are under pressure, in core-milliseconds.
+    pub intake_work: IntGaugeVec,
+    /// Capacity of pools of this node that are under pressure, in thousandths of a core.
+    pub intake_capacity: IntGaugeVec,
 }
 
 impl NodeMetrics {
@@ -107,8 +117,34 @@
             &["pool", "hall"],
         )?;
         registry.register(Box::new(cordoned_tasks.clone()))?;
+        let gauges = |name: &str, help: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &["pool"])?;
+            registry.register(Box::new(gauges.clone()))?;
+            prometheus::Result::Ok(gauges)
+        };
         Ok(Self {
             members_visited,
+            refusals: counter(
+                "hoisthitch_job_refusals_total",
+                "Jobs refused for want of room",
+                &["reason"],
+            )?,
+            expected_wait: histogram(
+                "hoisthitch_job_expected_wait_seconds",
+                "Time to the first start, as estimated when a job is admitted",
+            )?,
+            expected_wait_error: histogram(
+                "hoisthitch_job_expected_wait_error_seconds",
+                "Difference of that estimate and the time that it took",
+            )?,
+            intake_work: gauges(
+                "hoisthitch_intake_work_core_milliseconds",
+                "Accepted work of pools under pressure",
+            )?,
+            intake_capacity: gauges(
+                "hoisthitch_intake_capacity_millicores",
+                "Capacity of pools under pressure",
+            )?,
             cordoned_halls,
             cordoned_tasks,
             loop_seconds,
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -14,6 +14,7 @@
     time::Duration, //
 };
 
+use hoisthitch_jobs::Millis;
 use hoisthitch_store::{
     StoreClient,
     StoreRevision,
@@ -44,6 +45,10 @@
         maintain_membership, //
     },
     identity::NodeIdentity,
+    intake::{
+        IntakeView,
+        is_report_change, //
+    },
     keys::JobKeys,
     metrics::seconds,
     operators::OperatorWatcher,
@@ -145,14 +150,17 @@
             Some(()) = operator_changes.recv() => group_changed = true,
             Some(change) = group_changes.recv() => {
                 let now = control.shared.clock.now();
-                group.apply(&control.keys, change, now);
+                group_changed = control.apply_group_change(&mut group, change, now);
                 // One decision for all changes of a watch's response.
                 while let Ok(change) = group_changes.try_recv() {
-                    group.apply(&control.keys, change, now);
+                    group_changed |= control.apply_group_change(&mut group, change, now);
+                }
+                // Reports of pools under pressure arrive all the time.
+                if !group_changed {
+                    continue;
                 }
                 control.shared.store.record_node_count(group.members.len());
                 listed.send_replace(group.has_instance(&control.identity));
-                group_changed = true;
             }
             Some(change) = next_change(&mut runner_changes) => control.apply_runner_change(change),
         }
@@ -215,6 +223,22 @@
         });
     }
 
+    /// Applies a change of the group's records; returns whether it is about more than an intake
+    /// report.
+    fn apply_group_change(&self, group: &mut GroupView, change: FollowEvent, now: Millis) -> bool {
+        let is_report = is_report_change(&self.keys, &change);
+        let may_have_reports = is_report || matches!(change, FollowEvent::Snapshot(_));
+        if self.shared.terms.admission_control && may_have_reports {
+            let mut view = IntakeView::clone(&self.shared.intake.load());
+            view.apply(&self.keys, &change, now);
+            self.shared.intake.store(Arc::new(view));
+        }
+        if !is_report {
+            group.apply(&self.keys, change, now);
+        }
+        !is_report
+    }
+
     fn apply_runner_change(&mut self, change: FollowEvent) {
         let codec = self.platform.codec().clone();
         let now = self.shared.clock.now();
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod cordons;
 mod inbox;
 mod instances;
+mod intake;
 mod quota;
 mod runners;
 mod silent;
@@ -65,6 +66,7 @@
 use self::awaited::AwaitedPolicy;
 use self::cordons::CordonReporter;
 use self::instances::InstanceTracker;
+use self::intake::IntakeReporter;
 use self::quota::{
     QuotaLedger,
     QuotaResult, //
@@ -193,6 +195,9 @@
     waiting_counts: HashMap<String, u32>,
     counts_written_at: Millis,
     cordon_reporter: CordonReporter,
+    intake_reporter: IntakeReporter,
+    /// Time from the acceptance to the first start, of jobs that have not ended, by identifier.
+    first_waits: HashMap<String, Millis>,
 }
 
 /// Receiving ends of the owner's event sources.
@@ -234,6 +239,9 @@
         vm_requests,
     };
     let now = context.shared.clock.now();
+    let reports = context.shared.intake.load();
+    let inherits_pressure = reports.tells_of_pressure(&context.pool);
+    drop(reports);
     let mut owner = PoolOwner {
         epoch: takeover.epoch,
         state: new_state(&context, &takeover.notes, now),
@@ -260,6 +268,8 @@
         waiting_counts: HashMap::new(),
         counts_written_at: 0,
         cordon_reporter: CordonReporter::default(),
+        intake_reporter: IntakeReporter::new(inherits_pressure),
+        first_waits: HashMap::new(),
         context,
     };
     owner.count_event("pool_taken");
@@ -277,6 +287,7 @@
     owner.sync_fleet();
     let end = owner.run(&mut channels, &mut recorded).await;
     vms.abort();
+    owner.forget_pressure();
     owner.count_event("pool_left");
     event!(
         Info,
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -106,6 +106,7 @@
                 // A loop that does not wait any more asks again.
                 let _ = reply.send(answer);
             }
+            VmRequest::Coming { vms } => self.record_coming(vms),
             VmRequest::VmDownUnconfirmed { runner } => {
                 // Its next heartbeat shows whether it still runs.
                 if let Some(key) = self.state.runner_key(&runner) {
--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -27,9 +27,7 @@
                 pool = self.context.pool,
                 loss = lost.loss,
                 shown_by = lost.detection,
-                ran_ms = lost
-                    .ran
-                    .map_or_else(|| "unknown".to_owned(), |ran| ran.to_string()),
+                ran_ms = text_or_unknown(lost.ran),
                 least_ms = lost.ran_between.0,
                 most_ms = lost.ran_between.1,
                 rate = format_args!("{:.4}", lost.rate),
@@ -56,6 +54,8 @@
     /// Logs the jobs that ended, with the time that each spent per phase.
     pub(super) fn log_ended_jobs(&mut self) {
         for ended in self.state.take_ended_jobs() {
+            let first_wait = self.first_waits.remove(&ended.id);
+            let expected_wait = self.state.job(&ended.id).and_then(|job| job.expected_wait);
             event!(
                 Info,
                 "job_ended",
@@ -69,17 +69,27 @@
                 waiting_ms = ended.account.waiting,
                 ordering_ms = ended.account.ordering,
                 running_ms = ended.account.running,
-                reruns = ended.reruns
+                reruns = ended.reruns,
+                expected_wait_ms = text_or_unknown(expected_wait),
+                first_wait_ms = text_or_unknown(first_wait)
             );
         }
     }
 
     /// Records the time from the acceptance of a job to the start of its first task.
-    pub(super) fn observe_first_start(&self, order: &StartOrder, now: Millis) {
+    pub(super) fn observe_first_start(&mut self, order: &StartOrder, now: Millis) {
         let first = order.run == 1 && order.task.slot == 0;
         if let Some(job) = self.state.job(&order.name.job).filter(|_| first) {
-            let histogram = &self.context.shared.metrics.first_start;
-            histogram.observe(seconds(now.saturating_sub(job.accepted_at)));
+            let metrics = &self.context.shared.metrics;
+            let wait = now.saturating_sub(job.accepted_at);
+            metrics.first_start.observe(seconds(wait));
+            if let Some(expected) = job.expected_wait {
+                let error = seconds(wait.abs_diff(expected));
+                metrics.expected_wait_error.observe(error);
+            }
+            if !job.phase.is_final() {
+                self.first_waits.insert(job.id.clone(), wait);
+            }
         }
     }
 
@@ -95,3 +105,8 @@
         events.with_label_values(&[event]).inc();
     }
 }
+
+/// A time in milliseconds as text for the log.
+fn text_or_unknown(time: Option<Millis>) -> String {
+    time.map_or_else(|| "unknown".to_owned(), |time| time.to_string())
+}
--- a/crates/hoisthitch-scheduler/src/owner/writes.rs
+++ b/crates/hoisthitch-scheduler/src/owner/writes.rs
@@ -89,6 +89,9 @@
             })
             .collect();
         items.extend(self.counts_item(now));
+        if items.len() < BATCH_LIMIT {
+            items.extend(self.intake_item(now));
+        }
         if items.len() < BATCH_LIMIT {
             items.extend(self.cordon_item(now));
         }
--- a/crates/hoisthitch-scheduler/src/service.rs
+++ b/crates/hoisthitch-scheduler/src/service.rs
@@ -16,12 +16,16 @@
 
 use hoisthitch_jobs::{
     CordonedLoad,
+    IntakeDecision,
+    IntakeRefusal,
+    IntakeRequest,
     JobPhase,
     JobProgress,
     JobSpec,
     JobSubmission,
     Millis,
-    QuotaAllocations, //
+    QuotaAllocations,
+    RefusalReason, //
 };
 use hoisthitch_store::{
     StoreClient,
@@ -41,6 +45,7 @@
         CallScope,
         JobLocation, //
     },
+    metrics::seconds,
     platform::QueueRoute,
     shared::NodeShared, //
 };
@@ -65,6 +70,8 @@
     /// All data halls are cordoned, so that nothing can run; the job was not stored and never
     /// runs.
     Cordoned,
+    /// The job can't end while that is of use to its caller; it was not stored and never runs.
+    Overloaded(IntakeRefusal),
 }
 
 /// Answer to a query for a job's state.
@@ -104,6 +111,16 @@
     counts: HashMap<String, u32>,
 }
 
+/// A refusal for want of room, with the report that it is based on.
+#[derive(Clone, Copy, Debug)]
+struct GroundedRefusal {
+    refusal: IntakeRefusal,
+    /// Age of the report, in milliseconds.
+    age: Millis,
+    /// Epoch of the owner that made it.
+    epoch: u64,
+}
+
 /// Serves job calls on one thread.
 #[derive(Clone)]
 pub struct JobService<S> {
@@ -151,12 +168,31 @@
             queue: queue.name.clone(),
             team: scope.team_name(),
         };
+        let request = IntakeRequest {
+            id,
+            queue: &queue.name,
+            policy: &queue.policy,
+            team: &location.team,
+            spec: &spec,
+            remaining_ms: deadline.saturating_sub(started),
+        };
+        let expected_wait_ms = match self.admit(&queue.pool, &request, started) {
+            Ok(wait) => wait,
+            Err(refused) => {
+                let answer = self.refuse_overloaded(id, scope, queue, refused, started);
+                if let Some(answer) = answer.await {
+                    return answer;
+                }
+                None
+            }
+        };
         let submission = JobSubmission {
             queue: queue.name.clone(),
             policy: queue.policy,
             team: location.team.clone(),
             version: self.shared.policy_version(),
             accepted_ms: self.shared.clock.unix_ms(),
+            expected_wait_ms,
             spec,
         };
         let request = CreateRequest {
@@ -203,6 +239,99 @@
         answer
     }
 
+    /// Decides by the pool's report whether a job may be stored. Returns the estimated time until
+    /// it starts, if there is an estimate, or the refusal.
+    fn admit(
+        &self,
+        pool: &str,
+        request: &IntakeRequest<'_>,
+        now: Millis,
+    ) -> Result<Option<Millis>, GroundedRefusal> {
+        if !self.shared.terms.admission_control {
+            return Ok(None);
+        }
+        let view = self.shared.intake.load();
+        let unix_ms = self.shared.clock.unix_ms();
+        let Some(current) = view.current(pool, now, unix_ms) else {
+            return Ok(None);
+        };
+        match (self.shared.intake_rules.decide)(current.report, request, current.age) {
+            IntakeDecision::Admit { wait_ms } => {
+                if let Some(wait) = wait_ms {
+                    self.shared.metrics.expected_wait.observe(seconds(wait));
+                }
+                Ok(wait_ms)
+            }
+            IntakeDecision::Refuse(refusal) => Err(GroundedRefusal {
+                refusal,
+                age: current.age,
+                epoch: current.epoch,
+            }),
+        }
+    }
+
+    /// Answers a submission that is to be refused for want of room. A job that was accepted before
+    /// stays accepted. None if this node may store the job for an earlier attempt: the job is then
+    /// admitted, since it may run.
+    async fn refuse_overloaded(
+        &self,
+        id: &str,
+        scope: CallScope<'_>,
+        queue: &QueueRoute,
+        refused: GroundedRefusal,
+        started: Millis,
+    ) -> Option<SubmitAnswer> {
+        let key = self.keys.location(id);
+        let may_exist = || {
+            let now = self.shared.clock.now();
+            self.shared.creates.may_exist(&key, now)
+        };
+        if may_exist() {
+            return None;
+        }
+        let (answer, outcome) = match self.locate(id, CallScope::All).await {
+            // An attempt that began after the read was sent.
+            Ok(None) if may_exist() => return None,
+            Ok(None) => {
+                self.record_refusal(id, queue, &scope.team_name(), refused);
+                (SubmitAnswer::Overloaded(refused.refusal), "overloaded")
+            }
+            Ok(Some(_)) => self.answer_present(id, scope).await,
+            Err(err) => {
+                self.shared.store.record_failure(self.shared.clock.now());
+                event!(Warn, "submission_unknown", job = id, error = err);
+                (SubmitAnswer::Unknown, "unknown")
+            }
+        };
+        self.record_call("submit", id, &queue.name, outcome, started);
+        Some(answer)
+    }
+
+    /// Counts and logs a refusal for want of room.
+    fn record_refusal(&self, id: &str, queue: &QueueRoute, team: &str, refused: GroundedRefusal) {
+        let refusal = refused.refusal;
+        let reason = match refusal.reason {
+            RefusalReason::TeamExcess => "team_excess",
+            RefusalReason::PoolFull => "pool_full",
+        };
+        let counter = &self.shared.metrics.refusals;
+        counter.with_label_values(&[reason]).inc();
+        event!(
+            Info,
+            "job_refused",
+            job = id,
+            queue = queue.name,
+            pool = queue.pool,
+            team = team,
+            reason = reason,
+            wait_ms = refusal.wait_ms,
+            limit_ms = refusal.limit_ms,
+            retry_after_ms = refusal.retry_after_ms,
+            report_age_ms = refused.age,
+            epoch = refused.epoch
+        );
+    }
+
     /// Answers a submission whose identifier exists already: the answer to an earlier attempt was
     /// lost, or the job is another team's.
     async fn answer_present(&self, id: &str, scope: CallScope<'_>) -> (SubmitAnswer, &'static str) {
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -30,6 +30,11 @@
 use crate::{
     clock::NodeClock,
     cordons::HallCordons,
+    create::CreateLog,
+    intake::{
+        IntakeRules,
+        IntakeView, //
+    },
     metrics::NodeMetrics,
     platform::FleetPolicy,
     terms::DeploymentTerms, //
@@ -238,6 +243,12 @@
     pub(crate) cordons_lease: ViewLease,
     /// Request to read the configuration at once.
     pub(crate) policy_refresh: PolicyRefresh,
+    /// The pools' intake reports.
+    pub intake: ArcSwap<IntakeView>,
+    /// How jobs are admitted.
+    pub(crate) intake_rules: IntakeRules,
+    /// Creations of this node that may take effect.
+    pub(crate) creates: CreateLog,
     /// Permit to call the adviser, which serves one call of a node at a time.
     pub(crate) advice_permit: Semaphore,
 }
@@ -246,15 +257,17 @@
     /// State of a node that starts. `limits` says for how long it acts on its views of the store
     /// after they were last confirmed.
     pub fn new(metrics: NodeMetrics, limits: StalenessLimits, terms: DeploymentTerms) -> Arc<Self> {
-        Self::with_clock(metrics, limits, terms, NodeClock::start())
+        let clock = NodeClock::start();
+        Self::with_clock(metrics, limits, terms, clock, IntakeRules::default())
     }
 
-    /// State of a node that starts, with a given clock.
+    /// State of a node that starts, with a given clock and rules by which it admits jobs.
     pub fn with_clock(
         metrics: NodeMetrics,
         limits: StalenessLimits,
         terms: DeploymentTerms,
         clock: NodeClock,
+        intake_rules: IntakeRules,
     ) -> Arc<Self> {
         Arc::new(Self {
             clock,
@@ -268,6 +281,9 @@
             terms,
             cordons_lease: ViewLease::new(limits.cordons),
             policy_refresh: PolicyRefresh::default(),
+            intake: ArcSwap::default(),
+            intake_rules,
+            creates: CreateLog::default(),
             advice_permit: Semaphore::new(1),
         })
     }
--- a/crates/hoisthitch-scheduler/src/vms/balance.rs
+++ b/crates/hoisthitch-scheduler/src/vms/balance.rs
@@ -13,6 +13,7 @@
 
 use super::{
     DemandAnswer,
+    VmRequest,
     VmWorkError,
     ledger::{
         BalanceRecord,
@@ -29,6 +30,10 @@
 /// milliseconds; a move takes one and a half seconds.
 const ARRIVAL_TIMEOUT_MS: Millis = 6_000;
 
+/// Minimum interval between two reads of the VMs that are on their way to the pool, in
+/// milliseconds.
+const COMING_INTERVAL_MS: Millis = 1_000;
+
 impl<P: Platform> MoveLoop<P> {
     /// Takes over the pool's record from an earlier owner, whose orders may still be in transit:
     /// blocks the VMs of those orders, and VMs that other pools are sending here.
@@ -115,6 +120,28 @@
         Ok(self.idle.keys().cloned().collect())
     }
 
+    /// Tells the owner how many VMs are on their way to a pool that has fewer than it wants, where
+    /// jobs are admitted by that.
+    pub(super) async fn report_coming(
+        &mut self,
+        demand: &DemandAnswer,
+        now: Millis,
+    ) -> Result<(), VmWorkError> {
+        let context = &self.ledger.context;
+        let lacks = u32::try_from(demand.vms.len()).is_ok_and(|has| has < demand.want.now);
+        let is_due = now >= self.coming_read_at + COMING_INTERVAL_MS;
+        if !context.shared.terms.admission_control || !lacks || !is_due {
+            return Ok(());
+        }
+        self.coming_read_at = now;
+        let balances = self.read_balances().await?;
+        let sent = balances.values().flat_map(|balance| &balance.sent);
+        let coming = sent.filter(|(vm, to)| **to == context.pool && !demand.vms.contains(vm));
+        let vms = u32::try_from(coming.count()).unwrap_or(u32::MAX);
+        self.ledger.notify_owner(VmRequest::Coming { vms }).await;
+        Ok(())
+    }
+
     /// Reads the published balances of all pools, by pool.
     pub(super) async fn read_balances(&self) -> Result<BTreeMap<String, VmBalance>, VmWorkError> {
         let context = &self.ledger.context;
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -98,6 +98,8 @@
     VmDown { instance: RunnerInstance },
     /// The runner's VM was ordered to go down, and there was no response.
     VmDownUnconfirmed { runner: String },
+    /// This number of VMs of other pools is on its way to the pool.
+    Coming { vms: u32 },
     /// Ask what the pool needs, and which runners it can spare.
     Demand {
         reply: oneshot::Sender<DemandAnswer>,
--- a/crates/hoisthitch-scheduler/src/vms/moves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/moves.rs
@@ -50,6 +50,8 @@
 pub(super) struct MoveLoop<P> {
     pub(super) ledger: Rc<VmLedger<P>>,
     pub(super) list: Rc<VmList>,
+    /// When the VMs on their way to the pool were last counted.
+    pub(super) coming_read_at: Millis,
     /// The balance that was last published.
     balance: VmBalance,
     /// Number of VMs that the pool wanted in the last second.
@@ -80,6 +82,7 @@
         Self {
             ledger,
             list,
+            coming_read_at: 0,
             balance: VmBalance::default(),
             demand: DemandHistory::default(),
             sent: BTreeMap::new(),
@@ -103,6 +106,9 @@
         };
         let balance = self.make_balance(&demand, vms, spare, now);
         self.publish_balance(balance).await?;
+        if !spare {
+            self.report_coming(&demand, now).await?;
+        }
         // A pool without a VM to release needs no targets.
         let kept = if spare { 0 } else { demand.want.steady };
         let staying = u32::try_from(self.balance.staying());
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -40,6 +40,7 @@
     CallScope,
     CancelAnswer,
     DeploymentTerms,
+    IntakeRules,
     JobKeys,
     JobService,
     NodeClock,
@@ -233,6 +234,8 @@
     pub ahead: BTreeMap<String, i64>,
     /// Terms of the deployment. A change takes effect for nodes that start later.
     pub terms: DeploymentTerms,
+    /// How nodes that start later admit jobs.
+    pub intake_rules: IntakeRules,
     instances: u64,
 }
 
@@ -268,6 +271,7 @@
             nodes: BTreeMap::new(),
             ahead: BTreeMap::new(),
             terms: DeploymentTerms::with_halls(halls()),
+            intake_rules: IntakeRules::default(),
             instances: 0,
         };
         spawn_local(run_detached());
@@ -373,7 +377,10 @@
         let unix_ms = self.fleet.unix_ms().saturating_add_signed(ahead);
         let clock = NodeClock::start_for_test(unix_ms, suspended_ms.clone());
         let terms = self.terms.clone();
-        let shared = NodeShared::with_clock(metrics, STALENESS_LIMITS, terms, clock);
+        let shared = {
+            let rules = self.intake_rules;
+            NodeShared::with_clock(metrics, STALENESS_LIMITS, terms, clock, rules)
+        };
         let platform = TestPlatform {
             store: self.store.for_node(name),
             fleet: self.fleet.for_node(name),
