Do not answer "never runs" for a repeat while another attempt of the job is being written

What callers saw: a caller whose first attempt's write was under way sent the id again with less time than the write took, and got 503, "not taken and never runs"; the first attempt then stored the job, and it ran.

Cause: the batcher answers a creation whose deadline has passed with Refused if no write held that creation, and a key is written once at a time, so that the repeat waits without a write of its own.

Evidence: ownership intake::repeat_that_can_t_wait_for_the_first_write_is_unknown (store 800 ms, repeat with 300 ms) fails with Refused on the code before, and passes now. The list of creations is kept only under admission control, so that other deployments answer as before; the same fault is open there.

Also: the read before a refusal no longer counts as a failure of the store, which puts elections off: under pressure there may be hundreds of such reads a second.

--- a/crates/hoisthitch-scheduler/src/create.rs
+++ b/crates/hoisthitch-scheduler/src/create.rs
@@ -107,10 +107,12 @@
         creates.entry(key.to_owned()).or_default().pending += 1;
     }
 
-    fn finish(&self, key: &str, outcome: CreateOutcome, now: Millis) {
+    /// Records the outcome of a creation, and returns what its caller may be told: while another
+    /// creation of the key may take effect, it is not known that there is none.
+    fn finish(&self, key: &str, outcome: CreateOutcome, now: Millis) -> CreateOutcome {
         let mut creates = self.creates.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(create) = creates.get_mut(key) else {
-            return;
+            return outcome;
         };
         create.pending = create.pending.saturating_sub(1);
         if outcome != CreateOutcome::Refused {
@@ -118,6 +120,11 @@
         }
         if !create.is_kept(now) {
             creates.remove(key);
+            return outcome;
+        }
+        match outcome {
+            CreateOutcome::Refused => CreateOutcome::Unknown,
+            outcome => outcome,
         }
     }
 }
@@ -161,8 +168,7 @@
         }
         if let Err(unsent) = self.queue.try_send((request, reply)) {
             let (request, _) = unsent.into_inner();
-            log.finish(&request.key, CreateOutcome::Refused, now);
-            return CreateOutcome::Refused;
+            return log.finish(&request.key, CreateOutcome::Refused, now);
         }
         outcome.await.unwrap_or(CreateOutcome::Unknown)
     }
@@ -294,7 +300,7 @@
 
     fn answer(self, outcome: CreateOutcome, shared: &NodeShared) {
         let now = shared.clock.now();
-        shared.creates.finish(&self.request.key, outcome, now);
+        let outcome = shared.creates.finish(&self.request.key, outcome, now);
         // Fails only if the caller no longer waits.
         let _ = self.reply.send(outcome);
     }
--- a/crates/hoisthitch-scheduler/src/service.rs
+++ b/crates/hoisthitch-scheduler/src/service.rs
@@ -298,7 +298,6 @@
             }
             Ok(Some(_)) => self.answer_present(id, scope).await,
             Err(err) => {
-                self.shared.store.record_failure(self.shared.clock.now());
                 event!(Warn, "submission_unknown", job = id, error = err);
                 (SubmitAnswer::Unknown, "unknown")
             }
--- a/crates/hoisthitch-scheduler/tests/ownership/intake.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/intake.rs
@@ -80,6 +80,7 @@
     no_report_is_written_where_the_term_is_off => term_off();
     accepted_job_is_never_refused => repeats();
     repeat_of_a_job_that_is_being_stored_is_not_refused => repeats_in_flight();
+    repeat_that_can_t_wait_for_the_first_write_is_unknown => repeats_in_haste();
     id_of_another_team_is_foreign_under_pressure => foreign();
     report_of_a_killed_owner_expires => loses_owner(Loss::Killed);
     report_of_a_frozen_owner_expires => loses_owner(Loss::Frozen);
@@ -332,6 +333,32 @@
     check_invariants(&world)
 }
 
+/// The caller of the repeat has less time than the first attempt's write takes. It was told that
+/// the job never runs, which the first attempt stored.
+async fn repeats_in_haste() -> Result<()> {
+    let world = start_pressed(1).await?;
+    let node = world.nodes.values().next().ok_or_eyre("no node")?;
+    world.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(800),
+        ..StoreFaults::default()
+    });
+    let queue = queue();
+    let spec = job("work 100", &[1]);
+    let first = node.submit(&queue, "j", spec.clone(), PATIENT_MS + 500);
+    let repeat = async {
+        sleep_ms(50).await;
+        node.submit(&queue, "j", spec.clone(), 300).await
+    };
+    let (first, repeat) = tokio::join!(first, repeat);
+    ensure!(first == SubmitAnswer::Accepted, "{first:?}");
+    ensure!(
+        repeat != SubmitAnswer::Refused && !is_refused(repeat),
+        "{repeat:?}"
+    );
+    world.store.set_faults(StoreFaults::default());
+    check_invariants(&world)
+}
+
 async fn foreign() -> Result<()> {
     let world = start(2).await?;
     let (queue, own) = (queue(), CallerTeam(Some("choir1".into())));
@@ -494,8 +521,8 @@
 async fn restarts_one() -> Result<()> {
     let mut world = start_pressed(3).await?;
     let owner = world.owner();
-    let names = world.nodes.keys();
-    let name = names.filter(|name| **name != owner).next_back();
+    let mut names = world.nodes.keys();
+    let name = names.rfind(|name| **name != owner);
     let name = name.ok_or_eyre("no other node")?.clone();
     world.nodes[&name].kill();
     world.ahead.insert(name.clone(), 400);
