explain: name refusals for want of room, and the pressure of a job's pool

What operators lacked: the line job_call outcome=overloaded was counted as no log line, and nothing said why the job was refused.

The story has job_refused, with pool or team, expected wait, longest wait of use, time to return, and the owner's report by epoch and age as its cause; intake_pressure at its begin and end stands among the lines of the pool. A job that was refused first and ran later is told by its run.

--- a/crates/hoisthitch-cli/src/story/cause.rs
+++ b/crates/hoisthitch-cli/src/story/cause.rs
@@ -11,6 +11,7 @@
     },
     event::{
         EventKind,
+        RefusalFacts,
         StoryEvent,
         SubmitOutcome,
         format_time, //
@@ -204,6 +205,7 @@
             "every write of {node} was answered with an error{}.",
             write_error(node, related)
         ),
+        SubmitOutcome::Overloaded => overload_cause(own),
         SubmitOutcome::NoQueue => format!(
             "{node} knows no queue for it by its configuration ({}); compare policy_in_force of all nodes.",
             event.raw_fields
@@ -220,6 +222,34 @@
     (Some(FailureKind::Refused), cause)
 }
 
+/// Explains the last refusal for want of room.
+fn overload_cause(own: &[StoryEvent]) -> String {
+    let refused = own.iter().rev().find_map(|event| match &event.kind {
+        EventKind::JobRefused(facts) => Some((event, facts)),
+        _ => None,
+    });
+    let Some((event, facts)) = refused else {
+        return "it could not end in time; no job_refused line tells why.".to_owned();
+    };
+    let RefusalFacts { pool, team, .. } = facts;
+    let whose = if facts.is_team_excess {
+        format!(
+            "team {team} had more work waiting in pool {pool} than its share or limit serves in time"
+        )
+    } else {
+        format!("pool {pool} had more work waiting than it serves in time")
+    };
+    format!(
+        "{whose}: {} expected a start after {} ms, and at most {} ms were of use; the caller was told to return after {} ms (report of the owner with epoch {}, {} ms old).",
+        event.node,
+        facts.wait_ms,
+        facts.limit_ms,
+        facts.retry_after_ms,
+        facts.epoch,
+        facts.report_age_ms
+    )
+}
+
 fn store_cause(node: &str, related: &[StoryEvent]) -> String {
     let mut lost = related
         .iter()
--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -55,6 +55,8 @@
         /// How long it took, in milliseconds.
         took_ms: u64,
     },
+    /// A node decided that the job could not end in time.
+    JobRefused(RefusalFacts),
     /// A node responded to a cancellation.
     CancelAnswered,
     /// The outcome of a cancellation is unknown.
@@ -134,6 +136,12 @@
         /// Data hall.
         hall: String,
     },
+    /// The owner told all nodes that more work waits than the pool can do in time, or that this is
+    /// over.
+    PoolPressure {
+        /// Whether it is over.
+        over: bool,
+    },
     /// The pool published how many VMs it wants and has.
     PoolNeeds {
         /// VMs that it wants.
@@ -218,6 +226,27 @@
     pub runner: String,
 }
 
+/// Why a job was refused for want of room.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RefusalFacts {
+    /// Pool of its queue.
+    pub pool: String,
+    /// Its team; empty for none.
+    pub team: String,
+    /// Whether its team alone had too much waiting, and not the pool.
+    pub is_team_excess: bool,
+    /// Estimated time until its first task would have started, in milliseconds.
+    pub wait_ms: u64,
+    /// Longest wait at which it would have been admitted, in milliseconds.
+    pub limit_ms: u64,
+    /// Time after which its caller was told to return, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Age of the report that the decision was based on, in milliseconds.
+    pub report_age_ms: u64,
+    /// Epoch of the owner that made the report.
+    pub epoch: u64,
+}
+
 /// Outcome of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SubmitOutcome {
@@ -229,6 +258,8 @@
     StoreLost,
     /// Refused because all writes failed.
     Refused,
+    /// Refused because the job could not end in time.
+    Overloaded,
     /// Refused because the node's configuration has no such queue.
     NoQueue,
     /// Refused because a newer configuration may be in effect.
@@ -326,6 +357,8 @@
         "job_call" => return parse_call(line),
         "queue_unknown" => return parse_refused_call(line, SubmitOutcome::NoQueue),
         "policy_unconfirmed" => return parse_refused_call(line, SubmitOutcome::Unconfirmed),
+        "job_refused" => return known_or_broken(parse_refused(line)),
+        "intake_pressure" => return parse_pressure(line),
         "job_taken" => return known_or_broken(parse_taken(line)),
         "task_ordered" => return known_or_broken(parse_ordered(line)),
         "task_given_up" => return known_or_broken(parse_given_up(line)),
@@ -400,6 +433,7 @@
         "job_call"
         | "cancel_unknown"
         | "status_unknown"
+        | "job_refused"
         | "job_taken"
         | "job_cancelled"
         | "job_ended"
@@ -424,6 +458,7 @@
         | "runner_fenced"
         | "vm_work_stalled"
         | "pool_needs"
+        | "intake_pressure"
         | "hall_cordon_in_force"
         | "hall_cordon_over" => EventSubject::Pool(line.owned("pool")?),
         "runner_taken"
@@ -458,6 +493,7 @@
         "present" => SubmitOutcome::Present,
         "store_lost" => SubmitOutcome::StoreLost,
         "refused" => SubmitOutcome::Refused,
+        "overloaded" => SubmitOutcome::Overloaded,
         "unknown" => SubmitOutcome::Unknown,
         _ => return None,
     };
@@ -482,6 +518,33 @@
     }
 }
 
+fn parse_refused(line: &LogLine) -> Option<EventKind> {
+    Some(EventKind::JobRefused(RefusalFacts {
+        pool: line.owned("pool")?,
+        team: line.owned("team")?,
+        is_team_excess: match line.text("reason")? {
+            "team_excess" => true,
+            "pool_full" => false,
+            _ => return None,
+        },
+        wait_ms: line.number("wait_ms")?,
+        limit_ms: line.number("limit_ms")?,
+        retry_after_ms: line.number("retry_after_ms")?,
+        report_age_ms: line.number("report_age_ms")?,
+        epoch: line.number("epoch")?,
+    }))
+}
+
+/// Parses the begin or the end of a pool's pressure; the lines in between add nothing.
+fn parse_pressure(line: &LogLine) -> ParsedKind {
+    match line.text("state") {
+        Some("begins") => ParsedKind::Known(EventKind::PoolPressure { over: false }),
+        Some("ends") => ParsedKind::Known(EventKind::PoolPressure { over: true }),
+        Some(_) => ParsedKind::Unknown,
+        None => ParsedKind::Broken,
+    }
+}
+
 fn parse_taken(line: &LogLine) -> Option<EventKind> {
     Some(EventKind::JobTaken {
         queue: line.owned("queue")?,
--- a/crates/hoisthitch-cli/src/story/window.rs
+++ b/crates/hoisthitch-cli/src/story/window.rs
@@ -108,6 +108,7 @@
             outcome,
             SubmitOutcome::StoreLost
                 | SubmitOutcome::Refused
+                | SubmitOutcome::Overloaded
                 | SubmitOutcome::NoQueue
                 | SubmitOutcome::Unconfirmed
         )
--- a/crates/hoisthitch-cli/src/story/words.rs
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -10,6 +10,7 @@
 pub fn describe_event(kind: &EventKind) -> &'static str {
     match kind {
         EventKind::Submitted { outcome, .. } => submitted(*outcome),
+        EventKind::JobRefused(_) => "no room in time: not stored",
         EventKind::CancelAnswered => "cancel answered",
         EventKind::CancelUnknown => "cancel without a clear answer",
         EventKind::StatusUnknown => "state could not be read",
@@ -48,6 +49,8 @@
         EventKind::VmWorkStalled => "work on the pool's VMs stalled",
         EventKind::HallCordoned { .. } => "data hall cordoned: no starts there",
         EventKind::HallReleased { .. } => "data hall no longer cordoned",
+        EventKind::PoolPressure { over: false } => "pool under pressure: jobs may be refused",
+        EventKind::PoolPressure { over: true } => "pool no longer under pressure",
         EventKind::PoolNeeds { .. } => "pool published its needs",
         EventKind::UpkeepWaits { .. } => "maintenance of the VM waits",
         EventKind::UpkeepOrdered => "VM taken down for maintenance",
@@ -71,6 +74,7 @@
         SubmitOutcome::Present => "submission accepted: it was kept before",
         SubmitOutcome::StoreLost => "submission refused: the store was lost",
         SubmitOutcome::Refused => "submission refused: the writes failed",
+        SubmitOutcome::Overloaded => "submission refused: the job could not end in time",
         SubmitOutcome::NoQueue => "submission refused: no such queue",
         SubmitOutcome::Unconfirmed => "submission refused: the configuration is not confirmed",
         SubmitOutcome::Unknown => "submission without a clear answer",
--- a/crates/hoisthitch-tests/tests/explain/refusals.rs
+++ b/crates/hoisthitch-tests/tests/explain/refusals.rs
@@ -10,6 +10,7 @@
     JOB,
     check,
     line,
+    started_job,
     submitted, //
 };
 
@@ -19,6 +20,9 @@
     refusal_names_the_configuration_without_the_queue => refused_no_queue();
     refusal_names_the_age_of_the_configuration => refused_unconfirmed();
     unclear_answer_names_the_write => unclear_answer();
+    refusal_for_want_of_room_names_the_pool_and_the_waits => refused_pool_full();
+    refusal_for_a_team_s_excess_names_the_team => refused_team_excess();
+    job_that_was_refused_first_and_ran_later_is_no_refusal => refused_then_accepted();
 }
 
 async fn refused_store_lost() -> Result<()> {
@@ -148,3 +152,66 @@
     check("unconfirmed", &line(4_000, "node-1", &event), &wanted).await?;
     Ok(())
 }
+
+/// The line of a refusal for want of room.
+fn no_room(reason: &str, team: &str) -> String {
+    format!(
+        "job_refused job={JOB} queue=q pool=p team={team} reason={reason} wait_ms=9000 limit_ms=2400 \
+         retry_after_ms=1800 report_age_ms=320 epoch=11"
+    )
+}
+
+async fn refused_pool_full() -> Result<()> {
+    let log = [
+        line(4_990, "node-1", &no_room("pool_full", "")),
+        submitted(5_000, "overloaded"),
+    ]
+    .concat();
+    let wanted = [
+        "What became of it: refused: it never ran.",
+        "Kind of failure: 1,",
+        "submission refused: the job could not end in time",
+        "pool p had more work waiting than it serves in time: node-1 expected a start after 9000 ms, \
+         and at most 2400 ms were of use; the caller was told to return after 1800 ms (report of the \
+         owner with epoch 11, 320 ms old).",
+        "not log lines: 0",
+    ];
+    check("pool-full", &log, &wanted).await?;
+    Ok(())
+}
+
+async fn refused_team_excess() -> Result<()> {
+    let log = [
+        line(4_990, "node-1", &no_room("team_excess", "choir")),
+        submitted(5_000, "overloaded"),
+    ]
+    .concat();
+    let wanted = ["team choir had more work waiting in pool p than its share or limit serves"];
+    check("team-excess", &log, &wanted).await?;
+    Ok(())
+}
+
+/// A caller that returned in time: the refusal is in the story, and is not its outcome. The line of
+/// the pressure that lasts adds nothing to it.
+async fn refused_then_accepted() -> Result<()> {
+    let pressure =
+        |state: &str| format!("intake_pressure pool=p epoch=11 state={state} wait_ms=9000");
+    let log = [
+        line(2_000, "node-1", &no_room("pool_full", "")),
+        submitted(2_010, "overloaded"),
+        line(3_000, "node-2", &pressure("lasts")),
+        line(4_000, "node-2", &pressure("ends")),
+        started_job(),
+    ]
+    .concat();
+    let wanted = [
+        "no room in time: not stored",
+        "pool no longer under pressure",
+        "1 task started",
+        "these lines show no failure",
+        "not log lines: 0",
+    ];
+    let story = check("refused-accepted", &log, &wanted).await?;
+    ensure!(!story.contains("state=lasts"), "{story}");
+    Ok(())
+}
