Draw histories of admission control under failures; one fake for both kinds of tests

Callers submit and repeat jobs at all nodes while the pool goes under pressure and out of it, owners are restarted and frozen, and the store is down, cut off, slow, silent on the group's watches, or loses answers. A job that was accepted is never refused after that and is completed; one whose answers all say that it never runs is never started. Each history must refuse some job.

The fakes of the report and of the decision moved from ownership/intake.rs to hoisthitch-tests unchanged, so that both use the same.

--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -9,6 +9,7 @@
 mod cordons;
 mod delays;
 mod drains;
+mod intake;
 mod killers;
 mod lives;
 mod losses;
--- a/crates/hoisthitch-scheduler/tests/ownership/intake.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/intake.rs
@@ -4,8 +4,8 @@
 //! delayed the ordinary work of the seconds after. A refusal brings failures of its own: a job
 //! that is refused although it runs, and refusals by the report of an owner that is not there.
 //!
-//! Reports and decisions are fakes: a pool with more than [`FEW`] waiting jobs is under pressure,
-//! and refuses short jobs of callers that wait less than [`PATIENT_MS`].
+//! Reports and decisions are the fakes of `hoisthitch-tests`: a pool with some waiting jobs is under
+//! pressure, and refuses short jobs of callers that wait less than [`PATIENT_MS`].
 
 use std::{
     collections::BTreeSet,
@@ -18,15 +18,8 @@
     ensure, //
 };
 use hoisthitch_jobs::{
-    IntakeDecision,
-    IntakeRefusal,
-    IntakeReport,
-    IntakeRequest,
     JobPhase,
-    Millis,
-    PoolState,
-    RefusalReason,
-    TeamLoad, //
+    RefusalReason, //
 };
 use hoisthitch_scheduler::{
     CallScope,
@@ -35,7 +28,12 @@
     SubmitAnswer,
     retry_after_s, //
 };
-use hoisthitch_tests::world::StoreFaults;
+use hoisthitch_tests::world::{
+    PATIENT_MS,
+    StoreFaults,
+    refuse_short,
+    report_waiting, //
+};
 use serde_json::{
     Value,
     json, //
@@ -54,12 +52,6 @@
     }, //
 };
 
-/// Waiting jobs up to which the pool is not under pressure.
-const FEW: u32 = 2;
-
-/// Time from which on a caller waits long enough to be admitted, in milliseconds.
-const PATIENT_MS: u64 = 2_500;
-
 /// Time of a caller that is refused under pressure, in milliseconds.
 const SHORT_MS: u64 = 1_500;
 
@@ -72,9 +64,6 @@
 /// Key of the pool's report.
 const REPORT_KEY: &str = "test/group/intake/halls";
 
-/// Estimate of the fake decision, in milliseconds.
-const ESTIMATE_MS: Millis = 4_000;
-
 cases! {
     job_is_refused_under_pressure_and_admitted_after_it => refuses();
     no_report_is_written_where_the_term_is_off => term_off();
@@ -100,44 +89,6 @@
     time_to_return_is_within_the_caller_s_time => retry_after();
 }
 
-fn report_waiting(state: &PoolState, coming: u32, _now: Millis) -> IntakeReport {
-    let waiting: u32 = state.waiting_jobs().values().sum();
-    let mut report = IntakeReport {
-        capacity: 1_000 + u64::from(coming),
-        ..IntakeReport::default()
-    };
-    if waiting > FEW {
-        let load = TeamLoad {
-            work: u64::from(waiting) * 1_000_000,
-            weight: 1.0,
-            ..TeamLoad::default()
-        };
-        let teams = report.loads.entry(0).or_default();
-        teams.insert(String::new(), load);
-    }
-    report
-}
-
-fn refuse_short(
-    report: &IntakeReport,
-    request: &IntakeRequest<'_>,
-    _age: Millis,
-) -> IntakeDecision {
-    let is_long_running = request.spec.steps.iter().any(|step| step.long_running);
-    let is_patient = request.remaining_ms >= PATIENT_MS;
-    if report.loads.is_empty() || is_long_running || is_patient {
-        return IntakeDecision::Admit {
-            wait_ms: Some(ESTIMATE_MS),
-        };
-    }
-    IntakeDecision::Refuse(IntakeRefusal {
-        reason: RefusalReason::PoolFull,
-        wait_ms: ESTIMATE_MS,
-        limit_ms: 600,
-        retry_after_ms: 1_200,
-    })
-}
-
 /// Starts nodes and one runner of eight cores, with admission control and the fakes.
 async fn start(nodes: usize) -> Result<TestWorld> {
     let mut world = TestWorld::start(0, 1).await?;
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -13,6 +13,7 @@
 mod events;
 mod gangs;
 mod instance;
+mod intake;
 mod order;
 mod rules;
 mod runners;
@@ -39,6 +40,13 @@
 };
 pub use crashing::CrashedRunner;
 pub use events::show_events;
+pub use intake::{
+    ESTIMATE_MS,
+    FEW_WAITING,
+    PATIENT_MS,
+    refuse_short,
+    report_waiting, //
+};
 pub use order::set_play_order;
 pub use rules::StartRecord;
 pub use runners::MemoryFleet;
