Spread the tasks of long-running steps over data halls that may be lost

Lacked: nothing read the hall of a runner, so that a step's tasks stood in one hall where its runners had the least load, and the loss of that hall took all of them.

Where the deployment's terms say that a hall may be lost, the runner of a long-running task is chosen by the number of the step's tasks in its hall before its load. The step's tasks are counted by hall once for each choice. Labels, room, anti-affinity, gang and rack, isolation decide before as they did, the rack of the data too. Where an even spread keeps a lost hall within the disruption budget, no hall gets more than the budget while another one has room; where no spread does (24 tasks over 3 halls, of which 3 may be unavailable), the budget of a runner goes before the hall, since a runner is lost more often than a hall. Short tasks are spread only between runners of equal cost. Nothing is moved for the spread when a hall returns. A step that room leaves uneven is noted once.

Without the term the costs and their comparison are those of before.

Ruled out: counters that each change of a task's state keeps, which a runner that returns under its name in another hall leaves wrong.

--- a/crates/hoisthitch-jobs/src/gang.rs
+++ b/crates/hoisthitch-jobs/src/gang.rs
@@ -86,6 +86,13 @@
             }
         }
         self.mark_dirty(first.job);
+        if self.tells_halls_apart() {
+            for task in &members {
+                if let Some(runner) = self.task(*task).and_then(|entry| entry.runner()) {
+                    self.note_spread(*task, runner);
+                }
+            }
+        }
         members.len()
     }
 
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod forecast;
 mod gang;
 mod hall_loss;
+mod hall_spread;
 mod intake;
 mod job;
 mod likelihood;
@@ -65,6 +66,7 @@
     DemandHistory,
     VmForecast, //
 };
+pub use hall_spread::UnevenStep;
 pub use intake::{
     IntakeDecision,
     IntakeRefusal,
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -2,6 +2,10 @@
 
 use crate::{
     Millis,
+    hall_spread::{
+        HallCounts,
+        PlacementCost, //
+    },
     pool::PoolState,
     runner::{
         RunnerEntry,
@@ -44,11 +48,15 @@
         if self.must_isolate(task, now) && !self.may_isolate(task) {
             return None;
         }
+        let counts = self.hall_counts(task, step);
         let best = |avoid: Option<RunnerKey>| {
             self.fitting_runners(task, step, now)
                 .filter(|(_, runner)| rack.is_none_or(|rack| runner.facts.rack == rack))
                 .filter(|(key, _)| Some(*key) != avoid)
-                .map(|(key, runner)| (self.cost(task, runner, step, now), key))
+                .map(|(key, runner)| {
+                    let cost = self.placement_cost(task, runner, step, counts.as_ref(), now);
+                    (cost, key)
+                })
                 .min_by(|left, right| left.0.total_cmp(&right.0))
                 .map(|(_, key)| key)
         };
@@ -79,7 +87,7 @@
             .filter(|(_, runner)| !runner.is_on_probation() || runner.tasks.is_empty())
             .filter(move |(_, runner)| runner.lists_end_of(step, now))
             .filter(move |(_, runner)| !avoids_unproven || !runner.is_unproven())
-            .filter(move |(_, runner)| has_label(runner, step))
+            .filter(move |(_, runner)| step.allows_labels_of(runner))
             .filter(move |(_, runner)| self.is_advised(task, runner, now))
             .filter(move |(_, runner)| {
                 step.max_per_runner == 0 || self.count_same_step(task, runner) < step.max_per_runner
@@ -92,7 +100,9 @@
         let Some(step) = job.and_then(|job| job.step_of(task.slot)) else {
             return false;
         };
-        runner.could_fit(step) && has_label(runner, step) && self.is_advised(task, runner, now)
+        runner.could_fit(step)
+            && step.allows_labels_of(runner)
+            && self.is_advised(task, runner, now)
     }
 
     /// Number of tasks of the same step on the runner.
@@ -110,18 +120,48 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Cost of a runner, by the number of the step's tasks in each hall where halls matter.
+    fn placement_cost(
+        &self,
+        task: TaskRef,
+        runner: &RunnerEntry,
+        step: &StepSpec,
+        counts: Option<&HallCounts>,
+        now: Millis,
+    ) -> PlacementCost {
+        let load = self.cost(task, runner, step, now);
+        let Some(counts) = counts else {
+            return PlacementCost::of_load(load);
+        };
+        let in_hall = counts.in_hall_of(runner);
+        if !step.long_running {
+            return PlacementCost {
+                tie: in_hall,
+                ..PlacementCost::of_load(load)
+            };
+        }
+        let mut first = self.suspect_cost(task, runner, now);
+        if is_off_data_rack(runner, step) {
+            first += OTHER_RACK_COST;
+        }
+        PlacementCost {
+            first,
+            breaks_budget: counts.breaks_budget(runner, step),
+            crowds_runner: self.count_same_step(task, runner) >= step.max_together(),
+            in_hall,
+            load,
+            tie: 0,
+        }
+    }
+
     fn cost(&self, task: TaskRef, runner: &RunnerEntry, step: &StepSpec, now: Millis) -> f64 {
-        let on_other_rack = step
-            .data_rack
-            .as_ref()
-            .is_some_and(|rack| *rack != runner.facts.rack);
         let load = runner.load_with(step);
         // Short tasks are packed, so that other VMs are empty when a pool needs them: this
         // earns 1 to 4 percent more of the attainable value (70 simulated days before the
         // other rules that empty VMs, 40 after them, docs/decisions.md).
         let mut cost = if step.long_running { load } else { 1.0 - load };
         cost += self.suspect_cost(task, runner, now);
-        if on_other_rack {
+        if is_off_data_rack(runner, step) {
             cost += OTHER_RACK_COST;
         }
         if step.long_running && self.count_same_step(task, runner) >= step.max_together() {
@@ -151,8 +191,18 @@
     }
 }
 
-fn has_label(runner: &RunnerEntry, step: &StepSpec) -> bool {
-    step.label
+/// Whether a runner is on another rack than the step's data.
+fn is_off_data_rack(runner: &RunnerEntry, step: &StepSpec) -> bool {
+    step.data_rack
         .as_ref()
-        .is_none_or(|label| runner.facts.labels.contains(label))
+        .is_some_and(|rack| *rack != runner.facts.rack)
+}
+
+impl StepSpec {
+    /// Whether a runner has the label that the step requires, if it requires one.
+    pub(crate) fn allows_labels_of(&self, runner: &RunnerEntry) -> bool {
+        self.label
+            .as_ref()
+            .is_none_or(|label| runner.facts.labels.contains(label))
+    }
 }
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -193,6 +193,9 @@
             entry.run += 1;
         }
         self.mark_dirty(task.job);
+        if self.tells_halls_apart() {
+            self.note_spread(task, runner);
+        }
     }
 
     /// Places a suspect (a task that may have crashed a runner) on a runner of its own, or
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -16,6 +16,7 @@
     account::EndedJob,
     advice::StepAdvice,
     arrivals::ArrivalLog,
+    hall_spread::UnevenStep,
     job::{
         JobEntry,
         JobKey, //
@@ -129,6 +130,12 @@
     pub(crate) lost_halls: BTreeSet<String>,
     /// Optional rules of the deployment.
     pub(crate) terms: PoolTerms,
+    /// Data halls of all runners so far, by number.
+    pub(crate) hall_names: Vec<String>,
+    /// Long-running steps that were placed unevenly since they were last read.
+    pub(crate) uneven_steps: Vec<UnevenStep>,
+    /// Long-running steps that were noted as uneven.
+    pub(crate) uneven_noted: BTreeSet<(JobKey, u32, u32)>,
     /// Batch of records that is being written, where one write does not take them all.
     pub(crate) flush_batch: Option<FlushBatch>,
 }
@@ -242,6 +249,7 @@
             runner.unlisted = false;
             self.update_cordon(key);
             self.update_hall_loss(key);
+            self.number_hall(key);
             return key;
         }
         let name = facts.name.clone();
@@ -250,6 +258,7 @@
         self.runner_names.insert(name, key);
         self.update_cordon(key);
         self.update_hall_loss(key);
+        self.number_hall(key);
         key
     }
 
--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -86,6 +86,7 @@
         self.runner_names.insert(name, key);
         self.update_cordon(key);
         self.update_hall_loss(key);
+        self.number_hall(key);
         self.fail_crashing_tasks(now);
         Some(RestartedRunner {
             key,
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -170,6 +170,8 @@
     pub cordoned: bool,
     /// Whether its data hall counts as lost.
     pub hall_lost: bool,
+    /// Number of its data hall in its pool.
+    pub(crate) hall_number: usize,
     /// Latest time at which its leases may end, and with them everything that runs on it, if
     /// it gets no further heartbeat.
     pub lease_until: Millis,
@@ -233,6 +235,7 @@
             evacuating: false,
             cordoned: false,
             hall_lost: false,
+            hall_number: 0,
             lease_until,
             lease_confirmed_until: None,
             relocating_until: 0,
