Keep a pool's VMs level over data halls when VMs are moved

Lacked: a pool gave VMs in the order in which they become empty, whatever their halls, so that a pool could end up with most of its VMs in the hall that is lost.

Where halls may be lost, a pool publishes its VMs by hall and the halls of those on their way (both absent from the record without the term, so that its text is that of before, and optional when read). How many VMs go where is decided as before. The giver chooses which: those being evacuated first, then empty ones, and of these the VM of the hall in which it has most beyond the taker. Emptiness stays first, since it decides whether a move takes 1.5 s or waits for tasks of up to some seconds. VMs on their way count in their hall, or each pass until they arrive would send more of the same hall. Idle VMs of the spare pool have their hall from the list of VMs.

The gauge hoisthitch_pool_vms shows VMs by pool and hall; step_uneven is logged once for each step that room leaves uneven.

Without the term VMs keep their order.

Ruled out: counts by hall in plan_moves, which would let the hall decide how many VMs a pool gets.

--- a/crates/hoisthitch-jobs/src/balance.rs
+++ b/crates/hoisthitch-jobs/src/balance.rs
@@ -32,6 +32,12 @@
     pub sent: BTreeMap<String, String>,
     /// Whether the VMs of this pool are turned off.
     pub spare: bool,
+    /// Number of VMs that stay in the pool, by data hall; empty where halls are not told apart.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub halls: BTreeMap<String, u32>,
+    /// Data halls of the VMs that are on their way to another pool, where halls are told apart.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub sent_halls: BTreeMap<String, String>,
 }
 
 impl VmBalance {
--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -168,7 +168,7 @@
     /// hall.
     pub fn vms(&self) -> Vec<String> {
         let runners = self.runners.values();
-        let staying = runners.filter(|runner| has_available_vm(runner));
+        let staying = runners.filter(|runner| runner.has_available_vm());
         staying.map(|runner| runner.facts.vm.clone()).collect()
     }
 
@@ -177,18 +177,24 @@
         let mut spare: Vec<(bool, u64, RunnerKey)> = self
             .runners
             .iter()
-            .filter(|(_, runner)| runner.ready && has_available_vm(runner))
+            .filter(|(_, runner)| runner.ready && runner.has_available_vm())
             .filter(|(_, runner)| runner.first_seen_at + STAY_MIN_MS <= now)
             .filter(|(_, runner)| !runner.has_long_running())
             .map(|(key, runner)| (!runner.evacuating, runner.used.cpu_milli, key))
             .collect();
         spare.sort();
-        spare.truncate(limit);
-        spare.into_iter().map(|(_, _, key)| key).collect()
+        let mut keys: Vec<RunnerKey> = spare.into_iter().map(|(_, _, key)| key).collect();
+        if self.tells_halls_apart() {
+            keys = self.level_spare(keys);
+        }
+        keys.truncate(limit);
+        keys
     }
 }
 
-/// Whether the runner's VM counts as one of the pool's, and may be given to another pool.
-fn has_available_vm(runner: &RunnerEntry) -> bool {
-    !runner.is_departing() && !runner.cordoned
+impl RunnerEntry {
+    /// Whether the runner's VM counts as one of the pool's, and may be given to another pool.
+    pub(crate) fn has_available_vm(&self) -> bool {
+        !self.is_departing() && !self.cordoned
+    }
 }
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod fair;
 mod forecast;
 mod gang;
+mod hall_balance;
 mod hall_loss;
 mod hall_spread;
 mod intake;
@@ -66,6 +67,11 @@
     DemandHistory,
     VmForecast, //
 };
+pub use hall_balance::{
+    SpareEase,
+    SpareVm,
+    choose_vms, //
+};
 pub use hall_spread::UnevenStep;
 pub use intake::{
     IntakeDecision,
--- a/crates/hoisthitch-jobs/tests/decisions/halls.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/halls.rs
@@ -21,8 +21,12 @@
     PoolTerms,
     ResourceAmounts,
     RunnerFacts,
+    SpareEase,
+    SpareVm,
     StartOrder,
-    StepSpec, //
+    StepSpec,
+    VmBalance,
+    choose_vms, //
 };
 use hoisthitch_tests::cases;
 use quickcheck::quickcheck;
@@ -52,6 +56,12 @@
     one_runner_takes_the_share_of_its_hall_within_the_budget => one_runner_share();
     budget_of_a_runner_goes_first_where_no_spread_keeps_that_of_the_step => runner_before_hall();
     short_tasks_are_spread_only_where_it_costs_nothing => short_tasks();
+    vms_go_from_the_hall_of_the_surplus_to_that_of_the_lack => level_moves();
+    empty_vms_are_given_before_the_hall_decides => empty_first();
+    vms_on_their_way_count_in_their_hall => counts_sent_halls();
+    vms_keep_their_order_without_counts_by_hall => keeps_order();
+    spare_runners_come_from_the_halls_by_turns => spare_by_turns();
+    records_of_the_old_build_have_no_counts_by_hall => reads_old_records();
 }
 
 /// Facts of a runner of its own rack, with 10,000 MB.
@@ -341,6 +351,116 @@
     Ok(())
 }
 
+/// A balance with so many VMs in each hall, and these on their way.
+fn balance(halls: &[(&str, u32)], sent: &[(&str, &str, &str)]) -> VmBalance {
+    let pairs = |pick: fn(&(&str, &str, &str)) -> (String, String)| sent.iter().map(pick).collect();
+    VmBalance {
+        halls: counts(halls),
+        sent: pairs(|(vm, to, _)| ((*vm).to_owned(), (*to).to_owned())),
+        sent_halls: pairs(|(vm, _, hall)| ((*vm).to_owned(), (*hall).to_owned())),
+        ..VmBalance::default()
+    }
+}
+
+/// VMs to spare, named after their hall: `a0`, `a1` and so on.
+fn spare(names: &[&str], ease: SpareEase) -> Vec<SpareVm> {
+    let names = names.iter();
+    names
+        .map(|name| SpareVm {
+            vm: (*name).to_owned(),
+            hall: name[..1].to_owned(),
+            ease,
+            ..SpareVm::default()
+        })
+        .collect()
+}
+
+/// Names of the VMs that `from` gives to `to`, which gets so many.
+fn chosen(from: &VmBalance, to: &VmBalance, spare: Vec<SpareVm>, count: usize) -> Vec<String> {
+    let pools = BTreeMap::from([
+        ("from".to_owned(), from.clone()),
+        ("to".to_owned(), to.clone()),
+    ]);
+    let targets = vec!["to".to_owned(); count];
+    let chosen = choose_vms(&pools, "from", spare, &targets);
+    chosen.into_iter().map(|(spare, _)| spare.vm).collect()
+}
+
+/// The taker has VMs in one hall only, and gets those of the others, by turns.
+async fn level_moves() -> Result<()> {
+    let from = balance(&[("a", 4), ("b", 4), ("c", 4)], &[]);
+    let to = balance(&[("a", 2)], &[]);
+    let names = ["a0", "a1", "a2", "b0", "b1", "b2", "c0", "c1", "c2"];
+    let vms = chosen(&from, &to, spare(&names, SpareEase::Empty), 4);
+    ensure!(vms == ["b0", "c0", "b1", "c1"], "{vms:?}");
+    Ok(())
+}
+
+/// A VM whose tasks must end first is given after the empty ones, whatever its hall; one that is
+/// being evacuated goes on being so.
+async fn empty_first() -> Result<()> {
+    let from = balance(&[("a", 4), ("b", 4)], &[]);
+    let to = balance(&[("a", 2)], &[]);
+    let mut vms = spare(&["b0", "b1"], SpareEase::Busy);
+    vms.extend(spare(&["a0"], SpareEase::Empty));
+    vms.extend(spare(&["a1"], SpareEase::Evacuating));
+    let vms = chosen(&from, &to, vms, 3);
+    ensure!(vms == ["a1", "a0", "b0"], "{vms:?}");
+    Ok(())
+}
+
+/// Two VMs of hall `b` are on their way to the taker, and are not listed there yet.
+async fn counts_sent_halls() -> Result<()> {
+    let sent = [("b8", "to", "b"), ("b9", "to", "b")];
+    let from = balance(&[("a", 4), ("b", 4)], &sent);
+    let to = balance(&[("a", 1)], &[]);
+    let names = ["a0", "b0"];
+    let vms = chosen(&from, &to, spare(&names, SpareEase::Empty), 1);
+    ensure!(vms == ["a0"], "{vms:?}");
+    Ok(())
+}
+
+async fn keeps_order() -> Result<()> {
+    let names = ["c0", "a0", "b0"];
+    let none = VmBalance::default();
+    let vms = chosen(&none, &none, spare(&names, SpareEase::Busy), 2);
+    ensure!(vms == ["c0", "a0"], "{vms:?}");
+    Ok(())
+}
+
+/// Half of the pool's VMs are in one hall: three of the first four that it can spare are there,
+/// so that what stays is level.
+async fn spare_by_turns() -> Result<()> {
+    let mut state = pool_over([&[8; 2], &[8; 2], &[8; 4]]);
+    let vm_halls = state.vms_by_hall();
+    ensure!(
+        vm_halls == counts(&[("a", 2), ("b", 2), ("c", 4)]),
+        "{vm_halls:?}"
+    );
+    let first = state.spare_runners(60_000, 5);
+    let mut left = vm_halls;
+    for key in first {
+        let hall = state.runner(key).map(|runner| runner.facts.hall.clone());
+        if let Some(count) = hall.and_then(|hall| left.get_mut(&hall)) {
+            *count -= 1;
+        }
+    }
+    ensure!(left == counts(&[("a", 1), ("b", 1), ("c", 1)]), "{left:?}");
+    state.set_terms(PoolTerms::default());
+    ensure!(state.vms_by_hall().is_empty());
+    Ok(())
+}
+
+/// Nodes of both builds read each other's records, and a deployment without the term writes the
+/// records of before.
+async fn reads_old_records() -> Result<()> {
+    let old = r#"{"want":1,"keep":1,"vms":["v"],"sent":{},"spare":false}"#;
+    let read: VmBalance = serde_json::from_str(old)?;
+    ensure!(read.halls.is_empty() && read.sent_halls.is_empty());
+    ensure!(serde_json::to_string(&read)? == old);
+    Ok(())
+}
+
 quickcheck! {
     /// No placement breaks a label, an anti-affinity or a runner's room, or starts anything in a
     /// hall that is cordoned or lost; as many tasks are placed as without the term.
@@ -381,7 +501,7 @@
                     counts
                 });
                 for (key, tasks) in by_runner.unwrap_or_default() {
-                    let Some(runner) = state.runner(key) else { return None };
+                    let runner = state.runner(key)?;
                     let label = spec.label.as_ref().is_none_or(|l| runner.facts.labels.contains(l));
                     let apart = spec.max_per_runner == 0 || tasks <= spec.max_per_runner;
                     let room = runner.used.cpu_milli <= runner.facts.capacity.cpu_milli;
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -52,6 +52,8 @@
     pub cordoned_halls: IntGauge,
     /// Tasks that run in cordoned halls, by pool of this node and hall.
     pub cordoned_tasks: IntGaugeVec,
+    /// VMs of this node's pools by data hall, where halls are told apart.
+    pub pool_vms: IntGaugeVec,
 }
 
 impl NodeMetrics {
@@ -107,7 +109,13 @@
             &["pool", "hall"],
         )?;
         registry.register(Box::new(cordoned_tasks.clone()))?;
+        let pool_vms = IntGaugeVec::new(
+            Opts::new("hoisthitch_pool_vms", "VMs of owned pools by data hall"),
+            &["pool", "hall"],
+        )?;
+        registry.register(Box::new(pool_vms.clone()))?;
         Ok(Self {
+            pool_vms,
             members_visited,
             cordoned_halls,
             cordoned_tasks,
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -193,6 +193,8 @@
     waiting_counts: HashMap<String, u32>,
     counts_written_at: Millis,
     cordon_reporter: CordonReporter,
+    /// VMs by data hall, as shown in the metrics.
+    shown_halls: BTreeMap<String, u32>,
 }
 
 /// Receiving ends of the owner's event sources.
@@ -260,6 +262,7 @@
         waiting_counts: HashMap::new(),
         counts_written_at: 0,
         cordon_reporter: CordonReporter::default(),
+        shown_halls: BTreeMap::new(),
         context,
     };
     owner.count_event("pool_taken");
@@ -277,6 +280,7 @@
     owner.sync_fleet();
     let end = owner.run(&mut channels, &mut recorded).await;
     vms.abort();
+    owner.show_vms_by_hall(&BTreeMap::new());
     owner.count_event("pool_left");
     event!(
         Info,
@@ -476,6 +480,7 @@
             self.queue_order(stop.runner, RunnerOrder::Stop(stop));
         }
         self.log_lost_runs();
+        self.log_uneven_steps();
         self.log_ended_jobs();
         self.start_write(now);
     }
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -94,15 +94,15 @@
             }
             VmRequest::Demand { reply } => {
                 let spare = self.state.spare_runners(now, MAX_EVACUATING);
-                let spare = spare.into_iter().filter_map(|key| {
-                    let facts = &self.state.runner(key)?.facts;
-                    Some((facts.instance(), facts.vm.clone()))
-                });
+                let spare = spare.into_iter();
+                let spare = spare.filter_map(|key| self.state.spare_vm(key));
                 let answer = DemandAnswer {
                     want: self.state.wanted_vms(now),
                     vms: self.state.vms(),
                     spare: spare.collect(),
+                    halls: self.state.vms_by_hall(),
                 };
+                self.show_vms_by_hall(&answer.halls);
                 // A loop that does not wait any more asks again.
                 let _ = reply.send(answer);
             }
--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -1,5 +1,7 @@
 //! Log events and metrics of a pool's owner.
 
+use std::collections::BTreeMap;
+
 use hoisthitch_jobs::{
     Millis,
     RunnerKey,
@@ -53,6 +55,46 @@
         }
     }
 
+    /// Logs the long-running steps that were placed unevenly over data halls, because room lacked
+    /// elsewhere.
+    pub(super) fn log_uneven_steps(&mut self) {
+        for uneven in self.state.take_uneven_steps() {
+            event!(
+                Warn,
+                "step_uneven",
+                job = uneven.job,
+                step = uneven.step,
+                pool = self.context.pool,
+                hall = uneven.hall,
+                tasks = uneven.tasks,
+                even_share = uneven.even_share,
+                may_miss = uneven.max_unavailable
+            );
+        }
+    }
+
+    /// Shows the pool's VMs by data hall in the metrics; empty where halls are not told apart.
+    pub(super) fn show_vms_by_hall(&mut self, halls: &BTreeMap<String, u32>) {
+        if *halls == self.shown_halls {
+            return;
+        }
+        let gauge = &self.context.shared.metrics.pool_vms;
+        for hall in self
+            .shown_halls
+            .keys()
+            .filter(|hall| !halls.contains_key(*hall))
+        {
+            // Fails only where the hall was never set.
+            let _ = gauge.remove_label_values(&[&self.context.pool, hall]);
+        }
+        for (hall, vms) in halls {
+            gauge
+                .with_label_values(&[&self.context.pool, hall])
+                .set(i64::from(*vms));
+        }
+        self.shown_halls.clone_from(halls);
+    }
+
     /// Logs the jobs that ended, with the time that each spent per phase.
     pub(super) fn log_ended_jobs(&mut self) {
         for ended in self.state.take_ended_jobs() {
--- a/crates/hoisthitch-scheduler/src/vms/balance.rs
+++ b/crates/hoisthitch-scheduler/src/vms/balance.rs
@@ -79,18 +79,47 @@
             }
             in_transit
         });
+        self.sent_halls.retain(|vm, _| self.sent.contains_key(vm));
         let sent = self.sent.iter();
         let mut vms = vms;
         vms.sort();
         // An instance that has ended may be listed beside its successor.
         vms.dedup();
+        let mut halls = if spare {
+            self.idle_by_hall()
+        } else {
+            demand.halls.clone()
+        };
+        // VMs that are on their way and are still listed here don't stay.
+        let leaving = self.sent_halls.iter().filter(|(vm, _)| vms.contains(vm));
+        for (_, hall) in leaving {
+            if let Some(count) = halls.get_mut(hall) {
+                *count = count.saturating_sub(1);
+            }
+        }
         VmBalance {
             want: forecast.want,
             keep: forecast.keep,
             vms,
             sent: sent.map(|(vm, (to, _))| (vm.clone(), to.clone())).collect(),
             spare,
+            halls,
+            sent_halls: self.sent_halls.clone(),
+        }
+    }
+
+    /// Whether data halls are told apart.
+    pub(super) fn tells_halls_apart(&self) -> bool {
+        self.ledger.context.shared.terms.tolerated_halls > 0
+    }
+
+    /// VMs without a runner by hall, where halls are told apart.
+    fn idle_by_hall(&self) -> BTreeMap<String, u32> {
+        let mut counts = BTreeMap::new();
+        for hall in self.idle_halls.values() {
+            *counts.entry(hall.clone()).or_default() += 1;
         }
+        counts
     }
 
     /// VMs of a pool whose VMs are off, without those in cordoned halls; records since when each
@@ -104,11 +133,17 @@
             .iter()
             .filter(|row| row.pool == context.pool && row.condition == VmCondition::Up)
             .filter(|row| !fleet.cordons.contains(&row.hall));
-        let names: BTreeSet<String> = own.map(|row| row.name.clone()).collect();
+        let halls: BTreeMap<String, String> = own
+            .map(|row| (row.name.clone(), row.hall.clone()))
+            .collect();
+        let names: BTreeSet<String> = halls.keys().cloned().collect();
         self.idle.retain(|vm, _| names.contains(vm));
         // VMs that were listed before the first pass have stayed long enough, or are blocked.
         let since = if self.idle_listed { now } else { 0 };
         self.idle_listed = true;
+        if self.tells_halls_apart() {
+            self.idle_halls = halls;
+        }
         for vm in names {
             self.idle.entry(vm).or_insert(since);
         }
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -18,6 +18,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeMap,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -27,6 +28,7 @@
     EvacuationStatus,
     Millis,
     RunnerInstance,
+    SpareVm,
     WantedVms, //
 };
 use hoisthitch_store::StoreError;
@@ -111,8 +113,10 @@
     pub(crate) want: WantedVms,
     /// VMs of its runners.
     pub(crate) vms: Vec<String>,
-    /// Runners that it can spare and their VMs, the best to give up first.
-    pub(crate) spare: Vec<(RunnerInstance, String)>,
+    /// VMs that it can spare, the best to give up first.
+    pub(crate) spare: Vec<SpareVm>,
+    /// Number of its VMs by data hall; empty where halls are not told apart.
+    pub(crate) halls: BTreeMap<String, u32>,
 }
 
 /// Everything that the VM loops are given.
--- a/crates/hoisthitch-scheduler/src/vms/moves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/moves.rs
@@ -16,7 +16,9 @@
     EvacuationStatus,
     Millis,
     RunnerInstance,
+    SpareVm,
     VmBalance,
+    choose_vms,
     plan_moves, //
 };
 use hoisthitch_telemetry::event;
@@ -58,6 +60,10 @@
     pub(super) sent: BTreeMap<String, (String, Millis)>,
     /// VMs without a runner, and since when each has been listed.
     pub(super) idle: BTreeMap<String, Millis>,
+    /// Data halls of those VMs, where halls are told apart.
+    pub(super) idle_halls: BTreeMap<String, String>,
+    /// Data halls of the VMs that were sent away, where halls are told apart.
+    pub(super) sent_halls: BTreeMap<String, String>,
     /// Whether VMs without a runner were listed before.
     pub(super) idle_listed: bool,
     /// Runners that are being evacuated so that their VMs can be moved, by VM.
@@ -84,6 +90,8 @@
             demand: DemandHistory::default(),
             sent: BTreeMap::new(),
             idle: BTreeMap::new(),
+            idle_halls: BTreeMap::new(),
+            sent_halls: BTreeMap::new(),
             idle_listed: false,
             evacuating: BTreeMap::new(),
         }
@@ -109,14 +117,14 @@
         if staying.is_ok_and(|staying| staying <= kept) && self.evacuating.is_empty() {
             return Ok(());
         }
-        let targets = self.find_targets().await?;
+        let (pools, targets) = self.find_targets().await?;
         let vms = if spare {
             self.idle_vms(now)
         } else {
-            self.evacuated_vms(&demand, targets.len()).await
+            self.evacuated_vms(&demand, &pools, &targets).await
         };
-        let moves: Vec<(String, String)> =
-            vms.into_iter().zip(targets).take(MOVES_PER_PASS).collect();
+        let mut moves = choose_vms(&pools, &self.ledger.context.pool, vms, &targets);
+        moves.truncate(MOVES_PER_PASS);
         if moves.is_empty() {
             return Ok(());
         }
@@ -150,8 +158,10 @@
         Ok(())
     }
 
-    /// The pools that get VMs of this one, one entry for each VM.
-    async fn find_targets(&self) -> Result<Vec<String>, VmWorkError> {
+    /// The balances of all pools, and the pools that get VMs of this one, one entry for each VM.
+    async fn find_targets(
+        &self,
+    ) -> Result<(BTreeMap<String, VmBalance>, Vec<String>), VmWorkError> {
         let pool = &self.ledger.context.pool;
         let mut pools = self.read_balances().await?;
         pools.insert(pool.clone(), self.balance.clone());
@@ -159,11 +169,12 @@
             .into_iter()
             .filter(|planned| planned.from == *pool);
         let targets = own.flat_map(|planned| std::iter::repeat_n(planned.to, planned.count));
-        Ok(targets.take(MAX_EVACUATING).collect())
+        let targets = targets.take(MAX_EVACUATING).collect();
+        Ok((pools, targets))
     }
 
     /// VMs without a runner that may be moved.
-    fn idle_vms(&self, now: Millis) -> Vec<String> {
+    fn idle_vms(&self, now: Millis) -> Vec<SpareVm> {
         self.idle
             .iter()
             .filter(|(vm, since)| {
@@ -171,29 +182,43 @@
             })
             .filter(|(vm, _)| !self.ledger.is_blocked(vm))
             .filter(|(vm, _)| !self.ledger.is_claimed(vm, VmClaim::Move))
-            .map(|(vm, _)| vm.clone())
+            .map(|(vm, _)| SpareVm {
+                vm: vm.clone(),
+                hall: self.idle_halls.get(vm).cloned().unwrap_or_default(),
+                ..SpareVm::default()
+            })
             .collect()
     }
 
-    /// Evacuates up to `count` runners, and returns the VMs whose evacuation is complete.
+    /// Evacuates a runner for each target, and returns the VMs whose evacuation is complete.
     /// Cancels those that are not candidates any more.
-    async fn evacuated_vms(&mut self, demand: &DemandAnswer, count: usize) -> Vec<String> {
-        let candidates: Vec<(RunnerInstance, String)> = demand
+    async fn evacuated_vms(
+        &mut self,
+        demand: &DemandAnswer,
+        pools: &BTreeMap<String, VmBalance>,
+        targets: &[String],
+    ) -> Vec<SpareVm> {
+        let spare: Vec<SpareVm> = demand
             .spare
             .iter()
-            .filter(|(_, vm)| !self.ledger.is_claimed(vm, VmClaim::Move))
-            .filter(|(_, vm)| !self.sent.contains_key(vm) && !self.ledger.is_blocked(vm))
-            .take(count)
+            .filter(|spare| !self.ledger.is_claimed(&spare.vm, VmClaim::Move))
+            .filter(|spare| !self.sent.contains_key(&spare.vm))
+            .filter(|spare| !self.ledger.is_blocked(&spare.vm))
             .cloned()
             .collect();
+        let chosen = choose_vms(pools, &self.ledger.context.pool, spare, targets);
+        let candidates: Vec<SpareVm> = chosen.into_iter().map(|(spare, _)| spare).collect();
         let dropped: Vec<String> = self
             .evacuating
             .keys()
-            .filter(|vm| !candidates.iter().any(|(_, candidate)| candidate == *vm))
+            .filter(|vm| !candidates.iter().any(|candidate| candidate.vm == **vm))
             .cloned()
             .collect();
         self.cancel_moves(dropped).await;
-        for (runner, vm) in &candidates {
+        for candidate in &candidates {
+            let (vm, Some(runner)) = (&candidate.vm, &candidate.runner) else {
+                continue;
+            };
             self.ledger.claim(vm, VmClaim::Move);
             if self.evacuating.insert(vm.clone(), runner.clone()).is_none() {
                 event!(
@@ -205,11 +230,12 @@
                 );
             }
         }
-        let candidates = candidates.into_iter();
-        let (runners, vms): (Vec<String>, Vec<String>) =
-            candidates.map(|(runner, vm)| (runner.name, vm)).unzip();
+        let runners = candidates.iter().map(|candidate| &candidate.runner);
+        let runners =
+            runners.map(|runner| runner.as_ref().map_or_else(String::new, |r| r.name.clone()));
+        let runners: Vec<String> = runners.collect();
         let statuses = self.ledger.request_evacuation(runners, true).await;
-        let answered = vms.into_iter().zip(statuses);
+        let answered = candidates.into_iter().zip(statuses);
         answered
             .filter(|(_, status)| *status == Some(EvacuationStatus::Free))
             .map(|(vm, _)| vm)
@@ -239,16 +265,24 @@
     /// Orders moves of VMs to other pools, all under one token.
     async fn order_moves(
         &mut self,
-        moves: Vec<(String, String)>,
+        moves: Vec<(SpareVm, String)>,
         now: Millis,
     ) -> Result<(), VmWorkError> {
         let mut balance = self.balance.clone();
-        for (vm, target) in &moves {
+        for (spare, target) in &moves {
+            let vm = &spare.vm;
+            if self.tells_halls_apart() {
+                self.sent_halls.insert(vm.clone(), spare.hall.clone());
+                balance.sent_halls.insert(vm.clone(), spare.hall.clone());
+                if let Some(count) = balance.halls.get_mut(&spare.hall) {
+                    *count = count.saturating_sub(1);
+                }
+            }
             self.ledger.claim(vm, VmClaim::Move);
             self.sent.insert(vm.clone(), (target.clone(), now));
             balance.sent.insert(vm.clone(), target.clone());
         }
-        let vms = moves.iter().map(|(vm, _)| vm);
+        let vms = moves.iter().map(|(spare, _)| &spare.vm);
         let token = self.ledger.issue_token(vms, Some(balance.clone())).await?;
         self.balance = balance;
         self.ledger.check_ownership()?;
@@ -256,9 +290,10 @@
         let vms = context.platform.vms();
         let orders = moves
             .iter()
-            .map(|(vm, target)| vms.move_to_pool(vm, target, &context.node, token));
+            .map(|(spare, target)| vms.move_to_pool(&spare.vm, target, &context.node, token));
         let outcomes = join_all(orders).await;
-        for ((vm, target), outcome) in moves.into_iter().zip(outcomes) {
+        for ((spare, target), outcome) in moves.into_iter().zip(outcomes) {
+            let vm = spare.vm;
             event!(
                 Info,
                 "vm_moved",
