Take VMs through a wave hall by hall, and put it off while a hall is lost

Lacked: a wave took VMs of all data halls at the same time, and went on while a hall was away, so that maintenance and the loss met in all of them.

Where halls may be lost, the VMs of the hall in which the wave works come first, by the VMs of the wave's record that are down in any pool, so that all pools work in the same hall; the first hall is the first by name. VMs of other halls follow at once where those of the hall can't go down yet, so that the wave takes no longer. While the owner counts a hall as lost, the wave begins nothing new and gives the evacuated runners back, for at most 6 s of a wave at one owner, then it goes on. The wave loop asks its owner for lost halls, a request of its own in each pass of an open wave.

A task in a lost hall counts as unavailable, and its runner is neither taken down nor given away, though the runner itself may still count as ready: the hall's loss is known first. VMs of a lost hall still count as the pool's, since it is away for some seconds.

Ruled out: a status of its own for an evacuation beside a lost hall, which the loop learns only after it has asked for the evacuation.

--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -177,7 +177,7 @@
         let mut spare: Vec<(bool, u64, RunnerKey)> = self
             .runners
             .iter()
-            .filter(|(_, runner)| runner.ready && runner.has_available_vm())
+            .filter(|(_, runner)| runner.ready && runner.has_available_vm() && !runner.hall_lost)
             .filter(|(_, runner)| runner.first_seen_at + STAY_MIN_MS <= now)
             .filter(|(_, runner)| !runner.has_long_running())
             .map(|(key, runner)| (!runner.evacuating, runner.used.cpu_milli, key))
--- a/crates/hoisthitch-jobs/src/hall_loss.rs
+++ b/crates/hoisthitch-jobs/src/hall_loss.rs
@@ -25,6 +25,11 @@
         true
     }
 
+    /// Halls that count as lost.
+    pub fn lost_halls(&self) -> &BTreeSet<String> {
+        &self.lost_halls
+    }
+
     /// Sets whether a runner is in a lost hall.
     pub(crate) fn update_hall_loss(&mut self, key: RunnerKey) {
         if let Some(runner) = self.runners.get_mut(key) {
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -22,6 +22,7 @@
 mod hall_balance;
 mod hall_loss;
 mod hall_spread;
+mod hall_upkeep;
 mod intake;
 mod job;
 mod likelihood;
@@ -73,6 +74,11 @@
     choose_vms, //
 };
 pub use hall_spread::UnevenStep;
+pub use hall_upkeep::{
+    HALL_LOSS_WAIT_MAX_MS,
+    HallLossWait,
+    worked_hall, //
+};
 pub use intake::{
     IntakeDecision,
     IntakeRefusal,
--- a/crates/hoisthitch-jobs/src/maintenance.rs
+++ b/crates/hoisthitch-jobs/src/maintenance.rs
@@ -13,7 +13,10 @@
     job::JobKey,
     losses::RunnerLoss,
     pool::PoolState,
-    runner::RunnerKey,
+    runner::{
+        RunnerEntry,
+        RunnerKey, //
+    },
     task::{
         TaskEntry,
         TaskRef,
@@ -70,7 +73,7 @@
             return EvacuationStatus::Free;
         };
         // Tasks that an earlier owner ordered there are only known once the runner responds.
-        if !runner.ready {
+        if !runner.ready || runner.hall_lost {
             return EvacuationStatus::Held;
         }
         let short = runner
@@ -159,7 +162,8 @@
         let TaskState::Running(key) = task.state else {
             return false;
         };
-        let responds = self.runners.get(key).is_some_and(|runner| runner.ready);
+        let responds = |runner: &RunnerEntry| runner.ready && !runner.hall_lost;
+        let responds = self.runners.get(key).is_some_and(responds);
         responds && task.unavailable_since.is_none()
     }
 
--- a/crates/hoisthitch-jobs/tests/decisions/halls.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/halls.rs
@@ -16,6 +16,9 @@
 };
 use hoisthitch_jobs::{
     EndKind,
+    HALL_LOSS_WAIT_MAX_MS,
+    HallLossWait,
+    HeartbeatReport,
     InheritedRuns,
     PoolState,
     PoolTerms,
@@ -26,7 +29,8 @@
     StartOrder,
     StepSpec,
     VmBalance,
-    choose_vms, //
+    choose_vms,
+    worked_hall, //
 };
 use hoisthitch_tests::cases;
 use quickcheck::quickcheck;
@@ -35,6 +39,7 @@
     end_all,
     gang,
     new_job,
+    running_on,
     start_all,
     step, //
 };
@@ -62,6 +67,9 @@
     vms_keep_their_order_without_counts_by_hall => keeps_order();
     spare_runners_come_from_the_halls_by_turns => spare_by_turns();
     records_of_the_old_build_have_no_counts_by_hall => reads_old_records();
+    wave_waits_for_a_lost_hall_for_a_bounded_time => wave_waits();
+    nothing_goes_down_beside_a_lost_hall_that_used_up_the_budget => beside_lost_hall();
+    wave_works_on_in_the_hall_of_most_vms => wave_hall();
 }
 
 /// Facts of a runner of its own rack, with 10,000 MB.
@@ -446,6 +454,11 @@
         }
     }
     ensure!(left == counts(&[("a", 1), ("b", 1), ("c", 1)]), "{left:?}");
+    state.set_lost_halls(halls(&["c"]));
+    let spare = state.spare_runners(60_000, 8);
+    let lost = |key| state.runner(key).is_some_and(|runner| runner.hall_lost);
+    ensure!(spare.len() == 4 && !spare.into_iter().any(lost));
+    ensure!(state.vms().len() == 8, "a short loss is a lack of VMs");
     state.set_terms(PoolTerms::default());
     ensure!(state.vms_by_hall().is_empty());
     Ok(())
@@ -461,6 +474,68 @@
     Ok(())
 }
 
+/// A hall is lost for 4 s, and returns; the next loss puts the wave off for the rest of its time.
+async fn wave_waits() -> Result<()> {
+    let mut wait = HallLossWait::default();
+    ensure!(!wait.is_due(false, 1_000));
+    for now in (2_000..=6_000).step_by(200) {
+        ensure!(wait.is_due(true, now), "goes on at {now}");
+    }
+    ensure!(!wait.is_due(false, 6_200), "waits though no hall is lost");
+    let left = HALL_LOSS_WAIT_MAX_MS - wait.waited();
+    ensure!(wait.is_due(true, 20_000));
+    ensure!(wait.is_due(true, 20_000 + left - 1), "goes on early");
+    ensure!(!wait.is_due(true, 20_000 + left), "waits for too long");
+    ensure!(!wait.is_due(true, 60_000));
+    Ok(())
+}
+
+/// Three of nine tasks stand in the hall that is lost, and three may be unavailable. The runners
+/// there still count as ready: the hall's loss is known before theirs.
+async fn beside_lost_hall() -> Result<()> {
+    let mut state = pool_over([&[8; 3], &[8; 3], &[8; 3]]);
+    let orders = start_step(&mut state, "s", service(9, 3));
+    for order in &orders {
+        let report = HeartbeatReport {
+            started_at: None,
+            clock_ms: 2_000,
+            running: running_on(&state, order.runner, None, 100),
+            ended: Vec::new(),
+        };
+        state.record_heartbeat(order.runner, &report, 1_999, 2_000);
+    }
+    let statuses = |state: &PoolState| -> BTreeSet<String> {
+        let statuses = orders
+            .iter()
+            .map(|order| format!("{:?}", state.evacuation_status(order.runner)));
+        statuses.collect()
+    };
+    ensure!(
+        statuses(&state) == halls(&["Free"]),
+        "{:?}",
+        statuses(&state)
+    );
+    state.set_lost_halls(halls(&["a"]));
+    ensure!(
+        statuses(&state) == halls(&["Held"]),
+        "{:?}",
+        statuses(&state)
+    );
+    state.set_lost_halls(halls(&[]));
+    ensure!(statuses(&state) == halls(&["Free"]));
+    Ok(())
+}
+
+async fn wave_hall() -> Result<()> {
+    ensure!(worked_hall([]).is_none());
+    ensure!(worked_hall(["c", "b", "c"]) == Some("c"));
+    ensure!(
+        worked_hall(["c", "b"]) == Some("b"),
+        "not the first by name"
+    );
+    Ok(())
+}
+
 quickcheck! {
     /// No placement breaks a label, an anti-affinity or a runner's room, or starts anything in a
     /// hall that is cordoned or lost; as many tasks are placed as without the term.
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -92,6 +92,10 @@
                     }
                 }
             }
+            VmRequest::LostHalls { reply } => {
+                // A loop that does not wait any more asks again.
+                let _ = reply.send(self.state.lost_halls().clone());
+            }
             VmRequest::Demand { reply } => {
                 let spare = self.state.spare_runners(now, MAX_EVACUATING);
                 let spare = spare.into_iter();
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -18,7 +18,10 @@
 
 use std::{
     cell::Cell,
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -100,6 +103,10 @@
     VmDown { instance: RunnerInstance },
     /// The runner's VM was ordered to go down, and there was no response.
     VmDownUnconfirmed { runner: String },
+    /// Ask which data halls count as lost.
+    LostHalls {
+        reply: oneshot::Sender<BTreeSet<String>>,
+    },
     /// Ask what the pool needs, and which runners it can spare.
     Demand {
         reply: oneshot::Sender<DemandAnswer>,
--- a/crates/hoisthitch-scheduler/src/vms/wave_state.rs
+++ b/crates/hoisthitch-scheduler/src/vms/wave_state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use hoisthitch_jobs::{
+    HallLossWait,
     Millis,
     RunnerInstance,
     WaveChange,
@@ -59,6 +60,10 @@
     pub(super) ordered: BTreeMap<String, Millis>,
     /// VMs that are missing from the list, and since when.
     pub(super) missing: BTreeMap<String, Millis>,
+    /// How long the wave has waited for lost halls.
+    pub(super) hall_wait: HallLossWait,
+    /// Whether it waited for them in the last pass.
+    pub(super) waits_for_halls: bool,
 }
 
 impl WaveState {
--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -17,9 +17,11 @@
 use futures_util::future::join_all;
 use hoisthitch_jobs::{
     EvacuationStatus,
-    RunnerInstance, //
+    RunnerInstance,
+    worked_hall, //
 };
 use hoisthitch_telemetry::event;
+use tokio::sync::oneshot;
 
 use super::{
     VmLoop,
@@ -127,7 +129,12 @@
         let own_vms = self.own_vms(request, &rows);
         self.record_done(&own_vms, &rows, state).await;
         let mut ready = self.unconfirmed(&own_vms, &rows, state);
-        let fresh = self.evacuate_next(request, &own_vms, &rows, state).await;
+        let fresh = if self.waits_for_halls(request, state).await {
+            self.put_off(&own_vms, state).await;
+            Vec::new()
+        } else {
+            self.evacuate_next(request, &own_vms, &rows, state).await
+        };
         // Drop VMs of an earlier write that failed: they may not be able to go down now.
         state.pending.down.clear();
         for row in &fresh {
@@ -203,6 +210,66 @@
             .collect()
     }
 
+    /// Whether the wave begins nothing new because a data hall is lost.
+    async fn waits_for_halls(&self, request: &WaveRequest, state: &mut WaveState) -> bool {
+        let context = &self.ledger.context;
+        if context.shared.terms.tolerated_halls == 0 {
+            return false;
+        }
+        let (reply, answer) = oneshot::channel();
+        let asked = context.owner.send(VmRequest::LostHalls { reply }).await;
+        // Neither fails before the owner has ended, and the wave with it.
+        let lost = match asked {
+            Ok(()) => answer.await.unwrap_or_default(),
+            Err(_) => BTreeSet::new(),
+        };
+        let waits = state.hall_wait.is_due(!lost.is_empty(), self.ledger.now());
+        if waits != state.waits_for_halls {
+            state.waits_for_halls = waits;
+            event!(
+                Info,
+                "wave_put_off",
+                wave = request.wave,
+                pool = context.pool,
+                waits = waits,
+                lost = format_args!("{lost:?}"),
+                waited_ms = state.hall_wait.waited()
+            );
+        }
+        waits
+    }
+
+    /// Cancels the evacuation of VMs that have not been recorded as going down: their runners have
+    /// the room that the work of a lost hall needs.
+    async fn put_off(&mut self, own_vms: &[String], state: &WaveState) {
+        let begun: Vec<String> = own_vms
+            .iter()
+            .filter(|vm| self.evacuating.contains_key(*vm) && state.progress.is_due(vm))
+            .cloned()
+            .collect();
+        self.cancel_evacuations(&begun).await;
+    }
+
+    /// Orders VMs for a wave: those that are being evacuated already come first, then those of the
+    /// data hall in which the wave works, where halls are told apart.
+    fn sort_candidates(&self, candidates: &mut [&VmStatus], rows: &VmListing, state: &WaveState) {
+        if self.ledger.context.shared.terms.tolerated_halls == 0 {
+            candidates.sort_by_key(|row| !self.evacuating.contains_key(&row.name));
+            return;
+        }
+        let under_way = state.progress.down.keys().chain(self.evacuating.keys());
+        let halls = under_way.filter_map(|vm| rows.find(vm));
+        let worked = worked_hall(halls.map(|row| row.hall.as_str()));
+        candidates.sort_by(|left, right| {
+            let key = |row: &VmStatus| {
+                let idle = !self.evacuating.contains_key(&row.name);
+                (idle, worked != Some(row.hall.as_str()))
+            };
+            let by_hall = || left.hall.cmp(&right.hall);
+            key(left).cmp(&key(right)).then_with(by_hall)
+        });
+    }
+
     /// Evacuates the next VMs, and returns those that may go down.
     async fn evacuate_next<'a>(
         &mut self,
@@ -218,8 +285,7 @@
             .filter(|row| self.may_order(row))
             .filter(|row| !self.ledger.is_claimed(&row.name, VmClaim::Maintenance))
             .collect();
-        // VMs that are being evacuated already come first.
-        candidates.sort_by_key(|row| !self.evacuating.contains_key(&row.name));
+        self.sort_candidates(&mut candidates, rows, state);
         let pool = &self.ledger.context.pool;
         let own = rows.iter().filter(|row| row.pool == *pool).count();
         let down = state.progress.down.len();
--- a/crates/hoisthitch-scheduler/tests/ownership/waves.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/waves.rs
@@ -7,7 +7,10 @@
     Result,
     ensure, //
 };
-use hoisthitch_tests::world::StoreFaults;
+use hoisthitch_tests::world::{
+    StoreFaults,
+    hall_of, //
+};
 
 use crate::{
     check_invariants,
@@ -34,6 +37,28 @@
     wave_of_a_large_pool_is_in_time_though_the_store_is_slow => is_in_time();
     moves_of_a_pool_do_not_wait_for_its_wave => publishes_during_wave();
     vm_whose_upkeep_was_not_answered_takes_tasks_again => takes_tasks_again();
+    wave_goes_hall_by_hall_where_halls_may_be_lost => goes_hall_by_hall();
+}
+
+/// A wave that takes VMs of all three halls at once leaves no hall whole when another one is lost:
+/// each hall's VMs go down before those of the next.
+async fn goes_hall_by_hall() -> Result<()> {
+    let mut world = TestWorld::start(0, 12).await?;
+    world.terms.tolerated_halls = 1;
+    for node in ["node-0", "node-1"] {
+        world.start_node(node)?;
+    }
+    sleep_ms(3_000).await;
+    complete_wave(&world, 12, 60_000).await?;
+    let halls: Vec<String> = world
+        .fleet
+        .maintenance_order()
+        .iter()
+        .map(|vm| hall_of(vm))
+        .collect();
+    let changes = halls.windows(2).filter(|pair| pair[0] != pair[1]).count();
+    ensure!(halls.len() == 12 && changes == 2, "{halls:?}");
+    check_invariants(&world)
 }
 
 /// Requests a wave of the first `vms` VMs, and waits until it is completed.
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -311,6 +311,13 @@
             .collect()
     }
 
+    /// VMs that went down for maintenance, in order.
+    pub fn maintenance_order(&self) -> Vec<String> {
+        let state = self.state.borrow();
+        let starts = state.maintenance_starts.iter();
+        starts.map(|(vm, _, _)| vm.clone()).collect()
+    }
+
     /// Number of VMs that went down for maintenance, and the most at once.
     pub fn maintenance_counts(&self) -> (usize, usize) {
         let state = self.state.borrow();
