--- a/crates/hoisthitch-jobs/src/hall_spread.rs
+++ b/crates/hoisthitch-jobs/src/hall_spread.rs
@@ -16,7 +16,10 @@
         RunnerKey, //
     },
     spec::StepSpec,
-    task::TaskRef, //
+    task::{
+        TaskRef,
+        TaskState, //
+    }, //
 };
 
 /// Most tasks of a job whose short steps are spread: counts of larger jobs would take longer than
@@ -140,7 +143,12 @@
             even_share: 0,
         };
         for (_, other) in job.tasks_of(entry.round, entry.step) {
-            let runner = other.runner().and_then(|key| self.runners.get(key));
+            let key = match &other.state {
+                // A new owner knows the runner by its name until that responds.
+                TaskState::Unconfirmed { runner, .. } => self.runner_names.get(runner).copied(),
+                _ => other.runner(),
+            };
+            let runner = key.and_then(|key| self.runners.get(key));
             if let Some(count) = runner.and_then(|runner| counts.tasks.get_mut(runner.hall_number))
             {
                 *count += 1;
--- a/crates/hoisthitch-jobs/tests/decisions/halls.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/halls.rs
@@ -20,6 +20,9 @@
     HallLossWait,
     HeartbeatReport,
     InheritedRuns,
+    JobPhase,
+    JobProgress,
+    NewJob,
     PoolState,
     PoolTerms,
     ResourceAmounts,
@@ -28,6 +31,8 @@
     SpareVm,
     StartOrder,
     StepSpec,
+    TaskPhase,
+    TaskProgress,
     VmBalance,
     choose_vms,
     worked_hall, //
@@ -54,6 +59,7 @@
     cordoned_hall_does_not_count => cordoned_hall();
     lost_hall_gets_nothing_and_its_return_moves_nothing => lost_and_back();
     step_that_refills_goes_to_the_hall_with_fewest => refills();
+    new_owner_counts_what_it_has_not_confirmed => counts_unconfirmed();
     label_goes_before_an_even_spread => label_first();
     anti_affinity_goes_before_an_even_spread => anti_affinity_first();
     rack_of_a_gang_goes_before_an_even_spread => gang_first();
@@ -252,6 +258,32 @@
     Ok(())
 }
 
+/// An owner that has taken over knows four tasks of its first hall from the record; the other two
+/// go elsewhere, though nothing has responded there yet either.
+async fn counts_unconfirmed() -> Result<()> {
+    let mut state = pool_over([&[8; 4], &[8; 4], &[8; 4]]);
+    let ordered = |index: u32| TaskProgress {
+        phase: TaskPhase::Ordered,
+        run: 1,
+        runner: format!("a{index}"),
+        ..TaskProgress::default()
+    };
+    let mut tasks: Vec<TaskProgress> = (0..4).map(ordered).collect();
+    tasks.resize(6, TaskProgress::default());
+    let job = NewJob {
+        progress: Some(JobProgress {
+            phase: JobPhase::Running,
+            tasks,
+        }),
+        ..new_job("s", vec![service(6, 2)])
+    };
+    state.add_job(job, 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let found = by_hall(&state, &orders);
+    ensure!(found == counts(&[("b", 1), ("c", 1)]), "{found:?}");
+    Ok(())
+}
+
 async fn label_first() -> Result<()> {
     let mut state = pool_over([&[8; 2], &[8; 2], &[8; 2]]);
     let labelled = RunnerFacts {
