--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -19,7 +19,10 @@
 mod fair;
 mod forecast;
 mod gang;
+mod hall_balance;
 mod hall_loss;
+mod hall_spread;
+mod hall_upkeep;
 mod intake;
 mod job;
 mod likelihood;
@@ -67,6 +70,17 @@
     DemandHistory,
     VmForecast, //
 };
+pub use hall_balance::{
+    SpareEase,
+    SpareVm,
+    choose_vms, //
+};
+pub use hall_spread::UnevenStep;
+pub use hall_upkeep::{
+    HALL_LOSS_WAIT_MAX_MS,
+    HallLossWait,
+    worked_hall, //
+};
 pub use intake::{
     IntakeDecision,
     IntakeRefusal,
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -62,6 +62,8 @@
     pub intake_work: IntGaugeVec,
     /// Capacity of pools of this node that are under pressure, in thousandths of a core.
     pub intake_capacity: IntGaugeVec,
+    /// VMs of this node's pools by data hall, where halls are told apart.
+    pub pool_vms: IntGaugeVec,
 }
 
 impl NodeMetrics {
@@ -122,7 +124,13 @@
             registry.register(Box::new(gauges.clone()))?;
             prometheus::Result::Ok(gauges)
         };
+        let pool_vms = IntGaugeVec::new(
+            Opts::new("hoisthitch_pool_vms", "VMs of owned pools by data hall"),
+            &["pool", "hall"],
+        )?;
+        registry.register(Box::new(pool_vms.clone()))?;
         Ok(Self {
+            pool_vms,
             members_visited,
             refusals: counter(
                 "hoisthitch_job_refusals_total",
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -198,6 +198,8 @@
     intake_reporter: IntakeReporter,
     /// Time from the acceptance to the first start, of jobs that have not ended, by identifier.
     first_waits: HashMap<String, Millis>,
+    /// VMs by data hall, as shown in the metrics.
+    shown_halls: BTreeMap<String, u32>,
 }
 
 /// Receiving ends of the owner's event sources.
@@ -270,6 +272,7 @@
         cordon_reporter: CordonReporter::default(),
         intake_reporter: IntakeReporter::new(inherits_pressure),
         first_waits: HashMap::new(),
+        shown_halls: BTreeMap::new(),
         context,
     };
     owner.count_event("pool_taken");
@@ -288,6 +291,7 @@
     let end = owner.run(&mut channels, &mut recorded).await;
     vms.abort();
     owner.forget_pressure();
+    owner.show_vms_by_hall(&BTreeMap::new());
     owner.count_event("pool_left");
     event!(
         Info,
@@ -487,6 +491,7 @@
             self.queue_order(stop.runner, RunnerOrder::Stop(stop));
         }
         self.log_lost_runs();
+        self.log_uneven_steps();
         self.log_ended_jobs();
         self.start_write(now);
     }
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -18,6 +18,10 @@
 
 use std::{
     cell::Cell,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -27,6 +31,7 @@
     EvacuationStatus,
     Millis,
     RunnerInstance,
+    SpareVm,
     WantedVms, //
 };
 use hoisthitch_store::StoreError;
@@ -100,6 +105,10 @@
     VmDownUnconfirmed { runner: String },
     /// This number of VMs of other pools is on its way to the pool.
     Coming { vms: u32 },
+    /// Ask which data halls count as lost.
+    LostHalls {
+        reply: oneshot::Sender<BTreeSet<String>>,
+    },
     /// Ask what the pool needs, and which runners it can spare.
     Demand {
         reply: oneshot::Sender<DemandAnswer>,
@@ -113,8 +122,10 @@
     pub(crate) want: WantedVms,
     /// VMs of its runners.
     pub(crate) vms: Vec<String>,
-    /// Runners that it can spare and their VMs, the best to give up first.
-    pub(crate) spare: Vec<(RunnerInstance, String)>,
+    /// VMs that it can spare, the best to give up first.
+    pub(crate) spare: Vec<SpareVm>,
+    /// Number of its VMs by data hall; empty where halls are not told apart.
+    pub(crate) halls: BTreeMap<String, u32>,
 }
 
 /// Everything that the VM loops are given.
