Decide when a data hall counts as lost as one thing

Callers of a deployment that may lose a hall saw starts go into it until each of its runners had timed out by itself, and nothing told the loss of a hall from that of runners one by one.

HallMonitor is given what the runners of each hall last answered: at least three missed a heartbeat and two thirds are silent since about the same time, while most runners elsewhere respond. It ends when half respond (hysteresis). More silent halls than tolerated mean that the owner itself is cut off, and none counts as lost.

A planned start of which no copy was sent is withdrawn there; a copy is repeated, since it is repeated only after a response. What may run there is not started again before its lease is over. Runners that fell silent with their hall are marked until they respond; their losses are of kind `hall_lost` and no evidence against tasks, also where a restart shows only after the hall is back.

Ruled out: treating the losses as planned, since the log would then name a shutdown that nobody ordered; counting a hall by missed heartbeats alone, which takes up to 1.2 s, while a response is overdue after 1 s.

--- a/crates/hoisthitch-jobs/src/admission.rs
+++ b/crates/hoisthitch-jobs/src/admission.rs
@@ -3,7 +3,7 @@
 //!
 //! A run is planned, recorded and then ordered, and a start without an answer is sent again
 //! after heartbeats that do not show its run. By then the runner may be draining or have less
-//! capacity, its data hall may be cordoned, the ticket may have expired, or the team's limit may
+//! capacity, its data hall may be cordoned or lost, the ticket may have expired, or the team's limit may
 //! have been lowered. So each copy of a start is checked against the present state.
 //!
 //! A run of which no copy was sent is planned again. A run of which a copy may still be
@@ -44,6 +44,8 @@
     NotReady,
     /// The runner's data hall is cordoned.
     Cordoned,
+    /// The runner's data hall counts as lost, and no copy was sent.
+    HallLost,
     /// The runner is being evacuated.
     Evacuating,
     /// The runner's capacity has shrunk.
@@ -69,7 +71,9 @@
         let may_stop = is_first || !self.is_long_running(task) || self.may_disrupt(&[task]);
         match obstacle {
             // The run is not there, so that the stop ends nothing that is available.
-            StartObstacle::Draining | StartObstacle::Cordoned => StartAdmission::Withdraw,
+            StartObstacle::Draining | StartObstacle::Cordoned | StartObstacle::HallLost => {
+                StartAdmission::Withdraw
+            }
             _ if may_stop => StartAdmission::Withdraw,
             // It is available there until its VM goes down, and that waits for the step.
             StartObstacle::Evacuating => StartAdmission::Send,
@@ -90,6 +94,10 @@
         if runner.cordoned {
             return Some(StartObstacle::Cordoned);
         }
+        // A copy is sent again only after a response: the runner is back.
+        if is_first && runner.hall_lost {
+            return Some(StartObstacle::HallLost);
+        }
         if runner.unlisted {
             return Some(StartObstacle::Unlisted);
         }
--- a/crates/hoisthitch-jobs/src/hall_loss.rs
+++ b/crates/hoisthitch-jobs/src/hall_loss.rs
@@ -1,16 +1,230 @@
 //! Data halls whose runners count as lost together.
 //!
+//! [`HallMonitor`] is given what the runners of each hall last answered, and decides which halls
+//! count as lost: most runners there fell silent within a short time, while most runners
+//! elsewhere respond. More silent halls than the deployment tolerates mean that the owner itself
+//! is cut off, and none counts as lost.
+//!
 //! While a hall counts as lost, nothing is placed on its runners, whatever each of them last
-//! reported.
+//! reported. What may run there is not started elsewhere before its lease is over or its end is
+//! known. Losses of runners that fell silent with their hall say nothing against their tasks.
 
-use std::collections::BTreeSet;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use crate::{
+    Millis,
     pool::PoolState,
-    runner::RunnerKey, //
+    runner::{
+        RunnerEntry,
+        RunnerKey, //
+    }, //
 };
 
+/// Least number of runners that missed a heartbeat in a lost hall, and of runners that respond
+/// elsewhere.
+const RUNNERS_MIN: usize = 3;
+
+/// Part of a hall's runners that are silent when it begins to count as lost: numerator and
+/// denominator. It ends when half of them respond, so that a few lost runners don't decide.
+const SILENT_PART: (usize, usize) = (2, 3);
+
+/// Time within which the runners of a lost hall fell silent, in milliseconds.
+const SILENCE_WINDOW_MS: Millis = 1_500;
+
+/// Time since its last response after which a runner counts as silent before a heartbeat has
+/// failed, in milliseconds. A heartbeat waits for 700 ms and the next one follows within 100 ms.
+const OVERDUE_MS: Millis = 1_000;
+
+/// Time within which a runner answers its first heartbeat, in milliseconds.
+const FIRST_RESPONSE_MS: Millis = 1_500;
+
+/// What the runners of a hall last answered.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HallSilence {
+    /// Number of runners that are neither draining nor were silent long before the others.
+    pub runners: usize,
+    /// Those that are silent.
+    pub silent: usize,
+    /// Those of the silent ones that missed a heartbeat.
+    pub missed: usize,
+    /// Last response of the runner that was the last to fall silent; none while all respond.
+    pub since: Option<Millis>,
+}
+
+impl HallSilence {
+    fn responding(&self) -> usize {
+        self.runners - self.silent
+    }
+
+    /// Whether most of the runners fell silent together.
+    fn is_silent(&self) -> bool {
+        let (part, whole) = SILENT_PART;
+        self.missed >= RUNNERS_MIN && self.silent * whole >= self.runners * part
+    }
+
+    /// Whether half of the runners respond, or none is left.
+    fn is_back(&self) -> bool {
+        self.responding() * 2 >= self.runners
+    }
+}
+
+/// Why a hall does not count as lost any more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HallReturn {
+    /// Half of its runners respond, or none is left.
+    Responding,
+    /// More halls are silent than may be lost at once.
+    TooManySilent,
+}
+
+/// A change of the halls that count as lost.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HallChange {
+    /// The hall.
+    pub hall: String,
+    /// Why it does not count as lost any more; none if it counts as lost now.
+    pub back: Option<HallReturn>,
+    /// What its runners last answered.
+    pub silence: HallSilence,
+    /// Time since its last response before it was lost, in milliseconds.
+    pub age: Millis,
+}
+
+/// Which halls count as lost.
+#[derive(Clone, Debug, Default)]
+pub struct HallMonitor {
+    /// Time of the last response before the loss, by hall.
+    lost: BTreeMap<String, Millis>,
+}
+
+impl HallMonitor {
+    /// Decides anew; returns what changed. `tolerated` is the number of halls that may be lost
+    /// at once.
+    pub fn update(
+        &mut self,
+        halls: &BTreeMap<String, HallSilence>,
+        tolerated: u32,
+        now: Millis,
+    ) -> Vec<HallChange> {
+        let silence_of = |hall: &str| halls.get(hall).copied().unwrap_or_default();
+        let silent: BTreeSet<&str> = halls
+            .iter()
+            .filter(|(hall, silence)| {
+                let is_lost = self.lost.contains_key(*hall) && !silence.is_back();
+                is_lost || silence.is_silent()
+            })
+            .map(|(hall, _)| hall.as_str())
+            .collect();
+        let is_tolerated = usize::try_from(tolerated).is_ok_and(|most| silent.len() <= most);
+        let mut changes = Vec::new();
+        let mut kept = BTreeMap::new();
+        for (hall, since) in std::mem::take(&mut self.lost) {
+            if is_tolerated && silent.contains(hall.as_str()) {
+                kept.insert(hall, since);
+                continue;
+            }
+            changes.push(HallChange {
+                silence: silence_of(&hall),
+                age: now.saturating_sub(since),
+                back: Some(if silent.contains(hall.as_str()) {
+                    HallReturn::TooManySilent
+                } else {
+                    HallReturn::Responding
+                }),
+                hall,
+            });
+        }
+        self.lost = kept;
+        if !is_tolerated || !responds_elsewhere(halls, &silent) {
+            return changes;
+        }
+        for hall in silent {
+            if self.lost.contains_key(hall) {
+                continue;
+            }
+            let silence = silence_of(hall);
+            let since = silence.since.unwrap_or(now);
+            self.lost.insert(hall.to_owned(), since);
+            changes.push(HallChange {
+                hall: hall.to_owned(),
+                back: None,
+                silence,
+                age: now.saturating_sub(since),
+            });
+        }
+        changes
+    }
+
+    /// Halls that count as lost.
+    pub fn lost(&self) -> BTreeSet<String> {
+        self.lost.keys().cloned().collect()
+    }
+}
+
+/// Whether most runners outside the silent halls respond.
+fn responds_elsewhere(halls: &BTreeMap<String, HallSilence>, silent: &BTreeSet<&str>) -> bool {
+    let others = halls
+        .iter()
+        .filter(|(hall, _)| !silent.contains(hall.as_str()));
+    let (mut runners, mut responding) = (0, 0);
+    for (_, silence) in others {
+        runners += silence.runners;
+        responding += silence.responding();
+    }
+    responding >= RUNNERS_MIN && responding * 2 > runners
+}
+
+impl RunnerEntry {
+    /// Time of the last response if the runner is silent now, or of its listing if it never
+    /// responded.
+    fn silent_from(&self, now: Millis) -> Option<Millis> {
+        let Some(response) = self.last_response_at else {
+            return Some(self.first_seen_at);
+        };
+        let is_silent = self.silent_since.is_some() || response + OVERDUE_MS < now;
+        is_silent.then_some(response)
+    }
+
+    /// Whether it may still answer its first heartbeat.
+    fn is_new(&self, now: Millis) -> bool {
+        self.last_response_at.is_none() && self.first_seen_at + FIRST_RESPONSE_MS > now
+    }
+}
+
 impl PoolState {
+    /// What the runners of each hall last answered.
+    pub fn hall_silences(&self, now: Millis) -> BTreeMap<String, HallSilence> {
+        let counted = |runner: &&RunnerEntry| {
+            let is_known = !runner.facts.hall.is_empty();
+            is_known && !runner.facts.draining && !runner.is_new(now)
+        };
+        let mut halls: BTreeMap<String, HallSilence> = BTreeMap::new();
+        for runner in self.runners.values().filter(counted) {
+            let silence = halls.entry(runner.facts.hall.clone()).or_default();
+            silence.since = silence.since.max(runner.silent_from(now));
+        }
+        for runner in self.runners.values().filter(counted) {
+            let Some(silence) = halls.get_mut(&runner.facts.hall) else {
+                continue;
+            };
+            let silent_from = runner.silent_from(now);
+            let earliest = silence.since.unwrap_or(0).saturating_sub(SILENCE_WINDOW_MS);
+            // It was lost before, by itself.
+            if silent_from.is_some_and(|from| from < earliest) {
+                continue;
+            }
+            silence.runners += 1;
+            if silent_from.is_some() {
+                silence.silent += 1;
+                silence.missed += usize::from(runner.silent_since.is_some());
+            }
+        }
+        halls
+    }
+
     /// Sets which halls count as lost; returns whether that changed.
     pub fn set_lost_halls(&mut self, halls: BTreeSet<String>) -> bool {
         if self.lost_halls == halls {
@@ -29,6 +243,8 @@
     pub(crate) fn update_hall_loss(&mut self, key: RunnerKey) {
         if let Some(runner) = self.runners.get_mut(key) {
             runner.hall_lost = self.lost_halls.contains(&runner.facts.hall);
+            // Cleared by its next response.
+            runner.lost_with_hall |= runner.hall_lost;
         }
     }
 }
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -65,6 +65,12 @@
     DemandHistory,
     VmForecast, //
 };
+pub use hall_loss::{
+    HallChange,
+    HallMonitor,
+    HallReturn,
+    HallSilence, //
+};
 pub use intake::{
     IntakeDecision,
     IntakeRefusal,
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -83,6 +83,15 @@
     Silent,
     /// It went down as ordered or announced.
     Planned,
+    /// Its data hall was lost.
+    Hall,
+}
+
+impl RunnerLoss {
+    /// Whether it says nothing against the tasks that ran there.
+    pub(crate) fn is_explained(self) -> bool {
+        matches!(self, Self::Planned | Self::Hall)
+    }
 }
 
 impl Display for RunnerLoss {
@@ -91,6 +100,7 @@
             Self::Crashed => "crashed",
             Self::Silent => "silent",
             Self::Planned => "planned",
+            Self::Hall => "hall_lost",
         })
     }
 }
@@ -262,6 +272,7 @@
         };
         let loss = match loss {
             _ if runner.facts.draining || runner.evacuating => RunnerLoss::Planned,
+            _ if runner.lost_with_hall => RunnerLoss::Hall,
             // Reset connections show that no process listened there any more.
             RunnerLoss::Silent if moment.reset => RunnerLoss::Crashed,
             loss => loss,
@@ -320,6 +331,11 @@
     /// Records the loss of a runner that is not listed.
     pub(crate) fn record_unknown_loss(&mut self, name: &str, loss: RunnerLoss, now: Millis) {
         let tasks = self.unconfirmed_tasks_on(name);
+        let listed = self.runner_key(name).and_then(|key| self.runners.get(key));
+        let loss = match listed {
+            Some(runner) if runner.lost_with_hall => RunnerLoss::Hall,
+            _ => loss,
+        };
         let lost = LostRunner::unknown(name.to_owned(), loss, tasks, now);
         self.record_lost_runs(&lost, None);
     }
@@ -560,7 +576,7 @@
     }
 
     fn store_loss(&mut self, lost: &LostRunner) {
-        if lost.loss == RunnerLoss::Planned || !lost.moment.known {
+        if lost.loss.is_explained() || !lost.moment.known {
             return;
         }
         let steps = lost.tasks.iter().filter_map(|task| self.round_step(*task));
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -58,6 +58,7 @@
         self.responding_since.get_or_insert(now);
         runner.silent_since = None;
         runner.loss_recorded = false;
+        runner.lost_with_hall = false;
         runner.last_response_at = Some(now);
         runner.last_heartbeat_at = runner.last_heartbeat_at.max(Some(sent_at));
         let last_seen_end = runner.last_seen_end;
@@ -104,6 +105,7 @@
     ) {
         if let Some(runner) = self.runners.get_mut(key) {
             runner.ready = false;
+            runner.lost_with_hall |= runner.hall_lost;
             if runner.silent_since.is_none() {
                 runner.silent_since = Some(now);
                 runner.was_reset = reset;
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -170,6 +170,8 @@
     pub cordoned: bool,
     /// Whether its data hall counts as lost.
     pub hall_lost: bool,
+    /// Whether it has not responded since its data hall was lost.
+    pub(crate) lost_with_hall: bool,
     /// Latest time at which its leases may end, and with them everything that runs on it, if
     /// it gets no further heartbeat.
     pub lease_until: Millis,
@@ -233,6 +235,7 @@
             evacuating: false,
             cordoned: false,
             hall_lost: false,
+            lost_with_hall: false,
             lease_until,
             lease_confirmed_until: None,
             relocating_until: 0,
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -18,7 +18,6 @@
 use crate::{
     Millis,
     likelihood::crash_weight,
-    losses::RunnerLoss,
     pool::PoolState,
     record::JobPhase,
     runner::{
@@ -102,7 +101,7 @@
         let Some(entry) = self.task_mut(task) else {
             return;
         };
-        if evidence.loss == RunnerLoss::Planned {
+        if evidence.loss.is_explained() {
             entry.suspicion.add_planned(evidence.run);
             return;
         }
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod cordons;
 mod demand;
 mod fair;
+mod hall_loss;
 mod lives;
 mod load;
 mod order;
