Choose owners over halls, watch halls, and hand a pool over beyond a cut

Where a deployment may lose a hall, an owner and its standbys could go with one hall, each runner there timed out by itself, and an owner that did not reach a hall kept its pool although a node in a third hall reached all.

Owners: among candidates of equal relative load, those outside the hall of the pool's last owner come first, then the hall that owns fewer pools; the order alternates halls, and of three standbys at most two stand in one hall. The owner's record names its hall (a stored field with a default, left out where halls may not be lost). Pools that are vacant together are taken 60 ms apart in the order of the configuration, which all nodes know.

The owner asks the monitor every 50 ms, logs `hall_lost` and `hall_back` with the number of the hall's nodes in the group as second witness, and lets its sessions drop first copies of starts that wait for their turn. Where the hall's nodes are in the group 1 s after it counts as lost, its node releases the pool with a record that names the first candidate in a third hall; that node alone campaigns. Again after 10 s at the earliest.

One commit for the three, since node.rs and the owner's context carry them together. With no tolerated hall, ranks, records and waits are as before.

Tests: ownership/halls.rs, 17 cases (a hall lost, cut off, with the owner, while cordoned, while a wave runs, while the owner hands over, with a slow store, back after 1.5 s; two halls silent; bridge; owners replaced). Scaffolding: halls of nodes, more pools, a count of calls.

--- a/crates/hoisthitch-scheduler/src/group.rs
+++ b/crates/hoisthitch-scheduler/src/group.rs
@@ -42,6 +42,11 @@
 
 use crate::{
     follow::FollowEvent,
+    group_halls::{
+        HallNodes,
+        HallRank,
+        alternate_halls, //
+    },
     identity::{
         NodeIdentity,
         OwnerRecord, //
@@ -82,7 +87,7 @@
 /// Standbys of each pool. They follow the runners, whose records change hundreds of times a
 /// second in a large fleet. If that many nodes are lost at once, another node reads the records
 /// only when it takes over.
-const STANDBYS: usize = 3;
+pub(crate) const STANDBYS: usize = 3;
 
 /// Scale of a node's relative load, which is its number of pools per thousandth of a core.
 const LOAD_SCALE: usize = 1_000_000;
@@ -141,10 +146,14 @@
     /// When a pool was first seen without a living owner.
     vacant_since: BTreeMap<String, Millis>,
     /// Time since which the instances of the members are unchanged.
-    unchanged_since: Millis,
+    pub(crate) unchanged_since: Millis,
     /// Number of members visited by decisions. Every node decides after each change of the group,
     /// so that what a decision visits must not grow with the group while nothing is to be decided.
     visited: Cell<u64>,
+    /// Whether data halls may be lost, so that a pool's owner and standbys stand in several.
+    pub(crate) spreads_halls: bool,
+    /// Number of members in each hall.
+    pub(crate) hall_nodes: HallNodes,
 }
 
 /// A pool that this node should hand over to a node with much more capacity for it.
@@ -172,6 +181,7 @@
         match change {
             FollowEvent::Snapshot(values) => {
                 let before = std::mem::take(&mut self.members);
+                self.hall_nodes.clear();
                 self.owners.clear();
                 for value in values {
                     self.put(keys, &value);
@@ -189,7 +199,11 @@
                     return false;
                 };
                 event!(Warn, "node_gone", node = node);
-                self.members.remove(node).is_some()
+                let left = self.members.remove(node);
+                if let Some(member) = &left {
+                    self.hall_nodes.remove(&member.hall);
+                }
+                left.is_some()
             }
         }
     }
@@ -200,7 +214,11 @@
             match serde_json::from_slice::<MemberRecord>(&value.value) {
                 Ok(record) => {
                     let instance = record.instance;
+                    self.hall_nodes.add(&record.hall);
                     let before = self.members.insert(node.to_owned(), record);
+                    if let Some(member) = &before {
+                        self.hall_nodes.remove(&member.hall);
+                    }
                     return before.is_none_or(|before| before.instance != instance);
                 }
                 Err(err) => event!(Error, "member_unreadable", node = node, error = err),
@@ -219,7 +237,7 @@
     }
 
     /// Counts members that a decision visits.
-    fn visit(&self, members: usize) {
+    pub(crate) fn visit(&self, members: usize) {
         let members = u64::try_from(members).unwrap_or(u64::MAX);
         self.visited.set(self.visited.get().saturating_add(members));
     }
@@ -265,19 +283,27 @@
             self.vacant_since.entry((*pool).clone()).or_insert(now);
         }
         let mut pool_counts = self.pool_counts(pools);
+        let mut hall_counts = self.hall_counts(pools);
         let mut to_own = Vec::new();
-        for pool in vacant {
-            let order = self.candidates(pool, &pool_counts);
+        for (position, pool) in vacant.into_iter().enumerate() {
+            let order = self.candidates(pool, &pool_counts, &hall_counts);
             // Counted as taken, so that several vacant pools do not all go to one node.
             if let Some(first) = order.first() {
                 *pool_counts.entry(first.clone()).or_insert(0) += 1;
+                if let Some(member) = self.members.get(first).filter(|_| self.spreads_halls) {
+                    *hall_counts.entry(member.hall.clone()).or_insert(0) += 1;
+                }
             }
             let rank = order.iter().position(|node| *node == identity.node);
             let Some(rank) = rank.and_then(|rank| Millis::try_from(rank).ok()) else {
                 continue;
             };
             let since = self.vacant_since.get(pool).copied().unwrap_or(now);
-            let due = (since + rank * ELECTION_STEP_MS).max(last_store_failure + SETTLE_MS);
+            // A node that the last owner chose does not wait for the candidates before it.
+            let is_chosen = self.spreads_halls && self.names_owner(pool, identity);
+            let rank = if is_chosen { 0 } else { rank };
+            let turn = self.takeover_turn(position);
+            let due = (since + rank * ELECTION_STEP_MS + turn).max(last_store_failure + SETTLE_MS);
             if now >= due {
                 let revision = self
                     .owners
@@ -307,7 +333,7 @@
         let pool_counts = self.pool_counts(pools);
         let load = relative_load(own_pools, identity.cpu_milli);
         let pool = pools.iter().find(|pool| self.names_owner(pool, identity))?;
-        let order = self.candidates(pool, &pool_counts);
+        let order = self.candidates(pool, &pool_counts, &self.hall_counts(pools));
         let node = order.into_iter().find(|node| *node != identity.node)?;
         let cpu_milli = self.members.get(&node)?.cpu_milli;
         let target_load =
@@ -326,12 +352,18 @@
             return false;
         }
         let owned = self.owned_counts(pools);
+        if self.spreads_halls {
+            return self.is_standby_by_hall(pools, node, &owned);
+        }
         pools.iter().any(|pool| {
-            let own = self.rank_of(pool, node, &owned);
+            let own = self.rank_of(pool, node, &owned, &BTreeMap::new());
             let mut visited = 0;
             let better = self.members.keys().filter(|other| {
                 visited += 1;
-                *other != node && self.rank_of(pool, other, &owned).is_before(&own)
+                *other != node
+                    && self
+                        .rank_of(pool, other, &owned, &BTreeMap::new())
+                        .is_before(&own)
             });
             let standing = better.take(STANDBYS).count();
             self.visit(visited);
@@ -341,14 +373,14 @@
 
     /// Whether the record of the pool's owner names this instance of this node. If the node does
     /// not run the pool, the answer to its election was lost.
-    fn names_owner(&self, pool: &str, identity: &NodeIdentity) -> bool {
+    pub(crate) fn names_owner(&self, pool: &str, identity: &NodeIdentity) -> bool {
         self.owners.get(pool).is_some_and(|entry| {
             entry.record.node == identity.node && entry.record.instance == identity.instance
         })
     }
 
     /// Number of pools that each living owner owns.
-    fn owned_counts(&self, pools: &[String]) -> BTreeMap<&str, usize> {
+    pub(crate) fn owned_counts(&self, pools: &[String]) -> BTreeMap<&str, usize> {
         let mut counts = BTreeMap::new();
         for pool in pools.iter().filter(|pool| self.is_owned(pool)) {
             if let Some(entry) = self.owners.get(pool) {
@@ -359,7 +391,7 @@
     }
 
     /// Number of pools that each living node owns.
-    fn pool_counts(&self, pools: &[String]) -> BTreeMap<String, usize> {
+    pub(crate) fn pool_counts(&self, pools: &[String]) -> BTreeMap<String, usize> {
         self.visit(self.members.len());
         let owned = self.owned_counts(pools);
         let nodes = self.members.keys();
@@ -369,49 +401,76 @@
     }
 
     /// A node's place among the candidates for a pool.
-    fn rank_of<'a>(
+    pub(crate) fn rank_of<'a>(
         &self,
         pool: &'a str,
         node: &'a str,
         owned: &BTreeMap<&str, usize>,
+        hall_counts: &BTreeMap<String, usize>,
     ) -> CandidateRank<'a> {
         let member = self.members.get(node);
-        CandidateRank::new(pool, node, member, owned.get(node).copied().unwrap_or(0))
+        let pools = owned.get(node).copied().unwrap_or(0);
+        let hall = self.hall_rank(pool, member, hall_counts);
+        CandidateRank::new(pool, node, member, pools, hall)
     }
 
     /// Living nodes in the order in which they should campaign for a pool: by relative load with
     /// the pool, and at equal load the node that started last first. In a rolling restart, a node
     /// that was not restarted yet would hand the pool on again, which takes three seconds where
     /// the store is slow.
-    fn candidates(&self, pool: &str, pool_counts: &BTreeMap<String, usize>) -> Vec<String> {
+    pub(crate) fn candidates(
+        &self,
+        pool: &str,
+        pool_counts: &BTreeMap<String, usize>,
+        hall_counts: &BTreeMap<String, usize>,
+    ) -> Vec<String> {
         let mut order: Vec<String> = self.members.keys().cloned().collect();
         self.visit(order.len());
         order.sort_by_cached_key(|node| {
             let pools = pool_counts.get(node).copied().unwrap_or(0);
-            let rank = CandidateRank::new(pool, node, self.members.get(node), pools);
+            let member = self.members.get(node);
+            let hall = self.hall_rank(pool, member, hall_counts);
+            let rank = CandidateRank::new(pool, node, member, pools, hall);
             (rank.order, rank.tie_breaker())
         });
+        if self.spreads_halls {
+            alternate_halls(&mut order, |node| {
+                let member = self.members.get(node);
+                let pools = pool_counts.get(node).copied().unwrap_or(0);
+                let cpu_milli = member.map_or(1, |member| member.cpu_milli);
+                let hall = member.map_or("", |member| member.hall.as_str());
+                (relative_load(pools + 1, cpu_milli), hall)
+            });
+        }
         order
     }
 }
 
 /// A node's place among the candidates for a pool. The hash that decides between equal ones is
 /// computed only where it is needed.
-struct CandidateRank<'a> {
-    /// Relative load with the pool, and the start of the node, the latest first.
-    order: (usize, Reverse<u64>),
+pub(crate) struct CandidateRank<'a> {
+    /// Relative load with the pool, then its data hall's rank, and the start of the node, the
+    /// latest first.
+    order: (usize, HallRank, Reverse<u64>),
     pool: &'a str,
     node: &'a str,
 }
 
 impl<'a> CandidateRank<'a> {
     /// The place of a node that owns that many pools.
-    fn new(pool: &'a str, node: &'a str, member: Option<&MemberRecord>, pools: usize) -> Self {
+    fn new(
+        pool: &'a str,
+        node: &'a str,
+        member: Option<&MemberRecord>,
+        pools: usize,
+        hall: HallRank,
+    ) -> Self {
         let cpu_milli = member.map_or(1, |member| member.cpu_milli);
         let started_ms = member.map_or(0, |member| member.started_ms);
         Self {
             order: (
                 relative_load(pools + 1, cpu_milli),
+                hall,
                 Reverse(started_ms / START_WINDOW_MS),
             ),
             pool,
@@ -424,7 +483,7 @@
     }
 
     /// Whether it comes before another one.
-    fn is_before(&self, other: &Self) -> bool {
+    pub(crate) fn is_before(&self, other: &Self) -> bool {
         match self.order.cmp(&other.order) {
             Ordering::Equal => self.tie_breaker() < other.tie_breaker(),
             order => order == Ordering::Less,
--- a/crates/hoisthitch-scheduler/src/identity.rs
+++ b/crates/hoisthitch-scheduler/src/identity.rs
@@ -28,4 +28,8 @@
     pub(crate) instance: u64,
     /// Number of the ownership; it counts the owners of the pool.
     pub(crate) term: u64,
+    /// Data hall of the node; empty where halls may not be lost.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub(crate) hall: String,
 }
--- a/crates/hoisthitch-scheduler/src/lib.rs
+++ b/crates/hoisthitch-scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod follow;
 mod group;
+mod group_halls;
 mod http;
 mod identity;
 mod index;
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -52,6 +52,8 @@
     pub cordoned_halls: IntGauge,
     /// Tasks that run in cordoned halls, by pool of this node and hall.
     pub cordoned_tasks: IntGaugeVec,
+    /// Data halls that count as lost, by pool of this node and hall: 1 or 0.
+    pub lost_halls: IntGaugeVec,
 }
 
 impl NodeMetrics {
@@ -107,10 +109,19 @@
             &["pool", "hall"],
         )?;
         registry.register(Box::new(cordoned_tasks.clone()))?;
+        let lost_halls = IntGaugeVec::new(
+            Opts::new(
+                "hoisthitch_lost_halls",
+                "Data halls whose runners count as lost together",
+            ),
+            &["pool", "hall"],
+        )?;
+        registry.register(Box::new(lost_halls.clone()))?;
         Ok(Self {
             members_visited,
             cordoned_halls,
             cordoned_tasks,
+            lost_halls,
             loop_seconds,
             policy_version,
             platform_calls: counter(
--- a/crates/hoisthitch-scheduler/src/node.rs
+++ b/crates/hoisthitch-scheduler/src/node.rs
@@ -8,6 +8,7 @@
 //! Runners are followed only while this node owns a pool or is a standby for one.
 
 use std::{
+    cell::RefCell,
     collections::BTreeMap,
     rc::Rc,
     sync::Arc,
@@ -43,11 +44,16 @@
         leave_group,
         maintain_membership, //
     },
-    identity::NodeIdentity,
+    identity::{
+        NodeIdentity,
+        OwnerRecord, //
+    },
+    journal::encode_record,
     keys::JobKeys,
     metrics::seconds,
     operators::OperatorWatcher,
     owner::{
+        CutHandover,
         OwnerContext,
         OwnerEnd,
         run_owner, //
@@ -84,6 +90,8 @@
     fleet: Rc<watch::Sender<Arc<FleetView>>>,
     /// Pools that this node owns or campaigns for, each with its stop signal.
     running: BTreeMap<String, watch::Sender<bool>>,
+    /// Handovers of these pools because of a cut between data halls.
+    cuts: BTreeMap<String, Rc<RefCell<CutHandover>>>,
     ended: mpsc::UnboundedSender<String>,
 }
 
@@ -130,9 +138,11 @@
         identity,
         fleet,
         running: BTreeMap::new(),
+        cuts: BTreeMap::new(),
         ended,
     };
     let mut group = GroupView::default();
+    group.spreads_halls = control.shared.terms.tolerated_halls > 0;
     let mut check = tokio::time::interval(CHECK_INTERVAL);
     check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut is_standby = false;
@@ -140,8 +150,14 @@
         let mut group_changed = false;
         tokio::select! {
             biased;
-            _ = check.tick() => control.hand_over_pool(&group),
-            Some(pool) = ends.recv() => drop(control.running.remove(&pool)),
+            _ = check.tick() => {
+                control.hand_over_pool(&group);
+                control.hand_over_beyond_cut(&group);
+            }
+            Some(pool) = ends.recv() => {
+                control.running.remove(&pool);
+                control.cuts.remove(&pool);
+            }
             Some(()) = operator_changes.recv() => group_changed = true,
             Some(change) = group_changes.recv() => {
                 let now = control.shared.clock.now();
@@ -151,6 +167,7 @@
                     group.apply(&control.keys, change, now);
                 }
                 control.shared.store.record_node_count(group.members.len());
+                control.publish_hall_nodes(&group);
                 listed.send_replace(group.has_instance(&control.identity));
                 group_changed = true;
             }
@@ -246,6 +263,8 @@
         for (pool, revision) in to_own {
             let (stop, stop_receiver) = watch::channel(false);
             self.running.insert(pool.clone(), stop);
+            let cut = Rc::<RefCell<CutHandover>>::default();
+            self.cuts.insert(pool.clone(), cut.clone());
             let context = OwnerContext {
                 platform: self.platform.clone(),
                 shared: self.shared.clone(),
@@ -254,6 +273,8 @@
                 pool: pool.clone(),
                 fleet: self.fleet.subscribe(),
                 stop: stop_receiver,
+                offered: group.names_owner(&pool, &self.identity),
+                cut,
             };
             let ended = self.ended.clone();
             actix_rt::spawn(async move {
@@ -291,6 +312,52 @@
     }
 }
 
+impl<P: Platform> NodeControl<P> {
+    /// Publishes how many nodes each data hall has, where halls may be lost.
+    fn publish_hall_nodes(&self, group: &GroupView) {
+        let published = &self.shared.hall_nodes;
+        if group.spreads_halls && **published.load() != group.hall_nodes {
+            published.store(Arc::new(group.hall_nodes.clone()));
+        }
+    }
+
+    /// Hands over a pool whose runners in one data hall this node does not reach, to a node in a
+    /// third hall. One pool at a time, so that each decision counts the one before.
+    fn hand_over_beyond_cut(&self, group: &GroupView) {
+        let now = self.shared.clock.now();
+        if !group.spreads_halls || self.running.values().any(|stop| *stop.borrow()) {
+            return;
+        }
+        let pools = &self.fleet.borrow().pools;
+        for (pool, cut) in &self.cuts {
+            let Some(hall) = cut.borrow().silent_hall.clone() else {
+                continue;
+            };
+            let target = group.pick_beyond_cut(pools, pool, &self.identity, &hall, now);
+            if let Some((node, member)) = target
+                && let Some(stop) = self.running.get(pool)
+            {
+                event!(
+                    Warn,
+                    "pool_offered_beyond_cut",
+                    pool = pool,
+                    hall = hall,
+                    to = node,
+                    to_hall = member.hall
+                );
+                cut.borrow_mut().successor = Some(OwnerRecord {
+                    node,
+                    instance: member.instance,
+                    term: 0,
+                    hall: member.hall,
+                });
+                stop.send_replace(true);
+                return;
+            }
+        }
+    }
+}
+
 /// Campaigns for a pool, and owns the pool if that succeeds.
 async fn campaign_for_pool<P: Platform>(context: OwnerContext<P>, seen: StoreRevision) {
     let pool = context.pool.clone();
@@ -319,9 +386,13 @@
     let store = context.platform.store().clone();
     let key = context.keys.owner(&pool);
     let elected = takeover.elected;
+    let term = takeover.term;
+    let cut = context.cut.clone();
     match run_owner(context, takeover).await {
         Ok(OwnerEnd::Stopped) if !shared.is_stopping() => {
-            release_pool(&store, key, elected, &pool).await;
+            let successor = cut.borrow_mut().successor.take();
+            let successor = successor.map(|record| OwnerRecord { term, ..record });
+            release_pool(&store, key, elected, successor, &pool).await;
         }
         Ok(OwnerEnd::Stopped | OwnerEnd::Deposed) => {}
         Err(err) => event!(Error, "pool_not_read", pool = pool, error = err),
@@ -329,12 +400,19 @@
 }
 
 /// Removes an owner's record while its node runs on, so that other nodes campaign for the pool
-/// at once.
-async fn release_pool<S: StoreClient>(store: &S, key: String, elected: StoreRevision, pool: &str) {
+/// at once. Where a successor is chosen, its record takes the place, and it alone campaigns while
+/// it is alive.
+async fn release_pool<S: StoreClient>(
+    store: &S,
+    key: String,
+    elected: StoreRevision,
+    successor: Option<OwnerRecord>,
+    pool: &str,
+) {
     let item = SwapItem {
         key,
         expected: elected,
-        value: None,
+        value: successor.as_ref().map(encode_record),
         lease: None,
     };
     let released = store.swap_all(vec![item]).await;
--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -436,6 +436,7 @@
             token,
             confirmed_at: self.confirmed_at.clone(),
             session_count: self.session_count.clone(),
+            lost_halls: self.halls.lost.clone(),
             key,
             address: RunnerAddress { instance, address },
             events: self.events.clone(),
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod advice;
 mod awaited;
 mod cordons;
+mod halls;
 mod inbox;
 mod instances;
 mod quota;
@@ -21,7 +22,10 @@
 mod writes;
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::{
         BTreeMap,
         BTreeSet,
@@ -64,6 +68,11 @@
 use self::advice::AdviceResult;
 use self::awaited::AwaitedPolicy;
 use self::cordons::CordonReporter;
+use self::halls::HallWatch;
+pub(crate) use self::halls::{
+    CutHandover,
+    LostHalls, //
+};
 use self::instances::InstanceTracker;
 use self::quota::{
     QuotaLedger,
@@ -132,6 +141,10 @@
     pub(crate) pool: String,
     pub(crate) fleet: watch::Receiver<Arc<FleetView>>,
     pub(crate) stop: watch::Receiver<bool>,
+    /// Whether the previous owner chose this node.
+    pub(crate) offered: bool,
+    /// Handover because of a cut between data halls, shared with the node's control loop.
+    pub(crate) cut: Rc<RefCell<CutHandover>>,
 }
 
 /// Why an owner ended.
@@ -193,6 +206,7 @@
     waiting_counts: HashMap<String, u32>,
     counts_written_at: Millis,
     cordon_reporter: CordonReporter,
+    halls: HallWatch,
 }
 
 /// Receiving ends of the owner's event sources.
@@ -260,6 +274,7 @@
         waiting_counts: HashMap::new(),
         counts_written_at: 0,
         cordon_reporter: CordonReporter::default(),
+        halls: HallWatch::default(),
         context,
     };
     owner.count_event("pool_taken");
@@ -457,6 +472,7 @@
         let mut due = self.state.needs_plan();
         if now >= self.checked_at + DEADLINE_CHECK_INTERVAL_MS {
             self.checked_at = now;
+            self.update_lost_halls(now);
             self.check_deadlines(now);
             self.update_silent(now);
             self.acknowledge_recorded();
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -53,6 +53,7 @@
 };
 use crate::{
     fleet::FleetView,
+    owner::LostHalls,
     platform::{
         RunnerAddress,
         RunnerControl, //
@@ -149,6 +150,8 @@
     pub(crate) confirmed_at: Rc<Cell<Millis>>,
     /// Number of the owner's sessions.
     pub(crate) session_count: Rc<Cell<u32>>,
+    /// Data halls that count as lost; read when a start is about to be sent.
+    pub(crate) lost_halls: LostHalls,
     pub(crate) key: RunnerKey,
     pub(crate) address: RunnerAddress,
     pub(crate) events: mpsc::UnboundedSender<SessionEvent>,
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -64,6 +64,8 @@
     RunnerDeparting,
     /// Its runner's data hall is cordoned.
     HallCordoned,
+    /// Its runner's data hall counts as lost, and no copy of it was sent before.
+    HallLost,
     /// The list of cordoned halls was not confirmed for too long.
     CordonsStale,
     /// The list of runners was not confirmed for too long, and the runner may be draining.
@@ -82,6 +84,7 @@
             Self::Withdrawn => "withdrawn",
             Self::RunnerDeparting => "runner_leaves",
             Self::HallCordoned => "hall_cordoned",
+            Self::HallLost => "hall_lost",
             Self::CordonsStale => "cordons_old",
             Self::ListStale => "list_old",
             Self::QueuedTooLong => "waited",
@@ -285,6 +288,9 @@
         if self.fleet.borrow().is_cordoned(&self.address.instance.name) {
             return Some(StartRefusal::HallCordoned);
         }
+        if order.copy <= 1 && self.is_hall_lost() {
+            return Some(StartRefusal::HallLost);
+        }
         if !self.shared.runner_list_lease.is_valid(now) {
             return Some(StartRefusal::ListStale);
         }
@@ -297,6 +303,17 @@
         (clock.granted_until.get() <= now).then_some(StartRefusal::LeaseExpired)
     }
 
+    /// Whether the runner's data hall counts as lost.
+    fn is_hall_lost(&self) -> bool {
+        let lost = self.lost_halls.borrow();
+        // There is hardly ever a lost hall.
+        !lost.is_empty() && {
+            let fleet = self.fleet.borrow();
+            let record = fleet.runners.get(&self.address.instance.name);
+            record.is_some_and(|record| lost.contains(&record.facts.hall))
+        }
+    }
+
     /// Drops a start and reports that to the owner, which decides again.
     fn drop_start(&self, order: StartOrder, admitted_at: Millis, refusal: StartRefusal) {
         let now = self.shared.clock.now();
--- a/crates/hoisthitch-scheduler/src/shared.rs
+++ b/crates/hoisthitch-scheduler/src/shared.rs
@@ -30,6 +30,7 @@
 use crate::{
     clock::NodeClock,
     cordons::HallCordons,
+    group_halls::HallNodes,
     metrics::NodeMetrics,
     platform::FleetPolicy,
     terms::DeploymentTerms, //
@@ -234,6 +235,8 @@
     pub cordons: ArcSwap<HallCordons>,
     /// Terms of the deployment.
     pub terms: DeploymentTerms,
+    /// Number of nodes that are alive in each data hall; kept only where halls may be lost.
+    pub(crate) hall_nodes: ArcSwap<HallNodes>,
     /// Whether the node may still start tasks by its list of cordoned halls.
     pub(crate) cordons_lease: ViewLease,
     /// Request to read the configuration at once.
@@ -266,6 +269,7 @@
             runner_list_lease: ViewLease::new(limits.runners),
             cordons: ArcSwap::default(),
             terms,
+            hall_nodes: ArcSwap::default(),
             cordons_lease: ViewLease::new(limits.cordons),
             policy_refresh: PolicyRefresh::default(),
             advice_permit: Semaphore::new(1),
--- a/crates/hoisthitch-scheduler/src/takeover.rs
+++ b/crates/hoisthitch-scheduler/src/takeover.rs
@@ -40,6 +40,8 @@
     pub(crate) elected: StoreRevision,
     /// The same as a number: the owner's first fencing token.
     pub(crate) epoch: u64,
+    /// Number of the ownership.
+    pub(crate) term: u64,
     /// When the election's write was sent; no other node owned the pool at that time. Every
     /// lease is limited relative to the last such time.
     pub(crate) confirmed_at: Millis,
@@ -81,6 +83,11 @@
         node: head.node.clone(),
         instance: head.instance,
         term: head.term,
+        hall: if shared.terms.tolerated_halls > 0 {
+            identity.hall.clone()
+        } else {
+            String::new()
+        },
     };
     let items = vec![
         SwapItem {
@@ -109,11 +116,13 @@
         term = head.term,
         epoch = epoch
     );
+    let term = head.term;
     let journal = PoolJournal::new(store.clone(), shared.clone(), keys, pool, head, revision);
     Ok(Some(PoolTakeover {
         journal,
         elected: revision,
         epoch,
+        term,
         confirmed_at: sent,
         notes,
     }))
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -34,6 +34,7 @@
 mod configuration;
 mod cordons;
 mod drains;
+mod halls;
 mod killers;
 mod lives;
 mod members;
--- a/crates/hoisthitch-scheduler/tests/world/codec.rs
+++ b/crates/hoisthitch-scheduler/tests/world/codec.rs
@@ -32,6 +32,10 @@
 /// the same time.
 pub const LIMITED: &str = " choirs ";
 
+/// Separates the version of a configuration from the number of its pools, where there are more
+/// than the usual one.
+pub const POOLS: &str = " rooms ";
+
 /// Number of teams in such a configuration.
 pub const CHOIRS: usize = 40;
 
@@ -66,7 +70,8 @@
         }
         let text = String::from_utf8_lossy(value);
         let (version, cores) = text.split_once(LIMITED).unwrap_or((&text, ""));
-        let policy = policy(version.parse().unwrap_or(0));
+        let (version, pools) = version.split_once(POOLS).unwrap_or((version, "1"));
+        let policy = policy(version.parse().unwrap_or(0), pools.parse().unwrap_or(1));
         let Ok(cores) = cores.parse() else {
             return Some(Ok(policy));
         };
@@ -150,12 +155,22 @@
     TeamTable::new(entries.collect()).map_err(|err| err.to_string())
 }
 
-fn policy(version: u64) -> FleetPolicy {
-    let pool = PoolPolicy {
-        name: POOL.to_owned(),
+/// Name of a pool; the first is that of the tests' runners.
+pub fn pool_name(number: usize) -> String {
+    if number == 0 {
+        POOL.to_owned()
+    } else {
+        format!("{POOL}-{number}")
+    }
+}
+
+fn policy(version: u64, pools: usize) -> FleetPolicy {
+    let pools = (0..pools).map(|number| PoolPolicy {
+        name: pool_name(number),
         spare: false,
-    };
-    FleetPolicy::new(version, vec![queue(), advised_queue()], vec![pool], 262_144)
+    });
+    let queues = vec![queue(), advised_queue()];
+    FleetPolicy::new(version, queues, pools.collect(), 262_144)
 }
 
 /// The queue that most tests use.
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -61,6 +61,7 @@
     MemoryAdviser,
     MemoryFleet,
     MemoryStore,
+    POOL,
     StoreFaults,
     discard_detached,
     run_detached,
@@ -233,6 +234,9 @@
     pub ahead: BTreeMap<String, i64>,
     /// Terms of the deployment. A change takes effect for nodes that start later.
     pub terms: DeploymentTerms,
+    /// Data halls of nodes, by name; others are in a hall of their own. A change takes effect when
+    /// the node starts next.
+    pub node_halls: BTreeMap<String, String>,
     instances: u64,
 }
 
@@ -268,6 +272,7 @@
             nodes: BTreeMap::new(),
             ahead: BTreeMap::new(),
             terms: DeploymentTerms::with_halls(halls()),
+            node_halls: BTreeMap::new(),
             instances: 0,
         };
         spawn_local(run_detached());
@@ -383,7 +388,7 @@
         let identity = NodeIdentity {
             node: name.to_owned(),
             instance: self.instances,
-            hall: "augusta".to_owned(),
+            hall: self.node_hall(name),
             cpu_milli,
         };
         let keys = JobKeys::new("test");
@@ -410,9 +415,21 @@
         Ok(())
     }
 
+    /// Data hall of a node.
+    pub fn node_hall(&self, name: &str) -> String {
+        let hall = self.node_halls.get(name).cloned();
+        hall.unwrap_or_else(|| "augusta".to_owned())
+    }
+
     /// Name of the node that owns the pool according to the store; empty if none does.
     pub fn owner(&self) -> String {
-        let record = self.store.get("test/group/owner/halls").unwrap_or_default();
+        self.owner_of(POOL)
+    }
+
+    /// The same for any pool.
+    pub fn owner_of(&self, pool: &str) -> String {
+        let key = format!("test/group/owner/{pool}");
+        let record = self.store.get(&key).unwrap_or_default();
         let text = String::from_utf8_lossy(&record).into_owned();
         let mut names = self.nodes.keys();
         names
--- a/crates/hoisthitch-tests/src/world/store.rs
+++ b/crates/hoisthitch-tests/src/world/store.rs
@@ -77,6 +77,8 @@
 struct CallCount {
     since: Option<Instant>,
     calls: u32,
+    /// Calls since the store was started.
+    total: u64,
 }
 
 impl CallCount {
@@ -86,6 +88,7 @@
             (self.since, self.calls) = (Some(now), 0);
         }
         self.calls += 1;
+        self.total += 1;
         self.calls
     }
 }
@@ -214,6 +217,11 @@
         }
     }
 
+    /// Number of calls of all nodes so far, with those that were refused.
+    pub fn calls(&self) -> u64 {
+        self.state.borrow().count.total
+    }
+
     async fn begin_call(&self, call: &'static str) -> Result<(), StoreError> {
         let delay = self.state.borrow().faults.delay;
         if delay > CALL_TIMEOUT {
