--- a/crates/hoisthitch-scheduler/src/owner/halls.rs
+++ b/crates/hoisthitch-scheduler/src/owner/halls.rs
@@ -105,6 +105,7 @@
         self.halls.begun.remove(&change.hall);
         gauge.set(0);
         let reason = match back {
+            HallReturn::Responding if change.silence.runners == 0 => "no_runners",
             HallReturn::Responding => "responding",
             HallReturn::TooManySilent => "too_many_silent",
         };
