Draw failures of data halls, and share their scaffolding

Histories lose a hall, cut it off or cut two halls off from each other at random times, beside evacuated halls, owners that restart, late orders and a store that loses answers. Nothing runs twice, and all jobs are completed.

--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -9,6 +9,7 @@
 mod cordons;
 mod delays;
 mod drains;
+mod halls;
 mod killers;
 mod lives;
 mod losses;
--- a/crates/hoisthitch-scheduler/tests/histories.rs
+++ b/crates/hoisthitch-scheduler/tests/histories.rs
@@ -9,6 +9,8 @@
 //! histories for particular combinations of faults.
 
 mod draws;
+#[path = "world/halls.rs"]
+mod failed_halls;
 mod world;
 
 use std::collections::BTreeMap;
--- a/crates/hoisthitch-scheduler/tests/ownership/halls.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/halls.rs
@@ -11,13 +11,17 @@
     ensure, //
 };
 use hoisthitch_jobs::JobPhase;
-use hoisthitch_tests::world::{
-    StoreFaults,
-    hall_of, //
-};
+use hoisthitch_tests::world::StoreFaults;
 
 use super::{
     check_invariants,
+    failed_halls::{
+        HALLS,
+        cut_runners,
+        set_bridge_cut,
+        set_lost,
+        start_in_halls, //
+    },
     world::{
         TestWorld,
         codec::{
@@ -31,9 +35,6 @@
     }, //
 };
 
-/// Number of data halls.
-const HALLS: usize = 3;
-
 /// Nodes and runners of the tests, each a third of them in a hall.
 const NODES: usize = 9;
 const RUNNERS: usize = 18;
@@ -92,59 +93,7 @@
 
 /// Starts a cluster with that many nodes over the halls, of which one may be lost.
 async fn start_nodes(nodes: usize) -> Result<TestWorld> {
-    start_with(nodes, HALLS, 1).await
-}
-
-async fn start_with(nodes: usize, halls: usize, tolerated: u32) -> Result<TestWorld> {
-    let mut world = TestWorld::start(0, RUNNERS).await?;
-    world.terms.tolerated_halls = tolerated;
-    for number in 0..nodes {
-        let name = format!("node-{number}");
-        let hall = format!("hall-{}", number % halls);
-        world.node_halls.insert(name.clone(), hall);
-        world.start_node(&name)?;
-    }
-    sleep_ms(3_000).await;
-    Ok(world)
-}
-
-fn nodes_in(world: &TestWorld, hall: &str) -> Vec<String> {
-    let nodes = world.nodes.keys();
-    let nodes = nodes.filter(|node| world.node_hall(node) == hall);
-    nodes.cloned().collect()
-}
-
-/// Cuts the runners of a hall off from these nodes; without nodes, heals the cut.
-fn cut_runners(world: &TestWorld, hall: &str, nodes: &[String]) {
-    for (runner, vm) in world.fleet.living() {
-        if hall_of(&vm) == hall {
-            world.fleet.cut(&runner, nodes);
-        }
-    }
-}
-
-/// Lets a hall fall silent, or brings it back.
-fn set_lost(world: &TestWorld, hall: &str, loss: Loss, lost: bool) {
-    let there = nodes_in(world, hall);
-    let mut from: Vec<String> = world.nodes.keys().cloned().collect();
-    if loss == Loss::CutOff {
-        from.retain(|node| !there.contains(node));
-        let cut = if lost { there.clone() } else { Vec::new() };
-        world.store.set_faults(StoreFaults {
-            cut: cut.into_iter().collect(),
-            ..StoreFaults::default()
-        });
-        for other in (0..HALLS).map(|number| format!("hall-{number}")) {
-            if other != hall {
-                cut_runners(world, &other, if lost { &there } else { &[] });
-            }
-        }
-    } else {
-        for node in &there {
-            world.nodes[node].freeze(lost);
-        }
-    }
-    cut_runners(world, hall, if lost { &from } else { &[] });
+    start_in_halls(nodes, RUNNERS, HALLS, 1).await
 }
 
 /// Number of events of that kind, at all nodes.
@@ -185,7 +134,7 @@
         world.nodes[&owner].stop();
         sleep_ms(20).await;
     }
-    set_lost(&world, &hall, loss, true);
+    set_lost(&world, &hall, loss == Loss::CutOff, true);
     sleep_ms(SERVED_AGAIN_MS).await;
     for number in 0..20 {
         let id = format!("after-{number}");
@@ -196,7 +145,7 @@
     }
     ensure!(count_events(&world, "hall_lost") > 0, "no hall was lost");
     sleep_ms(2_000).await;
-    set_lost(&world, &hall, loss, false);
+    set_lost(&world, &hall, loss == Loss::CutOff, false);
     world.uncordon_hall(&hall);
     for _ in 0..40 {
         sleep_ms(500).await;
@@ -227,9 +176,9 @@
         late: std::time::Duration::from_millis(900),
         ..StoreFaults::default()
     });
-    set_lost(&world, &hall, Loss::Owner, true);
+    set_lost(&world, &hall, false, true);
     sleep_ms(5_000).await;
-    set_lost(&world, &hall, Loss::Owner, false);
+    set_lost(&world, &hall, false, false);
     world.store.set_faults(StoreFaults::default());
     world
         .wait_phase("before", JobPhase::Completed, 20_000)
@@ -243,13 +192,13 @@
     let hall = other_hall(&world.node_hall(&world.owner()));
     world.submit("j", job("work 6000", &[36])).await?;
     sleep_ms(1_000).await;
-    set_lost(&world, &hall, Loss::Other, true);
+    set_lost(&world, &hall, false, true);
     sleep_ms(1_500).await;
     ensure!(
         count_events(&world, "hall_lost") == 1,
         "the hall was not lost"
     );
-    set_lost(&world, &hall, Loss::Other, false);
+    set_lost(&world, &hall, false, false);
     sleep_ms(1_500).await;
     ensure!(
         count_events(&world, "hall_back") == 1,
@@ -286,9 +235,9 @@
 }
 
 async fn not_tolerated() -> Result<()> {
-    let world = start_with(NODES, HALLS, 0).await?;
+    let world = start_in_halls(NODES, RUNNERS, HALLS, 0).await?;
     let hall = other_hall(&world.node_hall(&world.owner()));
-    set_lost(&world, &hall, Loss::Other, true);
+    set_lost(&world, &hall, false, true);
     sleep_ms(4_000).await;
     ensure!(count_events(&world, "hall_lost") == 0, "a hall was lost");
     let record = world
@@ -345,18 +294,6 @@
     check_invariants(&world)
 }
 
-/// Cuts two halls off from each other; nodes and runners of the third reach all.
-fn set_bridge_cut(world: &TestWorld, halls: [&str; 2], cut: bool) {
-    for [hall, other] in [halls, [halls[1], halls[0]]] {
-        let nodes = if cut {
-            nodes_in(world, other)
-        } else {
-            Vec::new()
-        };
-        cut_runners(world, hall, &nodes);
-    }
-}
-
 async fn beyond_cut() -> Result<()> {
     let world = start_nodes(NODES).await?;
     let own = world.node_hall(&world.owner());
@@ -383,7 +320,7 @@
 }
 
 async fn no_third_hall() -> Result<()> {
-    let world = start_with(4, 2, 1).await?;
+    let world = start_in_halls(4, RUNNERS, 2, 1).await?;
     let owner = world.owner();
     let own = world.node_hall(&owner);
     set_bridge_cut(&world, [&own, &other_hall(&own)], true);
@@ -504,7 +441,7 @@
     let hall = "hall-1";
     for second in 0..CALM_SECONDS + LOSS_SECONDS {
         if second == CALM_SECONDS {
-            set_lost(&world, hall, Loss::Owner, true);
+            set_lost(&world, hall, false, true);
         }
         sleep_ms(1_000).await;
         calls.push(world.store.calls());
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -1,6 +1,8 @@
 //! Tests of pool ownership on a simulated cluster: owners are killed, deposed, frozen and cut
 //! off, and still no task runs twice and none is lost.
 
+#[path = "../world/halls.rs"]
+mod failed_halls;
 #[path = "../world/mod.rs"]
 mod world;
 
