--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -75,6 +75,12 @@
     SpareVm,
     choose_vms, //
 };
+pub use hall_loss::{
+    HallChange,
+    HallMonitor,
+    HallReturn,
+    HallSilence, //
+};
 pub use hall_spread::UnevenStep;
 pub use hall_upkeep::{
     HALL_LOSS_WAIT_MAX_MS,
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -172,6 +172,8 @@
     pub hall_lost: bool,
     /// Number of its data hall in its pool.
     pub(crate) hall_number: usize,
+    /// Whether it has not responded since its data hall was lost.
+    pub(crate) lost_with_hall: bool,
     /// Latest time at which its leases may end, and with them everything that runs on it, if
     /// it gets no further heartbeat.
     pub lease_until: Millis,
@@ -236,6 +238,7 @@
             cordoned: false,
             hall_lost: false,
             hall_number: 0,
+            lost_with_hall: false,
             lease_until,
             lease_confirmed_until: None,
             relocating_until: 0,
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -64,6 +64,8 @@
     pub intake_capacity: IntGaugeVec,
     /// VMs of this node's pools by data hall, where halls are told apart.
     pub pool_vms: IntGaugeVec,
+    /// Data halls that count as lost, by pool of this node and hall: 1 or 0.
+    pub lost_halls: IntGaugeVec,
 }
 
 impl NodeMetrics {
@@ -129,6 +131,14 @@
             &["pool", "hall"],
         )?;
         registry.register(Box::new(pool_vms.clone()))?;
+        let lost_halls = IntGaugeVec::new(
+            Opts::new(
+                "hoisthitch_lost_halls",
+                "Data halls whose runners count as lost together",
+            ),
+            &["pool", "hall"],
+        )?;
+        registry.register(Box::new(lost_halls.clone()))?;
         Ok(Self {
             pool_vms,
             members_visited,
@@ -155,6 +165,7 @@
             )?,
             cordoned_halls,
             cordoned_tasks,
+            lost_halls,
             loop_seconds,
             policy_version,
             platform_calls: counter(
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod advice;
 mod awaited;
 mod cordons;
+mod halls;
 mod inbox;
 mod instances;
 mod intake;
@@ -22,7 +23,10 @@
 mod writes;
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::{
         BTreeMap,
         BTreeSet,
@@ -65,6 +69,11 @@
 use self::advice::AdviceResult;
 use self::awaited::AwaitedPolicy;
 use self::cordons::CordonReporter;
+use self::halls::HallWatch;
+pub(crate) use self::halls::{
+    CutHandover,
+    LostHalls, //
+};
 use self::instances::InstanceTracker;
 use self::intake::IntakeReporter;
 use self::quota::{
@@ -134,6 +143,10 @@
     pub(crate) pool: String,
     pub(crate) fleet: watch::Receiver<Arc<FleetView>>,
     pub(crate) stop: watch::Receiver<bool>,
+    /// Whether the previous owner chose this node.
+    pub(crate) offered: bool,
+    /// Handover because of a cut between data halls, shared with the node's control loop.
+    pub(crate) cut: Rc<RefCell<CutHandover>>,
 }
 
 /// Why an owner ended.
@@ -200,6 +213,7 @@
     first_waits: HashMap<String, Millis>,
     /// VMs by data hall, as shown in the metrics.
     shown_halls: BTreeMap<String, u32>,
+    halls: HallWatch,
 }
 
 /// Receiving ends of the owner's event sources.
@@ -273,6 +287,7 @@
         intake_reporter: IntakeReporter::new(inherits_pressure),
         first_waits: HashMap::new(),
         shown_halls: BTreeMap::new(),
+        halls: HallWatch::default(),
         context,
     };
     owner.count_event("pool_taken");
@@ -472,6 +487,7 @@
         let mut due = self.state.needs_plan();
         if now >= self.checked_at + DEADLINE_CHECK_INTERVAL_MS {
             self.checked_at = now;
+            self.update_lost_halls(now);
             self.check_deadlines(now);
             self.update_silent(now);
             self.acknowledge_recorded();
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -9,6 +9,7 @@
 mod cordons;
 mod delays;
 mod drains;
+mod halls;
 mod intake;
 mod killers;
 mod lives;
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -62,6 +62,7 @@
     MemoryAdviser,
     MemoryFleet,
     MemoryStore,
+    POOL,
     StoreFaults,
     discard_detached,
     run_detached,
@@ -236,6 +237,9 @@
     pub terms: DeploymentTerms,
     /// How nodes that start later admit jobs.
     pub intake_rules: IntakeRules,
+    /// Data halls of nodes, by name; others are in a hall of their own. A change takes effect when
+    /// the node starts next.
+    pub node_halls: BTreeMap<String, String>,
     instances: u64,
 }
 
@@ -272,6 +276,7 @@
             ahead: BTreeMap::new(),
             terms: DeploymentTerms::with_halls(halls()),
             intake_rules: IntakeRules::default(),
+            node_halls: BTreeMap::new(),
             instances: 0,
         };
         spawn_local(run_detached());
@@ -390,7 +395,7 @@
         let identity = NodeIdentity {
             node: name.to_owned(),
             instance: self.instances,
-            hall: "augusta".to_owned(),
+            hall: self.node_hall(name),
             cpu_milli,
         };
         let keys = JobKeys::new("test");
@@ -417,9 +422,21 @@
         Ok(())
     }
 
+    /// Data hall of a node.
+    pub fn node_hall(&self, name: &str) -> String {
+        let hall = self.node_halls.get(name).cloned();
+        hall.unwrap_or_else(|| "augusta".to_owned())
+    }
+
     /// Name of the node that owns the pool according to the store; empty if none does.
     pub fn owner(&self) -> String {
-        let record = self.store.get("test/group/owner/halls").unwrap_or_default();
+        self.owner_of(POOL)
+    }
+
+    /// The same for any pool.
+    pub fn owner_of(&self, pool: &str) -> String {
+        let key = format!("test/group/owner/{pool}");
+        let record = self.store.get(&key).unwrap_or_default();
         let text = String::from_utf8_lossy(&record).into_owned();
         let mut names = self.nodes.keys();
         names
