Count VMs that are about to be sent as room, and a team's limit as far as its part can grow

Cause: the report told the part that the team has now, and of VMs only those already sent.

Change: a team's limit counts as what the other pools leave of it; VMs count from when the plan of moves sends them.

Not tested by a case of its own yet.

--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -126,6 +126,8 @@
     pub(crate) pressed_since: Cell<Option<Millis>>,
     /// Quota allocations of this pool, by team; a team without one is not limited.
     pub(crate) quota_allocations: HashMap<String, ResourceAmounts>,
+    /// What these allocations can grow to, by team.
+    pub(crate) reachable_quotas: HashMap<String, ResourceAmounts>,
     /// Whether some task found no runner when starts were last planned.
     pub(crate) lacked_capacity: bool,
     /// Weights of teams, by name.
--- a/crates/hoisthitch-jobs/src/pressure.rs
+++ b/crates/hoisthitch-jobs/src/pressure.rs
@@ -167,14 +167,16 @@
     }
 
     fn team_load(&self, priority: u32, team: &str, work: u64, now: Millis) -> TeamLoad {
-        // An allocation grows with the need up to the team's limit.
+        // An allocation follows the need within some tens of milliseconds. What counts is how far
+        // it can.
         let is_limiting = self.tasks_over_quota.contains_key(team);
-        let allocation = self.quota_allocations.get(team).filter(|_| is_limiting);
+        let reachable = self.reachable_quotas.get(team).filter(|_| is_limiting);
+        let reachable = reachable.filter(|reachable| reachable.cpu_milli != u64::MAX);
         TeamLoad {
             work,
             arriving: self.team_arrivals.rate(priority, team, now),
             weight: self.weights.get(team).copied().unwrap_or(1.0),
-            allowed: allocation.map(|allowed| allowed.cpu_milli),
+            allowed: reachable.map(|reachable| reachable.cpu_milli),
         }
     }
 
--- a/crates/hoisthitch-jobs/src/quota.rs
+++ b/crates/hoisthitch-jobs/src/quota.rs
@@ -109,6 +109,17 @@
         })
     }
 
+    /// What the pool's allocation can grow to while the other pools keep theirs. An amount whose
+    /// limit is zero is not limited.
+    pub fn reachable(&self, pool: &str, limit: ResourceAmounts) -> ResourceAmounts {
+        let limits = limit.amounts();
+        let others = self.others(pool).amounts();
+        ResourceAmounts::each(|index| match limits[index] {
+            0 => u64::MAX,
+            limit => limit.saturating_sub(others[index]),
+        })
+    }
+
     /// What the team may have running in the pool. After the limit was lowered below the sum
     /// of the allocations, each of them is scaled down in proportion until the stored
     /// allocations follow.
@@ -194,9 +205,15 @@
         self.plan_needed |= before != Some(allowed);
     }
 
+    /// Sets what a team's allocation in this pool can grow to.
+    pub fn set_reachable_quota(&mut self, team: &str, reachable: ResourceAmounts) {
+        self.reachable_quotas.insert(team.to_owned(), reachable);
+    }
+
     /// Drops the limits of all teams but those for which `limited` is true.
     pub fn retain_quota_allocations(&mut self, limited: impl Fn(&str) -> bool) {
         self.quota_allocations.retain(|team, _| limited(team));
+        self.reachable_quotas.retain(|team, _| limited(team));
     }
 
     /// Resources that each team uses or waits for in this pool.
--- a/crates/hoisthitch-scheduler/src/owner/quota.rs
+++ b/crates/hoisthitch-scheduler/src/owner/quota.rs
@@ -319,6 +319,8 @@
             if let Some(team) = limit {
                 let allowed = record.allocations.allowed(&self.context.pool, team.limit);
                 self.state.set_quota_allocation(&team.name, allowed);
+                let reachable = record.allocations.reachable(&self.context.pool, team.limit);
+                self.state.set_reachable_quota(&team.name, reachable);
             }
         }
     }
--- a/crates/hoisthitch-scheduler/src/vms/balance.rs
+++ b/crates/hoisthitch-scheduler/src/vms/balance.rs
@@ -7,7 +7,8 @@
 
 use hoisthitch_jobs::{
     Millis,
-    VmBalance, //
+    VmBalance,
+    plan_moves, //
 };
 use hoisthitch_store::StoreClient;
 
@@ -155,8 +156,8 @@
         Ok(self.idle.keys().cloned().collect())
     }
 
-    /// Tells the owner how many VMs are on their way to a pool that has fewer than it wants, where
-    /// jobs are admitted by that.
+    /// Tells the owner how many VMs are on their way to a pool that has fewer than it wants, or
+    /// are planned to be sent there, where jobs are admitted by that.
     pub(super) async fn report_coming(
         &mut self,
         demand: &DemandAnswer,
@@ -169,10 +170,14 @@
             return Ok(());
         }
         self.coming_read_at = now;
-        let balances = self.read_balances().await?;
+        let mut balances = self.read_balances().await?;
+        balances.insert(context.pool.clone(), self.balance.clone());
+        let planned = plan_moves(&balances);
+        let planned = planned.iter().filter(|order| order.to == context.pool);
+        let planned: usize = planned.map(|order| order.count).sum();
         let sent = balances.values().flat_map(|balance| &balance.sent);
         let coming = sent.filter(|(vm, to)| **to == context.pool && !demand.vms.contains(vm));
-        let vms = u32::try_from(coming.count()).unwrap_or(u32::MAX);
+        let vms = u32::try_from(coming.count() + planned).unwrap_or(u32::MAX);
         self.ledger.notify_owner(VmRequest::Coming { vms }).await;
         Ok(())
     }
--- a/crates/hoisthitch-scheduler/src/vms/moves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/moves.rs
@@ -55,7 +55,7 @@
     /// When the VMs on their way to the pool were last counted.
     pub(super) coming_read_at: Millis,
     /// The balance that was last published.
-    balance: VmBalance,
+    pub(super) balance: VmBalance,
     /// Number of VMs that the pool wanted in the last second.
     pub(super) demand: DemandHistory,
     /// VMs that were sent away, with the target pool and the time.
