Don't count late work as ahead of a job that can be in time

TeamLoad tells the late part apart (a new field with a default). A job that meets its objective with the work in time ahead of it is admitted; any other waits for all work, over what arriving work leaves of the capacity. A returning caller rises within the spread instead of beyond it.

--- a/crates/hoisthitch-jobs/src/intake.rs
+++ b/crates/hoisthitch-jobs/src/intake.rs
@@ -3,7 +3,8 @@
 //! A pool's owner knows what waits and what there is to run it on; every node accepts jobs. So
 //! the owner publishes an [`IntakeReport`], and a node decides by the latest one before it stores
 //! anything. A job is refused only if the work that is ahead of it, at the pool's capacity, would
-//! take it past the time up to which its caller gains anything from its end.
+//! take it past the time up to which its caller gains anything from its end. Work that can't meet
+//! its objective any more is not ahead of a job that can.
 //!
 //! The decision errs on the side of admission: without a report, or with one that is too old,
 //! every job is admitted.
@@ -42,10 +43,6 @@
 /// has been refused before.
 const CALLER_WAIT_MS: Millis = 3_000;
 
-/// Part by which the limit of a caller rises until its time is over, in percent. It is the whole
-/// width of the spread of limits, so that such a caller comes before all newer ones.
-const RETURN_PERCENT: u64 = 2 * LIMIT_SPREAD_PERCENT + 3;
-
 /// Part of a job's limit by which it is spread in both directions, in percent.
 const LIMIT_SPREAD_PERCENT: u64 = 10;
 
@@ -70,6 +67,10 @@
 pub struct TeamLoad {
     /// Accepted work that is not done, in thousandths of a core times milliseconds.
     pub work: u64,
+    /// The part of it whose jobs can't meet their objective any more, and come after all that
+    /// can.
+    #[serde(default)]
+    pub late: u64,
     /// Rate of arriving work, in thousandths of a core.
     pub arriving: u64,
     /// Weight of the team.
@@ -152,18 +153,18 @@
         let limit = self.limit(request);
         let ahead = WorkAhead::new(self, request, age);
         let allowed = ahead.allowed_line();
-        if allowed.wait() > limit {
-            return self.refuse(request, RefusalReason::TeamExcess, allowed, limit);
+        if !allowed.is_within(limit) {
+            return Self::refuse(request, RefusalReason::TeamExcess, allowed, limit);
         }
         let pool = ahead.pool_line(self.capacity);
-        if pool.wait() <= limit {
-            let wait_ms = Some(pool.wait().max(allowed.wait()));
+        if pool.is_within(limit) {
+            let wait_ms = Some(pool.wait(limit).max(allowed.wait(limit)));
             return IntakeDecision::Admit { wait_ms };
         }
         let shares = ahead.shares(self.capacity);
         let own = shares.line(request.team);
-        if own.wait() <= limit {
-            let wait_ms = Some(own.wait().max(allowed.wait()));
+        if own.is_within(limit) {
+            let wait_ms = Some(own.wait(limit).max(allowed.wait(limit)));
             return IntakeDecision::Admit { wait_ms };
         }
         let reason = if shares.any_other_within(request.team, limit) {
@@ -176,44 +177,53 @@
         } else {
             pool
         };
-        self.refuse(request, reason, sooner, limit)
+        Self::refuse(request, reason, sooner, limit)
     }
 
     fn refuse(
-        &self,
         request: &IntakeRequest<'_>,
         reason: RefusalReason,
         line: WorkLine,
-        limit: Millis,
+        limit: WaitLimit,
     ) -> IntakeDecision {
         let until = line.time_until(limit).clamp(RETRY_MIN_MS, RETRY_MAX_MS);
         let spread = Spread::of(request.id);
         IntakeDecision::Refuse(IntakeRefusal {
             reason,
-            wait_ms: line.wait(),
-            limit_ms: limit,
+            wait_ms: line.wait(limit),
+            limit_ms: limit.useful,
             retry_after_ms: spread.retry(until).min(request.remaining_ms),
         })
     }
 
-    /// Longest wait at which the job is admitted, in milliseconds.
-    fn limit(&self, request: &IntakeRequest<'_>) -> Millis {
+    /// Longest waits at which the job is admitted.
+    fn limit(&self, request: &IntakeRequest<'_>) -> WaitLimit {
         let mean = self.task_times.get(request.queue).copied();
         let times = JobTimes {
             spec: request.spec,
             policy: request.policy,
             mean: mean.unwrap_or(DEFAULT_TASK_MS),
         };
-        let limit = times
-            .useful_time()
-            .saturating_sub(times.chain() + OVERHEAD_MS);
-        let spread = Spread::of(request.id).limit(limit);
-        // A caller that returns comes before newer ones.
-        let waited = CALLER_WAIT_MS.saturating_sub(request.remaining_ms);
-        spread + spread * RETURN_PERCENT * waited / (100 * CALLER_WAIT_MS)
+        let needed = times.chain() + OVERHEAD_MS;
+        let spread = Spread::of(request.id);
+        let limit_of =
+            |time: Millis| spread.limit(time.saturating_sub(needed), request.remaining_ms);
+        WaitLimit {
+            in_time: limit_of(times.objective()),
+            useful: limit_of(times.useful_time()),
+        }
     }
 }
 
+/// Longest waits of a job, in milliseconds.
+#[derive(Clone, Copy)]
+struct WaitLimit {
+    /// With which it meets its objective.
+    in_time: Millis,
+    /// With which its end is of use.
+    useful: Millis,
+}
+
 /// Expected times of a job.
 pub(crate) struct JobTimes<'a> {
     pub(crate) spec: &'a JobSpec,
@@ -236,10 +246,14 @@
         self.spec.critical_path(|step| self.of_step(step))
     }
 
+    /// Time after its acceptance within which it is to be done, in milliseconds.
+    fn objective(&self) -> Millis {
+        self.policy.target_latency_ms + scale(self.chain(), self.policy.stretch)
+    }
+
     /// Time after its acceptance up to which its end is of use, in milliseconds.
     pub(crate) fn useful_time(&self) -> Millis {
-        let objective = self.policy.target_latency_ms + scale(self.chain(), self.policy.stretch);
-        USELESS_AFTER_OBJECTIVES * objective
+        USELESS_AFTER_OBJECTIVES * self.objective()
     }
 }
 
@@ -253,8 +267,10 @@
 /// Work that waits for a part of the capacity.
 #[derive(Clone, Copy)]
 struct WorkLine {
-    /// In thousandths of a core times milliseconds.
+    /// All of it, in thousandths of a core times milliseconds.
     work: u64,
+    /// The part of it that can be in time.
+    in_time: u64,
     /// Capacity for it, in thousandths of a core.
     rate: u64,
     /// Rate at which further work arrives, in thousandths of a core.
@@ -265,29 +281,56 @@
     /// Work `age` milliseconds later.
     fn after(self, age: Millis) -> Self {
         let arrived = self.arriving.saturating_mul(age);
-        let work = self.work.saturating_add(arrived);
-        let work = work.saturating_sub(self.rate.saturating_mul(age));
-        Self { work, ..self }
+        let done = self.rate.saturating_mul(age);
+        let later = |work: u64| work.saturating_add(arrived).saturating_sub(done);
+        Self {
+            work: later(self.work),
+            in_time: later(self.in_time),
+            ..self
+        }
     }
 
-    /// Time in which the work is done, in milliseconds.
-    fn wait(self) -> Millis {
-        if self.work == 0 {
-            return 0;
+    /// Capacity that arriving work leaves, in thousandths of a core; some of the pool's work
+    /// will not come as it did.
+    fn drain(self) -> u64 {
+        let drain = self.rate.saturating_sub(self.arriving);
+        drain.max(self.rate / DRAIN_DIVISOR)
+    }
+
+    /// Expected wait of a job with these limits, in milliseconds. Work that can be in time goes
+    /// first; a job that can't waits for all work, and for what arrives meanwhile.
+    fn wait(self, limit: WaitLimit) -> Millis {
+        if self.rate == 0 {
+            return time_of(self.work, 0);
         }
-        let wait = self.work.checked_div(self.rate);
-        wait.map_or(WAIT_MAX_MS, |wait| wait.min(WAIT_MAX_MS))
+        let in_time = time_of(self.in_time, self.rate);
+        if in_time <= limit.in_time {
+            return in_time;
+        }
+        time_of(self.work, self.drain())
     }
 
-    /// Time until the wait is down to `limit`, in milliseconds.
-    fn time_until(self, limit: Millis) -> Millis {
-        let excess = self.work.saturating_sub(self.rate.saturating_mul(limit));
-        let drain = self.rate.saturating_sub(self.arriving);
-        let drain = drain.max(self.rate / DRAIN_DIVISOR);
-        excess
-            .checked_div(drain)
-            .map_or(WAIT_MAX_MS, |time| time.min(WAIT_MAX_MS))
+    fn is_within(self, limit: WaitLimit) -> bool {
+        self.wait(limit) <= limit.useful.max(limit.in_time)
+    }
+
+    /// Time until the wait is within the limit, in milliseconds.
+    fn time_until(self, limit: WaitLimit) -> Millis {
+        let drain = self.drain();
+        let in_time = self.rate.saturating_mul(limit.in_time);
+        let useful = drain.saturating_mul(limit.useful);
+        let until_in_time = time_of(self.in_time.saturating_sub(in_time), drain);
+        until_in_time.min(time_of(self.work.saturating_sub(useful), drain))
+    }
+}
+
+/// Time in which work is done, in milliseconds.
+fn time_of(work: u64, rate: u64) -> Millis {
+    if work == 0 {
+        return 0;
     }
+    let time = work.checked_div(rate);
+    time.map_or(WAIT_MAX_MS, |time| time.min(WAIT_MAX_MS))
 }
 
 /// Work that is served before a job of some priority, or beside it.
@@ -370,9 +413,9 @@
     }
 
     /// Whether another team has work that its share serves within the limit.
-    fn any_other_within(&self, team: &str, limit: Millis) -> bool {
+    fn any_other_within(&self, team: &str, limit: WaitLimit) -> bool {
         let mut others = self.lines.iter().filter(|(other, _)| **other != team);
-        others.any(|(_, line)| line.wait() <= limit)
+        others.any(|(_, line)| line.is_within(limit))
     }
 }
 
@@ -380,6 +423,7 @@
     fn line(&self, rate: u64) -> WorkLine {
         WorkLine {
             work: self.work,
+            in_time: self.work.saturating_sub(self.late),
             rate,
             arriving: self.arriving,
         }
@@ -389,6 +433,7 @@
     fn plus(&self, other: &Self) -> Self {
         Self {
             work: self.work.saturating_add(other.work),
+            late: self.late.saturating_add(other.late),
             arriving: self.arriving.saturating_add(other.arriving),
             weight: self.weight.max(other.weight),
             allowed: self.allowed.or(other.allowed),
@@ -430,9 +475,14 @@
         }
     }
 
-    /// The limit, moved by at most [`LIMIT_SPREAD_PERCENT`] up or down.
-    fn limit(self, limit: Millis) -> Millis {
-        Self::scatter(limit, self.hash % SPREAD_STEPS, LIMIT_SPREAD_PERCENT)
+    /// The limit, moved by at most [`LIMIT_SPREAD_PERCENT`] up or down. It rises as the time of the caller
+    /// runs out, up to the highest of all for one that can't return again.
+    fn limit(self, limit: Millis, remaining: Millis) -> Millis {
+        let step = self.hash % SPREAD_STEPS;
+        let most = CALLER_WAIT_MS - RETRY_MIN_MS;
+        let waited = CALLER_WAIT_MS.saturating_sub(remaining).min(most);
+        let raised = step + (SPREAD_STEPS - 1 - step) * waited / most;
+        Self::scatter(limit, raised, LIMIT_SPREAD_PERCENT)
     }
 
     /// The time, moved by at most [`RETRY_SPREAD_PERCENT`] up or down.
--- a/crates/hoisthitch-jobs/src/pressure.rs
+++ b/crates/hoisthitch-jobs/src/pressure.rs
@@ -62,6 +62,13 @@
     work_before: u64,
 }
 
+/// Work of a team that waits, in thousandths of a core times milliseconds.
+#[derive(Clone, Copy, Default)]
+struct WaitingWork {
+    all: u64,
+    late: u64,
+}
+
 impl TeamArrivals {
     /// Records work that was accepted at `at`.
     pub(crate) fn note(&mut self, priority: u32, team: &str, at: Millis, work: u64, now: Millis) {
@@ -118,7 +125,7 @@
     /// What to publish for the nodes that accept the pool's jobs. `coming` is the number of VMs
     /// that other pools have sent here and that have not arrived.
     pub fn intake_report(&self, coming: u32, now: Millis) -> IntakeReport {
-        let mut works: HashMap<(u32, &str), u64> = HashMap::new();
+        let mut works: HashMap<(u32, &str), WaitingWork> = HashMap::new();
         let mut all = 0;
         let mut long_running = 0;
         for (key, job) in self.unended_jobs() {
@@ -128,7 +135,11 @@
                 long_running += reserved.sum::<u64>();
             } else if is_payable(&job.spec) && !self.is_useless(job, now) {
                 let work = remaining_work(job, self.task_time(&job.queue), now);
-                *works.entry((job.policy.priority, &job.team)).or_default() += work;
+                let sum = works.entry((job.policy.priority, &job.team)).or_default();
+                sum.all += work;
+                if self.latest_start(job) < now {
+                    sum.late += work;
+                }
                 all += work;
             }
         }
@@ -166,12 +177,13 @@
         since.is_some_and(|since| since + VM_LEAD_MS <= now)
     }
 
-    fn team_load(&self, priority: u32, team: &str, work: u64, now: Millis) -> TeamLoad {
+    fn team_load(&self, priority: u32, team: &str, work: WaitingWork, now: Millis) -> TeamLoad {
         // An allocation grows with the need up to the team's limit.
         let is_limiting = self.tasks_over_quota.contains_key(team);
         let allocation = self.quota_allocations.get(team).filter(|_| is_limiting);
         TeamLoad {
-            work,
+            work: work.all,
+            late: work.late,
             arriving: self.team_arrivals.rate(priority, team, now),
             weight: self.weights.get(team).copied().unwrap_or(1.0),
             allowed: allocation.map(|allowed| allowed.cpu_milli),
--- a/crates/hoisthitch-jobs/tests/decisions/intake.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/intake.rs
@@ -52,6 +52,8 @@
     vms_on_their_way_count => coming();
     large_and_small_jobs_are_admitted_alike => sizes();
     caller_that_returns_comes_before_newer_ones => returns();
+    late_work_is_not_ahead_of_a_job_that_can_be_in_time => late_work();
+    late_job_waits_for_what_arrives_too => arriving_work();
 }
 
 const POLICY: QueuePolicy = QueuePolicy {
@@ -79,6 +81,7 @@
     let loads = loads.iter().map(|(team, core_seconds)| {
         let load = TeamLoad {
             work: core_seconds * 1_000_000,
+            late: 0,
             arriving: 0,
             weight: 1.0,
             allowed: None,
@@ -372,6 +375,38 @@
     Ok(())
 }
 
+/// A job that can be in time comes before late work, however much there is; one that can't waits
+/// for all of it.
+async fn late_work() -> Result<()> {
+    let mut report = report_of(&[("", 100_000)]);
+    let teams = report.loads.get_mut(&1).ok_or_eyre("no loads")?;
+    let load = teams.get_mut("").ok_or_eyre("no load")?;
+    load.late = load.work - 100_000_000;
+    ensure!(
+        refusal(&report, "j", "", 3_000).is_none(),
+        "one second ahead"
+    );
+    let teams = report.loads.get_mut(&1).ok_or_eyre("no loads")?;
+    let load = teams.get_mut("").ok_or_eyre("no load")?;
+    load.late = load.work - 200_000_000;
+    ensure!(
+        refusal(&report, "j", "", 3_000).is_some(),
+        "two seconds ahead"
+    );
+    Ok(())
+}
+
+/// Three seconds of work, which nothing follows, let a job end while that is of use. If as much
+/// arrives as is done, they don't.
+async fn arriving_work() -> Result<()> {
+    let mut report = report_of(&[("", 300)]);
+    ensure!(refusal(&report, "j", "", 3_000).is_none());
+    let teams = report.loads.get_mut(&1).ok_or_eyre("no loads")?;
+    teams.get_mut("").ok_or_eyre("no load")?.arriving = 100_000;
+    ensure!(refusal(&report, "j", "", 3_000).is_some());
+    Ok(())
+}
+
 quickcheck! {
     /// A job that is refused is refused as well with more work ahead, and more time of its caller.
     fn refusals_grow_with_the_work(works: Vec<u8>, more: u8, id: String, remaining: u16) -> bool {
