Play pools that get more than they can do, with and without admission control

Five patterns on the simulated fleet: a burst of three, one team at twelve times its usual, both in a pool whose VMs are elsewhere, a rush of returning callers, a limit cut in a flood. Each prints jobs in time, late, useless, refused, wrongly refused, the seconds until ordinary demand is served as before, and how the smallest and largest tenth fare. The fleet gains teams, reports of intake, callers that return up to four times within 3 s, and limits.

--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -9,7 +9,8 @@
 
 use std::collections::{
     BTreeMap,
-    HashMap, //
+    HashMap,
+    HashSet, //
 };
 
 use hoisthitch_jobs::{
@@ -19,11 +20,15 @@
     EndedTask,
     EvacuationStatus,
     HeartbeatReport,
+    IntakeDecision,
+    IntakeReport,
+    IntakeRequest,
     JobPhase,
     JobSpec,
     JobSubmission,
     NewJob,
     PoolState,
+    PoolTerms,
     QueuePolicy,
     ResourceAmounts,
     RunnerFacts,
@@ -53,6 +58,21 @@
 /// Capacity of a VM, in thousandths of a core.
 const VM_CPU_MILLI: u64 = 16_000;
 
+/// Time between two reports to the nodes that accept jobs, in milliseconds.
+const INTAKE_MS: u64 = 500;
+/// Time for which callers go on calling, in milliseconds.
+const CALLER_MS: u64 = 3_000;
+/// How often a refused caller returns at most.
+const RETURNS_MAX: u32 = 4;
+/// Policy of all queues.
+const POLICY: QueuePolicy = QueuePolicy {
+    priority: 0,
+    max_attempts: 3,
+    stretch: 1.6,
+    target_latency_ms: 600,
+    advised: false,
+};
+
 /// Name of the pool of VMs that are turned off.
 pub const OFF: &str = "off";
 
@@ -62,6 +82,8 @@
     /// Time of its arrival after the begin of the simulation, in milliseconds.
     pub at: u64,
     pub pool: String,
+    /// Its team; empty for none.
+    pub team: String,
     pub id: String,
     pub spec: JobSpec,
     /// Time of its tasks, in milliseconds, by step and index.
@@ -110,6 +132,49 @@
     arrives_at: u64,
 }
 
+/// A call of a job's caller, which returns after it was refused.
+struct ModelCall<'a> {
+    job: &'a ModelJob,
+    first_at: u64,
+    at: u64,
+    /// Number of calls so far.
+    calls: u32,
+}
+
+/// Admission of new jobs: what the pools' owners publish, and what came of each job.
+#[derive(Default)]
+pub struct ModelIntake {
+    /// Whether jobs may be refused.
+    pub refuses: bool,
+    /// The last report of each pool, and its time.
+    reports: BTreeMap<String, (IntakeReport, u64)>,
+    /// Time from the first call of an accepted job to the one that was accepted, in milliseconds.
+    pub accepted: HashMap<String, u64>,
+    /// Jobs that were refused at last.
+    pub refused: HashSet<String>,
+    /// Number of refusals.
+    pub refusals: usize,
+}
+
+impl ModelIntake {
+    /// The answer to a call: none if the job is accepted, else when to return.
+    fn refusal(&self, call: &ModelCall<'_>, now: u64) -> Option<u64> {
+        let (report, made_at) = self.reports.get(&call.job.pool)?;
+        let request = IntakeRequest {
+            id: &call.job.id,
+            queue: &call.job.pool,
+            policy: &POLICY,
+            team: &call.job.team,
+            spec: &call.job.spec,
+            remaining_ms: (call.first_at + CALLER_MS).saturating_sub(now),
+        };
+        match report.decide(&request, now - made_at) {
+            IntakeDecision::Admit { .. } => None,
+            IntakeDecision::Refuse(refusal) => Some(refusal.retry_after_ms),
+        }
+    }
+}
+
 /// The simulated fleet.
 pub struct ModelFleet {
     now: u64,
@@ -123,6 +188,10 @@
     pub vm_ms: u64,
     /// Number of VMs that were moved.
     pub moved: usize,
+    pub intake: ModelIntake,
+    /// Limits that are set at a time after the begin: time, pool, team and thousandths of a
+    /// core.
+    pub limits: Vec<(u64, String, String, u64)>,
 }
 
 impl ModelFleet {
@@ -136,6 +205,8 @@
             remaining_ms: HashMap::new(),
             vm_ms: 0,
             moved: 0,
+            intake: ModelIntake::default(),
+            limits: Vec::new(),
         };
         for (pool, vms) in pools {
             fleet.pools.insert((*pool).to_owned(), ModelPool::default());
@@ -183,16 +254,95 @@
         });
     }
 
+    /// Lets useless work yield and refuses jobs under pressure.
+    pub fn set_pressure_terms(&mut self) {
+        self.intake.refuses = true;
+        for pool in self.pools.values_mut() {
+            pool.state.set_terms(PoolTerms {
+                useless_work_yields: true,
+                ..PoolTerms::default()
+            });
+        }
+    }
+
+    /// Sets the weights of teams in all pools.
+    pub fn set_weights(&mut self, weights: &HashMap<String, f64>) {
+        for pool in self.pools.values_mut() {
+            pool.state.set_weights(weights.clone());
+        }
+    }
+
+    /// Publishes what the admission of jobs needs.
+    fn report_intake(&mut self) {
+        for (name, pool) in &self.pools {
+            let coming = self.moves.iter().filter(|order| order.to == *name).count();
+            let coming = u32::try_from(coming).unwrap_or(0);
+            let report = pool.state.intake_report(coming, self.now);
+            self.intake.reports.insert(name.clone(), (report, self.now));
+        }
+    }
+
+    fn set_limits(&mut self, start: u64) {
+        let now = self.now;
+        for (at, pool, team, cpu_milli) in &self.limits {
+            if start + at != now {
+                continue;
+            }
+            if let Some(pool) = self.pools.get_mut(pool) {
+                let allowed = ResourceAmounts {
+                    cpu_milli: *cpu_milli,
+                    memory_mb: u64::MAX,
+                    gpus: u64::MAX,
+                };
+                pool.state.set_quota_allocation(team, allowed);
+            }
+        }
+    }
+
+    /// Accepts the job of a call, or returns the call that follows.
+    fn answer<'a>(&mut self, call: ModelCall<'a>) -> Option<ModelCall<'a>> {
+        let refusal = self.intake.refusal(&call, self.now);
+        let Some(wait) = refusal.filter(|_| self.intake.refuses) else {
+            let waited = self.now - call.first_at;
+            self.intake.accepted.insert(call.job.id.clone(), waited);
+            self.submit(call.job);
+            return None;
+        };
+        self.intake.refusals += 1;
+        let at = self.now + wait;
+        if call.calls > RETURNS_MAX || at >= call.first_at + CALLER_MS {
+            self.intake.refused.insert(call.job.id.clone());
+            return None;
+        }
+        let calls = call.calls + 1;
+        Some(ModelCall { at, calls, ..call })
+    }
+
     /// Simulates jobs, given in the order of their arrival, for `duration_ms`; returns those
     /// that ended.
     pub fn run(&mut self, jobs: &[ModelJob], duration_ms: u64) -> Vec<EndedJob> {
         let start = self.now;
         let mut coming = jobs.iter().peekable();
+        let mut calls: Vec<ModelCall<'_>> = Vec::new();
         while self.now < start + duration_ms {
             self.now += TICK_MS;
+            self.set_limits(start);
+            if (self.now - start).is_multiple_of(INTAKE_MS) {
+                self.report_intake();
+            }
             while let Some(job) = coming.next_if(|job| start + job.at <= self.now) {
-                self.submit(job);
+                calls.push(ModelCall {
+                    job,
+                    first_at: self.now,
+                    at: self.now,
+                    calls: 1,
+                });
             }
+            let now = self.now;
+            let (due, later) = calls.into_iter().partition(|call| call.at <= now);
+            calls = later;
+            let due: Vec<ModelCall<'_>> = due;
+            calls.extend(due.into_iter().filter_map(|call| self.answer(call)));
             self.finish_moves();
             for pool in self.pools.values_mut() {
                 pool.report(self.now, &mut self.remaining_ms);
@@ -223,16 +373,10 @@
         let new = NewJob {
             id: job.id.clone(),
             submission: JobSubmission {
-                team: String::new(),
+                team: job.team.clone(),
                 version: 0,
                 queue: job.pool.clone(),
-                policy: QueuePolicy {
-                    priority: 0,
-                    max_attempts: 3,
-                    stretch: 1.6,
-                    target_latency_ms: 600,
-                    advised: false,
-                },
+                policy: POLICY,
                 accepted_ms: 0,
                 spec: job.spec.clone(),
             },
--- a/crates/hoisthitch-jobs/tests/patterns/main.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/main.rs
@@ -7,6 +7,7 @@
 //! reaches.
 
 mod fleet;
+mod pressure;
 
 use eyre::{
     Result,
@@ -98,6 +99,7 @@
     ModelJob {
         at: 0,
         pool: pool.to_owned(),
+        team: String::new(),
         id: format!("lasting-{pool}{number}"),
         times: vec![(0..step.count).map(|_| u64::MAX / 4).collect()],
         spec: JobSpec {
@@ -144,6 +146,7 @@
     ModelJob {
         at,
         pool: pool.to_owned(),
+        team: String::new(),
         id,
         spec: JobSpec {
             payload: String::new(),
