Choose runners without the cost of halls where halls are not told apart

A choice of a runner compared costs of several parts everywhere, also where only the load counts.

Costs of several parts are compared for long-running tasks with the term on only.

--- a/crates/hoisthitch-jobs/src/hall_spread.rs
+++ b/crates/hoisthitch-jobs/src/hall_spread.rs
@@ -29,34 +29,23 @@
 /// Most steps with too many tasks in one hall that are kept until they are read.
 const UNEVEN_STEPS_MAX: usize = 64;
 
-/// Cost of a runner for a task; costs that are named first outweigh all later ones.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct PlacementCost {
-    /// For a suspect and for data on another rack; zero where halls are not told apart, and for
-    /// short tasks.
+/// Cost of a runner for a long-running task; parts that are named first outweigh all later ones.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HallCost {
+    /// For a suspect, and for data on another rack.
     pub(crate) first: f64,
     /// Whether the loss of the hall would make more tasks unavailable than allowed, though an even
     /// spread keeps to that.
     pub(crate) breaks_budget: bool,
-    /// Whether the loss of the runner would; only told apart where halls are.
+    /// Whether the loss of the runner would.
     pub(crate) crowds_runner: bool,
-    /// Number of the step's tasks in the hall that count before the load.
+    /// Number of the step's tasks in the hall.
     pub(crate) in_hall: u32,
     /// For everything else.
     pub(crate) load: f64,
-    /// Number of the step's tasks in the hall that count after the load.
-    pub(crate) tie: u32,
 }
 
-impl PlacementCost {
-    /// Cost where halls are not told apart.
-    pub(crate) fn of_load(load: f64) -> Self {
-        Self {
-            load,
-            ..Self::default()
-        }
-    }
-
+impl HallCost {
     /// Compares two costs.
     pub(crate) fn total_cmp(&self, other: &Self) -> std::cmp::Ordering {
         self.first
@@ -65,7 +54,6 @@
             .then_with(|| self.crowds_runner.cmp(&other.crowds_runner))
             .then_with(|| self.in_hall.cmp(&other.in_hall))
             .then_with(|| self.load.total_cmp(&other.load))
-            .then_with(|| self.tie.cmp(&other.tie))
     }
 }
 
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -3,8 +3,8 @@
 use crate::{
     Millis,
     hall_spread::{
-        HallCounts,
-        PlacementCost, //
+        HallCost,
+        HallCounts, //
     },
     pool::PoolState,
     runner::{
@@ -50,15 +50,28 @@
         }
         let counts = self.hall_counts(task, step);
         let best = |avoid: Option<RunnerKey>| {
-            self.fitting_runners(task, step, now)
+            let fitting = self
+                .fitting_runners(task, step, now)
                 .filter(|(_, runner)| rack.is_none_or(|rack| runner.facts.rack == rack))
-                .filter(|(key, _)| Some(*key) != avoid)
-                .map(|(key, runner)| {
-                    let cost = self.placement_cost(task, runner, step, counts.as_ref(), now);
-                    (cost, key)
-                })
-                .min_by(|left, right| left.0.total_cmp(&right.0))
-                .map(|(_, key)| key)
+                .filter(|(key, _)| Some(*key) != avoid);
+            // Costs of several parts take longer to compare, and most choices need one part only.
+            match &counts {
+                None => fitting
+                    .map(|(key, runner)| (self.cost(task, runner, step, now), key))
+                    .min_by(|left, right| left.0.total_cmp(&right.0))
+                    .map(|(_, key)| key),
+                Some(counts) if step.long_running => fitting
+                    .map(|(key, runner)| (self.hall_cost(task, runner, step, counts, now), key))
+                    .min_by(|left, right| left.0.total_cmp(&right.0))
+                    .map(|(_, key)| key),
+                Some(counts) => fitting
+                    .map(|(key, runner)| (self.cost(task, runner, step, now), runner, key))
+                    .min_by(|left, right| {
+                        let tie = || counts.in_hall_of(left.1).cmp(&counts.in_hall_of(right.1));
+                        left.0.total_cmp(&right.0).then_with(tie)
+                    })
+                    .map(|(_, _, key)| key),
+            }
         };
         best(failed_on).or_else(|| failed_on.and_then(|_| best(None)))
     }
@@ -120,37 +133,25 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Cost of a runner, by the number of the step's tasks in each hall where halls matter.
-    fn placement_cost(
+    /// Cost of a runner for a long-running task, by the number of its step's tasks in each hall.
+    fn hall_cost(
         &self,
         task: TaskRef,
         runner: &RunnerEntry,
         step: &StepSpec,
-        counts: Option<&HallCounts>,
+        counts: &HallCounts,
         now: Millis,
-    ) -> PlacementCost {
-        let load = self.cost(task, runner, step, now);
-        let Some(counts) = counts else {
-            return PlacementCost::of_load(load);
-        };
-        let in_hall = counts.in_hall_of(runner);
-        if !step.long_running {
-            return PlacementCost {
-                tie: in_hall,
-                ..PlacementCost::of_load(load)
-            };
-        }
+    ) -> HallCost {
         let mut first = self.suspect_cost(task, runner, now);
         if is_off_data_rack(runner, step) {
             first += OTHER_RACK_COST;
         }
-        PlacementCost {
+        HallCost {
             first,
             breaks_budget: counts.breaks_budget(runner, step),
             crowds_runner: self.count_same_step(task, runner) >= step.max_together(),
-            in_hall,
-            load,
-            tie: 0,
+            in_hall: counts.in_hall_of(runner),
+            load: self.cost(task, runner, step, now),
         }
     }
 
