Withdraw the queued starts of a run that its owner gives up

What callers saw: a task ran twice at once. A start got no response; a second copy of it waited behind stops without a response; meanwhile the lease lapsed, the task was started elsewhere, the runner responded again in the same moment, and the copy was sent under the renewed lease.

Cause: a session checks a queued start right before sending it, but knew only of queued stops and of its own end. A run given up while the session goes on has neither.

The new test of the ownership suite brings the same about on the paused clock and failed before the change ("last poll of 640 ms": "moved.0.0.0 runs twice at once").

Ruled out: copies in transit at the lapse.

Change: every end of a run passes through PoolState::set_task_state, which now records the run if a copy of its start may be queued (no copy was answered yet, or one got no response). The owner passes it to the session before it waits for anything; the session drops the copies as withdrawn. An order that sends nothing is queued behind them and ends the withdrawal.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -132,6 +132,7 @@
 pub use suspects::CrashingTask;
 pub use suspicion::TaskSuspicion;
 pub use task::{
+    AbandonedRun,
     StartOrder,
     StopOrder,
     TaskEntry,
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -45,6 +45,7 @@
     silent::InheritedRuns,
     suspects::CrashingTask,
     task::{
+        AbandonedRun,
         StopOrder,
         TaskEntry,
         TaskName,
@@ -86,6 +87,8 @@
     /// Jobs that have not ended, or of which something may still run.
     pub(crate) active: Vec<JobKey>,
     pub(crate) stops: Vec<StopOrder>,
+    /// Runs that were given up, and of whose starts copies may be queued.
+    abandoned_runs: Vec<AbandonedRun>,
     /// Whether a new plan may change anything, because a job was added or resources became
     /// free.
     pub(crate) plan_needed: bool,
@@ -367,7 +370,8 @@
         self.jobs.get_mut(task.job)?.tasks.get_mut(task.slot)
     }
 
-    /// Changes the state of a task, and the resources that are reserved for it.
+    /// Changes the state of a task, and the resources that are reserved for it. Each end of a
+    /// run leads here, so that what is queued of the run is withdrawn.
     pub(crate) fn set_task_state(&mut self, task: TaskRef, state: TaskState, now: Millis) {
         let suspect = self.needs_isolation(task);
         let Some(job) = self.jobs.get_mut(task.job) else {
@@ -381,6 +385,8 @@
             return;
         };
         let before = entry.runner();
+        let queued_for = entry.start_queued_for();
+        let run = entry.run;
         if matches!(entry.state, TaskState::Unconfirmed { .. }) {
             self.unconfirmed = self.unconfirmed.saturating_sub(1);
         }
@@ -408,6 +414,9 @@
             _ => entry.unavailable_since = entry.unavailable_since.or(Some(now)),
         }
         if before != after {
+            if let Some((runner, name)) = queued_for.zip(job.name_of(task.slot)) {
+                self.abandoned_runs.push(AbandonedRun { runner, name, run });
+            }
             if let Some(runner) = before.and_then(|key| self.runners.get_mut(key)) {
                 runner.remove(task, &step);
                 self.plan_needed = true;
@@ -422,6 +431,12 @@
         }
     }
 
+    /// Returns the runs that were given up and of whose starts copies may be queued, and clears
+    /// them.
+    pub fn take_abandoned_runs(&mut self) -> Vec<AbandonedRun> {
+        std::mem::take(&mut self.abandoned_runs)
+    }
+
     /// Whether any task may run on a runner which has not confirmed it.
     pub(crate) fn has_unconfirmed(&self) -> bool {
         self.unconfirmed > 0
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -184,6 +184,18 @@
     pub run: u32,
 }
 
+/// A run that its owner has given up, by whatever way it ended, and of whose start a copy may
+/// still be queued.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AbandonedRun {
+    /// Runner that was ordered to run it.
+    pub runner: RunnerKey,
+    /// Name of the task.
+    pub name: TaskName,
+    /// Number of the run.
+    pub run: u32,
+}
+
 impl TaskEntry {
     /// A waiting task that has never run.
     pub fn new(round: u32, step: u32, index: u32, now: Millis) -> Self {
@@ -227,6 +239,21 @@
         }
     }
 
+    /// Runner for which a copy of the last run's start may be queued: before the first response
+    /// to a start, and after a start without one.
+    pub(crate) fn start_queued_for(&self) -> Option<RunnerKey> {
+        match self.state {
+            TaskState::Ordered(runner) => Some(runner),
+            TaskState::Running(runner) | TaskState::Stopping(runner) => {
+                Some(runner).filter(|_| self.any_start_unanswered)
+            }
+            TaskState::Waiting
+            | TaskState::Planned(_)
+            | TaskState::Unconfirmed { .. }
+            | TaskState::Done => None,
+        }
+    }
+
     /// Number of the run that its runner has.
     pub(crate) fn current_run(&self) -> u32 {
         self.earlier_run.unwrap_or(self.run)
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -7,10 +7,13 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    AbandonedRun,
     EndKind,
     HeartbeatReport,
     PoolState,
     RunnerKey,
+    RunnerLoss,
+    StartOrder,
     StartOutcome,
     StepSpec, //
 };
@@ -36,6 +39,64 @@
     stopped_start_that_never_came_frees_its_room => stopped_start();
     unanswered_start_is_sent_again_under_its_run => unanswered();
     stop_of_a_task_at_work_is_not_repeated_while_others_are_away => repeated_stop();
+    unanswered_start_is_withdrawn_by_each_end_of_its_run => abandoned_runs();
+    answered_start_is_not_withdrawn_by_the_end_of_its_run => answered_run();
+}
+
+/// A copy of an unanswered start may be queued when the owner gives its run up, and the next run
+/// of the task may begin elsewhere before that copy is sent. Whatever ends the run, the session
+/// is told to withdraw it.
+async fn abandoned_runs() -> Result<()> {
+    type RunEnd = fn(&mut PoolState, &StartOrder);
+    let ends: [(&str, RunEnd); 5] = [
+        ("lapse of the lease", |state, order| {
+            state.record_missed_heartbeat(order.runner, false, 1_950, 2_000);
+            state.expire_leases(1_000_001);
+        }),
+        ("removal of the runner", |state, order| {
+            state.remove_runner(order.runner, RunnerLoss::Crashed, 2_000);
+        }),
+        ("restart of the runner", |state, order| {
+            state.replace_restarted_runner(order.runner, 9, 9_000, 2_000);
+        }),
+        ("end by a report", |state, order| {
+            end_all(state, std::slice::from_ref(order), EndKind::Stopped, 2_000);
+        }),
+        ("acknowledged stop", |state, order| {
+            state.cancel("a", 2_000);
+            for stop in state.take_stop_orders() {
+                state.record_stop_ack(&stop, 2_010);
+            }
+            state.record_heartbeat(order.runner, &HeartbeatReport::default(), 2_020, 2_030);
+        }),
+    ];
+    for (cause, end) in ends {
+        let mut state = pool_of(2, 8);
+        state.add_job(new_job("a", vec![step(1)]), 1_000);
+        let orders = decide(&mut state, 1_000);
+        let order = orders.first().ok_or_eyre("no start was ordered")?;
+        state.record_start_outcome(order, StartOutcome::Unclear, 1_900);
+        ensure!(state.take_abandoned_runs().is_empty(), "{cause}: too early");
+        end(&mut state, order);
+        let expected = AbandonedRun {
+            runner: order.runner,
+            name: order.name.clone(),
+            run: order.run,
+        };
+        let abandoned = state.take_abandoned_runs();
+        ensure!(abandoned == [expected], "{cause}: {abandoned:?}");
+    }
+    Ok(())
+}
+
+/// Nothing of an answered start is queued, so that its end costs the session nothing.
+async fn answered_run() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    state.add_job(new_job("a", vec![step(1)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    end_all(&mut state, &orders, EndKind::Done, 2_000);
+    ensure!(state.take_abandoned_runs().is_empty());
+    Ok(())
 }
 
 /// A task on a runner that misses heartbeats is neither stopped nor started elsewhere while the
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -451,6 +451,7 @@
     /// Makes the decisions that are due, sends orders, and starts the next write.
     fn advance(&mut self) {
         let now = self.now();
+        self.withdraw_abandoned();
         if self.handing_over {
             return self.start_write(now);
         }
@@ -472,6 +473,8 @@
             self.state.plan(now);
         }
         self.request_advice(now);
+        // Those that the decisions above gave up.
+        self.withdraw_abandoned();
         for stop in self.state.take_stop_orders() {
             self.queue_order(stop.runner, RunnerOrder::Stop(stop));
         }
@@ -480,6 +483,16 @@
         self.start_write(now);
     }
 
+    /// Withdraws the queued starts of runs that were given up. Must follow each decision before
+    /// the owner waits, since sessions send meanwhile.
+    fn withdraw_abandoned(&mut self) {
+        for run in self.state.take_abandoned_runs() {
+            if let Some(session) = self.sessions.get(&run.runner) {
+                session.withdraw_run(run);
+            }
+        }
+    }
+
     /// Checks everything that changes by time alone: leases, rounds, unanswered stops, suspect
     /// tasks, draining runners and stalled tasks.
     fn check_deadlines(&mut self, now: Millis) {
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -18,13 +18,15 @@
 };
 
 use hoisthitch_jobs::{
+    AbandonedRun,
     HeartbeatReport,
     Millis,
     PaceOrder,
     RunnerKey,
     StartOrder,
     StartOutcome,
-    StopOrder, //
+    StopOrder,
+    TaskName, //
 };
 use tokio::sync::{
     Notify,
@@ -47,7 +49,7 @@
     orders::{
         OrderQueue,
         OrderSender,
-        StopState,
+        Withdrawal,
         WithdrawnRuns, //
     }, //
 };
@@ -116,6 +118,8 @@
     Stop(StopOrder),
     /// Set the pace of a best-effort task.
     Pace(PaceOrder),
+    /// Forget that a run was given up; nothing is sent. Queued behind all starts of that run.
+    Forget(TaskName, u32),
 }
 
 /// The owner's end of a session; the session ends when it is dropped.
@@ -229,18 +233,29 @@
         if let RunnerOrder::Stop(stop) = &order {
             let run = (stop.name.clone(), stop.run);
             let mut withdrawn = self.withdrawn.borrow_mut();
-            withdrawn.insert(run, StopState::Wanted);
+            withdrawn.insert(run, Withdrawal::StopQueued);
         }
         self.orders.try_send(order).is_ok()
     }
 }
 
 impl RunnerSession {
+    /// Withdraws the starts of a run that are queued, since the owner has given it up.
+    pub(crate) fn withdraw_run(&self, abandoned: AbandonedRun) {
+        let run = (abandoned.name.clone(), abandoned.run);
+        let mut withdrawn = self.withdrawn.borrow_mut();
+        withdrawn.entry(run).or_insert(Withdrawal::Abandoned);
+        // Without room in the queue the run stays withdrawn until the session ends.
+        let _ = self
+            .orders
+            .try_send(RunnerOrder::Forget(abandoned.name, abandoned.run));
+    }
+
     /// Revokes the stops of a run that are queued: none is sent until the next one is decided on.
     pub(crate) fn revoke_stop(&self, stop: &StopOrder) {
         let run = (stop.name.clone(), stop.run);
         let mut withdrawn = self.withdrawn.borrow_mut();
-        withdrawn.insert(run, StopState::Revoked);
+        withdrawn.insert(run, Withdrawal::StopRevoked);
     }
 }
 
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -41,24 +41,27 @@
 /// runner is about to shut down; the platform allows two seconds.
 const MAX_START_QUEUED_MS: Millis = 1_000;
 
-/// Whether the queued stops of a withdrawn run are to be sent.
+/// Why a run is withdrawn.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum StopState {
-    /// They are to be sent.
-    Wanted,
-    /// They were decided on too long ago, and must not be sent.
-    Revoked,
+pub(super) enum Withdrawal {
+    /// A stop of it is queued.
+    StopQueued,
+    /// The stops of it that are queued were decided on too long ago, and must not be sent.
+    StopRevoked,
+    /// The owner has given it up, and may have ordered the next run of its task.
+    Abandoned,
 }
 
-/// Runs that were ordered to stop, until that order is sent. A start of such a run that is queued
-/// before the stop is not sent: behind orders without a response the run could begin a second
-/// after its job was cancelled, or after its task was done elsewhere.
-pub(super) type WithdrawnRuns = Rc<RefCell<HashMap<(TaskName, u32), StopState>>>;
+/// Runs that were ordered to stop or given up, until all orders that were queued before that
+/// are handled. A start of such a run is not sent: behind orders without a response the run
+/// could begin a second after its job was cancelled, or while the next run of its task runs
+/// elsewhere.
+pub(super) type WithdrawnRuns = Rc<RefCell<HashMap<(TaskName, u32), Withdrawal>>>;
 
 /// Why a queued start is not sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StartRefusal {
-    /// A stop of its run is queued, or the session has ended.
+    /// A stop of its run is queued, its run was given up, or the session has ended.
     Withdrawn,
     /// Its runner is not listed any more, or is draining.
     RunnerDeparting,
@@ -106,6 +109,14 @@
         let is_named = || withdrawn.contains_key(&(order.name.clone(), order.run));
         self.queue.is_closed() || (!withdrawn.is_empty() && is_named())
     }
+
+    /// Removes the withdrawal of a run, unless there is another reason for it by now.
+    fn forget_withdrawal(&self, run: &(TaskName, u32), reason: Withdrawal) {
+        let mut withdrawn = self.withdrawn.borrow_mut();
+        if withdrawn.get(run) == Some(&reason) {
+            withdrawn.remove(run);
+        }
+    }
 }
 
 /// Sends the orders of a session.
@@ -130,17 +141,17 @@
                 }
                 RunnerOrder::Stop(order) => {
                     let run = (order.name.clone(), order.run);
-                    let state = orders.withdrawn.borrow().get(&run).copied();
-                    if state == Some(StopState::Revoked) {
+                    let withdrawal = orders.withdrawn.borrow().get(&run).copied();
+                    if withdrawal == Some(Withdrawal::StopRevoked) {
                         context.drop_stop(&order);
                         continue;
                     }
                     send_stop(context, order).await;
                     // It may have been revoked meanwhile, for further copies.
-                    let mut withdrawn = orders.withdrawn.borrow_mut();
-                    if withdrawn.get(&run) == Some(&StopState::Wanted) {
-                        withdrawn.remove(&run);
-                    }
+                    orders.forget_withdrawal(&run, Withdrawal::StopQueued);
+                }
+                RunnerOrder::Forget(name, run) => {
+                    orders.forget_withdrawal(&(name, run), Withdrawal::Abandoned);
                 }
                 RunnerOrder::Pace(order) => send_pace(context, order).await,
             }
--- a/crates/hoisthitch-scheduler/tests/draws/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/lives.rs
@@ -122,6 +122,18 @@
     Ok(())
 }
 
+/// A seed in which a copy of a start waited behind orders without a response and was sent after
+/// its run was declared lost and the next one was ordered.
+const WAITING_START_SEED: u64 = 1_964;
+
+#[test]
+fn start_that_waited_past_the_loss_of_its_run_is_not_sent() -> Result<()> {
+    for order in 0..RUNS_PER_SEED {
+        play_in_order(order, history(WAITING_START_SEED))?;
+    }
+    Ok(())
+}
+
 #[test]
 fn job_lost_six_times_by_chance_is_completed() -> Result<()> {
     for order in 0..RUNS_PER_SEED {
--- a/crates/hoisthitch-scheduler/tests/ownership/silent.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/silent.rs
@@ -8,8 +8,11 @@
 //! occurrences the task was started within 25 ms of the last election plus that time, with free
 //! VMs all along; the first case here shows the same on the code before the fix.
 
+use std::time::Duration;
+
 use eyre::{
     Result,
+    WrapErr,
     ensure, //
 };
 
@@ -19,6 +22,7 @@
     check_invariants,
     world::{
         TestWorld,
+        job,
         lasting,
         play,
         sleep_ms, //
@@ -40,6 +44,7 @@
     owner_that_was_frozen_while_it_took_over_gives_no_long_lease => wakes_in_takeover();
     word_is_left_of_a_runner_lost_just_before_a_stop => stops_after_loss();
     word_of_a_silent_runner_outlives_an_owner_that_is_lost_at_once => kills_in_series();
+    start_of_a_run_that_was_declared_lost_is_withdrawn => withdraws_lost_runs();
 }
 
 /// Starts a simulated cluster with long-running tasks; returns also a runner of one.
@@ -214,3 +219,43 @@
     wait_available(&world, MAX_UNAVAILABLE_MS - 850).await?;
     check_invariants(&world)
 }
+
+/// A second copy of a start waits behind a stop without a response. The runner's lease lapses,
+/// so that the task starts elsewhere, and the runner responds in the same moment. The time of
+/// its response is varied around the lapse.
+async fn withdraws_lost_runs() -> Result<()> {
+    for poll_ms in (620..=680).step_by(10) {
+        lapses_beside_response(poll_ms)
+            .await
+            .wrap_err_with(|| format!("last poll of {poll_ms} ms"))?;
+    }
+    Ok(())
+}
+
+/// Cuts off a runner whose last heartbeat is open for `poll_ms`, until about the end of its
+/// lease. The retries of the heartbeat follow at fixed intervals after that.
+async fn lapses_beside_response(poll_ms: u64) -> Result<()> {
+    let world = TestWorld::start(1, 1).await?;
+    let nodes: Vec<String> = world.nodes.keys().cloned().collect();
+    let (runner, _) = world.fleet.living().remove(0);
+    world.submit("stopped", job("work 60000", &[1])).await?;
+    // The end of the first task begins the heartbeat that the end of the second one ends.
+    world.submit("first", job("work 300", &[1])).await?;
+    let second = format!("work {}", 330 + poll_ms);
+    world.submit("second", job(&second, &[1])).await?;
+    sleep_ms(400).await;
+    world.fleet.set_late_by(Duration::from_secs(20));
+    world.fleet.set_late(1);
+    world.fleet.cut(&runner, &nodes);
+    world.submit("moved", job("work 60000", &[1])).await?;
+    sleep_ms(300).await;
+    world.cancel("stopped").await?;
+    world.begin_runner("vm-1");
+    sleep_ms(4_400).await;
+    world.fleet.cut(&runner, &[]);
+    sleep_ms(500).await;
+    world.fleet.set_late(0);
+    sleep_ms(3_000).await;
+    ensure!(world.fleet.starts("moved.0.0.0") > 0, "the task never ran");
+    check_invariants(&world)
+}
