Send no start to a runner whose heartbeat is missed or overdue

What callers saw: a long-running task ran twice at once. A start that had waited for a heartbeat was sent in the millisecond in which that heartbeat failed, and reached the next instance of the runner. The lease that it named, by the clock of the instance before, lasted there past the time at which the owner started the task elsewhere.

Cause: a runner without a response gets no first start from the owner, but the check right before sending did not ask for that.

The new test of the ownership suite failed before the change ("start after 160 ms": "moved.0.0.1 runs twice at once").

Change: the session records a heartbeat that got no response, or one of another instance, before it opens the gate for a waiting start, and when the response of an open one is overdue. Until the next response it sends no start (start_not_sent reason=runner_silent), and the owner decides again.

Left: a start that is sent before the heartbeat is overdue.

--- a/crates/hoisthitch-scheduler/src/session/gate.rs
+++ b/crates/hoisthitch-scheduler/src/session/gate.rs
@@ -23,6 +23,10 @@
     ack_unanswered_at: Cell<Option<Millis>>,
     /// Number of acknowledgements that got no response. They may still arrive.
     unanswered_acks: Cell<u32>,
+    /// Whether the last heartbeat got no response from the session's instance.
+    silent: Cell<bool>,
+    /// Time by which the heartbeat that is in transit should have its response.
+    response_due_at: Cell<Option<Millis>>,
 }
 
 impl TransitGate {
@@ -52,8 +56,29 @@
         self.unanswered_acks.update(|count| count + 1);
     }
 
+    /// Records that a heartbeat got no response from the session's instance.
+    pub(super) fn record_silence(&self) {
+        self.silent.set(true);
+    }
+
+    /// Records that a heartbeat is sent, and when its response should have come.
+    pub(super) fn record_heartbeat(&self, due_at: Millis) {
+        self.response_due_at.set(Some(due_at));
+    }
+
+    /// Whether the last heartbeat got no response from the session's instance, or the one in
+    /// transit is overdue. The runner may have restarted since it last responded, and the next
+    /// instance may take a start for its own: under a lease by the clock of the one before, past
+    /// the time at which the owner starts the task elsewhere.
+    pub(super) fn is_silent(&self, now: Millis) -> bool {
+        let is_overdue = |due_at| due_at < now;
+        self.silent.get() || self.response_due_at.get().is_some_and(is_overdue)
+    }
+
     /// Records that the same instance responded to a heartbeat that was sent at `sent_at`.
     pub(super) fn record_response(&self, sent_at: Millis) {
+        self.silent.set(false);
+        self.response_due_at.set(None);
         let is_later = |at: &Millis| *at >= sent_at;
         self.start_unanswered_at.update(|at| at.filter(is_later));
         self.ack_unanswered_at.update(|at| at.filter(is_later));
--- a/crates/hoisthitch-scheduler/src/session/heartbeats.rs
+++ b/crates/hoisthitch-scheduler/src/session/heartbeats.rs
@@ -74,6 +74,10 @@
 /// without a response it takes longer.
 const RESET_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time beyond its wait after which a heartbeat without a response is overdue, in milliseconds:
+/// half of the time after which calls to runners fail.
+const RESPONSE_OVERDUE_MS: Millis = 450;
+
 /// Delay after a failed heartbeat.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -152,6 +156,8 @@
             // The gate is passed first, since the plan depends on the time.
             let turn = self.turn_to_acknowledge(&gate).await;
             let plan = self.plan(turn.is_some());
+            let wait_ms = self.request(plan).wait.as_millis() as Millis;
+            gate.record_heartbeat(plan.sent_at + wait_ms + RESPONSE_OVERDUE_MS);
             let call = self
                 .context
                 .runners
@@ -166,6 +172,12 @@
             if plan.acknowledges && self.may_have_strayed(&response, failed_at_once) {
                 gate.record_unanswered_ack(now);
             }
+            let responded =
+                matches!(&response, Some(Ok(report)) if self.new_start_time(report).is_none());
+            if !responded {
+                // Recorded before the gate opens for a start that waits for it.
+                gate.record_silence();
+            }
             drop(turn);
             match response {
                 Some(Ok(report)) => {
--- a/crates/hoisthitch-scheduler/src/session/orders.rs
+++ b/crates/hoisthitch-scheduler/src/session/orders.rs
@@ -77,6 +77,9 @@
     LeaseExpired,
     /// An acknowledgement of ends got no response, and may reach a later instance with it.
     AckUnanswered,
+    /// The last heartbeat got no response or is overdue, and a later instance may have replaced
+    /// the runner.
+    RunnerSilent,
 }
 
 impl StartRefusal {
@@ -90,6 +93,7 @@
             Self::QueuedTooLong => "waited",
             Self::LeaseExpired => "lease_over",
             Self::AckUnanswered => "ack_unanswered",
+            Self::RunnerSilent => "runner_silent",
         }
     }
 }
@@ -180,8 +184,15 @@
         let refusal = self
             .context
             .start_refusal(order, admitted_at, &self.clock, orders);
-        let is_held = || !self.gate.allows_start();
-        refusal.or_else(|| is_held().then_some(StartRefusal::AckUnanswered))
+        let now = self.context.shared.clock.now();
+        refusal.or_else(|| {
+            if !self.gate.allows_start() {
+                return Some(StartRefusal::AckUnanswered);
+            }
+            self.gate
+                .is_silent(now)
+                .then_some(StartRefusal::RunnerSilent)
+        })
     }
 }
 
--- a/crates/hoisthitch-scheduler/tests/draws/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/lives.rs
@@ -134,6 +134,18 @@
     Ok(())
 }
 
+/// A seed in which a start that had waited for a heartbeat was sent when that heartbeat failed, and
+/// reached the next instance of the runner.
+const SILENT_RUNNER_SEED: u64 = 53_338;
+
+#[test]
+fn start_to_a_silent_runner_is_not_sent() -> Result<()> {
+    for order in 0..RUNS_PER_SEED {
+        play_in_order(order, history(SILENT_RUNNER_SEED))?;
+    }
+    Ok(())
+}
+
 #[test]
 fn job_lost_six_times_by_chance_is_completed() -> Result<()> {
     for order in 0..RUNS_PER_SEED {
--- a/crates/hoisthitch-scheduler/tests/ownership/silent.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/silent.rs
@@ -45,6 +45,7 @@
     word_is_left_of_a_runner_lost_just_before_a_stop => stops_after_loss();
     word_of_a_silent_runner_outlives_an_owner_that_is_lost_at_once => kills_in_series();
     start_of_a_run_that_was_declared_lost_is_withdrawn => withdraws_lost_runs();
+    queued_start_is_not_sent_after_a_missed_heartbeat => misses_before_start();
 }
 
 /// Starts a simulated cluster with long-running tasks; returns also a runner of one.
@@ -259,3 +260,43 @@
     ensure!(world.fleet.starts("moved.0.0.0") > 0, "the task never ran");
     check_invariants(&world)
 }
+
+/// A start waits behind another one without a response. Meanwhile a heartbeat gets no response,
+/// and the runner restarts. The next instance would run the task under a lease by the clock of
+/// the one before, past the time at which the owner starts the task elsewhere. The start is due
+/// when the heartbeat is overdue, or has just failed.
+async fn misses_before_start() -> Result<()> {
+    for delay_ms in (160..=240).step_by(20) {
+        restarts_beside_start(delay_ms)
+            .await
+            .wrap_err_with(|| format!("start after {delay_ms} ms"))?;
+    }
+    Ok(())
+}
+
+/// Cuts off a runner just before the end of a task ends its heartbeat, and submits a job of two
+/// tasks `delay_ms` later.
+async fn restarts_beside_start(delay_ms: u64) -> Result<()> {
+    let world = TestWorld::start(1, 1).await?;
+    let nodes: Vec<String> = world.nodes.keys().cloned().collect();
+    let (runner, _) = world.fleet.living().remove(0);
+    world.submit("first", job("work 300", &[1])).await?;
+    world.submit("second", job("work 600", &[1])).await?;
+    sleep_ms(500).await;
+    world.fleet.set_late_by(Duration::from_secs(20));
+    world.fleet.cut(&runner, &nodes);
+    sleep_ms(delay_ms).await;
+    world.submit("moved", job("work 60000", &[2])).await?;
+    sleep_ms(300).await;
+    world.fleet.restart(&runner);
+    sleep_ms(500).await;
+    // Only the start reaches the next instance, and no heartbeat.
+    world.fleet.cut(&runner, &[]);
+    sleep_ms(250).await;
+    world.fleet.cut(&runner, &nodes);
+    world.begin_runner("vm-1");
+    sleep_ms(8_000).await;
+    let started = (0..2).map(|index| world.fleet.starts(&format!("moved.0.0.{index}")));
+    ensure!(started.min() > Some(0), "a task never ran");
+    check_invariants(&world)
+}
