Known failures: a start that overtakes the news of a restart

What callers may see: a task runs twice at once if its runner is cut off, restarts and is healed within one open heartbeat, and a start is sent before that heartbeat is overdue.

Not mended; listed.

--- a/crates/hoisthitch-scheduler/tests/ownership/silent.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/silent.rs
@@ -8,7 +8,10 @@
 //! occurrences the task was started within 25 ms of the last election plus that time, with free
 //! VMs all along; the first case here shows the same on the code before the fix.
 
-use std::time::Duration;
+use std::{
+    ops::RangeInclusive,
+    time::Duration, //
+};
 
 use eyre::{
     Result,
@@ -45,7 +48,8 @@
     word_is_left_of_a_runner_lost_just_before_a_stop => stops_after_loss();
     word_of_a_silent_runner_outlives_an_owner_that_is_lost_at_once => kills_in_series();
     start_of_a_run_that_was_declared_lost_is_withdrawn => withdraws_lost_runs();
-    queued_start_is_not_sent_after_a_missed_heartbeat => misses_before_start();
+    queued_start_is_not_sent_after_a_missed_heartbeat => misses_before_start(160..=240);
+    start_sent_before_its_heartbeat_is_overdue_runs_nothing_twice => misses_before_start(20..=140);
 }
 
 /// Starts a simulated cluster with long-running tasks; returns also a runner of one.
@@ -263,10 +267,11 @@
 
 /// A start waits behind another one without a response. Meanwhile a heartbeat gets no response,
 /// and the runner restarts. The next instance would run the task under a lease by the clock of
-/// the one before, past the time at which the owner starts the task elsewhere. The start is due
-/// when the heartbeat is overdue, or has just failed.
-async fn misses_before_start() -> Result<()> {
-    for delay_ms in (160..=240).step_by(20) {
+/// the one before, past the time at which the owner starts the task elsewhere. The first start is
+/// ordered at one of the `delays_ms` after the cut. From 160 ms on, the second one is due when
+/// the heartbeat is overdue, or has just failed.
+async fn misses_before_start(delays_ms: RangeInclusive<u64>) -> Result<()> {
+    for delay_ms in delays_ms.step_by(20) {
         restarts_beside_start(delay_ms)
             .await
             .wrap_err_with(|| format!("start after {delay_ms} ms"))?;
