Count no evacuating runner as silent with its data hall

At 20.6 s a pool gave 39 VMs of one hall away in one pass; their runners fell silent together, the hall counted as lost (`hall_lost runners=55 silent=38 nodes=11 age_ms=113`), and a second later the pool was handed over beyond a supposed cut (`pool_offered_beyond_cut`), though the hall's nodes and its other runners were there.

Change: runners that are being evacuated count neither as silent nor as runners of their hall.

Test: decisions/hall_loss, `vms_that_leave_a_hall_together_are_no_loss`.

--- a/crates/hoisthitch-jobs/src/hall_loss.rs
+++ b/crates/hoisthitch-jobs/src/hall_loss.rs
@@ -50,7 +50,8 @@
 /// What the runners of a hall last answered.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct HallSilence {
-    /// Number of runners that are neither draining nor were silent long before the others.
+    /// Number of runners that are neither draining nor evacuating, and were not silent long before
+    /// the others.
     pub runners: usize,
     /// Those that are silent.
     pub silent: usize,
@@ -213,7 +214,9 @@
         let begun = self.responding_since.unwrap_or(now);
         let counted = |runner: &&RunnerEntry| {
             let is_known = !runner.facts.hall.is_empty();
-            is_known && !runner.facts.draining && !runner.is_new(begun, now)
+            // VMs that are moved or maintained go down by the dozen, many of them in one hall.
+            let is_staying = !runner.facts.draining && !runner.evacuating;
+            is_known && is_staying && !runner.is_new(begun, now)
         };
         let mut halls: BTreeMap<String, HallSilence> = BTreeMap::new();
         for runner in self.runners.values().filter(counted) {
--- a/crates/hoisthitch-jobs/tests/decisions/hall_loss.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/hall_loss.rs
@@ -42,6 +42,7 @@
     owner_that_was_frozen_loses_no_hall => frozen();
     runners_lost_one_after_the_other_are_no_hall => one_by_one();
     few_runners_are_no_hall => few();
+    vms_that_leave_a_hall_together_are_no_loss => moved_away();
     silence_is_no_loss_while_most_others_are_silent_too => others_silent();
     next_owner_loses_a_hall_that_never_responded => never_responded();
     deployment_without_tolerance_loses_no_hall => not_tolerated();
@@ -136,6 +137,25 @@
     there.count()
 }
 
+/// A pool gave most of its VMs of one hall to another pool in one pass. Their runners fell silent
+/// together, the hall counted as lost, and the pool was handed over to a node in a third hall.
+async fn moved_away() -> Result<()> {
+    let mut state = pool_with_halls(6)?;
+    let mut monitor = HallMonitor::default();
+    stay(&mut state, &mut monitor, &[10_100, 10_500])?;
+    let leaving: Vec<RunnerKey> = keys_in(&state, &["hall-1"]).into_iter().take(5).collect();
+    for key in &leaving {
+        state.set_evacuating(*key, true);
+        state.record_missed_heartbeat(*key, true, 10_500, 10_600);
+    }
+    stay(&mut state, &mut monitor, &[10_600, 11_000])?;
+    ensure!(
+        state.hall_silences(11_000)["hall-1"].runners == 1,
+        "VMs that leave count as runners of their hall"
+    );
+    Ok(())
+}
+
 async fn lost() -> Result<()> {
     let mut state = pool_with_halls(5)?;
     let mut monitor = HallMonitor::default();
