Start tasks on cold runners at their pool's rate

What was lacking: a pool's runners may be slow for some time after their start, and nothing read how long or at what rate they are meant to get work; a runner that had just started, or whose data hall's evacuation was over, got as many tasks at once as fit.

The change: a pool may have a slow start (duration, starts in a second). Its owner counts its own starts on each cold runner in a token bucket (rate with its overage, as deep as the tolerance), plans no more than the bucket holds, checks again when a start is ordered, and prefers warm runners. Runners that a new owner inherits begin with an empty bucket, by the age of their process where it is known. Off without figures.

Evidence: tests of the decision, with drawn writes and a change of owner, and of three nodes whose owner is killed, frozen or stopped: at most 5 starts of a runner in any second with a rate of 2, an overage of 50% and a tolerance of 2.

Ruled out: to take tokens when a start is planned; planned starts that wait for a slow write would be sent together.

--- a/crates/hoisthitch-jobs/src/admission.rs
+++ b/crates/hoisthitch-jobs/src/admission.rs
@@ -46,6 +46,8 @@
     Cordoned,
     /// The runner's data hall counts as lost, and no copy was sent.
     HallLost,
+    /// The runner is cold and has got as many starts as its rate allows, and no copy was sent.
+    Cold,
     /// The runner is being evacuated.
     Evacuating,
     /// The runner's capacity has shrunk.
@@ -113,6 +115,9 @@
         if is_first && !runner.ready {
             return Some(StartObstacle::NotReady);
         }
+        if is_first && !self.rate_allows_start(runner, now) {
+            return Some(StartObstacle::Cold);
+        }
         if !is_first && self.is_over_limit(task.job) {
             return Some(StartObstacle::OverLimit);
         }
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -12,6 +12,7 @@
 mod advice;
 mod arrivals;
 mod balance;
+mod cold_start;
 mod cordon;
 mod demand;
 mod drain;
@@ -64,6 +65,12 @@
     VmMove,
     plan_moves, //
 };
+pub use cold_start::{
+    ColdCause,
+    ColdStart,
+    ColdStartBounds,
+    WarmthChange, //
+};
 pub use cordon::CordonedLoad;
 pub use demand::WantedVms;
 pub use forecast::{
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Millis,
+    cold_start::COLD_COST,
     hall_spread::{
         HallCounts,
         PlacementCost, //
@@ -83,6 +84,7 @@
         self.runners
             .iter()
             .filter(move |(_, runner)| runner.takes_tasks(now) && runner.fits(step))
+            .filter(move |(_, runner)| self.rate_allows_plan(runner, now))
             .filter(move |(_, runner)| self.allows_isolation(task, isolate, runner, now))
             .filter(|(_, runner)| !runner.is_on_probation() || runner.tasks.is_empty())
             .filter(move |(_, runner)| runner.lists_end_of(step, now))
@@ -167,6 +169,9 @@
         if step.long_running && self.count_same_step(task, runner) >= step.max_together() {
             cost += CROWDED_COST;
         }
+        if self.is_cold(runner) {
+            cost += COLD_COST;
+        }
         if !runner.has_long_running() {
             cost += NO_LONG_RUNNING_COST;
         }
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -125,6 +125,7 @@
             }
             planned += self.plan_job(key, &mut full, &mut budget, &mut room, now);
         }
+        self.held_back_starts = self.count_held_back(now);
         self.lacked_capacity = !full.reservations.is_empty();
         planned
     }
@@ -374,6 +375,7 @@
                 self.break_gang(*task, now);
                 continue;
             }
+            self.count_cold_start(runner, now);
             self.set_task_state(*task, TaskState::Ordered(runner), now);
             orders.extend(self.next_start_order(*task, runner));
         }
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -19,6 +19,11 @@
     account::EndedJob,
     advice::StepAdvice,
     arrivals::ArrivalLog,
+    cold_start::{
+        ColdStart,
+        ColdStartBounds,
+        WarmthChange, //
+    },
     hall_spread::UnevenStep,
     job::{
         JobEntry,
@@ -79,6 +84,8 @@
     /// Number of data halls that may be lost at the same time; with zero, halls are not told
     /// apart.
     pub tolerated_halls: u32,
+    /// By how much the rate of cold runners may be exceeded.
+    pub cold_bounds: ColdStartBounds,
 }
 
 /// What the owner of a pool knows of its jobs and runners.
@@ -146,6 +153,12 @@
     pub(crate) uneven_steps: Vec<UnevenStep>,
     /// Long-running steps that were noted as uneven.
     pub(crate) uneven_noted: BTreeSet<(JobKey, u32, u32)>,
+    /// Slow start of the runners, if they have one.
+    pub(crate) cold_start: Option<ColdStart>,
+    /// Runners that became cold or warm since they were last read.
+    pub(crate) warmth_changes: Vec<WarmthChange>,
+    /// Waiting tasks that the rate of cold runners held back when starts were last planned.
+    pub(crate) held_back_starts: usize,
     /// Batch of records that is being written, where one write does not take them all.
     pub(crate) flush_batch: Option<FlushBatch>,
 }
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     Millis,
+    cold_start::RunnerWarmth,
     resources::ResourceAmounts,
     spec::StepSpec,
     task::TaskRef, //
@@ -174,6 +175,10 @@
     pub(crate) hall_number: usize,
     /// Whether it has not responded since its data hall was lost.
     pub(crate) lost_with_hall: bool,
+    /// Whether it is cold.
+    pub(crate) warmth: RunnerWarmth,
+    /// Whether it was in a cordoned data hall when its warmth was last decided.
+    pub(crate) cools_in_cordon: bool,
     /// Latest time at which its leases may end, and with them everything that runs on it, if
     /// it gets no further heartbeat.
     pub lease_until: Millis,
@@ -239,6 +244,8 @@
             hall_lost: false,
             hall_number: 0,
             lost_with_hall: false,
+            warmth: RunnerWarmth::Unknown,
+            cools_in_cordon: false,
             lease_until,
             lease_confirmed_until: None,
             relocating_until: 0,
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod admission;
+mod cold_start;
 mod cordons;
 mod demand;
 mod fair;
--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -13,6 +13,7 @@
 };
 
 use hoisthitch_jobs::{
+    ColdStart,
     Millis,
     QueuePolicy,
     RunnerInstance, //
@@ -40,6 +41,8 @@
     pub(crate) policies: HashMap<String, QueuePolicy>,
     /// Pools.
     pub(crate) pools: Vec<String>,
+    /// Slow start of runners, by pool that has one.
+    pub(crate) cold_starts: HashMap<String, ColdStart>,
     /// Waves by number.
     pub(crate) waves: BTreeMap<u64, WaveRequest>,
     /// Cordoned data halls.
--- a/crates/hoisthitch-scheduler/src/metrics.rs
+++ b/crates/hoisthitch-scheduler/src/metrics.rs
@@ -64,6 +64,8 @@
     pub intake_capacity: IntGaugeVec,
     /// VMs of this node's pools by data hall, where halls are told apart.
     pub pool_vms: IntGaugeVec,
+    /// Waiting tasks that the rate of cold runners holds back, by pool of this node.
+    pub held_back_starts: IntGaugeVec,
     /// Data halls that count as lost, by pool of this node and hall: 1 or 0.
     pub lost_halls: IntGaugeVec,
 }
@@ -140,6 +142,10 @@
         )?;
         registry.register(Box::new(lost_halls.clone()))?;
         Ok(Self {
+            held_back_starts: gauges(
+                "hoisthitch_starts_held_back",
+                "Waiting tasks that the rate of cold runners holds back",
+            )?,
             pool_vms,
             members_visited,
             refusals: counter(
--- a/crates/hoisthitch-scheduler/src/operators.rs
+++ b/crates/hoisthitch-scheduler/src/operators.rs
@@ -220,10 +220,15 @@
         let version = i64::try_from(policy.version).unwrap_or(i64::MAX);
         self.shared.metrics.policy_version.set(version);
         let pools = policy.pools.iter().map(|pool| pool.name.clone()).collect();
+        let cold_starts = policy.pools.iter();
+        let cold_starts =
+            cold_starts.filter_map(|pool| Some((pool.name.clone(), pool.cold_start?)));
+        let cold_starts = cold_starts.collect();
         let policies = policy.policies();
         self.shared.policy.store(Some(Arc::new(policy)));
         update_fleet(&self.fleet, |fleet| {
             fleet.pools = pools;
+            fleet.cold_starts = cold_starts;
             fleet.policies = policies;
             true
         });
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -11,6 +11,7 @@
 
 mod advice;
 mod awaited;
+mod cold_start;
 mod cordons;
 mod halls;
 mod inbox;
@@ -183,6 +184,8 @@
     session_count: Rc<Cell<u32>>,
     /// Whether a list of runners was applied before.
     has_synced: bool,
+    /// Whether the list of runners was read when it was last applied.
+    knew_list: bool,
     /// Which instances of runners are current, and which have ended.
     instances: InstanceTracker,
     /// Configuration that this node does not have yet, though a job was accepted under it.
@@ -214,6 +217,8 @@
     /// VMs by data hall, as shown in the metrics.
     shown_halls: BTreeMap<String, u32>,
     halls: HallWatch,
+    /// Number of tasks that cold runners hold back, as shown in the metrics.
+    shown_held_back: usize,
 }
 
 /// Receiving ends of the owner's event sources.
@@ -278,6 +283,7 @@
         silence: SilenceTracker::inherited(&takeover.notes.silent),
         recorded_unproven: takeover.notes.unproven,
         has_synced: false,
+        knew_list: false,
         confirmed_at,
         checked_at: 0,
         wrote_at: 0,
@@ -288,6 +294,7 @@
         first_waits: HashMap::new(),
         shown_halls: BTreeMap::new(),
         halls: HallWatch::default(),
+        shown_held_back: 0,
         context,
     };
     owner.count_event("pool_taken");
@@ -306,6 +313,7 @@
     let end = owner.run(&mut channels, &mut recorded).await;
     vms.abort();
     owner.forget_pressure();
+    owner.forget_cold_start();
     owner.show_vms_by_hall(&BTreeMap::new());
     owner.count_event("pool_left");
     event!(
@@ -501,6 +509,7 @@
         self.update_quotas(now);
         if due && self.are_lists_valid(now) && self.may_write(now) && !self.awaits_policy(now) {
             self.state.plan(now);
+            self.show_held_back_starts();
         }
         self.request_advice(now);
         for stop in self.state.take_stop_orders() {
@@ -521,6 +530,7 @@
         }
         let today = self.context.shared.clock.unix_ms();
         self.state.begin_due_rounds(now, today);
+        self.update_warmth(false, now);
         self.state.resend_stops(now);
         for stop in self.state.harmful_stops() {
             if let Some(session) = self.sessions.get(&stop.runner) {
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -193,6 +193,8 @@
         for record in own {
             self.apply_runner_record(record, since);
         }
+        self.update_warmth(!self.knew_list, now);
+        self.knew_list = fleet.listed;
         let known: Vec<(RunnerKey, String)> = self
             .state
             .runners()
--- a/crates/hoisthitch-scheduler/src/policy.rs
+++ b/crates/hoisthitch-scheduler/src/policy.rs
@@ -9,7 +9,10 @@
     HashMap, //
 };
 
-use hoisthitch_jobs::QueuePolicy;
+use hoisthitch_jobs::{
+    ColdStart,
+    QueuePolicy, //
+};
 
 use crate::{
     index::QueueIndex,
@@ -47,6 +50,8 @@
     pub name: String,
     /// Whether it is a spare pool, whose VMs are off.
     pub spare: bool,
+    /// Slow start of its runners, if they have one.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// The operators' configuration.
--- a/crates/hoisthitch-scheduler/src/terms.rs
+++ b/crates/hoisthitch-scheduler/src/terms.rs
@@ -5,7 +5,10 @@
 
 use std::collections::BTreeSet;
 
-use hoisthitch_jobs::PoolTerms;
+use hoisthitch_jobs::{
+    ColdStartBounds,
+    PoolTerms, //
+};
 use thiserror::Error;
 
 /// Terms of the deployment that a node belongs to.
@@ -17,6 +20,8 @@
     pub tolerated_halls: u32,
     /// Whether jobs that can't end in time are refused before they are stored.
     pub admission_control: bool,
+    /// By how much the rate of cold runners may be exceeded.
+    pub cold_bounds: ColdStartBounds,
 }
 
 /// Why terms are not valid.
@@ -63,6 +68,7 @@
         PoolTerms {
             useless_work_yields: self.admission_control,
             tolerated_halls: self.tolerated_halls,
+            cold_bounds: self.cold_bounds,
         }
     }
 }
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -33,6 +33,7 @@
 }
 
 mod cancels;
+mod cold_start;
 mod configuration;
 mod cordons;
 mod drains;
--- a/crates/hoisthitch-scheduler/tests/world/codec.rs
+++ b/crates/hoisthitch-scheduler/tests/world/codec.rs
@@ -2,6 +2,7 @@
 //! configuration that each version of the operators' record gives.
 
 use hoisthitch_jobs::{
+    ColdStart,
     QueuePolicy,
     ResourceAmounts,
     RunnerFacts, //
@@ -36,6 +37,10 @@
 /// than the usual one.
 pub const POOLS: &str = " rooms ";
 
+/// Separates the version of a configuration from the slow start of its runners: for how many
+/// milliseconds they are cold, and how many starts they get in a second.
+pub const COLD: &str = " cold ";
+
 /// Number of teams in such a configuration.
 pub const CHOIRS: usize = 40;
 
@@ -69,9 +74,14 @@
             return None;
         }
         let text = String::from_utf8_lossy(value);
-        let (version, cores) = text.split_once(LIMITED).unwrap_or((&text, ""));
+        let (text, cold) = text.split_once(COLD).unwrap_or((&text, ""));
+        let (version, cores) = text.split_once(LIMITED).unwrap_or((text, ""));
         let (version, pools) = version.split_once(POOLS).unwrap_or((version, "1"));
-        let policy = policy(version.parse().unwrap_or(0), pools.parse().unwrap_or(1));
+        let policy = policy(
+            version.parse().unwrap_or(0),
+            pools.parse().unwrap_or(1),
+            parse_cold_start(cold),
+        );
         let Ok(cores) = cores.parse() else {
             return Some(Ok(policy));
         };
@@ -164,10 +174,20 @@
     }
 }
 
-fn policy(version: u64, pools: usize) -> FleetPolicy {
+/// Parses the slow start of a configuration's runners.
+fn parse_cold_start(text: &str) -> Option<ColdStart> {
+    let (duration, rate) = text.split_once(' ')?;
+    Some(ColdStart {
+        duration_ms: duration.parse().ok()?,
+        starts_per_s: rate.parse().ok()?,
+    })
+}
+
+fn policy(version: u64, pools: usize, cold_start: Option<ColdStart>) -> FleetPolicy {
     let pools = (0..pools).map(|number| PoolPolicy {
         name: pool_name(number),
         spare: false,
+        cold_start,
     });
     let queues = vec![queue(), advised_queue()];
     FleetPolicy::new(version, queues, pools.collect(), 262_144)
