Explain submissions refused while all data halls are cordoned, or for another team's identifier

What operators saw: 'hoisthitch explain ID' counted the line job_call outcome=halls_cordoned (and outcome=foreign) as no log line, and where it was the only one said that no line names the job.

The change: both are outcomes of a submission with a cause. Evidence: four tests; with the binary of before all four fail ('not log lines: 1', 'no line names').

--- a/crates/hoisthitch-cli/src/story/cause.rs
+++ b/crates/hoisthitch-cli/src/story/cause.rs
@@ -206,6 +206,13 @@
             write_error(node, related)
         ),
         SubmitOutcome::Overloaded => overload_cause(own),
+        SubmitOutcome::Cordoned => format!(
+            "{node} knew all data halls as cordoned, so that nothing could be started, and refused at once; its hall_cordoned lines tell since when."
+        ),
+        SubmitOutcome::Foreign => {
+            "a job of another team has this identifier; these lines do not show that job's."
+                .to_owned()
+        }
         SubmitOutcome::NoQueue => format!(
             "{node} knows no queue for it by its configuration ({}); compare policy_in_force of all nodes.",
             event.raw_fields
--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -260,6 +260,10 @@
     Refused,
     /// Refused because the job could not end in time.
     Overloaded,
+    /// Refused because all data halls were cordoned.
+    Cordoned,
+    /// Refused because another team's job has the identifier.
+    Foreign,
     /// Refused because the node's configuration has no such queue.
     NoQueue,
     /// Refused because a newer configuration may be in effect.
@@ -494,6 +498,8 @@
         "store_lost" => SubmitOutcome::StoreLost,
         "refused" => SubmitOutcome::Refused,
         "overloaded" => SubmitOutcome::Overloaded,
+        "halls_cordoned" => SubmitOutcome::Cordoned,
+        "foreign" => SubmitOutcome::Foreign,
         "unknown" => SubmitOutcome::Unknown,
         _ => return None,
     };
--- a/crates/hoisthitch-cli/src/story/window.rs
+++ b/crates/hoisthitch-cli/src/story/window.rs
@@ -109,6 +109,8 @@
             SubmitOutcome::StoreLost
                 | SubmitOutcome::Refused
                 | SubmitOutcome::Overloaded
+                | SubmitOutcome::Cordoned
+                | SubmitOutcome::Foreign
                 | SubmitOutcome::NoQueue
                 | SubmitOutcome::Unconfirmed
         )
--- a/crates/hoisthitch-cli/src/story/words.rs
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -75,6 +75,8 @@
         SubmitOutcome::StoreLost => "submission refused: the store was lost",
         SubmitOutcome::Refused => "submission refused: the writes failed",
         SubmitOutcome::Overloaded => "submission refused: the job could not end in time",
+        SubmitOutcome::Cordoned => "submission refused: all data halls were cordoned",
+        SubmitOutcome::Foreign => "submission refused: another team's job has the identifier",
         SubmitOutcome::NoQueue => "submission refused: no such queue",
         SubmitOutcome::Unconfirmed => "submission refused: the configuration is not confirmed",
         SubmitOutcome::Unknown => "submission without a clear answer",
--- a/crates/hoisthitch-tests/tests/explain/refusals.rs
+++ b/crates/hoisthitch-tests/tests/explain/refusals.rs
@@ -22,6 +22,10 @@
     unclear_answer_names_the_write => unclear_answer();
     refusal_for_want_of_room_names_the_pool_and_the_waits => refused_pool_full();
     refusal_for_a_team_s_excess_names_the_team => refused_team_excess();
+    refusal_while_all_halls_are_cordoned_names_the_node => refused_cordoned();
+    refusal_of_another_team_s_identifier_says_so => refused_foreign();
+    job_that_was_refused_while_halls_were_cordoned_and_ran_later_is_no_refusal => cordoned_then_accepted();
+    job_that_another_team_asked_for_keeps_its_story => foreign_beside_own();
     job_that_was_refused_first_and_ran_later_is_no_refusal => refused_then_accepted();
 }
 
@@ -81,6 +85,45 @@
     Ok(())
 }
 
+/// The line of the refusal was counted as no log line, and nothing told of the submission.
+async fn refused_cordoned() -> Result<()> {
+    let wanted = [
+        "submission refused: all data halls were cordoned",
+        "What became of it: refused: it never ran.",
+        "Kind of failure: 1,",
+        "node-1 knew all data halls as cordoned",
+        "not log lines: 0",
+    ];
+    check("cordoned", &submitted(5_000, "halls_cordoned"), &wanted).await?;
+    Ok(())
+}
+
+async fn refused_foreign() -> Result<()> {
+    let wanted = [
+        "submission refused: another team's job has the identifier",
+        "What became of it: refused: it never ran.",
+        "Kind of failure: 1,",
+        "a job of another team has this identifier",
+        "not log lines: 0",
+    ];
+    check("foreign", &submitted(5_000, "foreign"), &wanted).await?;
+    Ok(())
+}
+
+async fn cordoned_then_accepted() -> Result<()> {
+    let log = [submitted(1_000, "halls_cordoned"), started_job()].concat();
+    let text = check("cordoned-then", &log, &["not log lines: 0"]).await?;
+    ensure!(!text.contains("Kind of failure: 1"), "{text}");
+    Ok(())
+}
+
+async fn foreign_beside_own() -> Result<()> {
+    let log = [started_job(), submitted(9_000, "foreign")].concat();
+    let text = check("foreign-beside", &log, &["not log lines: 0"]).await?;
+    ensure!(!text.contains("Kind of failure: 1"), "{text}");
+    Ok(())
+}
+
 async fn refused_writes() -> Result<()> {
     let log = [
         line(
