Show how long an evacuated data hall still runs tasks, and which jobs stay

What operators lacked: 'hoisthitch halls' told the number of tasks in an evacuated hall, and not whether or when it would be zero.

--- a/crates/hoisthitch-api/src/job.rs
+++ b/crates/hoisthitch-api/src/job.rs
@@ -1,6 +1,8 @@
 //! Messages about jobs, queues and teams, between `hoisthitch` and a node of the
 //! job service.
 
+use std::collections::BTreeSet;
+
 use hoisthitch_jobs::{
     JobPhase,
     JobSpec, //
@@ -75,6 +77,16 @@
     /// Tasks that still run there, as pools reported within the last second or two; `None` while
     /// that can't be read.
     pub tasks: Option<usize>,
+    /// Expected time until those that end by themselves have ended, in milliseconds, zero once they
+    /// are overdue; `None` without such tasks, or while that is not known.
+    #[serde(default)]
+    pub empty_in_ms: Option<u64>,
+    /// Tasks there that are long-running, and so stay; `None` while that can't be read.
+    #[serde(default)]
+    pub long_running: Option<usize>,
+    /// Identifiers of their jobs, the first eight; `None` while that can't be read.
+    #[serde(default)]
+    pub long_running_jobs: Option<BTreeSet<String>>,
     /// Time since the node's list of cordoned halls was last confirmed, in milliseconds; `None`
     /// before the first time.
     pub confirmed_ms: Option<u64>,
--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -104,17 +104,24 @@
 async fn list_cordons<S: StoreClient>(service: web::Data<JobService<S>>) -> HttpResponse {
     let shared = service.shared();
     let now = shared.clock.now();
+    let unix_ms = shared.clock.unix_ms();
     let loads = service.cordoned_loads().await.ok();
     let cordons = shared.cordons.load();
     let rows = cordons.iter().map(|(hall, since)| {
         let load = loads
             .as_ref()
-            .map(|loads| loads.get(hall).copied().unwrap_or_default());
+            .map(|loads| loads.get(hall).cloned().unwrap_or_default());
+        let load = load.as_ref();
         CordonRow {
             hall: hall.clone(),
             cordoned_ms: now.saturating_sub(since),
             runners: load.map(|load| load.runners),
             tasks: load.map(|load| load.tasks),
+            empty_in_ms: load
+                .and_then(|load| load.expected_end)
+                .map(|end| end.saturating_sub(unix_ms)),
+            long_running: load.map(|load| load.long_running),
+            long_running_jobs: load.map(|load| load.long_running_jobs.clone()),
             confirmed_ms: shared.cordons_age(),
         }
     });
--- a/crates/hoisthitch-scheduler/src/owner/cordons.rs
+++ b/crates/hoisthitch-scheduler/src/owner/cordons.rs
@@ -58,6 +58,19 @@
         }
     }
 
+    /// The report with times of day, which other nodes know too.
+    fn in_unix_time(&self, report: &CordonReport, now: Millis) -> CordonReport {
+        let unix_ms = self.context.shared.clock.unix_ms();
+        let mut report = report.clone();
+        for load in report.values_mut() {
+            let end = load.expected_end.as_mut();
+            if let Some(end) = end {
+                *end = (unix_ms + *end).saturating_sub(now);
+            }
+        }
+        report
+    }
+
     /// The entry that tells operators what the pool still runs in cordoned halls, if that changed
     /// and a write of it is due.
     pub(super) fn cordon_item(&mut self, now: Millis) -> Option<SwapItem> {
@@ -80,7 +93,7 @@
         }
         let item = put(
             self.context.keys.cordon_report(pool),
-            encode_record(&report),
+            encode_record(&self.in_unix_time(&report, now)),
         );
         self.cordon_reporter = CordonReporter {
             written: report,
--- a/crates/hoisthitch-scheduler/src/service.rs
+++ b/crates/hoisthitch-scheduler/src/service.rs
@@ -508,9 +508,7 @@
                     fault: err.to_string(),
                 })?;
             for (hall, load) in report {
-                let sum = loads.entry(hall).or_default();
-                sum.runners += load.runners;
-                sum.tasks += load.tasks;
+                loads.entry(hall).or_default().add(load);
             }
         }
         Ok(loads)
--- a/crates/hoisthitch-scheduler/tests/ownership/cordons.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/cordons.rs
@@ -39,6 +39,9 @@
     nothing_is_started_in_a_cordoned_hall => starts_elsewhere();
     what_runs_in_a_cordoned_hall_goes_on => runs_on();
     hall_that_is_not_cordoned_any_more_gets_tasks_at_once => taken_back();
+    hall_that_is_taken_back_in_a_rise_gets_work_at_once => taken_back_in_a_rise(None, 500);
+    hall_that_is_taken_back_as_its_owner_dies_gets_work_from_the_next => taken_back_in_a_rise(Some(Change::Killed), 5_000);
+    operators_see_what_stays_in_a_cordoned_hall => shows_load();
     cordon_that_lasts_a_moment_is_over => comes_and_goes();
     unanswered_start_is_not_repeated_in_a_cordoned_hall => repeats_no_start();
     start_that_waits_for_its_turn_is_not_sent_to_a_cordoned_hall => waits_for_turn();
@@ -134,6 +137,53 @@
     check_invariants(&world)
 }
 
+/// Jobs come faster and faster while a hall is cordoned, and the others are full when it is taken
+/// back.
+async fn taken_back_in_a_rise(change: Option<Change>, within_ms: u64) -> Result<()> {
+    let world = TestWorld::start(3, 3).await?;
+    world.cordon_hall("hall-0");
+    sleep_ms(LAST_START_MS).await;
+    for number in 0..20 {
+        let id = format!("j{number}");
+        world.submit(&id, job("work 2000", &[1 + number])).await?;
+        sleep_ms(100).await;
+    }
+    ensure!(!halls_of(&world, "j").contains(&"hall-0".to_owned()));
+    world.uncordon_hall("hall-0");
+    if let Some(Change::Killed) = change {
+        world.nodes[&world.owner()].kill();
+    }
+    sleep_ms(within_ms).await;
+    ensure!(halls_of(&world, "j").contains(&"hall-0".to_owned()));
+    for number in 0..20 {
+        let id = format!("j{number}");
+        world.wait_phase(&id, JobPhase::Completed, 120_000).await?;
+    }
+    check_invariants(&world)
+}
+
+/// What any node tells: long-running tasks stay, and the others end in the time that they are
+/// expected to take. The next owner tells the same.
+async fn shows_load() -> Result<()> {
+    let world = TestWorld::start(3, 3).await?;
+    world.submit("long", lasting(3, 1)).await?;
+    world.submit("short", job("work 20000", &[6])).await?;
+    sleep_ms(2_000).await;
+    world.cordon_hall("hall-0");
+    sleep_ms(3_000).await;
+    for _ in 0..2 {
+        let owner = world.owner();
+        let loads = world.nodes[&owner].service.cordoned_loads().await?;
+        let load = loads.get("hall-0").cloned().unwrap_or_default();
+        ensure!(load.long_running == 1 && load.tasks >= 2, "{load:?}");
+        ensure!(load.long_running_jobs.contains("long"), "{load:?}");
+        ensure!(load.expected_end.is_some(), "{load:?}");
+        world.nodes[&owner].kill();
+        sleep_ms(6_000).await;
+    }
+    check_invariants(&world)
+}
+
 async fn comes_and_goes() -> Result<()> {
     let world = TestWorld::start(2, 3).await?;
     world.submit("long", lasting(3, 1)).await?;
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -164,7 +164,8 @@
 pub struct TestNode {
     /// State that the tasks of the node share.
     pub shared: Arc<NodeShared>,
-    service: JobService<MemoryStore>,
+    /// The job service.
+    pub service: JobService<MemoryStore>,
     frozen: Rc<Cell<bool>>,
     killed: Rc<Cell<bool>>,
     /// Total time for which its VM was suspended, in milliseconds.
