--- a/crates/hoisthitch-jobs/tests/decisions/intake.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/intake.rs
@@ -24,6 +24,7 @@
     PoolState,
     QueuePolicy,
     RefusalReason,
+    ResourceAmounts,
     StepSpec,
     TeamLoad, //
 };
@@ -31,6 +32,7 @@
 use quickcheck::quickcheck;
 
 use crate::{
+    decide,
     new_job,
     pool_of,
     start_all,
@@ -40,6 +42,7 @@
 cases! {
     without_pressure_everything_is_admitted => calm();
     pressure_is_told_after_the_time_in_which_vms_arrive => pressed();
+    limit_counts_as_far_as_the_pools_part_of_it_can_grow => reachable_limit();
     pressure_ends_only_well_below_where_it_begins => hysteresis();
     long_running_timed_and_best_effort_jobs_are_admitted => exempt();
     old_report_admits => old_report();
@@ -172,6 +175,30 @@
     Ok(())
 }
 
+/// A team's part of its limit had just been released and was zero, and its jobs were refused as
+/// beyond a limit that was hardly used.
+async fn reachable_limit() -> Result<()> {
+    let mut state = pool_of(4, 8);
+    state.set_quota_allocation("a", ResourceAmounts::default());
+    let reachable = ResourceAmounts {
+        cpu_milli: 24_000,
+        memory_mb: u64::MAX,
+        gpus: u64::MAX,
+    };
+    state.set_reachable_quota("a", reachable);
+    add_jobs(&mut state, "a", 40, 1_000, 1_000);
+    state.intake_report(0, 1_000);
+    decide(&mut state, 1_000);
+    let report = state.intake_report(0, 3_000);
+    let load = report.loads.get(&0).and_then(|teams| teams.get("a"));
+    let load = load.ok_or_eyre("no load")?;
+    ensure!(
+        load.allowed == Some(24_000),
+        "{load:?}: the part of the limit has yet to follow the need"
+    );
+    Ok(())
+}
+
 /// Work for 1.6 s begins the pressure; it goes on at 1.0 s and ends at 0.5 s.
 async fn hysteresis() -> Result<()> {
     let mut state = pool_of(4, 8);
