Keep no first wait of long-running jobs

What operators would have seen: an owner's memory grows by an entry for each long-running job that it starts, on every deployment, as long as it owns the pool.

Cause: the wait until a job's first start is kept for the line of its end (`first_wait_ms`), and removed with it; ends of long-running jobs are not logged.

Change: the wait is kept only of jobs whose end is logged. No test of its own: the map is private to the owner.

--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -129,7 +129,8 @@
                 let error = seconds(wait.abs_diff(expected));
                 metrics.expected_wait_error.observe(error);
             }
-            if !job.phase.is_final() {
+            // The end of a long-running job is not logged, and would not remove the entry.
+            if !job.phase.is_final() && !job.spec.is_long_running() {
                 self.first_waits.insert(job.id.clone(), wait);
             }
         }
