Keep a runner's tasks until its lease is over when connections to it are refused

Cause: two refused connections in a row counted as the end of the runner's process, and its tasks were released under a lease of up to 5 s. A refused connection shows that a call was not delivered, and nothing else.

New lines tell the hypotheses apart: runner_suspected, runner_regained. Ruled out: an early end of the lease, a late start, a second owner, a restart of the runner.

Change: refusals are suspicion. A step that lost a runner in isolation has one isolated run at a time. Loss samples in jobs' records carry the number of the run (u); older nodes ignore it.

--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -100,6 +100,10 @@
     TaskPaced,
     /// A run was lost with its runner.
     RunLost,
+    /// A run may have been lost with its runner.
+    RunSuspected,
+    /// A run that counted as lost was reported by its runner.
+    RunNotLost,
     /// A task was failed as the cause of its runners' crashes.
     TaskGivenUp {
         /// Number of runners lost while they ran it.
@@ -159,6 +163,10 @@
     RunnerSilent,
     /// A runner is no longer reported as unresponsive.
     RunnerSilenceOver,
+    /// Connections to a runner were refused: it was lost, or cut off.
+    RunnerSuspected,
+    /// A runner that was silent responded again.
+    RunnerRegained,
     /// The owner removed the runner.
     RunnerGone {
         /// Reason.
@@ -403,6 +411,8 @@
         "start_not_sent" => EventKind::StartDropped,
         "task_paced" => EventKind::TaskPaced,
         "run_lost" => EventKind::RunLost,
+        "run_suspected" => EventKind::RunSuspected,
+        "run_not_lost" => EventKind::RunNotLost,
         "pool_taken" => EventKind::PoolTaken,
         "pool_not_taken" => EventKind::PoolNotTaken,
         "pool_handed_on" => EventKind::PoolHandedOn,
@@ -416,6 +426,8 @@
         "lease_lapsed" => EventKind::LeaseLapsed,
         "runner_silent" => EventKind::RunnerSilent,
         "runner_silence_over" => EventKind::RunnerSilenceOver,
+        "runner_suspected" => EventKind::RunnerSuspected,
+        "runner_regained" => EventKind::RunnerRegained,
         "runner_life_over" => EventKind::RunnerLifeOver,
         "runner_answers_anew" => EventKind::RunnerRestarted,
         "runner_unlisted" => EventKind::RunnerUnlisted,
@@ -448,7 +460,7 @@
             EventSubject::Job(id.to_owned())
         }
         "task_ordered" | "task_stopped" | "task_paced" | "start_not_sent" | "run_lost"
-        | "task_given_up" => {
+        | "run_suspected" | "run_not_lost" | "task_given_up" => {
             let (job, _) = line.text("task")?.split_once('.')?;
             EventSubject::Job(job.to_owned())
         }
@@ -470,6 +482,8 @@
         | "lease_lapsed"
         | "runner_silent"
         | "runner_silence_over"
+        | "runner_suspected"
+        | "runner_regained"
         | "runner_gone"
         | "runner_life_over"
         | "runner_unlisted"
--- a/crates/hoisthitch-cli/src/story/words.rs
+++ b/crates/hoisthitch-cli/src/story/words.rs
@@ -24,6 +24,8 @@
         EventKind::TaskStopped { done: false, .. } => "task not stopped: the order failed",
         EventKind::TaskPaced => "task throttled",
         EventKind::RunLost => "run lost with its runner",
+        EventKind::RunSuspected => "run may be lost with its runner",
+        EventKind::RunNotLost => "run not lost: its runner reports it",
         EventKind::TaskGivenUp { .. } => {
             "task given up, and its job with it: runners crash under it"
         }
@@ -32,6 +34,8 @@
         EventKind::LeaseLapsed => "runner's lease lapsed",
         EventKind::RunnerSilent => "runner silent: it may still run tasks",
         EventKind::RunnerSilenceOver => "runner's silence is over",
+        EventKind::RunnerSuspected => "connections to the runner refused: lost or cut off",
+        EventKind::RunnerRegained => "runner answers again",
         EventKind::RunnerGone { .. } => "runner given up",
         EventKind::RunnerLifeOver => "runner replaced by a later life",
         EventKind::RunnerRestarted => "runner started again under its name",
--- a/crates/hoisthitch-jobs/src/likelihood.rs
+++ b/crates/hoisthitch-jobs/src/likelihood.rs
@@ -112,6 +112,9 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
 pub(crate) struct LossSample {
+    /// Number of the run that was lost.
+    #[serde(rename = "u", skip_serializing_if = "is_default")]
+    pub(crate) run: u32,
     /// Running time of the task.
     #[serde(flatten)]
     pub(crate) ran: RunTimeRange,
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -79,6 +79,8 @@
 pub enum RunnerLoss {
     /// Its process ended without notice.
     Crashed,
+    /// Connections to it are refused: its process may have ended, or it is cut off and goes on.
+    Suspected,
     /// It did not respond until its leases had ended.
     Silent,
     /// It went down as ordered or announced.
@@ -98,6 +100,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Crashed => "crashed",
+            Self::Suspected => "suspected",
             Self::Silent => "silent",
             Self::Planned => "planned",
             Self::Hall => "hall_lost",
@@ -108,7 +111,7 @@
 /// How the loss of a runner was detected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LossDetection {
-    /// Its connections were reset or refused: its process had ended.
+    /// Its connections were reset or refused, as they are when its process ends.
     Reset,
     /// Its responses did not come.
     Silence,
@@ -191,6 +194,8 @@
     /// midway between its last response and the first that did not come.
     ended_at: Millis,
     tasks: Vec<TaskRef>,
+    /// Whether this owner suspected the loss before.
+    was_suspected: bool,
 }
 
 impl LostRunner {
@@ -207,6 +212,7 @@
             earliest: 0,
             ended_at: now,
             tasks,
+            was_suspected: false,
         }
     }
 }
@@ -246,6 +252,15 @@
 }
 
 impl RunnerEntry {
+    /// How its silence was detected.
+    pub fn silence_detection(&self) -> LossDetection {
+        if self.was_reset {
+            LossDetection::Reset
+        } else {
+            LossDetection::Silence
+        }
+    }
+
     /// Earliest time at which the runner may have been lost.
     fn earliest_loss(&self, moment: LossMoment) -> Millis {
         let noticed = moment.at.saturating_sub(RESET_NOTICE_MS);
@@ -259,6 +274,14 @@
 }
 
 impl PoolState {
+    /// Records that a runner may have been lost. That counts against its tasks, so that others
+    /// of their steps are not started in the same way, and is withdrawn where a run is reported
+    /// again. The tasks stay where they are, and no job is failed for it: the runner may be cut
+    /// off, and go on until its lease is over.
+    pub fn suspect_loss(&mut self, key: RunnerKey, now: Millis) {
+        self.record_loss(key, RunnerLoss::Suspected, now);
+    }
+
     /// Records that a runner was lost with all that it ran; must be called before its tasks
     /// are moved off it.
     pub(crate) fn record_loss(&mut self, key: RunnerKey, loss: RunnerLoss, now: Millis) {
@@ -273,8 +296,6 @@
         let loss = match loss {
             _ if runner.facts.draining || runner.evacuating => RunnerLoss::Planned,
             _ if runner.lost_with_hall => RunnerLoss::Hall,
-            // Reset connections show that no process listened there any more.
-            RunnerLoss::Silent if moment.reset => RunnerLoss::Crashed,
             loss => loss,
         };
         let last_heartbeat_at = runner.last_heartbeat_at.filter(|_| !moment.reset);
@@ -285,6 +306,7 @@
             earliest: runner.earliest_loss(moment),
             ended_at: last_heartbeat_at.map_or(moment.at, |at| at.midpoint(moment.at)),
             tasks: self.tasks_lost(runner, moment),
+            was_suspected: runner.loss_suspected,
         };
         let was_recorded = runner.loss_recorded;
         self.record_lost_runs(&lost, Some(key));
@@ -294,6 +316,7 @@
         }
         if let Some(runner) = self.runners.get_mut(key) {
             runner.loss_recorded = true;
+            runner.loss_suspected = loss == RunnerLoss::Suspected;
         }
     }
 
@@ -433,7 +456,8 @@
         let Some(entry) = self.task(task) else {
             return;
         };
-        if entry.suspicion.is_counted(entry.current_run()) {
+        let is_counted = entry.suspicion.is_counted(entry.current_run());
+        if is_counted && !lost.was_suspected {
             return;
         }
         let (run, ran) = (entry.current_run(), entry.running_time_at(lost.ended_at));
@@ -451,8 +475,12 @@
             rate: self.loss_rate(task, ran, lost.moment.at, key),
         };
         let other_runs = others.count();
-        self.add_evidence(task, evidence);
-
+        if !is_counted {
+            self.add_evidence(task, evidence);
+        }
+        if lost.loss != RunnerLoss::Suspected && !lost.loss.is_explained() {
+            self.judge_suspect(task);
+        }
         self.report_lost_run(task, lost, evidence, other_runs);
     }
 
@@ -598,6 +626,29 @@
         self.recent_losses.push(recent_loss);
     }
 
+    /// Withdraws the loss of a run that its runner reports: the runner was cut off.
+    pub(crate) fn withdraw_loss(&mut self, task: TaskRef, run: u32) {
+        let Some(entry) = self.task_mut(task) else {
+            return;
+        };
+        if !entry.suspicion.withdraw(run) {
+            return;
+        }
+        let is_suspect = entry.suspicion.is_suspect();
+        self.mark_dirty(task.job);
+        if !is_suspect {
+            self.drop_suspect(task);
+        }
+        if let Some(name) = self.name_of(task) {
+            self.withdrawn_losses.push((name, run));
+        }
+    }
+
+    /// Returns the runs whose losses were withdrawn since the last call.
+    pub fn take_withdrawn_losses(&mut self) -> Vec<(TaskName, u32)> {
+        std::mem::take(&mut self.withdrawn_losses)
+    }
+
     /// Returns the runs that were lost since the last call.
     pub fn take_lost_runs(&mut self) -> Vec<LostRun> {
         std::mem::take(&mut self.lost_runs)
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -58,6 +58,7 @@
         self.responding_since.get_or_insert(now);
         runner.silent_since = None;
         runner.loss_recorded = false;
+        runner.loss_suspected = false;
         runner.lost_with_hall = false;
         runner.last_response_at = Some(now);
         runner.last_heartbeat_at = runner.last_heartbeat_at.max(Some(sent_at));
@@ -95,7 +96,7 @@
     }
 
     /// Records that the heartbeat that was sent at `sent_at` got no response; `reset` if this
-    /// was known at once, because nothing listens there any more.
+    /// was known at once, because its connection was reset or refused.
     pub fn record_missed_heartbeat(
         &mut self,
         key: RunnerKey,
@@ -147,6 +148,7 @@
             self.stop_unexpected_run(key, &row.name, row.run);
             return None;
         };
+        self.withdraw_loss(task, row.run);
         let job_ended = self.jobs.get(task.job)?.phase.is_final();
         let name = self.runners.get(key)?.facts.name.as_str();
         let entry = self.task(task)?;
@@ -249,6 +251,7 @@
 
     fn record_ended(&mut self, key: RunnerKey, row: &EndedTask, now: Millis) -> Option<TaskRef> {
         let task = self.find_task(&row.name)?;
+        self.withdraw_loss(task, row.run);
         let name = &self.runners.get(key)?.facts.name;
         let entry = self.task(task)?;
         if entry.is_done() {
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -116,6 +116,8 @@
     pub(crate) ended_jobs: Vec<EndedJob>,
     /// Runs that were lost with their runners since they were last read.
     pub(crate) lost_runs: Vec<LostRun>,
+    /// Runs whose losses were withdrawn since they were last read.
+    pub(crate) withdrawn_losses: Vec<(TaskName, u32)>,
     /// Runners that were lost lately.
     pub(crate) recent_losses: Vec<RecentLoss>,
     /// Since when runners have responded to this owner; none before the first response.
--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -95,32 +95,6 @@
         })
     }
 
-    /// Records that a runner's process has ended and that none has replaced it; returns how
-    /// many runs ended with it.
-    ///
-    /// A start without an answer may still be carried out by the next process there. Its task
-    /// stays where it is until that process has responded, or until the lease has ended.
-    pub fn record_process_exit(&mut self, key: RunnerKey, now: Millis) -> usize {
-        self.record_loss(key, RunnerLoss::Crashed, now);
-        let Some(runner) = self.runners.get(key) else {
-            return 0;
-        };
-        let is_over = |task: &&TaskRef| {
-            let entry = self.task(**task);
-            entry.is_some_and(|entry| {
-                let known = matches!(entry.state, TaskState::Running(_) | TaskState::Planned(_));
-                known && !entry.any_start_unanswered
-            })
-        };
-        let ended: Vec<TaskRef> = runner.tasks.iter().filter(is_over).copied().collect();
-        for task in &ended {
-            self.move_off_runner(*task, TaskState::Waiting, now);
-        }
-        self.stops.retain(|stop| stop.runner != key);
-        self.fail_crashing_tasks(now);
-        ended.len()
-    }
-
     /// Whether a run that was reported by a runner was ordered from an earlier instance of it:
     /// the start was carried out late. Acknowledgements meant for the earlier instance may have
     /// been delayed with the start, and then the runner drops the run's end unread.
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -215,10 +215,12 @@
     pub(crate) last_response_at: Option<Millis>,
     /// When the first heartbeat was sent that got no response since then.
     pub(crate) first_miss_sent_at: Option<Millis>,
-    /// Whether its connections were reset when it was last lost: its process has ended.
+    /// Whether its connections were reset or refused when it last fell silent.
     pub(crate) was_reset: bool,
     /// Whether its loss was recorded, and it has not responded since.
     pub(crate) loss_recorded: bool,
+    /// Whether its loss is suspected, and it has not responded since.
+    pub(crate) loss_suspected: bool,
     /// A suspect that runs here in isolation; nothing else is placed on the runner.
     pub(crate) isolated_task: Option<TaskRef>,
     /// Time until which it is reserved for the isolated run of a suspect.
@@ -264,6 +266,7 @@
             first_miss_sent_at: None,
             was_reset: false,
             loss_recorded: false,
+            loss_suspected: false,
             isolated_task: None,
             reserved_until: 0,
             failures: 0,
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -60,6 +60,11 @@
 /// the cause must not be held up for long.
 const ISOLATED_PER_STEP: usize = 2;
 
+/// The same once a runner was lost under one of them and none of the step's tasks is done. The
+/// next loss is known for certain only when another instance responds or the lease is over, and
+/// each start until then may cost a further runner.
+const ISOLATED_PER_LOST_STEP: usize = 1;
+
 /// Number of isolated runs at the same time that is always allowed, and of reserved runners.
 const ISOLATED_MIN: usize = 2;
 
@@ -96,7 +101,7 @@
 }
 
 impl PoolState {
-    /// Records what the loss of a runner says against a task that was on it.
+    /// Records what the loss of a runner says against a task that was on it; it fails no job.
     pub(crate) fn add_evidence(&mut self, task: TaskRef, evidence: LossEvidence) {
         let Some(entry) = self.task_mut(task) else {
             return;
@@ -105,20 +110,29 @@
             entry.suspicion.add_planned(evidence.run);
             return;
         }
-        let mut must_fail = entry.suspicion.add(evidence);
+        entry.suspicion.add(evidence);
         let needs_isolation = entry.suspicion.needs_isolation();
         if entry.suspicion.is_suspect() {
             self.suspects.insert(task);
         }
-        must_fail |= evidence.isolated && self.step_weight(task) >= STEP_LIMIT;
         let step = self.round_step(task).filter(|_| needs_isolation);
         if let Some(step) = step.filter(|step| self.was_lost_elsewhere(*step)) {
             self.suspect_steps.insert(step);
         }
-        if must_fail {
+        self.mark_dirty(task.job);
+    }
+
+    /// Chooses a task to be failed if the losses of its runners, and of those of its step, show
+    /// that it crashes them.
+    pub(crate) fn judge_suspect(&mut self, task: TaskRef) {
+        let Some(suspicion) = self.task(task).map(|entry| &entry.suspicion) else {
+            return;
+        };
+        let is_conclusive = suspicion.is_conclusive();
+        let isolated = suspicion.was_isolated();
+        if is_conclusive || (isolated && self.step_weight(task) >= STEP_LIMIT) {
             self.tasks_to_fail.push(task);
         }
-        self.mark_dirty(task.job);
     }
 
     /// Weight of all losses of runners that ran a task of the step in isolation, as if they were of
@@ -212,7 +226,7 @@
 
     /// Removes a suspect that was cleared, is done or belongs to no active job, and with it the
     /// suspicion of its step.
-    fn drop_suspect(&mut self, task: TaskRef) {
+    pub(crate) fn drop_suspect(&mut self, task: TaskRef) {
         self.suspects.remove(&task);
         if let Some(step) = self.round_step(task) {
             self.suspect_steps.remove(&step);
@@ -275,8 +289,13 @@
         let alike = isolated()
             .filter(|other| step(*other) == step(task))
             .count();
+        let limit = if self.step_weight(task) > 0 {
+            ISOLATED_PER_LOST_STEP
+        } else {
+            ISOLATED_PER_STEP
+        };
         // A gang starts with all its members or not at all.
-        let step_is_free = alike < ISOLATED_PER_STEP || self.is_gang(task);
+        let step_is_free = alike < limit || self.is_gang(task);
         step_is_free && isolated().count() < self.max_taken(ISOLATED_DIVISOR)
     }
 
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -79,7 +79,7 @@
     /// Those since it was last cleared.
     #[serde(rename = "r", skip_serializing_if = "is_default")]
     recent: u32,
-    /// The latest of these.
+    /// The latest of these, in their order.
     #[serde(rename = "e", skip_serializing_if = "Vec::is_empty")]
     samples: Vec<LossSample>,
     /// Number of the last run that was lost, in whatever way, so that a loss is counted once,
@@ -119,6 +119,7 @@
 impl LossEvidence {
     fn sample(&self) -> LossSample {
         LossSample {
+            run: self.run,
             ran: self.range,
             rate: per_million_seconds(self.rate / self.share),
             certainty: self.certainty,
@@ -129,8 +130,8 @@
 }
 
 impl TaskSuspicion {
-    /// Adds a loss; returns whether the task is to be failed as the cause.
-    pub(crate) fn add(&mut self, evidence: LossEvidence) -> bool {
+    /// Adds a loss.
+    pub(crate) fn add(&mut self, evidence: LossEvidence) {
         self.last_run = evidence.run;
         self.losses += 1;
         self.recent += 1;
@@ -139,6 +140,25 @@
             self.samples.remove(0);
         }
         self.samples.push(evidence.sample());
+    }
+
+    /// Removes the loss of a run that goes on, or has ended otherwise; returns whether there was
+    /// one.
+    pub(crate) fn withdraw(&mut self, run: u32) -> bool {
+        let Some(place) = self.samples.iter().rposition(|sample| sample.run == run) else {
+            return false;
+        };
+        self.samples.remove(place);
+        self.losses = self.losses.saturating_sub(1);
+        self.recent = self.recent.saturating_sub(1);
+        if self.last_run == run {
+            self.last_run = 0;
+        }
+        true
+    }
+
+    /// Whether the evidence is enough to fail the task as the cause.
+    pub(crate) fn is_conclusive(&self) -> bool {
         let limit = if self.recent >= DECIDING_LOSSES {
             DECIDING_WEIGHT
         } else {
@@ -147,6 +167,11 @@
         self.weight() >= limit
     }
 
+    /// Whether it ran in isolation when its last run was lost.
+    pub(crate) fn was_isolated(&self) -> bool {
+        self.samples.last().is_some_and(|sample| sample.isolated)
+    }
+
     /// Weight of the evidence against the task, in tenths of a bit. The first losses count only
     /// if no other runner was lost at the same moment.
     pub fn weight(&self) -> i32 {
--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -21,6 +21,7 @@
 };
 
 use hoisthitch_jobs::{
+    HeartbeatReport,
     Millis,
     RunnerInstance,
     RunnerKey, //
@@ -266,16 +267,44 @@
         self.apply_listed_record(&before.name);
     }
 
-    /// Handles the exit of a runner's process, without another one in its place yet.
-    pub(super) fn handle_process_exit(&mut self, key: RunnerKey, now: Millis) {
-        let ended = self.state.record_process_exit(key, now);
-        self.count_event("runner_ended");
+    /// Handles refused connections to a runner: its process may have ended, or it is cut off
+    /// and goes on. What it runs stays there until its lease is over or its end is known.
+    pub(super) fn handle_suspected_loss(&mut self, key: RunnerKey, now: Millis) {
+        self.state.suspect_loss(key, now);
+        let Some(runner) = self.state.runner(key) else {
+            return;
+        };
+        self.count_event("runner_suspected");
         event!(
             Warn,
-            "runner_ended",
+            "runner_suspected",
+            pool = self.context.pool,
+            runner = runner.facts.instance(),
+            tasks = runner.tasks.len(),
+            wait_ms = runner.lease_until.saturating_sub(now)
+        );
+    }
+
+    /// Logs the response of a runner that was silent. The same instance shows that it was cut
+    /// off, whatever its connections looked like meanwhile.
+    pub(super) fn log_regained(&self, key: RunnerKey, report: &HeartbeatReport, now: Millis) {
+        let Some(runner) = self.state.runner(key) else {
+            return;
+        };
+        let responded_before = runner.last_heartbeat_at.is_some();
+        let Some(since) = runner.silent_since.filter(|_| responded_before) else {
+            return;
+        };
+        self.count_event("runner_regained");
+        event!(
+            Info,
+            "runner_regained",
             pool = self.context.pool,
-            runner = self.instance_text(key),
-            ended = ended
+            runner = runner.facts.instance(),
+            silent_ms = now.saturating_sub(since),
+            shown_by = runner.silence_detection(),
+            lease_left_ms = runner.lease_until.saturating_sub(now),
+            running = report.running.len()
         );
     }
 
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -585,6 +585,7 @@
                     self.state.record_start_time(runner, started_at);
                 }
                 self.handle_first_response(runner, now);
+                self.log_regained(runner, &report, now);
                 let repeated_starts = self.state.record_heartbeat(runner, &report, sent_at, now);
                 self.handle_response(runner, misses);
                 if let Some(until) = leased_until {
@@ -604,7 +605,7 @@
             } => self
                 .state
                 .record_missed_heartbeat(runner, reset, sent_at, now),
-            SessionEvent::ProcessExited { runner } => self.handle_process_exit(runner, now),
+            SessionEvent::LossSuspected { runner } => self.handle_suspected_loss(runner, now),
             SessionEvent::Replaced { runner } => {
                 self.mark_ended(runner);
                 self.remove_runner(runner, RemovalReason::Replaced);
--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -5,6 +5,7 @@
 use hoisthitch_jobs::{
     Millis,
     RunnerKey,
+    RunnerLoss,
     StartOrder, //
 };
 use hoisthitch_telemetry::event;
@@ -16,10 +17,24 @@
 };
 
 impl<P: Platform> PoolOwner<P> {
-    /// Logs the runs that were lost with their runners, and the tasks that are failed as the
-    /// cause of such losses.
+    /// Logs the runs that were or may be lost with their runners, those that were not lost after
+    /// all, and the tasks that are failed as the cause of such losses.
     pub(super) fn log_lost_runs(&mut self) {
         for lost in self.state.take_lost_runs() {
+            if lost.loss == RunnerLoss::Suspected {
+                event!(
+                    Warn,
+                    "run_suspected",
+                    task = lost.task,
+                    run = lost.run,
+                    runner = lost.runner,
+                    pool = self.context.pool,
+                    ran_ms = text_or_unknown(lost.ran),
+                    losses = lost.suspicion.losses,
+                    weight = lost.suspicion.weight()
+                );
+                continue;
+            }
             event!(
                 Warn,
                 "run_lost",
@@ -39,6 +54,15 @@
                 weight = lost.suspicion.weight()
             );
         }
+        for (task, run) in self.state.take_withdrawn_losses() {
+            event!(
+                Info,
+                "run_not_lost",
+                task = task,
+                run = run,
+                pool = self.context.pool
+            );
+        }
         for crashing in self.state.take_crashing_tasks() {
             self.count_event("task_given_up");
             event!(
--- a/crates/hoisthitch-scheduler/src/session/heartbeats.rs
+++ b/crates/hoisthitch-scheduler/src/session/heartbeats.rs
@@ -82,9 +82,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Number of consecutive heartbeats that find nothing listening at the address of a runner
-/// which responded before, after which its process counts as ended: a single connection may be
-/// refused for other reasons.
-const REFUSALS_OF_ENDED_PROCESS: u32 = 2;
+/// which responded before, after which its loss is suspected. They don't show that its process
+/// has ended: a firewall between may refuse connections to a runner that goes on.
+const REFUSALS_OF_SUSPECTED_LOSS: u32 = 2;
 
 /// Signals of the owner to the heartbeats of a session.
 pub(super) struct HeartbeatSignals {
@@ -201,9 +201,9 @@
                     self.log_lost(&err);
                     self.count_refusal(&err);
                     self.record_miss(plan, failed_at_once);
-                    if self.refusals == Some(REFUSALS_OF_ENDED_PROCESS) {
+                    if self.refusals == Some(REFUSALS_OF_SUSPECTED_LOSS) {
                         let runner = self.context.key;
-                        self.context.emit(SessionEvent::ProcessExited { runner });
+                        self.context.emit(SessionEvent::LossSuspected { runner });
                     }
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
--- a/crates/hoisthitch-scheduler/src/session/mod.rs
+++ b/crates/hoisthitch-scheduler/src/session/mod.rs
@@ -86,13 +86,13 @@
     /// A heartbeat got no response.
     HeartbeatMissed {
         runner: RunnerKey,
-        /// Whether it failed at once, since nothing listens at the address.
+        /// Whether it failed at once, since its connection was reset or refused.
         reset: bool,
         /// When the heartbeat was sent.
         sent_at: Millis,
     },
-    /// The runner's process has ended, and no other runs in its place.
-    ProcessExited { runner: RunnerKey },
+    /// Nothing listens at the runner's address, or something between refuses connections to it.
+    LossSuspected { runner: RunnerKey },
     /// Another runner responded at the runner's address.
     Replaced { runner: RunnerKey },
     /// Another instance of the runner responded, which started at `started_at`.
--- a/crates/hoisthitch-scheduler/tests/ownership/main.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/main.rs
@@ -36,6 +36,7 @@
 mod cold_start;
 mod configuration;
 mod cordons;
+mod cuts;
 mod drains;
 mod halls;
 mod intake;
--- a/crates/hoisthitch-tests/src/world/instance.rs
+++ b/crates/hoisthitch-tests/src/world/instance.rs
@@ -84,6 +84,9 @@
     pub(super) finished_runs: HashMap<String, u32>,
     /// Nodes that are cut off from the runner in both directions.
     pub(super) cut: HashSet<String>,
+    /// Whether those nodes' calls are reset and refused at once, as by a firewall; otherwise they
+    /// get no response.
+    pub(super) cut_resets: bool,
     /// When a cut was last made or healed.
     pub(super) cut_changed_at: Instant,
     /// Since when it is listed as draining.
@@ -167,6 +170,7 @@
             expired_end: 0,
             finished_runs: HashMap::new(),
             cut: HashSet::new(),
+            cut_resets: false,
             cut_changed_at: Instant::now(),
             draining_since: None,
             unanswered: HashSet::new(),
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -182,10 +182,22 @@
         }
     }
 
-    /// Cuts a runner off from these nodes; without nodes, heals the cut.
+    /// Cuts a runner off from these nodes, whose calls get no response; without nodes, heals the
+    /// cut.
     pub fn cut(&self, name: &str, nodes: &[String]) {
+        self.set_cut(name, nodes, false);
+    }
+
+    /// Cuts a runner off from these nodes by a firewall that resets their open connections and
+    /// refuses new ones; the runner goes on.
+    pub fn cut_with_resets(&self, name: &str, nodes: &[String]) {
+        self.set_cut(name, nodes, true);
+    }
+
+    fn set_cut(&self, name: &str, nodes: &[String], resets: bool) {
         if let Some(runner) = self.state.borrow_mut().runners.get_mut(name) {
             runner.cut = nodes.iter().cloned().collect();
+            runner.cut_resets = resets;
             runner.cut_changed_at = Instant::now();
         }
     }
@@ -531,20 +543,19 @@
         listens && !runner.cut.contains(&self.node)
     }
 
-    /// Whether the runner's VM refuses calls: the process has ended, and no other instance runs
-    /// on the VM.
+    /// Whether calls to the runner are refused: it is behind a cut that resets, or its process
+    /// has ended and no other instance runs on the VM.
     fn refuses(&self, name: &str) -> bool {
         let state = self.state.borrow();
-        let Some(runner) = state
-            .runners
-            .get(name)
-            .filter(|runner| runner.process_ended)
-        else {
+        let Some(runner) = state.runners.get(name) else {
             return false;
         };
+        if runner.cut.contains(&self.node) {
+            return runner.cut_resets;
+        }
         let mut others = state.runners.values();
         let replaced = others.any(|other| other.alive && other.vm == runner.vm);
-        !replaced && !runner.cut.contains(&self.node)
+        runner.process_ended && !replaced
     }
 
     /// Whether responses of the runner reach the node.
--- a/crates/hoisthitch-tests/src/world/runners/control.rs
+++ b/crates/hoisthitch-tests/src/world/runners/control.rs
@@ -95,6 +95,9 @@
             self.check_cancel(order);
         }
         travel().await;
+        if self.refuses(&runner.instance.name) {
+            return StartOutcome::Unclear;
+        }
         if !self.response_arrives(&runner.instance.name) {
             tokio::time::sleep(CALL_TIMEOUT).await;
             return StartOutcome::Unclear;
@@ -118,6 +121,9 @@
         }
         let stopped = MemoryFleet::stop(self, &runner.instance.name, order, epoch);
         travel().await;
+        if self.refuses(&runner.instance.name) {
+            return Err(RunnerError::ConnectionLost("reset".to_owned()));
+        }
         if !self.response_arrives(&runner.instance.name) {
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(RunnerError::NoAnswer("response lost".to_owned()));
@@ -152,7 +158,7 @@
         let until = Instant::now() + request.wait;
         while Instant::now() < until && !self.has_end(&runner.instance.name, request.acked_end) {
             tokio::time::sleep(Duration::from_millis(5)).await;
-            // The process at the other end of the connection has ended.
+            // The process at the other end has ended, or the connection was cut with a reset.
             if self.instance_began(&runner.instance.name) != instance
                 || self.refuses(&runner.instance.name)
             {
@@ -170,6 +176,9 @@
             },
         );
         travel().await;
+        if self.refuses(&runner.instance.name) {
+            return Err(RunnerError::ConnectionLost("reset".to_owned()));
+        }
         if !self.response_arrives(&runner.instance.name) {
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(RunnerError::NoAnswer("cut".to_owned()));
@@ -184,6 +193,9 @@
         epoch: u64,
     ) -> Result<(), RunnerError> {
         travel().await;
+        if self.refuses(&runner.instance.name) {
+            return Err(RunnerError::NotListening);
+        }
         let fate = self.next_pace_fate();
         if !self.request_arrives(&runner.instance.name) || fate == PaceFate::Lost {
             tokio::time::sleep(CALL_TIMEOUT).await;
--- a/crates/hoisthitch-tests/src/world/runners/instances.rs
+++ b/crates/hoisthitch-tests/src/world/runners/instances.rs
@@ -27,6 +27,7 @@
         if let Some(runner) = state.runners.get_mut(name) {
             *runner = Runner {
                 cut: std::mem::take(&mut runner.cut),
+                cut_resets: runner.cut_resets,
                 unanswered: std::mem::take(&mut runner.unanswered),
                 label: std::mem::take(&mut runner.label),
                 stop_time: runner.stop_time,
