Count a task that is moved off a VM together with the VMs that go down

Cause: the answer to one evacuation request frees a VM and moves a task off another one, and each was asked against the tasks that were unavailable before, not against each other. The same count was taken between the answer that frees a VM and the outcome of its order: its tasks still counted as available.

New line: task_relocated. Ruled out: two owners, a stop sent late, the wave's limit.

Change: PoolState::evacuate decides both together; a VM whose order follows is cleared, and its tasks count as unavailable until the evacuation is cancelled or decided on again.

The two decision cases use the new interface, so that they don't build before; they name the two counts. The simulated VM service can be away. repeated_stop asks evacuate in place of relocate_task, and checks the status too.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -112,7 +112,10 @@
     LostRun,
     RunnerLoss, //
 };
-pub use maintenance::EvacuationStatus;
+pub use maintenance::{
+    EvacuationDecision,
+    EvacuationStatus, //
+};
 pub use pace::PaceOrder;
 pub use plan::FlushPlan;
 pub use pool::{
--- a/crates/hoisthitch-jobs/src/maintenance.rs
+++ b/crates/hoisthitch-jobs/src/maintenance.rs
@@ -19,6 +19,7 @@
     },
     task::{
         TaskEntry,
+        TaskName,
         TaskRef,
         TaskState, //
     }, //
@@ -39,6 +40,25 @@
     Held,
 }
 
+/// Decision about a runner that is being evacuated.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EvacuationDecision {
+    /// Whether its VM may go down.
+    pub status: EvacuationStatus,
+    /// Long-running task that is moved off it.
+    pub relocated: Option<TaskName>,
+}
+
+/// Whether a held runner is relieved of tasks.
+enum Relocation {
+    /// This task is moved off it now.
+    Begun(TaskRef),
+    /// One was moved off it a moment ago.
+    UnderWay,
+    /// None may be moved.
+    Refused,
+}
+
 impl PoolState {
     /// Sets whether a runner is to be evacuated.
     pub fn set_evacuating(&mut self, key: RunnerKey, evacuating: bool) {
@@ -46,6 +66,7 @@
             && runner.evacuating != evacuating
         {
             runner.evacuating = evacuating;
+            runner.cleared = false;
             self.plan_needed = true;
         }
     }
@@ -60,9 +81,58 @@
     /// Which of these runners' VMs may go down now; those that are free may all go down
     /// together.
     pub fn evacuation_statuses(&self, keys: &[RunnerKey]) -> Vec<EvacuationStatus> {
+        self.statuses_together(keys, &mut Vec::new())
+    }
+
+    /// Decides about evacuating runners. From each that is held because it has too many tasks of
+    /// a step, one task is moved off, and it counts as busy with that one. Tasks that are moved off
+    /// are counted together with those of the runners that are free.
+    ///
+    /// With `clears`, the free ones are cleared: their VMs may be ordered to go down, and until the
+    /// evacuation is cancelled or decided on again their tasks count as unavailable.
+    pub fn evacuate(
+        &mut self,
+        keys: &[RunnerKey],
+        clears: bool,
+        now: Millis,
+    ) -> Vec<EvacuationDecision> {
         let mut ending = Vec::new();
+        let statuses = self.statuses_together(keys, &mut ending);
+        let decided = keys.iter().zip(statuses);
+        decided
+            .map(|(key, status)| {
+                if let Some(runner) = self.runners.get_mut(*key).filter(|_| clears) {
+                    runner.cleared = status == EvacuationStatus::Free;
+                }
+                let held = status == EvacuationStatus::Held;
+                let relocation = held.then(|| self.relocate_task(*key, &ending, now));
+                match relocation {
+                    Some(Relocation::Begun(task)) => EvacuationDecision {
+                        status: EvacuationStatus::Busy(1),
+                        relocated: self.name_of(task),
+                    },
+                    Some(Relocation::UnderWay) => EvacuationDecision {
+                        status: EvacuationStatus::Busy(1),
+                        relocated: None,
+                    },
+                    Some(Relocation::Refused) | None => EvacuationDecision {
+                        status,
+                        relocated: None,
+                    },
+                }
+            })
+            .collect()
+    }
+
+    /// The statuses of runners whose VMs may go down together; adds the tasks that end with the
+    /// free ones to `ending`.
+    fn statuses_together(
+        &self,
+        keys: &[RunnerKey],
+        ending: &mut Vec<TaskRef>,
+    ) -> Vec<EvacuationStatus> {
         keys.iter()
-            .map(|key| self.status_beside(*key, &mut ending))
+            .map(|key| self.status_beside(*key, ending))
             .collect()
     }
 
@@ -157,40 +227,41 @@
         })
     }
 
-    /// Whether a long-running task is available, as far as its runner reported lately.
+    /// Whether a long-running task is available, as far as its runner reported lately, and its
+    /// runner's VM is not cleared to go down.
     pub(crate) fn is_available(&self, task: &TaskEntry) -> bool {
         let TaskState::Running(key) = task.state else {
             return false;
         };
-        let responds = |runner: &RunnerEntry| runner.ready && !runner.hall_lost;
-        let responds = self.runners.get(key).is_some_and(responds);
-        responds && task.unavailable_since.is_none()
+        let stays = |runner: &RunnerEntry| runner.ready && !runner.hall_lost && !runner.cleared;
+        self.runners.get(key).is_some_and(stays) && task.unavailable_since.is_none()
     }
 
     /// Moves one long-running task off a runner that has more tasks of its step than may be
-    /// unavailable at the same time; returns whether it did, or did so a moment ago.
-    pub fn relocate_task(&mut self, key: RunnerKey, now: Millis) -> bool {
+    /// unavailable at the same time, given that the tasks in `ending` end too.
+    fn relocate_task(&mut self, key: RunnerKey, ending: &[TaskRef], now: Millis) -> Relocation {
         let Some(runner) = self.runners.get(key).filter(|runner| runner.ready) else {
-            return false;
+            return Relocation::Refused;
         };
         if runner.relocating_until > now {
-            return true;
+            return Relocation::UnderWay;
         }
         let tasks: Vec<TaskRef> = runner.tasks.iter().copied().collect();
         let crowded = tasks.iter().copied().find(|task| {
             let available = self
                 .task(*task)
                 .is_some_and(|entry| self.is_available(entry));
-            available && self.is_crowded(*task, &tasks) && self.may_disrupt(&[*task])
+            let together: Vec<TaskRef> = ending.iter().chain([task]).copied().collect();
+            available && self.is_crowded(*task, &tasks) && self.may_disrupt(&together)
         });
         let Some(task) = crowded else {
-            return false;
+            return Relocation::Refused;
         };
         self.stop_task(task, now);
         if let Some(runner) = self.runners.get_mut(key) {
             runner.relocating_until = now + RELOCATION_MS;
         }
-        true
+        Relocation::Begun(task)
     }
 
     /// Whether these tasks include more of the task's long-running step than may be
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -167,6 +167,8 @@
     pub unlisted: bool,
     /// Whether it is being evacuated for maintenance or a move of its VM.
     pub evacuating: bool,
+    /// Whether its VM was cleared to go down, so that its tasks may end at any moment.
+    pub(crate) cleared: bool,
     /// Whether it is in a cordoned data hall.
     pub cordoned: bool,
     /// Whether its data hall counts as lost.
@@ -242,6 +244,7 @@
             ready: false,
             unlisted: false,
             evacuating: false,
+            cleared: false,
             cordoned: false,
             hall_lost: false,
             hall_number: 0,
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -9,6 +9,7 @@
 use hoisthitch_jobs::{
     AbandonedRun,
     EndKind,
+    EvacuationStatus,
     HeartbeatReport,
     PoolState,
     RunnerKey,
@@ -269,7 +270,11 @@
     let key = orders[0].runner;
     report_available(&mut state, key, 2_000);
     state.set_evacuating(key, true);
-    ensure!(state.relocate_task(key, 2_100), "no task is moved");
+    let decision = state.evacuate(&[key], false, 2_100).remove(0);
+    ensure!(
+        decision.status == EvacuationStatus::Busy(1) && decision.relocated.is_some(),
+        "no task is moved: {decision:?}"
+    );
     let stops = state.take_stop_orders();
     let moved = orders.iter().find(|order| order.name == stops[0].name);
     let moved = moved.ok_or_eyre("another task was stopped")?;
--- a/crates/hoisthitch-jobs/tests/decisions/waves.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/waves.rs
@@ -2,12 +2,14 @@
 //! go down together.
 
 use eyre::{
+    OptionExt,
     Result,
     ensure, //
 };
 use hoisthitch_jobs::{
     EvacuationStatus,
     HeartbeatReport,
+    PoolState,
     RunnerKey,
     StepSpec,
     WaveChange,
@@ -28,6 +30,8 @@
     no_more_are_down_than_may_be_at_once => limits();
     vm_that_had_its_upkeep_is_not_taken_down_again => keeps_done();
     runners_that_are_free_may_go_down_together => go_down_together();
+    task_is_not_moved_beside_a_vm_that_goes_down => moves_beside_free();
+    task_is_not_moved_while_a_vm_is_cleared_to_go_down => moves_beside_cleared();
 }
 
 /// A change that takes these VMs down.
@@ -110,3 +114,67 @@
     ensure!(free.count() == 2, "{statuses:?}");
     Ok(())
 }
+
+/// Three tasks of a long-running step on two runners, of which one may be unavailable; returns
+/// the runner with two of them, and the other one.
+fn crowded_pool() -> Result<(PoolState, RunnerKey, RunnerKey)> {
+    let mut state = pool_of(2, 8);
+    let long_running = StepSpec {
+        long_running: true,
+        max_unavailable: 1,
+        ..step(3)
+    };
+    state.add_job(new_job("long", vec![long_running]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let keys: Vec<RunnerKey> = state.runners().map(|(key, _)| key).collect();
+    for key in &keys {
+        let report = HeartbeatReport {
+            running: running_on(&state, *key, None, 100),
+            ..HeartbeatReport::default()
+        };
+        state.record_heartbeat(*key, &report, 1_500, 1_501);
+    }
+    let count = |key: RunnerKey| orders.iter().filter(|order| order.runner == key).count();
+    let crowded = keys.iter().copied().find(|key| count(*key) == 2);
+    let other = keys.iter().copied().find(|key| count(*key) == 1);
+    let (crowded, other) = crowded.zip(other).ok_or_eyre("no runner has two tasks")?;
+    state.take_stop_orders();
+    Ok((state, crowded, other))
+}
+
+/// One answer to the wave loop cleared a VM and stopped a task of the same step elsewhere: each
+/// was allowed by itself (`review/2`, two tasks ended within 2 ms).
+async fn moves_beside_free() -> Result<()> {
+    for clears in [true, false] {
+        let (mut state, crowded, other) = crowded_pool()?;
+        let decisions = state.evacuate(&[crowded, other], clears, 2_000);
+        let statuses: Vec<EvacuationStatus> = decisions.iter().map(|one| one.status).collect();
+        ensure!(
+            statuses == [EvacuationStatus::Held, EvacuationStatus::Free],
+            "{decisions:?}"
+        );
+        let stops = state.take_stop_orders();
+        ensure!(stops.is_empty(), "{stops:?}");
+    }
+    Ok(())
+}
+
+/// A VM that was cleared may go down at any moment until its evacuation is cancelled: nothing
+/// else of the step is ended in between, by whatever request.
+async fn moves_beside_cleared() -> Result<()> {
+    let (mut state, crowded, other) = crowded_pool()?;
+    let cleared = state.evacuate(&[other], true, 2_000).remove(0);
+    ensure!(cleared.status == EvacuationStatus::Free, "{cleared:?}");
+    let beside = state.evacuate(&[crowded], false, 2_100).remove(0);
+    ensure!(beside.status == EvacuationStatus::Held, "{beside:?}");
+    let stops = state.take_stop_orders();
+    ensure!(stops.is_empty(), "{stops:?}");
+    // The same VM is judged by its own tasks again.
+    let again = state.evacuate(&[other], true, 2_200).remove(0);
+    ensure!(again.status == EvacuationStatus::Free, "{again:?}");
+    state.set_evacuating(other, true);
+    state.set_evacuating(other, false);
+    let after = state.evacuate(&[crowded], false, 2_300).remove(0);
+    ensure!(after.relocated.is_some(), "{after:?}");
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -9,6 +9,7 @@
 };
 
 use hoisthitch_jobs::{
+    EvacuationDecision,
     EvacuationStatus,
     Millis,
     RunnerInstance,
@@ -22,6 +23,7 @@
     platform::Platform,
     vms::{
         DemandAnswer,
+        EvacuationPurpose,
         MAX_EVACUATING,
         VmRequest, //
     }, //
@@ -78,10 +80,10 @@
         match request {
             VmRequest::Evacuate {
                 runners,
-                evict,
+                purpose,
                 reply,
             } => {
-                let statuses = self.evacuate(&runners, evict, now);
+                let statuses = self.evacuate(&runners, purpose, now);
                 // A loop that does not wait any more asks again.
                 let _ = reply.send(statuses);
             }
@@ -140,7 +142,7 @@
     fn evacuate(
         &mut self,
         runners: &[String],
-        evict: bool,
+        purpose: EvacuationPurpose,
         now: Millis,
     ) -> Vec<Option<EvacuationStatus>> {
         let keys: Vec<Option<RunnerKey>> = runners
@@ -149,30 +151,45 @@
             .collect();
         for key in keys.iter().flatten() {
             self.state.set_evacuating(*key, true);
-            if evict {
+            if purpose == EvacuationPurpose::Move {
                 self.state.evict_resumable(*key, now);
             }
         }
         let known: Vec<RunnerKey> = keys.iter().flatten().copied().collect();
-        let mut statuses = self.state.evacuation_statuses(&known).into_iter();
+        let clears = purpose != EvacuationPurpose::Prepare;
+        let mut decisions = self.state.evacuate(&known, clears, now).into_iter();
         let requested = runners.iter().zip(keys);
         requested
             .map(|(runner, key)| match key {
-                Some(key) => {
-                    let status = statuses.next()?;
-                    let relocates =
-                        status == EvacuationStatus::Held && self.state.relocate_task(key, now);
-                    Some(if relocates {
-                        EvacuationStatus::Busy(1)
-                    } else {
-                        status
-                    })
+                Some(_) => {
+                    let decision = decisions.next()?;
+                    self.log_relocation(runner, &decision, purpose);
+                    Some(decision.status)
                 }
                 None => self.state.unlisted_evacuation_status(runner),
             })
             .collect()
     }
 
+    /// Logs that a task is moved off a runner whose evacuation waits for it.
+    fn log_relocation(
+        &self,
+        runner: &str,
+        decision: &EvacuationDecision,
+        purpose: EvacuationPurpose,
+    ) {
+        if let Some(task) = &decision.relocated {
+            event!(
+                Info,
+                "task_relocated",
+                task = task,
+                runner = runner,
+                pool = self.context.pool,
+                purpose = format_args!("{purpose:?}")
+            );
+        }
+    }
+
     /// Applies the listed runners of the pool and the queue policies in effect.
     pub(super) fn sync_fleet(&mut self) {
         let now = self.now();
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -86,6 +86,18 @@
 /// attainable value there (10 simulated days, docs/decisions.md).
 pub(crate) const MAX_EVACUATING: usize = 200;
 
+/// What a VM loop asks the owner to evacuate runners for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EvacuationPurpose {
+    /// Maintenance that is not ordered before the loop asks again.
+    Prepare,
+    /// Maintenance that is ordered now for all that are free.
+    Maintain,
+    /// Moves that are ordered now for all that are free; tasks that can resume elsewhere are
+    /// evicted.
+    Move,
+}
+
 /// Requests of the VM loops to the pool's owner.
 #[derive(Debug)]
 pub(crate) enum VmRequest {
@@ -93,8 +105,7 @@
     /// known; all VMs whose runners are free may go down together.
     Evacuate {
         runners: Vec<String>,
-        /// Whether tasks that can resume elsewhere are evicted.
-        evict: bool,
+        purpose: EvacuationPurpose,
         reply: oneshot::Sender<Vec<Option<EvacuationStatus>>>,
     },
     /// Cancel the evacuation of the runners.
@@ -219,7 +230,7 @@
     async fn request_evacuation(
         &self,
         runners: Vec<String>,
-        evict: bool,
+        purpose: EvacuationPurpose,
     ) -> Vec<Option<EvacuationStatus>> {
         let held = vec![Some(EvacuationStatus::Held); runners.len()];
         if runners.is_empty() {
@@ -228,7 +239,7 @@
         let (reply, answer) = oneshot::channel();
         let request = VmRequest::Evacuate {
             runners,
-            evict,
+            purpose,
             reply,
         };
         if self.context.owner.send(request).await.is_err() {
--- a/crates/hoisthitch-scheduler/src/vms/moves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/moves.rs
@@ -26,6 +26,7 @@
 
 use super::{
     DemandAnswer,
+    EvacuationPurpose,
     MAX_EVACUATING,
     VmLoop,
     VmRequest,
@@ -240,7 +241,10 @@
         let runners =
             runners.map(|runner| runner.as_ref().map_or_else(String::new, |r| r.name.clone()));
         let runners: Vec<String> = runners.collect();
-        let statuses = self.ledger.request_evacuation(runners, true).await;
+        let statuses = self
+            .ledger
+            .request_evacuation(runners, EvacuationPurpose::Move)
+            .await;
         let answered = candidates.into_iter().zip(statuses);
         answered
             .filter(|(_, status)| *status == Some(EvacuationStatus::Free))
--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -24,6 +24,7 @@
 use tokio::sync::oneshot;
 
 use super::{
+    EvacuationPurpose,
     VmLoop,
     VmRequest,
     VmWorkError,
@@ -300,7 +301,7 @@
             if next.is_empty() {
                 break;
             }
-            let statuses = self.evacuate_vms(&next).await;
+            let statuses = self.evacuate_vms(&next, EvacuationPurpose::Prepare).await;
             for (row, status) in next.into_iter().zip(statuses) {
                 // A VM without a runner takes no capacity from the pool.
                 let counts = row.runner.is_some() && status != Some(EvacuationStatus::Held);
@@ -316,7 +317,11 @@
 
     /// Claims VMs and asks the owner to evacuate their runners; returns the status of each. The
     /// evacuation is cancelled where a task may not be interrupted.
-    async fn evacuate_vms(&mut self, rows: &[&VmStatus]) -> Vec<Option<EvacuationStatus>> {
+    async fn evacuate_vms(
+        &mut self,
+        rows: &[&VmStatus],
+        purpose: EvacuationPurpose,
+    ) -> Vec<Option<EvacuationStatus>> {
         let mut runners = Vec::new();
         for row in rows {
             self.ledger.claim(&row.name, VmClaim::Maintenance);
@@ -327,7 +332,7 @@
         }
         let mut answers = self
             .ledger
-            .request_evacuation(runners, false)
+            .request_evacuation(runners, purpose)
             .await
             .into_iter();
         let mut statuses = Vec::new();
@@ -392,7 +397,7 @@
         let names = ready.iter().map(|row| &row.name);
         let token = self.ledger.issue_token(names, None).await?;
         // The writes may have taken long; what runs there may have changed.
-        let statuses = self.evacuate_vms(ready).await;
+        let statuses = self.evacuate_vms(ready, EvacuationPurpose::Maintain).await;
         self.ledger.check_ownership()?;
         let going: Vec<&VmStatus> = ready
             .iter()
--- a/crates/hoisthitch-scheduler/tests/ownership/waves.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/waves.rs
@@ -38,6 +38,33 @@
     moves_of_a_pool_do_not_wait_for_its_wave => publishes_during_wave();
     vm_whose_upkeep_was_not_answered_takes_tasks_again => takes_tasks_again();
     wave_goes_hall_by_hall_where_halls_may_be_lost => goes_hall_by_hall();
+    wave_beside_an_outage_of_the_vm_service_ends_one_task_of_a_step_at_a_time => outlasts_outages();
+}
+
+/// Five tasks on three VMs, of which one may be unavailable: VMs have to be emptied of all but
+/// one task first. The VM service is down for some seconds from the first order on.
+///
+/// The failure: one answer to the wave loop cleared a VM to go down and stopped a task of the
+/// same step on another one, two milliseconds apart. Both were counted against the tasks that
+/// were unavailable before, and not against each other. The log has `upkeep_ordered` and
+/// `task_stopped` of the step in the same pass.
+async fn outlasts_outages() -> Result<()> {
+    for (vms, tasks, outage_ms) in [(3, 5, 4_000), (3, 5, 2_000), (2, 3, 4_000), (4, 7, 4_000)] {
+        let world = TestWorld::start(2, vms).await?;
+        let mut spec = lasting(tasks, 1);
+        spec.steps[0].max_per_runner = 0;
+        world.submit("long", spec).await?;
+        sleep_ms(4_000).await;
+        world
+            .fleet
+            .take_vm_service_down(Duration::from_millis(outage_ms));
+        complete_wave(&world, vms, 90_000).await?;
+        sleep_ms(2_000).await;
+        let running = world.fleet.running().len();
+        ensure!(running == tasks as usize, "{running} of {tasks} tasks run");
+        check_invariants(&world)?;
+    }
+    Ok(())
 }
 
 /// A wave that takes VMs of all three halls at once leaves no hall whole when another one is lost:
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -119,6 +119,10 @@
     vm_answers_lost: bool,
     /// Delay of orders about VMs.
     vm_order_delay: Duration,
+    /// Time for which the VM service is down from the next order on; none if it stays up.
+    vm_outage: Option<Duration>,
+    /// Time until which the VM service is down; none if it was not down yet.
+    vms_down_until: Option<Instant>,
     /// Jobs that their caller cancelled, so that their tasks may be stopped.
     pub(super) cancelled: BTreeSet<String>,
     /// Tasks that crash their runners.
@@ -238,6 +242,12 @@
         self.state.borrow_mut().vm_order_delay = way;
     }
 
+    /// Takes the VM service down for `time` from the next order on: it refuses all calls, that
+    /// order too, and does nothing.
+    pub fn take_vm_service_down(&self, time: Duration) {
+        self.state.borrow_mut().vm_outage = Some(time);
+    }
+
     /// Records that the caller cancels a job: its tasks may be stopped from now on.
     pub fn record_cancel(&self, job: &str) {
         let mut state = self.state.borrow_mut();
--- a/crates/hoisthitch-tests/src/world/runners/vms.rs
+++ b/crates/hoisthitch-tests/src/world/runners/vms.rs
@@ -78,6 +78,7 @@
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(VmError::NoAnswer("response lost".to_owned()));
         }
+        self.check_vm_service()?;
         let state = self.state.borrow();
         let mut rows: Vec<VmStatus> = state
             .runners
@@ -108,6 +109,8 @@
         holder: &str,
         epoch: u64,
     ) -> Result<(), VmError> {
+        self.begin_vm_outage();
+        self.check_vm_service()?;
         let (done, answer) = oneshot::channel();
         let (fleet, vm, holder) = (self.clone(), vm.to_owned(), holder.to_owned());
         // Not a task of the node: the order continues even if the node stops.
@@ -148,6 +151,23 @@
 }
 
 impl MemoryFleet {
+    /// Begins the outage of the VM service that was requested, if one was.
+    fn begin_vm_outage(&self) {
+        let mut state = self.state.borrow_mut();
+        if let Some(time) = state.vm_outage.take() {
+            state.vms_down_until = Some(Instant::now() + time);
+        }
+    }
+
+    /// Fails while the VM service is down.
+    fn check_vm_service(&self) -> Result<(), VmError> {
+        let until = self.state.borrow().vms_down_until;
+        if until.is_some_and(|until| Instant::now() < until) {
+            return Err(VmError::NoAnswer("status 503".to_owned()));
+        }
+        Ok(())
+    }
+
     /// Takes a VM down for maintenance, unless that was done before.
     fn begin_maintenance(&self, vm: &str, epoch: u64) -> Result<(), VmError> {
         let mut guard = self.state.borrow_mut();
