Count VMs that are recorded as down and still up as evacuated

Callers saw: nothing yet; a wave over crowded VMs may never end.

Cause: a VM whose order got no answer is evacuated until it goes, but was not counted in the pool's limit; a second VM was evacuated in advance, and the two passed one task to and fro (task_relocated every 3.6 s). A VM over the limit was neither decided on again nor given back.

Change: the limit counts such VMs, and evacuations over the limit are cancelled.

--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -134,7 +134,8 @@
             self.put_off(&own_vms, state).await;
             Vec::new()
         } else {
-            self.evacuate_next(request, &own_vms, &rows, state).await
+            self.evacuate_next(request, &own_vms, &rows, state, ready.len())
+                .await
         };
         // Drop VMs of an earlier write that failed: they may not be able to go down now.
         state.pending.down.clear();
@@ -271,13 +272,15 @@
         });
     }
 
-    /// Evacuates the next VMs, and returns those that may go down.
+    /// Evacuates the next VMs, and returns those that may go down. `recorded` VMs are recorded as
+    /// down and still up, so that they are evacuated too.
     async fn evacuate_next<'a>(
         &mut self,
         request: &WaveRequest,
         own_vms: &[String],
         rows: &'a VmListing,
         state: &WaveState,
+        recorded: usize,
     ) -> Vec<&'a VmStatus> {
         let mut candidates: Vec<&VmStatus> = own_vms
             .iter()
@@ -293,7 +296,7 @@
         let room = request.max_down().saturating_sub(down);
         // One more than may go down, so that it is evacuated when it may.
         let limit = (own / EVACUATION_DIVISOR).max(1).min(room + 1);
-        let mut evacuated = 0;
+        let mut evacuated = recorded;
         let mut free = Vec::new();
         let mut candidates = candidates.into_iter();
         while evacuated < limit {
@@ -311,6 +314,11 @@
                 }
             }
         }
+        // They were evacuated when the limit was higher.
+        let over_limit = candidates.map(|row| row.name.clone());
+        let over_limit = over_limit.filter(|vm| self.evacuating.contains_key(vm));
+        let over_limit: Vec<String> = over_limit.collect();
+        self.cancel_evacuations(&over_limit).await;
         free.truncate(room);
         free
     }
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -7,6 +7,7 @@
 //! `FIRST_ORDER` the first of these.
 
 mod cordons;
+mod crowds;
 mod cuts;
 mod delays;
 mod drains;
