Let a runner that is evacuated in advance take what fits nowhere else

Cause: each pool evacuates one VM more than the wave has room for, an evacuating runner gets no tasks, and nothing bounds the time until there is room.

New lines: upkeep_prepared, evacuation_lapsed. Ruled out: the runners, the planner, the store.

Change: without room, a VM is evacuated in advance: its runner gets the tasks that fit nowhere else. With room it gets none. Evacuations that are not renewed for 1.5 s, as while the VM service is away, lapse to that as well.

The decision cases use the new interface. Tests that set evacuating runners use begin_evacuation at the stage that did the same.

--- a/crates/hoisthitch-jobs/src/admission.rs
+++ b/crates/hoisthitch-jobs/src/admission.rs
@@ -121,7 +121,8 @@
         if !is_first && self.is_over_limit(task.job) {
             return Some(StartObstacle::OverLimit);
         }
-        runner.evacuating.then_some(StartObstacle::Evacuating)
+        let is_emptied = !runner.evacuation.takes_tasks();
+        is_emptied.then_some(StartObstacle::Evacuating)
     }
 
     /// Whether the runner is kept for an isolated run of the task, or of the task's gang.
--- a/crates/hoisthitch-jobs/src/demand.rs
+++ b/crates/hoisthitch-jobs/src/demand.rs
@@ -197,7 +197,7 @@
             .map(|(key, runner)| {
                 let used = runner.used.cpu_milli;
                 let useful = used.saturating_sub(useless_on(&key));
-                (!runner.evacuating, useful, used, key)
+                (runner.evacuation.takes_tasks(), useful, used, key)
             })
             .collect();
         spare.sort();
--- a/crates/hoisthitch-jobs/src/drain.rs
+++ b/crates/hoisthitch-jobs/src/drain.rs
@@ -68,10 +68,10 @@
             .is_ok_and(|unavailable| unavailable < step.max_unavailable.max(1))
     }
 
-    /// Whether a task is available and its runner is not evacuating: maintenance or a move of
+    /// Whether a task is available and its runner is not being emptied: maintenance or a move of
     /// its VM may have been ordered already.
     fn stays_available(&self, entry: &TaskEntry) -> bool {
         let runner = entry.runner().and_then(|key| self.runners.get(key));
-        self.is_available(entry) && runner.is_some_and(|runner| !runner.evacuating)
+        self.is_available(entry) && runner.is_some_and(|runner| runner.evacuation.takes_tasks())
     }
 }
--- a/crates/hoisthitch-jobs/src/evict.rs
+++ b/crates/hoisthitch-jobs/src/evict.rs
@@ -31,7 +31,7 @@
         let Some(runner) = self.runners.get(key) else {
             return;
         };
-        if !runner.ready || !runner.evacuating {
+        if !runner.ready || runner.evacuation.takes_tasks() {
             return;
         }
         let tasks: Vec<(TaskRef, u64)> = runner
--- a/crates/hoisthitch-jobs/src/hall_balance.rs
+++ b/crates/hoisthitch-jobs/src/hall_balance.rs
@@ -163,7 +163,7 @@
 }
 
 fn ease_of(runner: &RunnerEntry) -> SpareEase {
-    match (runner.evacuating, runner.tasks.is_empty()) {
+    match (!runner.evacuation.takes_tasks(), runner.tasks.is_empty()) {
         (true, _) => SpareEase::Evacuating,
         (false, true) => SpareEase::Empty,
         (false, false) => SpareEase::Busy,
--- a/crates/hoisthitch-jobs/src/hall_loss.rs
+++ b/crates/hoisthitch-jobs/src/hall_loss.rs
@@ -50,7 +50,7 @@
 /// What the runners of a hall last answered.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct HallSilence {
-    /// Number of runners that are neither draining nor evacuating, and were not silent long before
+    /// Number of runners that are neither draining nor being emptied, and were not silent long before
     /// the others.
     pub runners: usize,
     /// Those that are silent.
@@ -215,7 +215,7 @@
         let counted = |runner: &&RunnerEntry| {
             let is_known = !runner.facts.hall.is_empty();
             // VMs that are moved or maintained go down by the dozen, many of them in one hall.
-            let is_staying = !runner.facts.draining && !runner.evacuating;
+            let is_staying = !runner.facts.draining && runner.evacuation.takes_tasks();
             is_known && is_staying && !runner.is_new(begun, now)
         };
         let mut halls: BTreeMap<String, HallSilence> = BTreeMap::new();
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -114,6 +114,7 @@
 };
 pub use maintenance::{
     EvacuationDecision,
+    EvacuationStage,
     EvacuationStatus, //
 };
 pub use pace::PaceOrder;
@@ -146,6 +147,7 @@
 pub use restarts::RestartedRunner;
 pub use runner::{
     RunnerEntry,
+    RunnerEvacuation,
     RunnerFacts,
     RunnerInstance,
     RunnerKey, //
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -294,7 +294,7 @@
             known: runner.last_heartbeat_at.is_some(),
         };
         let loss = match loss {
-            _ if runner.facts.draining || runner.evacuating => RunnerLoss::Planned,
+            _ if runner.facts.draining || !runner.evacuation.takes_tasks() => RunnerLoss::Planned,
             _ if runner.lost_with_hall => RunnerLoss::Hall,
             loss => loss,
         };
--- a/crates/hoisthitch-jobs/src/maintenance.rs
+++ b/crates/hoisthitch-jobs/src/maintenance.rs
@@ -15,6 +15,7 @@
     pool::PoolState,
     runner::{
         RunnerEntry,
+        RunnerEvacuation,
         RunnerKey, //
     },
     task::{
@@ -29,6 +30,20 @@
 /// milliseconds: a stop, a start, and a short time until it serves.
 const RELOCATION_MS: Millis = 2_500;
 
+/// Time for which a runner takes no tasks since its evacuation was last renewed, in milliseconds:
+/// some passes of a loop over the pool's VMs. While the VM service is away no VM can go down, and a
+/// task whose only runner is kept empty must not wait for three seconds.
+const EMPTYING_VALID_MS: Millis = 1_500;
+
+/// How far an evacuation goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EvacuationStage {
+    /// The VM may not go down yet: the runner gets only tasks that fit nowhere else.
+    Ahead,
+    /// The VM goes down as soon as it may: the runner gets no tasks.
+    Emptying,
+}
+
 /// Whether a VM may go down.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EvacuationStatus {
@@ -60,17 +75,45 @@
 }
 
 impl PoolState {
-    /// Sets whether a runner is to be evacuated.
-    pub fn set_evacuating(&mut self, key: RunnerKey, evacuating: bool) {
-        if let Some(runner) = self.runners.get_mut(key)
-            && runner.evacuating != evacuating
-        {
-            runner.evacuating = evacuating;
-            runner.cleared = false;
-            self.plan_needed = true;
+    /// Begins the evacuation of a runner, or continues it at that stage. A VM that was cleared to go
+    /// down stays so until that is decided on again.
+    pub fn begin_evacuation(&mut self, key: RunnerKey, stage: EvacuationStage, now: Millis) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            let before = runner.evacuation;
+            runner.evacuation = match (before, stage) {
+                (RunnerEvacuation::Cleared, _) => RunnerEvacuation::Cleared,
+                (_, EvacuationStage::Ahead) => RunnerEvacuation::Ahead,
+                (_, EvacuationStage::Emptying) => RunnerEvacuation::Emptying { renewed_at: now },
+            };
+            self.plan_needed |= before.takes_tasks() != runner.evacuation.takes_tasks();
+        }
+    }
+
+    /// Cancels the evacuation of a runner.
+    pub fn cancel_evacuation(&mut self, key: RunnerKey) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            self.plan_needed |= runner.evacuation != RunnerEvacuation::None;
+            runner.evacuation = RunnerEvacuation::None;
         }
     }
 
+    /// Lets runners take tasks again where nothing fits elsewhere, if their evacuation was not
+    /// renewed for [`EMPTYING_VALID_MS`]: whoever evacuates them can't order their VMs down now.
+    /// Returns those runners.
+    pub fn lapse_evacuations(&mut self, now: Millis) -> Vec<RunnerKey> {
+        let mut lapsed = Vec::new();
+        for (key, runner) in &mut self.runners {
+            if let RunnerEvacuation::Emptying { renewed_at } = runner.evacuation
+                && renewed_at + EMPTYING_VALID_MS <= now
+            {
+                runner.evacuation = RunnerEvacuation::Ahead;
+                lapsed.push(key);
+            }
+        }
+        self.plan_needed |= !lapsed.is_empty();
+        lapsed
+    }
+
     /// Whether the runner's VM may go down now.
     pub fn evacuation_status(&self, key: RunnerKey) -> EvacuationStatus {
         self.evacuation_statuses(&[key])
@@ -101,8 +144,8 @@
         let decided = keys.iter().zip(statuses);
         decided
             .map(|(key, status)| {
-                if let Some(runner) = self.runners.get_mut(*key).filter(|_| clears) {
-                    runner.cleared = status == EvacuationStatus::Free;
+                if clears {
+                    self.set_cleared(*key, status == EvacuationStatus::Free, now);
                 }
                 let held = status == EvacuationStatus::Held;
                 let relocation = held.then(|| self.relocate_task(*key, &ending, now));
@@ -124,6 +167,16 @@
             .collect()
     }
 
+    fn set_cleared(&mut self, key: RunnerKey, cleared: bool, now: Millis) {
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.evacuation = if cleared {
+                RunnerEvacuation::Cleared
+            } else {
+                RunnerEvacuation::Emptying { renewed_at: now }
+            };
+        }
+    }
+
     /// The statuses of runners whose VMs may go down together; adds the tasks that end with the
     /// free ones to `ending`.
     fn statuses_together(
@@ -233,7 +286,10 @@
         let TaskState::Running(key) = task.state else {
             return false;
         };
-        let stays = |runner: &RunnerEntry| runner.ready && !runner.hall_lost && !runner.cleared;
+        let stays = |runner: &RunnerEntry| {
+            let is_cleared = runner.evacuation == RunnerEvacuation::Cleared;
+            runner.ready && !runner.hall_lost && !is_cleared
+        };
         self.runners.get(key).is_some_and(stays) && task.unavailable_since.is_none()
     }
 
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -10,6 +10,7 @@
     pool::PoolState,
     runner::{
         RunnerEntry,
+        RunnerEvacuation,
         RunnerKey, //
     },
     spec::StepSpec,
@@ -35,6 +36,10 @@
 /// to keep the two kinds on different runners while there are any.
 const INTERFERENCE_COST: f64 = 0.5;
 
+/// Cost of a runner whose VM goes down later: more than all others together, so that it gets only
+/// tasks that fit nowhere else.
+const EVACUATED_AHEAD_COST: f64 = 100.0;
+
 impl PoolState {
     /// The runner for a task, on the given rack if there is one; none if no runner fits.
     pub(crate) fn choose_runner(
@@ -144,7 +149,7 @@
         counts: &HallCounts,
         now: Millis,
     ) -> HallCost {
-        let mut first = self.suspect_cost(task, runner, now);
+        let mut first = self.suspect_cost(task, runner, now) + evacuation_cost(runner);
         if is_off_data_rack(runner, step) {
             first += OTHER_RACK_COST;
         }
@@ -163,7 +168,7 @@
         // earns 1 to 4 percent more of the attainable value (70 simulated days before the
         // other rules that empty VMs, 40 after them, docs/decisions.md).
         let mut cost = if step.long_running { load } else { 1.0 - load };
-        cost += self.suspect_cost(task, runner, now);
+        cost += self.suspect_cost(task, runner, now) + evacuation_cost(runner);
         if is_off_data_rack(runner, step) {
             cost += OTHER_RACK_COST;
         }
@@ -197,6 +202,13 @@
     }
 }
 
+fn evacuation_cost(runner: &RunnerEntry) -> f64 {
+    match runner.evacuation {
+        RunnerEvacuation::Ahead => EVACUATED_AHEAD_COST,
+        _ => 0.0,
+    }
+}
+
 /// Whether a runner is on another rack than the step's data.
 fn is_off_data_rack(runner: &RunnerEntry, step: &StepSpec) -> bool {
     step.data_rack
--- a/crates/hoisthitch-jobs/src/pressure.rs
+++ b/crates/hoisthitch-jobs/src/pressure.rs
@@ -227,7 +227,7 @@
 fn is_starting(runner: &RunnerEntry, now: Millis) -> bool {
     let is_new =
         runner.last_response_at.is_none() && now < runner.first_seen_at + FIRST_RESPONSE_MS;
-    let usable = !runner.cordoned && !runner.hall_lost && !runner.evacuating;
+    let usable = !runner.cordoned && !runner.hall_lost && runner.evacuation.takes_tasks();
     is_new && usable && !runner.is_departing()
 }
 
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -155,6 +155,30 @@
     }
 }
 
+/// Evacuation of a runner, for maintenance or a move of its VM.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RunnerEvacuation {
+    /// It is not evacuated.
+    #[default]
+    None,
+    /// Its VM may not go down yet: it gets only tasks that fit nowhere else.
+    Ahead,
+    /// Its VM goes down as soon as it may: it gets no tasks.
+    Emptying {
+        /// When that was last requested.
+        renewed_at: Millis,
+    },
+    /// Its VM may have been ordered to go down, so that its tasks may end at any moment.
+    Cleared,
+}
+
+impl RunnerEvacuation {
+    /// Whether the runner may get tasks.
+    pub fn takes_tasks(self) -> bool {
+        matches!(self, Self::None | Self::Ahead)
+    }
+}
+
 /// A runner, as its pool's owner sees it.
 #[derive(Clone, Debug)]
 pub struct RunnerEntry {
@@ -166,9 +190,7 @@
     /// during an outage of the store.
     pub unlisted: bool,
     /// Whether it is being evacuated for maintenance or a move of its VM.
-    pub evacuating: bool,
-    /// Whether its VM was cleared to go down, so that its tasks may end at any moment.
-    pub(crate) cleared: bool,
+    pub evacuation: RunnerEvacuation,
     /// Whether it is in a cordoned data hall.
     pub cordoned: bool,
     /// Whether its data hall counts as lost.
@@ -243,8 +265,7 @@
             facts,
             ready: false,
             unlisted: false,
-            evacuating: false,
-            cleared: false,
+            evacuation: RunnerEvacuation::None,
             cordoned: false,
             hall_lost: false,
             hall_number: 0,
@@ -283,11 +304,12 @@
         self.facts.draining || self.unlisted
     }
 
-    /// Whether it responds, and is neither departing nor evacuating nor in a data hall that is
+    /// Whether it responds, and is neither departing nor being emptied nor in a data hall that is
     /// cordoned or lost.
     pub fn is_staying(&self) -> bool {
         let usable_hall = !self.cordoned && !self.hall_lost;
-        self.ready && !self.is_departing() && !self.evacuating && usable_hall
+        let usable = self.evacuation.takes_tasks() && usable_hall;
+        self.ready && !self.is_departing() && usable
     }
 
     /// Whether it may get tasks at `now`: its lease has to outlast the write of the record and
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -22,6 +22,7 @@
     record::JobPhase,
     runner::{
         RunnerEntry,
+        RunnerEvacuation,
         RunnerKey, //
     },
     suspicion::{
@@ -360,6 +361,7 @@
         }
         let candidates = self.runners.iter().filter(|(_, runner)| {
             runner.takes_tasks(now)
+                && runner.evacuation == RunnerEvacuation::None
                 && !runner.has_long_running()
                 && runner.isolated_task.is_none()
                 && runner.reserved_until <= now
--- a/crates/hoisthitch-jobs/tests/decisions/admission.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/admission.rs
@@ -8,6 +8,7 @@
 };
 use hoisthitch_jobs::{
     AdviceTicket,
+    EvacuationStage,
     HeartbeatReport,
     NewJob,
     PoolState,
@@ -70,7 +71,7 @@
             state.set_runner(RunnerFacts { draining, ..facts }, 1_500);
         }
         Change::Unlisted => state.unlist_runner(key),
-        Change::Evacuates => state.set_evacuating(key, true),
+        Change::Evacuates => state.begin_evacuation(key, EvacuationStage::Emptying, 1_500),
         Change::Shrinks => {
             let capacity = ResourceAmounts {
                 cpu_milli: 500,
--- a/crates/hoisthitch-jobs/tests/decisions/hall_loss.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/hall_loss.rs
@@ -12,6 +12,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    EvacuationStage,
     HallChange,
     HallMonitor,
     HallReturn,
@@ -145,7 +146,7 @@
     stay(&mut state, &mut monitor, &[10_100, 10_500])?;
     let leaving: Vec<RunnerKey> = keys_in(&state, &["hall-1"]).into_iter().take(5).collect();
     for key in &leaving {
-        state.set_evacuating(*key, true);
+        state.begin_evacuation(*key, EvacuationStage::Emptying, 10_500);
         state.record_missed_heartbeat(*key, true, 10_500, 10_600);
     }
     stay(&mut state, &mut monitor, &[10_600, 11_000])?;
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -9,6 +9,7 @@
 use hoisthitch_jobs::{
     AbandonedRun,
     EndKind,
+    EvacuationStage,
     EvacuationStatus,
     HeartbeatReport,
     PoolState,
@@ -269,7 +270,7 @@
     ensure!(orders.len() == 2, "{orders:?}");
     let key = orders[0].runner;
     report_available(&mut state, key, 2_000);
-    state.set_evacuating(key, true);
+    state.begin_evacuation(key, EvacuationStage::Emptying, 2_100);
     let decision = state.evacuate(&[key], false, 2_100).remove(0);
     ensure!(
         decision.status == EvacuationStatus::Busy(1) && decision.relocated.is_some(),
--- a/crates/hoisthitch-jobs/tests/decisions/packing.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/packing.rs
@@ -12,6 +12,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    EvacuationStage,
     PoolState,
     RunnerKey,
     StartOrder,
@@ -72,7 +73,7 @@
         state.take_stop_orders().is_empty(),
         "evicted from a runner that is not evacuating"
     );
-    state.set_evacuating(runner, true);
+    state.begin_evacuation(runner, EvacuationStage::Emptying, 1_100);
     state.evict_resumable(runner, 1_100);
     let stops = state.take_stop_orders();
     ensure!(stops.len() == stopped, "{} are stopped", stops.len());
@@ -118,7 +119,7 @@
     };
     let orders = start_all_of(&mut state, "a", work);
     let runner = orders.first().ok_or_eyre("nothing was started")?.runner;
-    state.set_evacuating(runner, true);
+    state.begin_evacuation(runner, EvacuationStage::Emptying, 1_100);
     state.evict_resumable(runner, 1_100);
     ensure!(
         state.take_stop_orders().is_empty(),
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -10,6 +10,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    EvacuationStage,
     HeartbeatReport,
     InheritedRuns,
     JobPhase,
@@ -233,7 +234,7 @@
 async fn announced() -> Result<()> {
     let mut state = reporting_pool(3, step(1));
     let order = first(&start_all(&mut state, 61_000))?;
-    state.set_evacuating(order.runner, true);
+    state.begin_evacuation(order.runner, EvacuationStage::Emptying, 61_000);
     crash(&mut state, order.runner, 61_010);
     let lost = state.take_lost_runs();
     ensure!(
--- a/crates/hoisthitch-jobs/tests/decisions/waves.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/waves.rs
@@ -7,6 +7,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    EvacuationStage,
     EvacuationStatus,
     HeartbeatReport,
     PoolState,
@@ -32,6 +33,8 @@
     runners_that_are_free_may_go_down_together => go_down_together();
     task_is_not_moved_beside_a_vm_that_goes_down => moves_beside_free();
     task_is_not_moved_while_a_vm_is_cleared_to_go_down => moves_beside_cleared();
+    vm_that_is_emptied_ahead_takes_what_fits_nowhere_else => takes_ahead();
+    vm_that_nobody_empties_any_more_takes_tasks_again => lapses();
 }
 
 /// A change that takes these VMs down.
@@ -172,9 +175,50 @@
     // The same VM is judged by its own tasks again.
     let again = state.evacuate(&[other], true, 2_200).remove(0);
     ensure!(again.status == EvacuationStatus::Free, "{again:?}");
-    state.set_evacuating(other, true);
-    state.set_evacuating(other, false);
+    state.cancel_evacuation(other);
     let after = state.evacuate(&[crowded], false, 2_300).remove(0);
     ensure!(after.relocated.is_some(), "{after:?}");
     Ok(())
 }
+
+/// The only runner of a pool was kept idle while its wave had no room, and accepted jobs with it
+/// (`review/3`).
+async fn takes_ahead() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    let keys: Vec<RunnerKey> = state.runners().map(|(key, _)| key).collect();
+    state.begin_evacuation(keys[0], EvacuationStage::Ahead, 1_000);
+    state.add_job(new_job("a", vec![step(10)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let ahead = orders.iter().filter(|order| order.runner == keys[0]);
+    ensure!(
+        orders.len() == 10 && ahead.count() == 2,
+        "only what the other runner has no room for: {orders:?}"
+    );
+    let mut emptied = pool_of(2, 8);
+    emptied.begin_evacuation(keys[0], EvacuationStage::Emptying, 1_000);
+    emptied.add_job(new_job("a", vec![step(10)]), 1_000);
+    let orders = start_all(&mut emptied, 1_000);
+    ensure!(orders.len() == 8, "{orders:?}");
+    Ok(())
+}
+
+/// A runner was kept empty for as long as the VM service was away, though its VM could not go
+/// down. One that was cleared may go down without another request, and stays empty.
+async fn lapses() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    let keys: Vec<RunnerKey> = state.runners().map(|(key, _)| key).collect();
+    for key in &keys {
+        state.begin_evacuation(*key, EvacuationStage::Emptying, 1_000);
+    }
+    let cleared = state.evacuate(&keys[1..], true, 1_000);
+    ensure!(cleared[0].status == EvacuationStatus::Free, "{cleared:?}");
+    state.add_job(new_job("a", vec![step(10)]), 1_100);
+    ensure!(start_all(&mut state, 1_100).is_empty());
+    ensure!(state.lapse_evacuations(2_400).is_empty(), "it was renewed");
+    let lapsed = state.lapse_evacuations(2_600);
+    ensure!(lapsed == keys[..1], "{lapsed:?}");
+    let orders = start_all(&mut state, 2_600);
+    let elsewhere = orders.iter().filter(|order| order.runner != keys[0]);
+    ensure!(orders.len() == 8 && elsewhere.count() == 0, "{orders:?}");
+    Ok(())
+}
--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -18,6 +18,7 @@
     EndKind,
     EndedJob,
     EndedTask,
+    EvacuationStage,
     EvacuationStatus,
     HeartbeatReport,
     IntakeDecision,
@@ -461,12 +462,13 @@
         }
         let spare = self.state.spare_runners(now, count);
         for key in self.evacuating.iter().filter(|key| !spare.contains(key)) {
-            self.state.set_evacuating(*key, false);
+            self.state.cancel_evacuation(*key);
         }
         self.evacuating = spare;
         let mut free = Vec::new();
         for key in &self.evacuating {
-            self.state.set_evacuating(*key, true);
+            self.state
+                .begin_evacuation(*key, EvacuationStage::Emptying, now);
             self.state.evict_resumable(*key, now);
             if self.state.evacuation_status(*key) == EvacuationStatus::Free {
                 free.extend(self.state.runner(*key).map(|entry| entry.facts.vm.clone()));
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -541,6 +541,14 @@
             self.count_event("lease_lapsed");
             event!(Warn, "lease_lapsed", runner = self.instance_text(runner));
         }
+        for runner in self.state.lapse_evacuations(now) {
+            event!(
+                Info,
+                "evacuation_lapsed",
+                runner = self.instance_text(runner),
+                pool = self.context.pool
+            );
+        }
         let today = self.context.shared.clock.unix_ms();
         self.state.begin_due_rounds(now, today);
         self.update_warmth(false, now);
--- a/crates/hoisthitch-scheduler/src/owner/runners.rs
+++ b/crates/hoisthitch-scheduler/src/owner/runners.rs
@@ -90,7 +90,7 @@
             VmRequest::CancelEvacuation { runners } => {
                 for runner in runners {
                     if let Some(key) = self.state.runner_key(&runner) {
-                        self.state.set_evacuating(key, false);
+                        self.state.cancel_evacuation(key);
                     }
                 }
             }
@@ -150,14 +150,16 @@
             .map(|runner| self.state.runner_key(runner))
             .collect();
         for key in keys.iter().flatten() {
-            self.state.set_evacuating(*key, true);
+            self.state.begin_evacuation(*key, purpose.stage(), now);
             if purpose == EvacuationPurpose::Move {
                 self.state.evict_resumable(*key, now);
             }
         }
         let known: Vec<RunnerKey> = keys.iter().flatten().copied().collect();
-        let clears = purpose != EvacuationPurpose::Prepare;
-        let mut decisions = self.state.evacuate(&known, clears, now).into_iter();
+        let mut decisions = self
+            .state
+            .evacuate(&known, purpose.orders_follow(), now)
+            .into_iter();
         let requested = runners.iter().zip(keys);
         requested
             .map(|(runner, key)| match key {
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -28,6 +28,7 @@
 };
 
 use hoisthitch_jobs::{
+    EvacuationStage,
     EvacuationStatus,
     Millis,
     RunnerInstance,
@@ -89,7 +90,9 @@
 /// What a VM loop asks the owner to evacuate runners for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum EvacuationPurpose {
-    /// Maintenance that is not ordered before the loop asks again.
+    /// Maintenance for which there is no room yet.
+    PrepareAhead,
+    /// Maintenance for which there is room, and that is not ordered before the loop asks again.
     Prepare,
     /// Maintenance that is ordered now for all that are free.
     Maintain,
@@ -98,6 +101,20 @@
     Move,
 }
 
+impl EvacuationPurpose {
+    pub(crate) fn stage(self) -> EvacuationStage {
+        match self {
+            Self::PrepareAhead => EvacuationStage::Ahead,
+            Self::Prepare | Self::Maintain | Self::Move => EvacuationStage::Emptying,
+        }
+    }
+
+    /// Whether the VMs of the runners that are free are ordered down without another request.
+    pub(crate) fn orders_follow(self) -> bool {
+        matches!(self, Self::Maintain | Self::Move)
+    }
+}
+
 /// Requests of the VM loops to the pool's owner.
 #[derive(Debug)]
 pub(crate) enum VmRequest {
--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -71,6 +71,8 @@
     evacuating: BTreeMap<String, String>,
     /// Why VMs wait for their maintenance, as last logged.
     logged_waits: BTreeMap<String, EvacuationStatus>,
+    /// What VMs are evacuated for, as last logged.
+    logged_purposes: BTreeMap<String, EvacuationPurpose>,
 }
 
 impl<P: Platform> VmLoop for WaveLoop<P> {
@@ -111,6 +113,7 @@
             completed: BTreeSet::new(),
             evacuating: BTreeMap::new(),
             logged_waits: BTreeMap::new(),
+            logged_purposes: BTreeMap::new(),
         }
     }
 
@@ -179,6 +182,7 @@
             };
             if is_done && state.pending.done.insert(vm.clone()) {
                 self.evacuating.remove(vm);
+                self.logged_purposes.remove(vm);
                 self.ledger.release(vm, VmClaim::Maintenance);
                 runners.extend(row.and_then(|row| row.runner.clone()));
             }
@@ -294,17 +298,24 @@
         let own = rows.iter().filter(|row| row.pool == *pool).count();
         let down = state.progress.down.len();
         let room = request.max_down().saturating_sub(down);
-        // One more than may go down, so that it is evacuated when it may.
+        // One more than may go down, so that little runs there when it may.
         let limit = (own / EVACUATION_DIVISOR).max(1).min(room + 1);
         let mut evacuated = recorded;
         let mut free = Vec::new();
         let mut candidates = candidates.into_iter();
         while evacuated < limit {
-            let next: Vec<&VmStatus> = candidates.by_ref().take(limit - evacuated).collect();
+            // VMs for which there is no room yet are kept empty only as far as nothing waits for
+            // them: that may take as long as the rest of the wave.
+            let (purpose, most) = if evacuated < room {
+                (EvacuationPurpose::Prepare, limit.min(room))
+            } else {
+                (EvacuationPurpose::PrepareAhead, limit)
+            };
+            let next: Vec<&VmStatus> = candidates.by_ref().take(most - evacuated).collect();
             if next.is_empty() {
                 break;
             }
-            let statuses = self.evacuate_vms(&next, EvacuationPurpose::Prepare).await;
+            let statuses = self.evacuate_vms(&next, purpose).await;
             for (row, status) in next.into_iter().zip(statuses) {
                 // A VM without a runner takes no capacity from the pool.
                 let counts = row.runner.is_some() && status != Some(EvacuationStatus::Held);
@@ -334,6 +345,7 @@
         for row in rows {
             self.ledger.claim(&row.name, VmClaim::Maintenance);
             if let Some(runner) = &row.runner {
+                self.log_purpose(row, purpose);
                 self.evacuating.insert(row.name.clone(), runner.clone());
                 runners.push(runner.clone());
             }
@@ -359,6 +371,21 @@
         statuses
     }
 
+    /// Logs what a VM is evacuated for, when that changes.
+    fn log_purpose(&mut self, row: &VmStatus, purpose: EvacuationPurpose) {
+        let before = self.logged_purposes.insert(row.name.clone(), purpose);
+        if before != Some(purpose) {
+            event!(
+                Info,
+                "upkeep_prepared",
+                vm = row.name,
+                runner = row.runner.as_deref().unwrap_or_default(),
+                pool = self.ledger.context.pool,
+                purpose = format_args!("{purpose:?}")
+            );
+        }
+    }
+
     /// Logs why a VM's maintenance waits, when the reason changes.
     fn log_wait(&mut self, row: &VmStatus, status: Option<EvacuationStatus>) {
         let Some(status) = status.filter(|status| *status != EvacuationStatus::Free) else {
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -18,6 +18,7 @@
 mod losses;
 mod outages;
 mod rooms;
+mod small_pools;
 mod starts;
 mod suspends;
 mod takeovers;
--- a/crates/hoisthitch-scheduler/tests/ownership/waves.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/waves.rs
@@ -7,6 +7,7 @@
     Result,
     ensure, //
 };
+use hoisthitch_jobs::JobPhase;
 use hoisthitch_tests::world::{
     StoreFaults,
     hall_of, //
@@ -16,6 +17,7 @@
     check_invariants,
     world::{
         TestWorld,
+        codec::LABELLED,
         job,
         lasting,
         play,
@@ -39,6 +41,102 @@
     vm_whose_upkeep_was_not_answered_takes_tasks_again => takes_tasks_again();
     wave_goes_hall_by_hall_where_halls_may_be_lost => goes_hall_by_hall();
     wave_beside_an_outage_of_the_vm_service_ends_one_task_of_a_step_at_a_time => outlasts_outages();
+    wave_without_room_leaves_the_only_vm_at_work => works_without_room();
+    wave_without_room_leaves_the_only_vm_with_a_label_at_work => works_with_label();
+    wave_beside_an_outage_of_the_vm_service_leaves_the_only_vm_at_work => works_in_outage();
+}
+
+/// Longest time for which a job may have nothing running while a runner has room for it, in
+/// milliseconds; the platform's limit.
+const IDLE_LIMIT_MS: u64 = 3_000;
+
+/// Duration of the tasks of short jobs, in milliseconds.
+const SHORT_MS: u64 = 500;
+
+/// Submits a short job a second for `seconds`; each has to be completed within the platform's
+/// limit and its own duration.
+async fn submit_short_jobs(world: &TestWorld, seconds: u64, label: Option<&str>) -> Result<()> {
+    let mut open: Vec<(String, u64)> = Vec::new();
+    for tenth in 0..seconds * 10 {
+        if tenth % 10 == 0 {
+            let id = format!("short-{tenth}");
+            let mut spec = job(&format!("work {SHORT_MS}"), &[1]);
+            spec.steps[0].label = label.map(str::to_owned);
+            world.submit(&id, spec).await?;
+            open.push((id, tenth * 100));
+        }
+        sleep_ms(100).await;
+        world.revive();
+        let mut left = Vec::new();
+        for (id, since) in open {
+            let waited = (tenth + 1) * 100 - since;
+            if world.phase(&id).await == Some(JobPhase::Completed) {
+                continue;
+            }
+            ensure!(
+                waited <= IDLE_LIMIT_MS + SHORT_MS,
+                "{id} is not completed after {waited} ms"
+            );
+            left.push((id, since));
+        }
+        open = left;
+    }
+    Ok(())
+}
+
+/// Requests a wave in which one VM may be down at once, and a VM of another pool is.
+fn request_wave_without_room(world: &TestWorld, vms: &[String]) {
+    let record = br#"{"down":{"other-0":""},"begun":["other-0"],"done":[]}"#;
+    world.store.put("test/wave/1", Some(record), 0);
+    let order = format!("1:{},other-0", vms.join(","));
+    world.store.put("op/wave/1", Some(order.as_bytes()), 0);
+}
+
+/// The failure: while a wave had no room for it, a pool's only VM was evacuated in advance, and
+/// all accepted jobs waited beside an idle runner until the wave had come to it, up to 30 s.
+/// The log has `upkeep_ordered` of other VMs all that time, and no `upkeep_waits` of this one.
+async fn works_without_room() -> Result<()> {
+    let world = TestWorld::start(2, 1).await?;
+    sleep_ms(3_000).await;
+    request_wave_without_room(&world, &["vm-0".to_owned()]);
+    // The other pool's VM is not listed, and counts as removed after ten seconds.
+    submit_short_jobs(&world, 9, None).await?;
+    for _ in 0..200 {
+        sleep_ms(100).await;
+        world.revive();
+        if world.store.get("status/wave/1").as_deref() == Some(b"completed") {
+            return check_invariants(&world);
+        }
+    }
+    eyre::bail!("the wave is not completed")
+}
+
+/// The same for the only VM that has a label which jobs require, in a pool of a dozen.
+async fn works_with_label() -> Result<()> {
+    let world = TestWorld::start(2, 12).await?;
+    sleep_ms(3_000).await;
+    let runner = world.fleet.begin_with_label("vm-12", "fast");
+    let record = format!("vm-12{LABELLED}fast");
+    let key = format!("runner/{runner}");
+    world.store.put(&key, Some(record.as_bytes()), 0);
+    sleep_ms(1_000).await;
+    request_wave_without_room(&world, &["vm-12".to_owned()]);
+    submit_short_jobs(&world, 9, Some("fast")).await?;
+    check_invariants(&world)
+}
+
+/// The VM service is away while the only VM is being emptied: it can't go down until then, and
+/// what waits for it must not wait for the service.
+async fn works_in_outage() -> Result<()> {
+    let world = TestWorld::start(2, 1).await?;
+    sleep_ms(3_000).await;
+    world.submit("first", job("work 6000", &[1])).await?;
+    sleep_ms(500).await;
+    world.store.put("op/wave/1", Some(b"vm-0"), 0);
+    sleep_ms(700).await;
+    world.fleet.fail_vm_service(Duration::from_millis(9_000));
+    submit_short_jobs(&world, 7, None).await?;
+    check_invariants(&world)
 }
 
 /// Five tasks on three VMs, of which one may be unavailable: VMs have to be emptied of all but
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -248,6 +248,11 @@
         self.state.borrow_mut().vm_outage = Some(time);
     }
 
+    /// Takes the VM service down for `time` at once: it refuses all calls.
+    pub fn fail_vm_service(&self, time: Duration) {
+        self.state.borrow_mut().vms_down_until = Some(Instant::now() + time);
+    }
+
     /// Records that the caller cancels a job: its tasks may be stopped from now on.
     pub fn record_cancel(&self, job: &str) {
         let mut state = self.state.borrow_mut();
