--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -293,11 +293,15 @@
             reset: runner.silent_since.is_some() && runner.was_reset,
             known: runner.last_heartbeat_at.is_some(),
         };
+        let suspected = loss == RunnerLoss::Suspected;
         let loss = match loss {
             _ if runner.facts.draining || !runner.evacuation.takes_tasks() => RunnerLoss::Planned,
             _ if runner.lost_with_hall => RunnerLoss::Hall,
             loss => loss,
         };
+        if suspected && loss.is_explained() {
+            return;
+        }
         let last_heartbeat_at = runner.last_heartbeat_at.filter(|_| !moment.reset);
         let lost = LostRunner {
             instance: runner.facts.instance(),
@@ -316,7 +320,7 @@
         }
         if let Some(runner) = self.runners.get_mut(key) {
             runner.loss_recorded = true;
-            runner.loss_suspected = loss == RunnerLoss::Suspected;
+            runner.loss_suspected = suspected;
         }
     }
 
@@ -456,6 +460,7 @@
         let Some(entry) = self.task(task) else {
             return;
         };
+        // A loss that this owner suspected is counted already, and is judged and reported now.
         let is_counted = entry.suspicion.is_counted(entry.current_run());
         if is_counted && !lost.was_suspected {
             return;
@@ -626,7 +631,7 @@
         self.recent_losses.push(recent_loss);
     }
 
-    /// Withdraws the loss of a run that its runner reports: the runner was cut off.
+    /// Withdraws the loss of a run that a runner reports: its process had not ended.
     pub(crate) fn withdraw_loss(&mut self, task: TaskRef, run: u32) {
         let Some(entry) = self.task_mut(task) else {
             return;
--- a/crates/hoisthitch-jobs/src/maintenance.rs
+++ b/crates/hoisthitch-jobs/src/maintenance.rs
@@ -64,13 +64,13 @@
     pub relocated: Option<TaskName>,
 }
 
-/// Whether a held runner is relieved of tasks.
+/// Whether a long-running task is moved off a runner.
 enum Relocation {
     /// This task is moved off it now.
     Begun(TaskRef),
     /// One was moved off it a moment ago.
     UnderWay,
-    /// None may be moved.
+    /// None is moved.
     Refused,
 }
 
@@ -147,26 +147,24 @@
                 if clears {
                     self.set_cleared(*key, status == EvacuationStatus::Free, now);
                 }
-                let held = status == EvacuationStatus::Held;
-                let relocation = held.then(|| self.relocate_task(*key, &ending, now));
-                match relocation {
-                    Some(Relocation::Begun(task)) => EvacuationDecision {
-                        status: EvacuationStatus::Busy(1),
-                        relocated: self.name_of(task),
-                    },
-                    Some(Relocation::UnderWay) => EvacuationDecision {
-                        status: EvacuationStatus::Busy(1),
-                        relocated: None,
-                    },
-                    Some(Relocation::Refused) | None => EvacuationDecision {
-                        status,
-                        relocated: None,
-                    },
-                }
+                let relocation = match status {
+                    EvacuationStatus::Held => self.relocate_task(*key, &ending, now),
+                    _ => Relocation::Refused,
+                };
+                let relocated = match relocation {
+                    Relocation::Begun(task) => self.name_of(task),
+                    Relocation::UnderWay | Relocation::Refused => None,
+                };
+                let status = match relocation {
+                    Relocation::Begun(_) | Relocation::UnderWay => EvacuationStatus::Busy(1),
+                    Relocation::Refused => status,
+                };
+                EvacuationDecision { status, relocated }
             })
             .collect()
     }
 
+    /// Records that a runner's VM may be ordered down, or that it may not.
     fn set_cleared(&mut self, key: RunnerKey, cleared: bool, now: Millis) {
         if let Some(runner) = self.runners.get_mut(key) {
             runner.evacuation = if cleared {
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -10,6 +10,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    EndKind,
     EvacuationStage,
     HeartbeatReport,
     InheritedRuns,
@@ -27,6 +28,7 @@
 
 use crate::{
     decide,
+    end_all,
     new_job,
     pool_of,
     running_on,
@@ -50,6 +52,8 @@
     what_counts_outlasts_the_owner => outlasts_owner();
     room_that_shrank_takes_nothing_more => shrunk_capacity();
     repeat_of_a_suspect_is_stopped_beside_others => repeated_suspect();
+    refused_connections_alone_fail_no_job => cut_off();
+    refused_connections_count_once_the_runner_is_lost => refused_and_lost();
 }
 
 /// Each runner reports all its runs as running.
@@ -449,3 +453,65 @@
     }
     Ok(())
 }
+
+/// Starts the task, and refuses connections to its runner 10 ms later; returns the start.
+fn refuse_connections(state: &mut PoolState, now: u64) -> Result<StartOrder> {
+    let order = first(&start_all(state, now))?;
+    state.record_missed_heartbeat(order.runner, true, now + 10, now + 10);
+    state.suspect_loss(order.runner, now + 500);
+    Ok(order)
+}
+
+/// A firewall cuts the task's runner off right after each of its starts, and the runner goes on.
+/// Each cut counted as a crash for good: the second one failed the job.
+async fn cut_off() -> Result<()> {
+    let mut state = reporting_pool(8, step(1));
+    let mut now = 61_000;
+    for cut in 1..=6 {
+        let order = refuse_connections(&mut state, now)?;
+        ensure!(
+            state.take_crashing_tasks().is_empty(),
+            "cut {cut} failed the job"
+        );
+        let running = running_on(&state, order.runner, None, 10);
+        ensure!(running.len() == 1, "its run was released: {running:?}");
+        report_all(&mut state, now + 3_000);
+        let withdrawn = state.take_withdrawn_losses();
+        ensure!(
+            withdrawn == [(order.name.clone(), order.run)],
+            "cut {cut}: {withdrawn:?}"
+        );
+        // The run ends by its runner, so that the next one begins.
+        end_all(&mut state, &[order], EndKind::Stopped, now + 3_100);
+        now += 4_000;
+        report_all(&mut state, now);
+    }
+    Ok(())
+}
+
+/// The same, but each runner is lost: the loss is counted once, and fails the job as before.
+async fn refused_and_lost() -> Result<()> {
+    let mut state = reporting_pool(8, step(1));
+    let mut now = 61_000;
+    let mut losses = 0;
+    while losses < 6 && state.take_crashing_tasks().is_empty() {
+        let order = refuse_connections(&mut state, now)?;
+        state.remove_runner(order.runner, RunnerLoss::Crashed, now + 2_000);
+        losses += 1;
+        now += 4_000;
+        report_all(&mut state, now);
+    }
+    ensure!((2..=3).contains(&losses), "{losses} losses");
+    let lost = state.take_lost_runs();
+    let suspected = lost
+        .iter()
+        .filter(|run| run.loss == RunnerLoss::Suspected)
+        .count();
+    ensure!(
+        suspected == losses && lost.len() == 2 * losses,
+        "each is suspected, and then lost: {lost:?}"
+    );
+    let counted = lost.last().map(|run| run.suspicion.losses as usize);
+    ensure!(counted == Some(losses), "{counted:?} of {losses} counted");
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/src/vms/mod.rs
+++ b/crates/hoisthitch-scheduler/src/vms/mod.rs
@@ -87,8 +87,8 @@
 /// attainable value there (10 simulated days, docs/decisions.md).
 pub(crate) const MAX_EVACUATING: usize = 200;
 
-/// What a VM loop asks the owner to evacuate runners for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// What a VM loop asks the owner to evacuate runners for; the later, the further it goes.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum EvacuationPurpose {
     /// Maintenance for which there is no room yet.
     PrepareAhead,
@@ -102,6 +102,7 @@
 }
 
 impl EvacuationPurpose {
+    /// How far the evacuation goes.
     pub(crate) fn stage(self) -> EvacuationStage {
         match self {
             Self::PrepareAhead => EvacuationStage::Ahead,
--- a/crates/hoisthitch-scheduler/src/vms/waves.rs
+++ b/crates/hoisthitch-scheduler/src/vms/waves.rs
@@ -71,7 +71,7 @@
     evacuating: BTreeMap<String, String>,
     /// Why VMs wait for their maintenance, as last logged.
     logged_waits: BTreeMap<String, EvacuationStatus>,
-    /// What VMs are evacuated for, as last logged.
+    /// The furthest that VMs were evacuated for, as logged.
     logged_purposes: BTreeMap<String, EvacuationPurpose>,
 }
 
@@ -306,8 +306,8 @@
         while evacuated < limit {
             // VMs for which there is no room yet are kept empty only as far as nothing waits for
             // them: that may take as long as the rest of the wave.
-            let (purpose, most) = if evacuated < room {
-                (EvacuationPurpose::Prepare, limit.min(room))
+            let (purpose, most) = if evacuated < recorded + room {
+                (EvacuationPurpose::Prepare, limit.min(recorded + room))
             } else {
                 (EvacuationPurpose::PrepareAhead, limit)
             };
@@ -371,10 +371,11 @@
         statuses
     }
 
-    /// Logs what a VM is evacuated for, when that changes.
+    /// Logs what a VM is evacuated for, when that goes further than before.
     fn log_purpose(&mut self, row: &VmStatus, purpose: EvacuationPurpose) {
-        let before = self.logged_purposes.insert(row.name.clone(), purpose);
-        if before != Some(purpose) {
+        let before = self.logged_purposes.get(&row.name).copied();
+        if before < Some(purpose) {
+            self.logged_purposes.insert(row.name.clone(), purpose);
             event!(
                 Info,
                 "upkeep_prepared",
--- a/crates/hoisthitch-standin/src/proxy.rs
+++ b/crates/hoisthitch-standin/src/proxy.rs
@@ -39,8 +39,8 @@
         TcpStream,
         UdpSocket,
         tcp::{
-            OwnedReadHalf,
-            OwnedWriteHalf, //
+            ReadHalf,
+            WriteHalf, //
         }, //
     },
     sync::watch, //
@@ -49,6 +49,9 @@
 /// Size of the buffers, and so the largest piece that is forwarded at once.
 const BUFFER_BYTES: usize = 64 << 10;
 
+/// Delay before the proxy tries again to listen.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Proxy that injects network faults.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "proxy")]
@@ -73,6 +76,8 @@
 struct ProxyPlan {
     /// Whether streams are closed, new ones too, and datagrams dropped.
     cut: bool,
+    /// Whether streams are reset and new ones refused, as by a firewall, and datagrams dropped.
+    refuse: bool,
     /// Whether data from the near side is held back.
     hold_forward: bool,
     /// Whether data from the far side is held back.
@@ -143,62 +148,90 @@
     HttpResponse::NoContent().finish()
 }
 
+/// Accepts streams, except while new ones are refused: then nothing listens.
 async fn forward_streams(
-    listener: TcpListener,
+    first: TcpListener,
     to: SocketAddr,
     plan: PlanReceiver,
     silence: SilenceReceiver,
 ) {
+    let Ok(listen) = first.local_addr() else {
+        return;
+    };
+    let mut listener = Some(first);
     loop {
-        let Ok((near, _)) = listener.accept().await else {
+        let mut changes = plan.clone();
+        let Some(open) = listener.take() else {
+            let _ = changes.wait_for(|plan| !plan.refuse).await;
+            match TcpListener::bind(listen).await {
+                Ok(open) => listener = Some(open),
+                Err(err) => {
+                    log_event(format_args!("event=bind_failed error={err}"));
+                    tokio::time::sleep(BIND_RETRY_DELAY).await;
+                }
+            }
             continue;
         };
-        if plan.borrow().cut {
-            continue;
+        tokio::select! {
+            _ = changes.wait_for(|plan| plan.refuse) => drop(open),
+            accepted = open.accept() => {
+                listener = Some(open);
+                let Ok((near, _)) = accepted else {
+                    continue;
+                };
+                if plan.borrow().cut {
+                    continue;
+                }
+                let mut silence = silence.clone();
+                // Earlier requests to silence streams do not apply to this one.
+                silence.mark_unchanged();
+                actix_web::rt::spawn(forward_stream(near, to, plan.clone(), silence));
+            }
         }
-        let mut silence = silence.clone();
-        // Earlier requests to silence streams do not apply to this one.
-        silence.mark_unchanged();
-        actix_web::rt::spawn(forward_stream(near, to, plan.clone(), silence));
     }
 }
 
 async fn forward_stream(
-    near: TcpStream,
+    mut near: TcpStream,
     to: SocketAddr,
     plan: PlanReceiver,
     mut silence: SilenceReceiver,
 ) {
-    let Ok(far) = TcpStream::connect(to).await else {
+    let Ok(mut far) = TcpStream::connect(to).await else {
         return;
     };
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    let mut cut = plan.clone();
-    let cut = cut.wait_for(|plan| plan.cut);
-    tokio::pin!(cut);
-    let copies = async {
-        tokio::join!(
-            copy(near_read, far_write, plan.clone(), Direction::Forward),
-            copy(far_read, near_write, plan.clone(), Direction::Back),
-        );
-    };
-    tokio::pin!(copies);
-    tokio::select! {
-        () = &mut copies => {}
-        _ = &mut cut => {}
-        // `copies` is no longer polled but still owns both connections, so that they
-        // stay open until the proxy is cut.
-        Ok(()) = silence.changed() => drop(cut.await),
+    {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        let mut cut = plan.clone();
+        let cut = cut.wait_for(|plan| plan.cut || plan.refuse);
+        tokio::pin!(cut);
+        let copies = async {
+            tokio::join!(
+                copy(near_read, far_write, plan.clone(), Direction::Forward),
+                copy(far_read, near_write, plan.clone(), Direction::Back),
+            );
+        };
+        tokio::pin!(copies);
+        tokio::select! {
+            () = &mut copies => {}
+            _ = &mut cut => {}
+            // `copies` is no longer polled but still has both connections, so that they
+            // stay open until the proxy is cut.
+            Ok(()) = silence.changed() => drop(cut.await),
+        }
+    }
+    if plan.borrow().refuse {
+        let _ = near.set_zero_linger();
     }
 }
 
 /// Forwards one direction of a stream until its end.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut plan: PlanReceiver,
     direction: Direction,
 ) {
@@ -297,7 +330,7 @@
 /// is dropped.
 async fn send_count(plan: &PlanReceiver, direction: Direction) -> usize {
     let plan = plan.borrow().clone();
-    if plan.cut || is_held(&plan, direction) {
+    if plan.cut || plan.refuse || is_held(&plan, direction) {
         return 0;
     }
     if plan.delay_ms > 0 {
