Count an acknowledgement whose connection was reset as one that may arrive later

Test, failing before: ownership acknowledgement_that_was_reset_and_arrives_later_hides_no_end ("cut after 19 ms: next.0.0.0 run 2 began after its end was noted"). The simulated fleet holds calls that are in transit when a cut that resets begins.

Change: only a refused connection shows that an acknowledgement was not sent. Cost: after such a reset the next instance of that name gets one short task at a time until it lists an end; not measured, for the users' runners bear a new name at each start.

--- a/crates/hoisthitch-scheduler/src/session/heartbeats.rs
+++ b/crates/hoisthitch-scheduler/src/session/heartbeats.rs
@@ -169,7 +169,7 @@
             };
             let now = self.context.shared.clock.now();
             let failed_at_once = self.failed_at_once(plan, &response, now);
-            if plan.acknowledges && self.may_have_strayed(&response, failed_at_once) {
+            if plan.acknowledges && self.may_have_strayed(&response) {
                 gate.record_unanswered_ack(now);
             }
             let responded =
@@ -259,15 +259,12 @@
     }
 
     /// Whether an acknowledgement that got this response may have reached, or may still reach,
-    /// a later instance. One that was refused, or whose process ended, does not.
-    fn may_have_strayed(
-        &self,
-        response: &Option<Result<HeartbeatReport, RunnerError>>,
-        failed_at_once: bool,
-    ) -> bool {
+    /// a later instance. One that was refused does not. One whose connection was reset may have
+    /// been held up on the way, and arrive when the next instance runs.
+    fn may_have_strayed(&self, response: &Option<Result<HeartbeatReport, RunnerError>>) -> bool {
         match response {
             Some(Ok(report)) => self.new_start_time(report).is_some(),
-            Some(Err(RunnerError::NoAnswer(_) | RunnerError::ConnectionLost(_))) => !failed_at_once,
+            Some(Err(RunnerError::NoAnswer(_) | RunnerError::ConnectionLost(_))) => true,
             Some(Err(_)) => false,
             None => true,
         }
--- a/crates/hoisthitch-scheduler/tests/ownership/cuts.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/cuts.rs
@@ -8,6 +8,7 @@
 
 use eyre::{
     Result,
+    WrapErr,
     ensure, //
 };
 use hoisthitch_jobs::JobPhase;
@@ -39,6 +40,7 @@
     cut_that_resets_under_two_owners_runs_nothing_twice => cuts_while_owners_change();
     run_that_ends_behind_a_cut_that_resets_is_not_repeated => ends_behind_cut();
     runner_lost_behind_a_cut_that_resets_is_given_up => loses_cut_runner();
+    acknowledgement_that_was_reset_and_arrives_later_hides_no_end => resets_acknowledgements();
 }
 
 /// Names of all nodes.
@@ -141,3 +143,34 @@
     ensure!(running == TASKS, "{running} tasks run");
     check_invariants(&world)
 }
+
+/// Heartbeats that acknowledge ends are in transit when a firewall resets their connections; they
+/// arrive once the cut is healed, at the next instance of the runner, which takes the acknowledgement
+/// for its own ends and drops them unread.
+///
+/// The failure: a reset passed for the end of the process that the acknowledgement was sent to, so
+/// that the next instance got tasks as if it listed all of their ends.
+async fn resets_acknowledgements() -> Result<()> {
+    for offset_ms in 0..40 {
+        let world = TestWorld::start(1, 1).await?;
+        sleep_ms(3_000).await;
+        world.fleet.set_calls_held(true);
+        world.submit("first", job("work 300", &[4, 4])).await?;
+        sleep_ms(295 + offset_ms).await;
+        let (name, vm) = world.fleet.living()[0].clone();
+        world.fleet.cut_with_resets(&name, &all_nodes(&world));
+        sleep_ms(100).await;
+        world.fleet.crash(&name);
+        sleep_ms(200).await;
+        world.fleet.restart(&name);
+        world.record_runner(&name, &vm);
+        world.fleet.cut(&name, &[]);
+        world.submit("next", job("work 200", &[6])).await?;
+        for id in ["first", "next"] {
+            let phase = world.wait_phase(id, JobPhase::Completed, 60_000).await;
+            phase.wrap_err_with(|| format!("cut after {offset_ms} ms"))?;
+        }
+        check_invariants(&world).wrap_err_with(|| format!("cut after {offset_ms} ms"))?;
+    }
+    Ok(())
+}
--- a/crates/hoisthitch-tests/src/world/runners/control.rs
+++ b/crates/hoisthitch-tests/src/world/runners/control.rs
@@ -46,6 +46,37 @@
             tokio::time::sleep(HEALED_TICK).await;
         }
     }
+
+    /// Whether a call that was sent at `sent` was in transit when a cut that resets began, and the
+    /// network holds it back: its connection is reset, and it arrives once the cut is healed.
+    fn is_reset_and_held(&self, name: &str, sent: Instant) -> bool {
+        let state = self.state.borrow();
+        let runner = state.runners.get(name);
+        let in_transit = runner.is_some_and(|runner| sent <= runner.cut_changed_at);
+        drop(state);
+        self.state.borrow().holds_calls && in_transit && self.refuses(name)
+    }
+
+    /// Delivers a heartbeat once the cut is healed; nothing waits for its result.
+    fn deliver_held(&self, name: &str, request: HeartbeatRequest) {
+        let (fleet, name) = (self.clone(), name.to_owned());
+        spawn_detached(async move {
+            fleet.wait_healed(&name).await;
+            let _ = MemoryFleet::heartbeat(&fleet, &name, request);
+        });
+    }
+
+    /// Carries out a start that was sent at `sent` and held up since.
+    fn start_late(&self, name: &str, order: &StartOrder, lease: OrderLease, sent: Instant) {
+        let unguarded = self.is_unguarded(name, sent);
+        self.state.borrow_mut().rules.set_late(true);
+        self.state.borrow_mut().unguarded = unguarded;
+        self.state.borrow_mut().sent = Some(sent);
+        self.start(name, order, lease);
+        self.state.borrow_mut().unguarded = false;
+        self.state.borrow_mut().sent = None;
+        self.state.borrow_mut().rules.set_late(false);
+    }
 }
 
 impl RunnerControl for MemoryFleet {
@@ -55,7 +86,16 @@
         order: &StartOrder,
         lease: OrderLease,
     ) -> StartOutcome {
+        let sent = Instant::now();
         travel().await;
+        if self.is_reset_and_held(&runner.instance.name, sent) {
+            let (fleet, name, order) = (self.clone(), runner.instance.name.clone(), order.clone());
+            spawn_detached(async move {
+                fleet.wait_healed(&name).await;
+                fleet.start_late(&name, &order, lease, sent);
+            });
+            return StartOutcome::Unclear;
+        }
         if self.refuses(&runner.instance.name) {
             return StartOutcome::NotSent;
         }
@@ -72,14 +112,7 @@
                 } else {
                     tokio::time::sleep(late).await;
                 }
-                let unguarded = fleet.is_unguarded(&name, sent);
-                fleet.state.borrow_mut().rules.set_late(true);
-                fleet.state.borrow_mut().unguarded = unguarded;
-                fleet.state.borrow_mut().sent = Some(sent);
-                fleet.start(&name, &order, lease);
-                fleet.state.borrow_mut().unguarded = false;
-                fleet.state.borrow_mut().sent = None;
-                fleet.state.borrow_mut().rules.set_late(false);
+                fleet.start_late(&name, &order, lease, sent);
             });
             tokio::time::sleep(CALL_TIMEOUT).await;
             return StartOutcome::Unclear;
@@ -136,18 +169,18 @@
         runner: &RunnerAddress,
         request: HeartbeatRequest,
     ) -> Result<HeartbeatReport, RunnerError> {
+        let sent = Instant::now();
         travel().await;
+        if self.is_reset_and_held(&runner.instance.name, sent) {
+            self.deliver_held(&runner.instance.name, request);
+            return Err(RunnerError::ConnectionLost("reset".to_owned()));
+        }
         if self.refuses(&runner.instance.name) {
             return Err(RunnerError::NotListening);
         }
         if !self.request_arrives(&runner.instance.name) {
             if self.state.borrow().holds_calls {
-                let (fleet, name) = (self.clone(), runner.instance.name.clone());
-                spawn_detached(async move {
-                    fleet.wait_healed(&name).await;
-                    // The caller has timed out, so that nothing waits for the result.
-                    let _ = MemoryFleet::heartbeat(&fleet, &name, request);
-                });
+                self.deliver_held(&runner.instance.name, request);
             }
             tokio::time::sleep(request.wait + CALL_TIMEOUT).await;
             return Err(RunnerError::NoAnswer("cut".to_owned()));
