Judge a loss that an earlier owner suspected once it is certain

Drawn killers 90, orders 0, 1, 2, on: "j1.0.0.0 started 3 times after 5 runners crashed under it"; passes on. A mistake of: an owner suspects a loss, is killed before it is certain, and the next one takes the loss for judged (weights of 316 to 536 in the trace, 220 decide, and five more starts).

Change: whoever learns that a counted loss is certain judges the task.

--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -460,11 +460,8 @@
         let Some(entry) = self.task(task) else {
             return;
         };
-        // A loss that this owner suspected is counted already, and is judged and reported now.
+        let is_certain = lost.loss != RunnerLoss::Suspected && !lost.loss.is_explained();
         let is_counted = entry.suspicion.is_counted(entry.current_run());
-        if is_counted && !lost.was_suspected {
-            return;
-        }
         let (run, ran) = (entry.current_run(), entry.running_time_at(lost.ended_at));
         let (from, to) = entry.running_time_between(lost);
         let evidence = LossEvidence {
@@ -483,9 +480,13 @@
         if !is_counted {
             self.add_evidence(task, evidence);
         }
-        if lost.loss != RunnerLoss::Suspected && !lost.loss.is_explained() {
+        if is_certain {
+            // If it was counted before, perhaps by an earlier owner, it was only suspected then.
             self.judge_suspect(task);
         }
+        if is_counted && !lost.was_suspected {
+            return;
+        }
         self.report_lost_run(task, lost, evidence, other_runs);
     }
 
--- a/crates/hoisthitch-scheduler/tests/draws/killers.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/killers.rs
@@ -51,7 +51,7 @@
 }
 
 /// Seeds that once broke an invariant, each with the cause.
-const REGRESSION_SEEDS: [(u64, &str); 17] = [
+const REGRESSION_SEEDS: [(u64, &str); 18] = [
     (
         23,
         "a task that crashes its runner after 600 ms is failed one start too late, as three others crash runners of the pool",
@@ -64,6 +64,10 @@
         45,
         "three runners that crash on their own are taken for ones that a step crashes",
     ),
+    (
+        90,
+        "a loss that an earlier owner suspected is not judged once it is certain",
+    ),
     (107, "four other tasks crash runners at the same times"),
     (
         112,
