Add tests of clients that claim a node's memory, descriptors and time

Callers saw no answer at all while a few thousand connections stayed open, and in a trial a node ran out of memory beside clients that sent legal bodies and stopped short of their end.

The tests start the node's own process with small limits in its settings (96 MB, 400 or 4,100 descriptors), let a crowd use one of its listeners, twice, and check that the process lives, that its resident memory and the bytes that wait in the kernel stay under the VM's memory and its descriptors under the VM's, and that an ordinary caller and the readiness check are answered beside each crowd and after it. They take turns. Others check that a request without an end does not keep its connection, and that slow and oddly chunked requests are served.

Crowds and bounds are fixed here and kept.

--- a/crates/hoisthitch-tests/src/lib.rs
+++ b/crates/hoisthitch-tests/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod cases;
 mod command;
+mod crowd;
 mod fleet;
 mod http;
 mod load;
@@ -17,6 +18,7 @@
 mod process;
 mod proxies;
 mod scripted;
+mod usage;
 mod wait;
 pub mod world;
 
@@ -26,6 +28,10 @@
     run_command,
     run_command_on, //
 };
+pub use crowd::{
+    ClientCrowd,
+    CrowdPlan, //
+};
 pub use fleet::Fleet;
 pub use http::{
     TestRequest,
@@ -44,4 +50,9 @@
     ScriptedRunner,
     raw_exchange, //
 };
+pub use usage::{
+    ProcessUsage,
+    UsageWatch,
+    open_connections, //
+};
 pub use wait::wait_until;
--- a/crates/hoisthitch-tests/src/process.rs
+++ b/crates/hoisthitch-tests/src/process.rs
@@ -22,7 +22,10 @@
     eyre, //
 };
 
-use crate::wait::wait_until;
+use crate::{
+    usage::resident_bytes,
+    wait::wait_until, //
+};
 
 /// A process that is killed when this value is dropped.
 #[derive(Debug)]
@@ -118,19 +121,18 @@
         Ok(std::fs::read_to_string(&self.log)?)
     }
 
+    /// Process ID.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Resident memory, in bytes.
     ///
     /// # Errors
     ///
     /// Fails when the process is gone.
     pub fn resident_bytes(&self) -> Result<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))
-            .ok_or_else(|| eyre!("the process is gone"))?;
-        let kib: u64 = line.trim().trim_end_matches(" kB").parse()?;
-        Ok(kib << 10)
+        resident_bytes(self.id())
     }
 
     /// Processor time used so far, user and system together.
