Stop to parse a job at its first step too many

One legal body of 4 MiB ended a node of 96 MB: a job written as a list of empty steps. Each step of three bytes became some 180 bytes, in a list that grows by doubling, and only then was the number of tasks checked; a body of 4 MiB took 255 MB, an operator's of 1.9 MB 120 MB.

A job may have 4,000 tasks and so 4,000 steps. The list is now parsed by a visitor that fails at the step after these, in callers' bodies, in operators' and in stored records, which never had more.

--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -161,7 +161,8 @@
     JobSpec,
     PAYLOAD_MAX_BYTES,
     SpecError,
-    StepSpec, //
+    StepSpec,
+    parse_steps, //
 };
 pub use suspects::CrashingTask;
 pub use suspicion::TaskSuspicion;
--- a/crates/hoisthitch-jobs/src/spec.rs
+++ b/crates/hoisthitch-jobs/src/spec.rs
@@ -3,13 +3,21 @@
 //! A job is a list of steps, a step a number of tasks that are alike. A step may depend on
 //! earlier steps only, so the steps are always in an order that can be executed.
 
-use std::collections::HashSet;
+use std::{
+    collections::HashSet,
+    fmt,
+    marker::PhantomData, //
+};
 
 use serde::{
-    Deserialize,
-    Serialize, //
+    Deserialize, Deserializer, Serialize,
+    de::{
+        Error,
+        SeqAccess,
+        Visitor, //
+    },
 };
-use thiserror::Error;
+use thiserror::Error as ThisError;
 
 use crate::resources::ResourceAmounts;
 
@@ -20,6 +28,10 @@
 /// store's size limit for a value.
 const TASKS_MAX: u64 = 4_000;
 
+/// Most steps of a job: each has a task. A text has room for many more, which would take a
+/// hundred times its length when parsed.
+const STEPS_MAX: usize = 4_000;
+
 /// A job, as its caller submitted it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
@@ -27,6 +39,7 @@
     /// Payload that is passed to each task.
     pub payload: String,
     /// Steps, in the caller's order.
+    #[serde(deserialize_with = "parse_steps")]
     pub steps: Vec<StepSpec>,
     /// When the steps run again; they run once if there is no schedule.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -108,7 +121,7 @@
 }
 
 /// Why a job is rejected.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, ThisError)]
 pub enum SpecError {
     /// The payload is too long.
     #[error("the payload has {0} bytes; {PAYLOAD_MAX_BYTES} are allowed")]
@@ -138,6 +151,43 @@
     NoInterval,
 }
 
+/// Parses a list of steps, and fails at the first one beyond those that a job may have.
+///
+/// # Errors
+///
+/// Fails when the list is malformed or too long.
+pub fn parse_steps<'de, D, T>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    deserializer.deserialize_seq(StepsVisitor(PhantomData))
+}
+
+/// Collects steps up to [`STEPS_MAX`].
+struct StepsVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for StepsVisitor<T> {
+    type Value = Vec<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a list of up to {STEPS_MAX} steps")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Vec<T>, A::Error> {
+        let mut steps = Vec::new();
+        while let Some(step) = list.next_element()? {
+            if steps.len() == STEPS_MAX {
+                return Err(A::Error::custom(format_args!(
+                    "the job has more than {STEPS_MAX} steps"
+                )));
+            }
+            steps.push(step);
+        }
+        Ok(steps)
+    }
+}
+
 impl JobSpec {
     /// Validates the specification.
     ///
