Bound the connections of each listener, and close the least needed one

With as many idle connections as a VM has descriptors no caller got an answer, and the load balancer's readiness check none either, so that the node looked dead: no server had a limit below the descriptors, and callers and the readiness check shared one server and one count. A limit of the HTTP library alone would not help: it stops to accept, and an ordinary caller waits behind the crowd.

Servers are now built by the crate hoisthitch-listener. Its ledger knows what each connection is doing and since when. A connection beyond the limit is accepted, and the one that is needed the least is closed for it: one that does not read a response or end a refused request, then one that has sent no whole request yet, then an idle one; the one that has been so for the longest. A request that is being served is never given up.

--- /dev/null
+++ b/crates/hoisthitch-listener/src/ledger.rs
@@ -0,0 +1,287 @@
+//! What the clients of one thread of a listener hold, and who is given up at a limit.
+//!
+//! The ledger knows each connection's phase, since when it lasts. A connection whose request is being served is never given up: its
+//! effect may already be stored. Of the others, the first to go are those that don't read a
+//! response or don't end a refused request, then those that have not sent a whole request yet,
+//! then those that have; each time the one that has been in its phase for the longest.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    task::{
+        Context,
+        Waker, //
+    },
+};
+
+use slotmap::{
+    SlotMap,
+    new_key_type, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    limits::ListenerLimits,
+    metrics::ListenerMeter, //
+};
+
+new_key_type! {
+    /// A connection.
+    struct ConnectionKey;
+}
+
+/// Why a client was given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CloseReason {
+    /// The listener has as many connections as it may have.
+    Connections,
+}
+
+impl CloseReason {
+    /// Name in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Connections => "connections",
+        }
+    }
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ConnectionPhase {
+    /// It has no request.
+    Idle,
+    /// The head of a request is incomplete.
+    Head,
+    /// A request is being served, and its body is incomplete.
+    Body,
+    /// A whole request is being served.
+    Serving,
+    /// The request has its response, and its body is incomplete.
+    Linger,
+}
+
+/// A connection's entry in the ledger.
+#[derive(Debug)]
+struct ConnectionEntry {
+    phase: ConnectionPhase,
+    /// Begin of the phase.
+    since: Instant,
+    /// Whether a request on the connection was served.
+    was_served: bool,
+    /// Since when the client has not read what is written to it.
+    blocked_since: Option<Instant>,
+    /// Whether the connection is given up.
+    given_up: Option<CloseReason>,
+    /// Task of the connection.
+    waker: Option<Waker>,
+}
+
+impl ConnectionEntry {
+    fn new(now: Instant) -> Self {
+        Self {
+            phase: ConnectionPhase::Idle,
+            since: now,
+            was_served: false,
+            blocked_since: None,
+            given_up: None,
+            waker: None,
+        }
+    }
+
+    fn enter(&mut self, phase: ConnectionPhase) {
+        if self.phase != phase {
+            self.phase = phase;
+            self.since = Instant::now();
+        }
+        self.wake();
+    }
+
+    fn wake(&mut self) {
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Whether the connection may be closed without a loss to an ordinary client, and how soon:
+    /// lower ranks go first.
+    fn close_rank(&self) -> Option<u8> {
+        if self.blocked_since.is_some() {
+            return Some(0);
+        }
+        match self.phase {
+            ConnectionPhase::Serving => None,
+            ConnectionPhase::Linger => Some(0),
+            _ if !self.was_served => Some(1),
+            _ => Some(2),
+        }
+    }
+}
+
+/// Connections of one thread of a listener.
+#[derive(Debug)]
+pub(crate) struct ConnectionLedger {
+    limits: ListenerLimits,
+    meter: ListenerMeter,
+    connections: RefCell<SlotMap<ConnectionKey, ConnectionEntry>>,
+    /// Connections that are given up and not closed yet.
+    closing: Cell<usize>,
+}
+
+impl ConnectionLedger {
+    /// An empty ledger.
+    pub(crate) fn new(limits: ListenerLimits, meter: ListenerMeter) -> Rc<Self> {
+        Rc::new(Self {
+            limits,
+            meter,
+            connections: RefCell::default(),
+            closing: Cell::default(),
+        })
+    }
+
+    /// Records a new connection; none where all others are needed.
+    pub(crate) fn open_connection(self: &Rc<Self>) -> Option<ConnectionHandle> {
+        if self.open_connections() >= self.limits.connections && !self.give_up_connection() {
+            self.record(CloseReason::Connections);
+            return None;
+        }
+        let entry = ConnectionEntry::new(Instant::now());
+        let key = self.connections.borrow_mut().insert(entry);
+        self.meter.add_connection();
+        Some(ConnectionHandle {
+            ledger: self.clone(),
+            key,
+        })
+    }
+
+    fn open_connections(&self) -> usize {
+        self.connections.borrow().len() - self.closing.get()
+    }
+
+    fn record(&self, reason: CloseReason) {
+        let connections = self.connections.borrow().len();
+        self.meter.record_given_up(reason, connections);
+    }
+
+    /// Closes the connection that is needed the least. Returns whether there is one.
+    fn give_up_connection(&self) -> bool {
+        {
+            let mut connections = self.connections.borrow_mut();
+            let victim = connections
+                .values_mut()
+                .filter(|entry| entry.given_up.is_none())
+                .filter_map(|entry| Some(((entry.close_rank()?, entry.since), entry)))
+                .min_by_key(|(rank, _)| *rank);
+            let Some((_, entry)) = victim else {
+                return false;
+            };
+            entry.given_up = Some(CloseReason::Connections);
+            entry.wake();
+        }
+        self.closing.set(self.closing.get() + 1);
+        self.record(CloseReason::Connections);
+        true
+    }
+}
+
+/// A connection in its ledger; it is removed when this value is dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionHandle {
+    ledger: Rc<ConnectionLedger>,
+    key: ConnectionKey,
+}
+
+impl ConnectionHandle {
+    fn with<T>(&self, change: impl FnOnce(&mut ConnectionEntry) -> T) -> Option<T> {
+        let mut connections = self.ledger.connections.borrow_mut();
+        connections.get_mut(self.key).map(change)
+    }
+
+    /// Why the connection is given up, if it is.
+    pub(crate) fn given_up(&self) -> Option<CloseReason> {
+        self.with(|entry| entry.given_up).flatten()
+    }
+
+    /// Records the connection's task, which is woken when more bytes may be read or the
+    /// connection is given up.
+    pub(crate) fn set_task(&self, context: &Context<'_>) {
+        self.with(|entry| match &mut entry.waker {
+            Some(waker) => waker.clone_from(context.waker()),
+            None => entry.waker = Some(context.waker().clone()),
+        });
+    }
+
+    /// Records bytes that were read.
+    pub(crate) fn record_read(&self) {
+        self.with(|entry| {
+            if entry.phase == ConnectionPhase::Idle {
+                entry.enter(ConnectionPhase::Head);
+            }
+        });
+    }
+
+    /// Records whether the client read all that was written to it, or some of it.
+    pub(crate) fn record_write(&self, is_blocked: bool, is_progress: bool) {
+        self.with(|entry| {
+            if !is_blocked {
+                if entry.blocked_since.take().is_some() {
+                    entry.wake();
+                }
+            } else if is_progress || entry.blocked_since.is_none() {
+                entry.blocked_since = Some(Instant::now());
+            }
+        });
+    }
+
+    /// Records that a request begins to be served.
+    pub(crate) fn begin_request(&self, has_body: bool) {
+        self.with(|entry| {
+            entry.enter(if has_body {
+                ConnectionPhase::Body
+            } else {
+                ConnectionPhase::Serving
+            });
+        });
+    }
+
+    /// Records that the body is complete.
+    pub(crate) fn end_body(&self) {
+        self.with(|entry| match entry.phase {
+            ConnectionPhase::Body => entry.enter(ConnectionPhase::Serving),
+            ConnectionPhase::Linger => entry.enter(ConnectionPhase::Idle),
+            _ => {}
+        });
+    }
+
+    /// Whether the request's body is incomplete.
+    pub(crate) fn is_body_incomplete(&self) -> bool {
+        self.with(|entry| entry.phase == ConnectionPhase::Body) == Some(true)
+    }
+
+    /// Records that a request has its whole response.
+    pub(crate) fn end_request(&self) {
+        self.with(|entry| {
+            entry.was_served = true;
+            entry.enter(match entry.phase {
+                ConnectionPhase::Body | ConnectionPhase::Linger => ConnectionPhase::Linger,
+                _ => ConnectionPhase::Idle,
+            });
+        });
+    }
+}
+
+impl Drop for ConnectionHandle {
+    fn drop(&mut self) {
+        let removed = self.ledger.connections.borrow_mut().remove(self.key);
+        let Some(entry) = removed else {
+            return;
+        };
+        if entry.given_up.is_some() {
+            self.ledger.closing.set(self.ledger.closing.get() - 1);
+        }
+        self.ledger.meter.remove_connection();
+    }
+}
