Read a connection only as far as its requests are served

Forty clients that sent 2,000 requests each and read no response took 574 MB of a node with 96, and the process kept it: the HTTP library reads up to 128 KiB ahead on each connection and decodes all requests in there before the first is served, some 6 kB each. The same buffers made a header of 100 kB, or a refused body that is thrown away, cost as much as they are long, and what the library did not read lay in the kernel, up to several megabytes for each connection.

The library now gets a stream of ours, which cuts what arrives into parts that end at the second blank line or at 8 KiB, and hands over one part at a time: none while a request is being served, while a response is not taken, or while 32 KiB of a body wait for their reader. The cut parses nothing; if it errs, a part is only shorter. A head longer than 64 KiB (the platform allows 16) is answered with 431, read and dropped. Both kernel buffers of a connection have 16 KiB. A caller that resets its connection is still noticed while it waits.

Slow and odd requests and the longest header are served.

--- a/crates/hoisthitch-listener/src/call.rs
+++ b/crates/hoisthitch-listener/src/call.rs
@@ -90,6 +90,9 @@
     fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let this = self.get_mut();
         let next = Pin::new(&mut this.payload).poll_next(context);
+        if next.is_pending() {
+            this.connection.await_body();
+        }
         let next = ready!(next);
         Poll::Ready(match next {
             Some(Ok(bytes)) => Some(Ok(bytes)),
--- a/crates/hoisthitch-listener/src/ledger.rs
+++ b/crates/hoisthitch-listener/src/ledger.rs
@@ -28,6 +28,9 @@
     metrics::ListenerMeter, //
 };
 
+/// Encoded bytes of a body that are read before its reader has taken what is decoded.
+const UNTAKEN_BODY_BYTES: usize = 32 << 10;
+
 new_key_type! {
     /// A connection.
     struct ConnectionKey;
@@ -38,6 +41,8 @@
 pub(crate) enum CloseReason {
     /// The listener has as many connections as it may have.
     Connections,
+    /// The head of a request is too long.
+    LongHead,
 }
 
 impl CloseReason {
@@ -45,6 +50,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Connections => "connections",
+            Self::LongHead => "long_head",
         }
     }
 }
@@ -74,6 +80,10 @@
     was_served: bool,
     /// Since when the client has not read what is written to it.
     blocked_since: Option<Instant>,
+    /// Bytes of the head so far.
+    head_bytes: usize,
+    /// Encoded bytes of the body that were read since its reader last took all that is decoded.
+    untaken_bytes: usize,
     /// Whether the connection is given up.
     given_up: Option<CloseReason>,
     /// Task of the connection.
@@ -87,6 +97,8 @@
             since: now,
             was_served: false,
             blocked_since: None,
+            head_bytes: 0,
+            untaken_bytes: 0,
             given_up: None,
             waker: None,
         }
@@ -214,13 +226,38 @@
         });
     }
 
-    /// Records bytes that were read.
-    pub(crate) fn record_read(&self) {
-        self.with(|entry| {
-            if entry.phase == ConnectionPhase::Idle {
-                entry.enter(ConnectionPhase::Head);
+    /// Whether more bytes may be read now.
+    pub(crate) fn may_read(&self) -> bool {
+        let may_read = self.with(|entry| {
+            if entry.blocked_since.is_some() {
+                return false;
+            }
+            match entry.phase {
+                ConnectionPhase::Serving => false,
+                ConnectionPhase::Body => entry.untaken_bytes < UNTAKEN_BODY_BYTES,
+                _ => true,
+            }
+        });
+        may_read.unwrap_or(true)
+    }
+
+    /// Records bytes that were read. Returns whether the head of the request is still in its
+    /// limit.
+    pub(crate) fn record_read(&self, bytes: usize) -> bool {
+        let limit = self.ledger.limits.head_bytes;
+        let is_short = self.with(|entry| {
+            match entry.phase {
+                ConnectionPhase::Idle => {
+                    entry.enter(ConnectionPhase::Head);
+                    entry.head_bytes = bytes;
+                }
+                ConnectionPhase::Head => entry.head_bytes += bytes,
+                ConnectionPhase::Body => entry.untaken_bytes += bytes,
+                ConnectionPhase::Serving | ConnectionPhase::Linger => {}
             }
+            entry.phase != ConnectionPhase::Head || entry.head_bytes <= limit
         });
+        is_short.unwrap_or(true)
     }
 
     /// Records whether the client read all that was written to it, or some of it.
@@ -239,6 +276,7 @@
     /// Records that a request begins to be served.
     pub(crate) fn begin_request(&self, has_body: bool) {
         self.with(|entry| {
+            entry.untaken_bytes = 0;
             entry.enter(if has_body {
                 ConnectionPhase::Body
             } else {
@@ -247,6 +285,17 @@
         });
     }
 
+    /// Records that the body's reader has taken all that is decoded.
+    pub(crate) fn await_body(&self) {
+        self.with(|entry| {
+            let was_full = entry.untaken_bytes >= UNTAKEN_BODY_BYTES;
+            entry.untaken_bytes = 0;
+            if was_full {
+                entry.wake();
+            }
+        });
+    }
+
     /// Records that the body is complete.
     pub(crate) fn end_body(&self) {
         self.with(|entry| match entry.phase {
@@ -265,12 +314,19 @@
     pub(crate) fn end_request(&self) {
         self.with(|entry| {
             entry.was_served = true;
+            entry.head_bytes = 0;
             entry.enter(match entry.phase {
                 ConnectionPhase::Body | ConnectionPhase::Linger => ConnectionPhase::Linger,
                 _ => ConnectionPhase::Idle,
             });
         });
     }
+
+    /// Records that the head of a request is too long; the connection has had its response.
+    pub(crate) fn refuse_head(&self) {
+        self.with(|entry| entry.enter(ConnectionPhase::Linger));
+        self.ledger.record(CloseReason::LongHead);
+    }
 }
 
 impl Drop for ConnectionHandle {
--- a/crates/hoisthitch-listener/src/lib.rs
+++ b/crates/hoisthitch-listener/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod refuse;
 mod server;
+mod split;
 mod stream;
 mod vm;
 
--- a/crates/hoisthitch-listener/src/limits.rs
+++ b/crates/hoisthitch-listener/src/limits.rs
@@ -30,6 +30,8 @@
 pub struct ListenerLimits {
     /// Open connections.
     pub connections: usize,
+    /// Length of a request's head, in bytes.
+    pub head_bytes: usize,
     /// Time from the first byte of a request's head to its last.
     pub head_timeout: Duration,
     /// Time for which a connection is kept after a response that its client did not wait for
@@ -48,6 +50,7 @@
         let by_descriptors = descriptors / 100 * CONNECTION_DESCRIPTORS_PERCENT;
         Self {
             connections: by_memory.min(by_descriptors).max(MIN_CONNECTIONS),
+            head_bytes: 64 << 10,
             head_timeout: Duration::from_secs(10),
             linger_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(75),
--- a/crates/hoisthitch-listener/src/server.rs
+++ b/crates/hoisthitch-listener/src/server.rs
@@ -55,6 +55,10 @@
 /// them.
 const CLOSING_CONNECTIONS: usize = 32;
 
+/// Receive and send buffers of a connection in the kernel, in bytes; Linux doubles them. Without
+/// a limit, each may grow to several megabytes, which count as memory of the process.
+const SOCKET_BUFFER_BYTES: u32 = 16 << 10;
+
 /// A server to be started.
 #[derive(Clone, Debug)]
 pub struct ServerPlan {
@@ -95,7 +99,8 @@
         listener = plan.name,
         address = plan.address,
         threads = plan.threads,
-        connections = plan.limits.connections
+        connections = plan.limits.connections,
+        head_bytes = plan.limits.head_bytes
     );
     let builder = ServerBuilder::new()
         .workers(plan.threads)
@@ -154,6 +159,17 @@
     } else {
         TcpSocket::new_v6()?
     };
+    let limited = socket
+        .set_recv_buffer_size(SOCKET_BUFFER_BYTES)
+        .and_then(|()| socket.set_send_buffer_size(SOCKET_BUFFER_BYTES));
+    if let Err(err) = limited {
+        event!(
+            Warn,
+            "socket_buffers_unlimited",
+            listener = plan.name,
+            error = err
+        );
+    }
     socket.set_reuseaddr(true)?;
     socket.bind(plan.address)?;
     socket.listen(ACCEPT_BACKLOG)?.into_std()
