--- a/crates/hoisthitch-listener/src/call.rs
+++ b/crates/hoisthitch-listener/src/call.rs
@@ -58,12 +58,13 @@
     /// closed after a response to a request whose body is incomplete.
     pub(crate) fn respond<B>(mut self, mut response: Response<B>) -> Response<GuardedResponse<B>> {
         let connection = self.connection.take();
-        if let Some(connection) = &connection
-            && connection.is_body_incomplete()
-        {
-            response
-                .head_mut()
-                .set_connection_type(ConnectionType::Close);
+        if let Some(connection) = &connection {
+            connection.release_body();
+            if connection.is_body_incomplete() {
+                response
+                    .head_mut()
+                    .set_connection_type(ConnectionType::Close);
+            }
         }
         let end = ResponseEnd { connection };
         response.map_body(|_, body| GuardedResponse { body, _end: end })
@@ -73,6 +74,7 @@
 impl Drop for GuardedCall {
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
+            connection.release_body();
             connection.end_request();
         }
     }
@@ -89,13 +91,19 @@
 
     fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let this = self.get_mut();
+        if this.connection.refused_body().is_err() {
+            return Poll::Ready(Some(Err(PayloadError::Overflow)));
+        }
         let next = Pin::new(&mut this.payload).poll_next(context);
         if next.is_pending() {
-            this.connection.await_body();
+            this.connection.await_body(context);
         }
         let next = ready!(next);
         Poll::Ready(match next {
-            Some(Ok(bytes)) => Some(Ok(bytes)),
+            Some(Ok(bytes)) => match this.connection.take_body(bytes.len()) {
+                Ok(()) => Some(Ok(bytes)),
+                Err(_) => Some(Err(PayloadError::Overflow)),
+            },
             other => {
                 this.connection.end_body();
                 other
--- a/crates/hoisthitch-listener/src/ledger.rs
+++ b/crates/hoisthitch-listener/src/ledger.rs
@@ -1,9 +1,11 @@
 //! What the clients of one thread of a listener hold, and who is given up at a limit.
 //!
-//! The ledger knows each connection's phase, since when it lasts. A connection whose request is being served is never given up: its
+//! The ledger knows each connection's phase, since when it lasts, and how much memory the body
+//! of its request takes. A connection whose request is being served is never given up: its
 //! effect may already be stored. Of the others, the first to go are those that don't read a
 //! response or don't end a refused request, then those that have not sent a whole request yet,
-//! then those that have; each time the one that has been in its phase for the longest.
+//! then those that have; each time the one that has been in its phase for the longest. Where
+//! memory for bodies runs short, the one with the most bytes for the longest goes.
 
 use std::{
     cell::{
@@ -28,6 +30,13 @@
     metrics::ListenerMeter, //
 };
 
+/// Bytes of a body that count as a part of the connection, so that requests of ordinary length
+/// are served beside any number of long ones.
+const FREE_BODY_BYTES: usize = 8 << 10;
+
+/// How often the bytes of a body are counted: they are copied as they are read, and parsed.
+const BODY_COPIES: usize = 2;
+
 /// Encoded bytes of a body that are read before its reader has taken what is decoded.
 const UNTAKEN_BODY_BYTES: usize = 32 << 10;
 
@@ -41,6 +50,8 @@
 pub(crate) enum CloseReason {
     /// The listener has as many connections as it may have.
     Connections,
+    /// Bodies take as much memory as they may take.
+    BodyMemory,
     /// The head of a request is too long.
     LongHead,
 }
@@ -50,6 +61,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Connections => "connections",
+            Self::BodyMemory => "body_memory",
             Self::LongHead => "long_head",
         }
     }
@@ -84,10 +96,18 @@
     head_bytes: usize,
     /// Encoded bytes of the body that were read since its reader last took all that is decoded.
     untaken_bytes: usize,
+    /// Decoded bytes of the body so far.
+    body_bytes: usize,
+    /// Bytes that count for the body.
+    counted_bytes: usize,
+    /// Whether the request is refused for the memory of its body.
+    body_given_up: Option<CloseReason>,
     /// Whether the connection is given up.
     given_up: Option<CloseReason>,
     /// Task of the connection.
     waker: Option<Waker>,
+    /// Task that reads the body; it may be another one.
+    body_waker: Option<Waker>,
 }
 
 impl ConnectionEntry {
@@ -99,8 +119,12 @@
             blocked_since: None,
             head_bytes: 0,
             untaken_bytes: 0,
+            body_bytes: 0,
+            counted_bytes: 0,
+            body_given_up: None,
             given_up: None,
             waker: None,
+            body_waker: None,
         }
     }
 
@@ -118,6 +142,15 @@
         }
     }
 
+    /// Refuses the request, and wakes the reader of its body.
+    fn refuse_body(&mut self, reason: CloseReason) {
+        self.body_given_up = Some(reason);
+        if let Some(waker) = self.body_waker.take() {
+            waker.wake();
+        }
+        self.wake();
+    }
+
     /// Whether the connection may be closed without a loss to an ordinary client, and how soon:
     /// lower ranks go first.
     fn close_rank(&self) -> Option<u8> {
@@ -141,6 +174,8 @@
     connections: RefCell<SlotMap<ConnectionKey, ConnectionEntry>>,
     /// Connections that are given up and not closed yet.
     closing: Cell<usize>,
+    /// Memory that bodies take.
+    body_bytes: Cell<usize>,
 }
 
 impl ConnectionLedger {
@@ -151,6 +186,7 @@
             meter,
             connections: RefCell::default(),
             closing: Cell::default(),
+            body_bytes: Cell::default(),
         })
     }
 
@@ -175,7 +211,8 @@
 
     fn record(&self, reason: CloseReason) {
         let connections = self.connections.borrow().len();
-        self.meter.record_given_up(reason, connections);
+        self.meter
+            .record_given_up(reason, connections, self.body_bytes.get());
     }
 
     /// Closes the connection that is needed the least. Returns whether there is one.
@@ -197,6 +234,36 @@
         self.record(CloseReason::Connections);
         true
     }
+
+    /// Refuses requests with long bodies until all bodies fit into their memory.
+    fn shrink_bodies(&self) {
+        while self.body_bytes.get() > self.limits.body_memory_bytes {
+            let released = {
+                let mut connections = self.connections.borrow_mut();
+                let now = Instant::now();
+                let victim = connections
+                    .values_mut()
+                    .filter(|entry| entry.phase == ConnectionPhase::Body)
+                    .filter(|entry| entry.counted_bytes > 0 && entry.body_given_up.is_none())
+                    .max_by_key(|entry| {
+                        let age = now.duration_since(entry.since).as_millis().max(1);
+                        age.saturating_mul(entry.counted_bytes as u128)
+                    });
+                let Some(entry) = victim else {
+                    return;
+                };
+                entry.refuse_body(CloseReason::BodyMemory);
+                std::mem::take(&mut entry.counted_bytes)
+            };
+            self.release_body(released);
+            self.record(CloseReason::BodyMemory);
+        }
+    }
+
+    fn release_body(&self, bytes: usize) {
+        self.body_bytes.set(self.body_bytes.get() - bytes);
+        self.meter.remove_body_bytes(bytes);
+    }
 }
 
 /// A connection in its ledger; it is removed when this value is dropped.
@@ -277,6 +344,8 @@
     pub(crate) fn begin_request(&self, has_body: bool) {
         self.with(|entry| {
             entry.untaken_bytes = 0;
+            entry.body_bytes = 0;
+            entry.body_given_up = None;
             entry.enter(if has_body {
                 ConnectionPhase::Body
             } else {
@@ -285,9 +354,43 @@
         });
     }
 
-    /// Records that the body's reader has taken all that is decoded.
-    pub(crate) fn await_body(&self) {
+    /// Records bytes of the body that its reader takes. Returns the reason where the request is
+    /// refused.
+    pub(crate) fn take_body(&self, bytes: usize) -> Result<(), CloseReason> {
+        self.refused_body()?;
+        let most = self.ledger.limits.buffered_body_bytes;
+        let added = self.with(|entry| {
+            entry.body_bytes = entry.body_bytes.saturating_add(bytes);
+            let counted = entry.body_bytes.min(most);
+            let counted = counted.saturating_sub(FREE_BODY_BYTES) * BODY_COPIES;
+            let added = counted.saturating_sub(entry.counted_bytes);
+            entry.counted_bytes += added;
+            added
+        });
+        let added = added.unwrap_or_default();
+        if added > 0 {
+            self.ledger
+                .body_bytes
+                .set(self.ledger.body_bytes.get() + added);
+            self.ledger.meter.add_body_bytes(added);
+            self.ledger.shrink_bodies();
+        }
+        self.refused_body()
+    }
+
+    /// The reason for which the request is refused, if it is.
+    pub(crate) fn refused_body(&self) -> Result<(), CloseReason> {
+        match self.with(|entry| entry.body_given_up).flatten() {
+            Some(reason) => Err(reason),
+            None => Ok(()),
+        }
+    }
+
+    /// Records that the body's reader has taken all that is decoded; its task is woken when the
+    /// request is refused.
+    pub(crate) fn await_body(&self, context: &Context<'_>) {
         self.with(|entry| {
+            entry.body_waker = Some(context.waker().clone());
             let was_full = entry.untaken_bytes >= UNTAKEN_BODY_BYTES;
             entry.untaken_bytes = 0;
             if was_full {
@@ -305,6 +408,12 @@
         });
     }
 
+    /// Records that the body's memory is free again.
+    pub(crate) fn release_body(&self) {
+        let released = self.with(|entry| std::mem::take(&mut entry.counted_bytes));
+        self.ledger.release_body(released.unwrap_or_default());
+    }
+
     /// Whether the request's body is incomplete.
     pub(crate) fn is_body_incomplete(&self) -> bool {
         self.with(|entry| entry.phase == ConnectionPhase::Body) == Some(true)
@@ -338,6 +447,7 @@
         if entry.given_up.is_some() {
             self.ledger.closing.set(self.ledger.closing.get() - 1);
         }
+        self.ledger.release_body(entry.counted_bytes);
         self.ledger.meter.remove_connection();
     }
 }
--- a/crates/hoisthitch-listener/src/lib.rs
+++ b/crates/hoisthitch-listener/src/lib.rs
@@ -7,6 +7,7 @@
 //! when a limit of the whole listener is reached. `docs/design/clients.md` has the account of
 //! who may hold how much.
 
+mod body;
 mod call;
 mod ledger;
 mod limits;
@@ -17,6 +18,11 @@
 mod stream;
 mod vm;
 
+pub use body::{
+    BodyError,
+    discard_body,
+    read_body, //
+};
 pub use limits::ListenerLimits;
 pub use metrics::ListenerMetrics;
 pub use server::{
--- a/crates/hoisthitch-listener/src/limits.rs
+++ b/crates/hoisthitch-listener/src/limits.rs
@@ -12,6 +12,9 @@
 /// the rest is for the process itself.
 const CONNECTION_MEMORY_PERCENT: u64 = 20;
 
+/// Part of the memory that callers' bodies may take, in percent.
+const BODY_MEMORY_PERCENT: u64 = 20;
+
 /// Descriptors that a process needs for files.
 const FILE_DESCRIPTORS: usize = 200;
 
@@ -25,11 +28,19 @@
 /// Connections of a listener for operators or for readiness checks.
 const SIDE_CONNECTIONS: usize = 32;
 
+/// Part of the memory that bodies of operators may take, in percent.
+const SIDE_MEMORY_PERCENT: u64 = 4;
+
 /// What the clients of one listener may hold together, and each of them alone.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ListenerLimits {
     /// Open connections.
     pub connections: usize,
+    /// Memory for bodies, in bytes. A body counts twice: it is copied as it is read, and
+    /// parsed.
+    pub body_memory_bytes: usize,
+    /// Most that the body of one request counts, in bytes: how much of it is buffered at once.
+    pub buffered_body_bytes: usize,
     /// Length of a request's head, in bytes.
     pub head_bytes: usize,
     /// Time from the first byte of a request's head to its last.
@@ -50,6 +61,8 @@
         let by_descriptors = descriptors / 100 * CONNECTION_DESCRIPTORS_PERCENT;
         Self {
             connections: by_memory.min(by_descriptors).max(MIN_CONNECTIONS),
+            body_memory_bytes: part(BODY_MEMORY_PERCENT),
+            buffered_body_bytes: usize::MAX,
             head_bytes: 64 << 10,
             head_timeout: Duration::from_secs(10),
             linger_timeout: Duration::from_secs(1),
@@ -61,6 +74,7 @@
     pub fn for_operators(vm: VmResources) -> Self {
         Self {
             connections: SIDE_CONNECTIONS,
+            body_memory_bytes: usize_of(vm.memory_bytes / 100 * SIDE_MEMORY_PERCENT),
             idle_timeout: Duration::from_secs(30),
             ..Self::for_callers(vm)
         }
@@ -72,6 +86,7 @@
         let threads = threads.max(1);
         Self {
             connections: (self.connections / threads).max(1),
+            body_memory_bytes: self.body_memory_bytes / threads,
             ..self
         }
     }
--- a/crates/hoisthitch-listener/src/metrics.rs
+++ b/crates/hoisthitch-listener/src/metrics.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct ListenerMetrics {
     connections: IntGaugeVec,
+    body_bytes: IntGaugeVec,
     given_up: IntCounterVec,
 }
 
@@ -41,6 +42,10 @@
                 "hoisthitch_client_connections",
                 "Open connections of clients.",
             )?,
+            body_bytes: gauge(
+                "hoisthitch_client_body_bytes",
+                "Memory that bodies of requests count, in bytes.",
+            )?,
             given_up: IntCounterVec::new(
                 Opts::new(
                     "hoisthitch_clients_given_up_total",
@@ -50,6 +55,7 @@
             )?,
         };
         registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.body_bytes.clone()))?;
         registry.register(Box::new(metrics.given_up.clone()))?;
         Ok(metrics)
     }
@@ -59,6 +65,7 @@
         ListenerMeter {
             listener,
             connections: self.connections.with_label_values(&[listener]),
+            body_bytes: self.body_bytes.with_label_values(&[listener]),
             given_up: self.given_up.clone(),
             unlogged: RefCell::default(),
         }
@@ -77,6 +84,7 @@
 pub(crate) struct ListenerMeter {
     listener: &'static str,
     connections: IntGauge,
+    body_bytes: IntGauge,
     given_up: IntCounterVec,
     unlogged: RefCell<UnloggedClients>,
 }
@@ -90,8 +98,18 @@
         self.connections.dec();
     }
 
+    pub(crate) fn add_body_bytes(&self, bytes: usize) {
+        self.body_bytes
+            .add(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn remove_body_bytes(&self, bytes: usize) {
+        self.body_bytes
+            .sub(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Counts a client that is given up. A flood of them makes one log line a second.
-    pub(crate) fn record_given_up(&self, reason: CloseReason, connections: usize) {
+    pub(crate) fn record_given_up(&self, reason: CloseReason, connections: usize, bytes: usize) {
         let name = reason.as_str();
         self.given_up
             .with_label_values(&[self.listener, name])
@@ -113,7 +131,8 @@
                 listener = self.listener,
                 reason = reason,
                 clients = clients,
-                connections = connections
+                connections = connections,
+                body_bytes = bytes
             );
         }
     }
--- a/crates/hoisthitch-listener/src/server.rs
+++ b/crates/hoisthitch-listener/src/server.rs
@@ -100,6 +100,7 @@
         address = plan.address,
         threads = plan.threads,
         connections = plan.limits.connections,
+        body_memory_bytes = plan.limits.body_memory_bytes,
         head_bytes = plan.limits.head_bytes
     );
     let builder = ServerBuilder::new()
--- a/crates/hoisthitch-scheduler/src/http.rs
+++ b/crates/hoisthitch-scheduler/src/http.rs
@@ -3,8 +3,15 @@
 //! Submissions are accepted only while this node's configuration is confirmed to be in effect.
 
 use actix_web::{
+    HttpRequest,
     HttpResponse,
     HttpResponseBuilder,
+    ResponseError,
+    error::{
+        InternalError,
+        JsonPayloadError,
+        PayloadError, //
+    },
     http::StatusCode,
     web, //
 };
@@ -47,6 +54,9 @@
 /// Time within which an operator's call is answered, in milliseconds.
 const CALL_TIMEOUT_MS: Millis = 3_000;
 
+/// Time after which a client may repeat a call that was refused for want of memory, in seconds.
+const RETRY_AFTER_S: &str = "1";
+
 /// Longest identifier of a job that operators may choose, in bytes.
 const MAX_ID_BYTES: usize = 64;
 
@@ -54,6 +64,7 @@
 pub fn job_routes<S: StoreClient>(config: &mut web::ServiceConfig) {
     let job = format!("{JOBS_PATH}/{{id}}");
     config
+        .app_data(web::JsonConfig::default().error_handler(refuse_body))
         .route(QUEUES_PATH, web::get().to(list_queues::<S>))
         .route(TEAMS_PATH, web::get().to(list_teams::<S>))
         .route(CORDONS_PATH, web::get().to(list_cordons::<S>))
@@ -239,6 +250,24 @@
     }
 }
 
+/// Refuses a call whose body can't be read. Where the body was given up at a limit of the
+/// listener, the call may be repeated.
+fn refuse_body(err: JsonPayloadError, _: &HttpRequest) -> actix_web::Error {
+    let response = match &err {
+        JsonPayloadError::Payload(PayloadError::Overflow) => {
+            let error =
+                "not taken, and will not run: the body did not come in time, or too many are long";
+            HttpResponse::ServiceUnavailable()
+                .insert_header(("Retry-After", RETRY_AFTER_S))
+                .json(FaultAnswer {
+                    error: error.to_owned(),
+                })
+        }
+        _ => fault(err.status_code(), &err.to_string()),
+    };
+    InternalError::from_response(err, response).into()
+}
+
 fn unreadable(err: &StoreError) -> HttpResponse {
     let text = format!("the state can't be read now: {err}");
     fault(StatusCode::SERVICE_UNAVAILABLE, &text)
