End connections whose client neither sends nor reads

A client kept its connection, and what it holds, for as long as it liked: with the header of a second request that does not end, with the body of an operator's call, with chunks that go on after their refusal, or with responses that it does not read. The HTTP library has a deadline for the first header of a connection only, none for a body that is dropped, and none for a blocked write.

Each phase of a connection now has a deadline, on a timer of the connection's own: 10 s for a head from its first byte, 60 s for a body (operators 10 s; a caller's own time is shorter), 10 s without taking any of a response, 1 s after a response that the client did not wait for with its body. A body that is late is refused with a response; the others are closed. Slow requests inside these are served.

--- a/crates/hoisthitch-listener/src/ledger.rs
+++ b/crates/hoisthitch-listener/src/ledger.rs
@@ -17,6 +17,7 @@
         Context,
         Waker, //
     },
+    time::Duration, //
 };
 
 use slotmap::{
@@ -54,6 +55,14 @@
     BodyMemory,
     /// The head of a request is too long.
     LongHead,
+    /// The head of a request did not end in time.
+    HeadTimeout,
+    /// The body of a request did not end in time.
+    BodyTimeout,
+    /// The body of a request that has its response did not end in time.
+    LingerTimeout,
+    /// A response was not read in time.
+    WriteTimeout,
 }
 
 impl CloseReason {
@@ -63,6 +72,10 @@
             Self::Connections => "connections",
             Self::BodyMemory => "body_memory",
             Self::LongHead => "long_head",
+            Self::HeadTimeout => "head_timeout",
+            Self::BodyTimeout => "body_timeout",
+            Self::LingerTimeout => "linger_timeout",
+            Self::WriteTimeout => "write_timeout",
         }
     }
 }
@@ -284,6 +297,15 @@
         self.with(|entry| entry.given_up).flatten()
     }
 
+    /// Gives the connection up.
+    pub(crate) fn give_up(&self, reason: CloseReason) {
+        let is_new = self.with(|entry| entry.given_up.replace(reason).is_none());
+        if is_new == Some(true) {
+            self.ledger.closing.set(self.ledger.closing.get() + 1);
+            self.ledger.record(reason);
+        }
+    }
+
     /// Records the connection's task, which is woken when more bytes may be read or the
     /// connection is given up.
     pub(crate) fn set_task(&self, context: &Context<'_>) {
@@ -340,6 +362,33 @@
         });
     }
 
+    /// When the connection's phase must be over, and why the client is given up then.
+    pub(crate) fn deadline(&self) -> Option<(Instant, CloseReason)> {
+        let limits = &self.ledger.limits;
+        let deadline = self.with(|entry| {
+            let after = |since: Instant, limit: Duration, reason| Some((since + limit, reason));
+            if let Some(since) = entry.blocked_since {
+                return after(since, limits.write_timeout, CloseReason::WriteTimeout);
+            }
+            let (limit, reason) = match entry.phase {
+                ConnectionPhase::Head => (limits.head_timeout, CloseReason::HeadTimeout),
+                ConnectionPhase::Body if entry.body_given_up.is_none() => {
+                    (limits.body_timeout, CloseReason::BodyTimeout)
+                }
+                ConnectionPhase::Linger => (limits.linger_timeout, CloseReason::LingerTimeout),
+                _ => return None,
+            };
+            after(entry.since, limit, reason)
+        });
+        deadline.flatten()
+    }
+
+    /// Refuses the request whose body is incomplete.
+    pub(crate) fn give_up_body(&self, reason: CloseReason) {
+        self.with(|entry| entry.refuse_body(reason));
+        self.ledger.record(reason);
+    }
+
     /// Records that a request begins to be served.
     pub(crate) fn begin_request(&self, has_body: bool) {
         self.with(|entry| {
--- a/crates/hoisthitch-listener/src/limits.rs
+++ b/crates/hoisthitch-listener/src/limits.rs
@@ -45,6 +45,10 @@
     pub head_bytes: usize,
     /// Time from the first byte of a request's head to its last.
     pub head_timeout: Duration,
+    /// Time for a whole body, where the request has no earlier deadline of its own.
+    pub body_timeout: Duration,
+    /// Time in which a client must read some of a response.
+    pub write_timeout: Duration,
     /// Time for which a connection is kept after a response that its client did not wait for
     /// with its body.
     pub linger_timeout: Duration,
@@ -65,6 +69,8 @@
             buffered_body_bytes: usize::MAX,
             head_bytes: 64 << 10,
             head_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(60),
+            write_timeout: Duration::from_secs(10),
             linger_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(75),
         }
@@ -75,6 +81,7 @@
         Self {
             connections: SIDE_CONNECTIONS,
             body_memory_bytes: usize_of(vm.memory_bytes / 100 * SIDE_MEMORY_PERCENT),
+            body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(30),
             ..Self::for_callers(vm)
         }
--- a/crates/hoisthitch-listener/src/stream.rs
+++ b/crates/hoisthitch-listener/src/stream.rs
@@ -24,7 +24,12 @@
         AsyncWrite,
         ReadBuf, //
     },
-    net::TcpStream, //
+    net::TcpStream,
+    time::{
+        Instant,
+        Sleep,
+        sleep_until, //
+    },
 };
 
 use crate::{
@@ -57,6 +62,7 @@
     part_read: bool,
     /// Whether everything that still arrives is dropped.
     is_refused: bool,
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl GuardedStream {
@@ -69,6 +75,7 @@
             rest: Bytes::new(),
             part_read: false,
             is_refused: false,
+            timer: None,
         }
     }
 
@@ -77,15 +84,38 @@
         &self.handle
     }
 
-    /// Fails where the client is given up.
+    /// Fails where the client is given up. Otherwise the task is woken when the time of the
+    /// connection's phase is over.
     fn check_limits(&mut self, context: &mut Context<'_>) -> io::Result<()> {
         self.handle.set_task(context);
         if let Some(reason) = self.handle.given_up() {
             return Err(closed(reason));
         }
+        while let Some((deadline, reason)) = self.handle.deadline() {
+            if self.poll_timer(context, deadline).is_pending() {
+                break;
+            }
+            if reason == CloseReason::BodyTimeout {
+                // The request is refused, with a response.
+                self.handle.give_up_body(reason);
+            } else {
+                self.handle.give_up(reason);
+                return Err(closed(reason));
+            }
+        }
         Ok(())
     }
 
+    fn poll_timer(&mut self, context: &mut Context<'_>, deadline: Instant) -> Poll<()> {
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        if timer.deadline() != deadline {
+            timer.as_mut().reset(deadline);
+        }
+        timer.as_mut().poll(context)
+    }
+
     /// Reads and drops what arrives, until the client closes the connection or its time is over.
     fn poll_drop(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.rest = Bytes::new();
@@ -197,6 +227,7 @@
             Poll::Ready(Err(_)) => {}
             Poll::Pending => {
                 this.handle.record_write(true, false);
+                this.check_limits(context)?;
             }
         }
         written
