Bound what the clients of an entry hold

The entry had the node's faults on its callers' and its operators' listener: a hundred callers that sent 2,000 requests each and read nothing took 1.4 GB, 600 with chunks 706 MB, 300 bodies of 4 MiB that stop short of their end 563 MB, headers of 100 kB 257 MB; 800 connections were 835 descriptors; chunks without an end kept their connection after a 404. A streamed body besides had a reader that waited for the next chunk after the request had been refused.

Both listeners are now those of hoisthitch-listener, with limits from the new [callers] memory_limit_mb (the VM's memory by default), or connection_limit, head_limit_bytes, head_timeout, body_timeout and write_timeout. A body counts for at most 96 KiB, since the rest is streamed. A request without memory for its body is answered 503, not-run, with Retry-After. The reader of a streamed body ends with its receiver.

--- a/crates/hoisthitch-entry/src/process.rs
+++ b/crates/hoisthitch-entry/src/process.rs
@@ -15,7 +15,6 @@
 };
 use actix_web::{
     App,
-    HttpServer,
     dev::{
         Server,
         ServerHandle, //
@@ -32,6 +31,13 @@
     RosterEntry,
     WorkRefusal, //
 };
+use hoisthitch_listener::{
+    ListenerLimits,
+    ListenerMetrics,
+    ServerPlan,
+    VmResources,
+    start_server, //
+};
 use hoisthitch_store::{
     ClaimWriter,
     EtcdClient,
@@ -71,14 +77,8 @@
 /// `Retry-After` of requests that a stopping entry refuses.
 const STOP_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Idle timeout of callers' connections.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Timeout of reading a request's head.
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Most connections of callers for each traffic thread.
-const MAX_CONNECTIONS_PER_THREAD: usize = 25_000;
+/// Longest time that the stopping operators' server waits for its requests.
+const OPERATOR_STOP_LIMIT: Duration = Duration::from_secs(1);
 
 /// Runs an entry until a stop signal.
 ///
@@ -94,8 +94,10 @@
         .wrap_err("metrics can't be registered")?;
     actix_web::rt::spawn(writer.run());
     let parts = start_control(&shared, store)?;
-    let operators = operator_server(&shared, &parts)?;
-    let callers = caller_server(&shared)?;
+    let metrics =
+        ListenerMetrics::new(&shared.metrics.registry).wrap_err("metrics can't be registered")?;
+    let operators = operator_server(&shared, &parts, &metrics)?;
+    let callers = caller_server(&shared, &metrics)?;
     let handles = [callers.handle(), operators.handle()];
     let callers = actix_web::rt::spawn(callers);
     actix_web::rt::spawn(operators);
@@ -187,31 +189,43 @@
     }
 }
 
-fn caller_server(shared: &Arc<SharedState>) -> Result<Server> {
+fn caller_server(shared: &Arc<SharedState>, metrics: &ListenerMetrics) -> Result<Server> {
     let callers = &shared.settings.callers;
     let data = web::Data::from(shared.clone());
-    let server = HttpServer::new(move || {
+    let plan = ServerPlan {
+        name: "callers",
+        address: callers.listen,
+        threads: callers.threads,
+        stop_limit: callers.stop_limit,
+        limits: callers.limits,
+        metrics: metrics.clone(),
+    };
+    start_server(plan, move || {
         App::new()
             .app_data(data.clone())
             .default_service(web::route().to(serve_request))
     })
-    .workers(callers.threads)
-    .keep_alive(IDLE_TIMEOUT)
-    .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-    .max_connections(MAX_CONNECTIONS_PER_THREAD)
-    .shutdown_timeout(callers.stop_limit.as_secs())
-    .disable_signals()
-    .bind(callers.listen)
-    .wrap_err_with(|| format!("callers' address {}", callers.listen))?;
-    Ok(server.run())
+    .wrap_err_with(|| format!("callers' address {}", callers.listen))
 }
 
-fn operator_server(shared: &Arc<SharedState>, parts: &ControlParts) -> Result<Server> {
+fn operator_server(
+    shared: &Arc<SharedState>,
+    parts: &ControlParts,
+    metrics: &ListenerMetrics,
+) -> Result<Server> {
     let listen = shared.settings.operators.listen;
     let data = web::Data::from(shared.clone());
     let keeper = web::Data::new(parts.keeper.clone());
     let writer = web::Data::new(parts.writer.clone());
-    let server = HttpServer::new(move || {
+    let plan = ServerPlan {
+        name: "operators",
+        address: listen,
+        threads: 1,
+        stop_limit: OPERATOR_STOP_LIMIT,
+        limits: ListenerLimits::for_operators(VmResources::detect()),
+        metrics: metrics.clone(),
+    };
+    start_server(plan, move || {
         App::new()
             .app_data(data.clone())
             .app_data(keeper.clone())
@@ -219,12 +233,7 @@
             .wrap(from_fn(operators::require_token))
             .configure(operators::configure)
     })
-    .workers(1)
-    .shutdown_timeout(1)
-    .disable_signals()
-    .bind(listen)
-    .wrap_err_with(|| format!("operators' address {listen}"))?;
-    Ok(server.run())
+    .wrap_err_with(|| format!("operators' address {listen}"))
 }
 
 /// Waits for a stop signal, then stops the servers gracefully.
--- a/crates/hoisthitch-entry/src/settings.rs
+++ b/crates/hoisthitch-entry/src/settings.rs
@@ -17,6 +17,10 @@
     RosterEntry,
     SharePolicy, //
 };
+use hoisthitch_listener::{
+    ListenerLimits,
+    VmResources, //
+};
 use hoisthitch_settings::{
     SettingsError,
     SettingsFile,
@@ -29,6 +33,13 @@
 /// Example of `seeds`, for error messages.
 const SEEDS_EXAMPLE: &str = "entry-2@10.0.0.2:7000, entry-3@10.0.0.3:7000";
 
+/// Most bytes of a body that the entry holds at once: the part that is read before the request
+/// waits for a slot, and the chunks that wait for the runner.
+const BUFFERED_BODY_BYTES: usize = 96 << 10;
+
+/// Time for which a caller's connection without a request is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Settings of one entry process.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -59,6 +70,8 @@
     pub threads: usize,
     /// Largest request body, in bytes.
     pub body_limit: usize,
+    /// What callers may hold.
+    pub limits: ListenerLimits,
     /// Time for which a stopping entry listens on, until the load balancer notices.
     pub stop_notice: Duration,
     /// Longest time that a stopping entry waits for requests in flight.
@@ -154,6 +167,7 @@
         listen: address(reader, SECTION, "listen", "10.0.0.1:8080"),
         threads: reader.number(SECTION, "threads", 2, 1..=64),
         body_limit: reader.number(SECTION, "body_limit_bytes", 16 << 20, 0..=1 << 30),
+        limits: read_limits(reader),
         stop_notice: reader.duration(
             SECTION,
             "stop_notice",
@@ -176,6 +190,47 @@
     }
 }
 
+/// What callers may hold; by default, that follows from the VM.
+fn read_limits(reader: &SettingsReader<'_>) -> ListenerLimits {
+    const SECTION: &str = "callers";
+    let system = VmResources::detect();
+    let memory_mb = reader.number(
+        SECTION,
+        "memory_limit_mb",
+        system.memory_bytes >> 20,
+        32..=1 << 24,
+    );
+    let vm = VmResources {
+        memory_bytes: memory_mb << 20,
+        ..system
+    };
+    let limits = ListenerLimits::for_callers(vm);
+    let timeout = |key, default, longest| {
+        let range = Duration::from_secs(1)..=Duration::from_secs(longest);
+        reader.duration(SECTION, key, default, range)
+    };
+    ListenerLimits {
+        connections: reader.number(
+            SECTION,
+            "connection_limit",
+            limits.connections,
+            16..=1 << 20,
+        ),
+        buffered_body_bytes: BUFFERED_BODY_BYTES,
+        head_bytes: reader.number(
+            SECTION,
+            "head_limit_bytes",
+            limits.head_bytes,
+            1 << 10..=128 << 10,
+        ),
+        head_timeout: timeout("head_timeout", limits.head_timeout, 60),
+        body_timeout: timeout("body_timeout", Duration::from_secs(300), 3_600),
+        write_timeout: timeout("write_timeout", limits.write_timeout, 300),
+        idle_timeout: IDLE_TIMEOUT,
+        ..limits
+    }
+}
+
 fn read_operators(reader: &SettingsReader<'_>) -> OperatorSettings {
     const SECTION: &str = "operators";
     let token = text(reader, SECTION, "token", "a-long-random-secret");
--- a/crates/hoisthitch-entry/src/traffic/upload.rs
+++ b/crates/hoisthitch-entry/src/traffic/upload.rs
@@ -2,6 +2,7 @@
 
 use actix_web::{
     HttpRequest,
+    error::PayloadError,
     http::{
         StatusCode,
         header::{
@@ -32,6 +33,7 @@
         },
         problem::{
             BoxedProblem,
+            DEFAULT_RETRY_AFTER,
             ProblemResponse, //
         }, //
     }, //
@@ -69,6 +71,7 @@
         match chunk {
             None => return Ok(RequestBody::Whole(first.freeze())),
             Some(Ok(chunk)) => first.extend_from_slice(&chunk),
+            Some(Err(PayloadError::Overflow)) => return Err(no_memory()),
             Some(Err(err)) => return Err(truncated_body(&err.to_string())),
         }
         if first.len() > limit {
@@ -85,13 +88,23 @@
     }))
 }
 
-/// Streams the rest of a body, as fast as the receiver takes it.
+/// Streams the rest of a body, as fast as the receiver takes it, until the body ends or the
+/// receiver is gone.
 async fn stream_body(
     mut payload: web::Payload,
     mut left: usize,
     sender: mpsc::Sender<Result<Bytes, BodyTruncated>>,
 ) {
-    while let Some(chunk) = payload.next().await {
+    loop {
+        // A caller that stops to send would otherwise keep the body, and its connection, after
+        // its request has been refused.
+        let chunk = tokio::select! {
+            chunk = payload.next() => chunk,
+            () = sender.closed() => return,
+        };
+        let Some(chunk) = chunk else {
+            return;
+        };
         let chunk = match chunk {
             Ok(chunk) if chunk.len() <= left => chunk,
             _ => {
@@ -124,6 +137,14 @@
     ))
 }
 
+fn no_memory() -> BoxedProblem {
+    Box::new(ProblemResponse::unavailable(
+        "body-memory",
+        "the body did not come in time, or too many requests send long bodies",
+        DEFAULT_RETRY_AFTER,
+    ))
+}
+
 fn truncated_body(fault: &str) -> BoxedProblem {
     Box::new(ProblemResponse::new(
         StatusCode::BAD_REQUEST,
