--- a/crates/hoisthitch-listener/src/ledger.rs
+++ b/crates/hoisthitch-listener/src/ledger.rs
@@ -113,9 +113,9 @@
     body_bytes: usize,
     /// Bytes that count for the body.
     counted_bytes: usize,
-    /// Whether the request is refused for the memory of its body.
+    /// Why the request is refused before its body is complete, if it is.
     body_given_up: Option<CloseReason>,
-    /// Whether the connection is given up.
+    /// Why the connection is given up, if it is.
     given_up: Option<CloseReason>,
     /// Task of the connection.
     waker: Option<Waker>,
--- a/crates/hoisthitch-tests/tests/clients.rs
+++ b/crates/hoisthitch-tests/tests/clients.rs
@@ -82,6 +82,7 @@
     unfinished_streamed_body_ends => unfinished_ends(&body("content-length: 200000", 100_000));
     unfinished_refused_chunks_end => unfinished_ends(&chunked_to("/nothing", 100, 100));
     unread_responses_end => unread_end();
+    waiting_requests_leave_room_for_others => waiting();
     odd_chunks_inside_the_limits_are_served => odd_chunks();
     slow_body_inside_the_limits_is_served => slow_body();
 }
@@ -140,7 +141,11 @@
     let mut fleet = start().await?;
     ordinary(&fleet, "in calm").await?;
     let address = side.address(&fleet)?;
-    let watch = UsageWatch::start(fleet.entries[0].id(), &[address]);
+    let listeners = [
+        Side::Callers.address(&fleet)?,
+        Side::Operators.address(&fleet)?,
+    ];
+    let watch = UsageWatch::start(fleet.entries[0].id(), &listeners);
     for number in 1..=CROWDS {
         let crowd = ClientCrowd::gather(address, plan.clone()).await;
         ordinary(&fleet, &format!("beside crowd {number}")).await?;
@@ -199,6 +204,29 @@
     Ok(())
 }
 
+/// Guards against whole requests that wait for a slot for as long as they like, and so take all
+/// connections from the callers of another pool.
+async fn waiting() -> Result<()> {
+    let _turn = TURN.lock().await;
+    let busy = PoolPlan {
+        work_us: 600_000_000,
+        ..PoolPlan::new("busy", 1)
+    };
+    let settings = format!("memory_limit_mb = {MEMORY_MB}\nconnection_limit = {CONNECTION_LIMIT}");
+    let fleet = Fleet::start(FleetPlan {
+        entries: 1,
+        pools: vec![PoolPlan::new("quotes", 2), busy],
+        caller_settings: settings,
+        ..FleetPlan::default()
+    })
+    .await?;
+    ordinary(&fleet, "in calm").await?;
+    let request = b"GET /busy/1 HTTP/1.1\r\nhost: x\r\nhoisthitch-deadline-ms: 86400000\r\n\r\n";
+    let plan = CrowdPlan::at_once(2 * CONNECTION_LIMIT, request.to_vec());
+    let _crowd = ClientCrowd::gather(fleet.caller_address(0), plan).await;
+    ordinary(&fleet, "beside requests that wait").await
+}
+
 /// Guards against limits that an honest caller meets whose body comes in chunks of one byte.
 async fn odd_chunks() -> Result<()> {
     let _turn = TURN.lock().await;
