Judge a runner by the failures that say something of it

Cause: each failed run counted against its runner, whichever task it was, and once for each task of a step that fails everywhere. Three in a row put the runner on probation, in which it got a task only while it had none. A runner with long-running tasks is never without a task, so that nothing ended the state.

Change: failures of a step that fails on two runners, or on one that runs others well afterwards, and succeeds nowhere, count against no runner; those of a step that has not succeeded yet count once. A failing runner's trial may start beside tasks from before, and a long-running task that stays available for 3 s counts as a success. Until it is known whose fault they are, three failures keep a runner from tasks for 1 s. Both changes of belief are logged (runner_failing, runner_sound); nothing was before.

Simulated runners can now fail long-running tasks, and all that they start. Their checker of attempts leaves out long-running tasks, which may fail any number of times ("No such limit applies to tasks that last").

--- a/crates/hoisthitch-cli/src/story/event.rs
+++ b/crates/hoisthitch-cli/src/story/event.rs
@@ -487,6 +487,8 @@
         | "runner_gone"
         | "runner_life_over"
         | "runner_unlisted"
+        | "runner_failing"
+        | "runner_sound"
         | "task_stalled" => EventSubject::Runner(line.owned("runner")?),
         // Its runs were ordered from the instance before.
         "runner_answers_anew" => EventSubject::Runner(line.owned("before")?),
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -24,6 +24,7 @@
 mod hall_loss;
 mod hall_spread;
 mod hall_upkeep;
+mod health;
 mod intake;
 mod job;
 mod likelihood;
@@ -94,6 +95,7 @@
     HallLossWait,
     worked_hall, //
 };
+pub use health::HealthChange;
 pub use intake::{
     IntakeDecision,
     IntakeRefusal,
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -188,6 +188,7 @@
         entry.changed_at = entry.changed_at.max(changed_at);
         if row.percent >= 100 && entry.is_running() {
             entry.unavailable_since = None;
+            self.record_available(key, task, now);
         }
         if job_ended {
             self.stop_task(task, now);
@@ -264,7 +265,7 @@
         let is_current = is_here && entry.current_run() == row.run;
         match row.kind {
             EndKind::Done => {
-                self.record_runner_done(key);
+                self.record_success(key, task, now);
                 if !is_current {
                     self.stop_other_run(task, row.run);
                 }
@@ -279,7 +280,7 @@
                 }
             }
             EndKind::Failed if is_current => {
-                self.record_runner_failed(key, now);
+                self.record_failed_run(key, task, now);
                 self.fail_task(task, key, &row.checkpoint, now);
                 self.break_gang(task, now);
             }
@@ -317,18 +318,6 @@
         }
     }
 
-    fn record_runner_done(&mut self, key: RunnerKey) {
-        if let Some(runner) = self.runners.get_mut(key) {
-            runner.record_success();
-        }
-    }
-
-    fn record_runner_failed(&mut self, key: RunnerKey, now: Millis) {
-        if let Some(runner) = self.runners.get_mut(key) {
-            runner.record_failure(now);
-        }
-    }
-
     fn finish_task(&mut self, task: TaskRef, now: Millis) {
         if self.task(task).is_none_or(TaskEntry::is_done) {
             return;
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -104,7 +104,7 @@
             .filter(move |(_, runner)| runner.takes_tasks(now) && runner.fits(step))
             .filter(move |(_, runner)| self.rate_allows_plan(runner, now))
             .filter(move |(_, runner)| self.allows_isolation(task, isolate, runner, now))
-            .filter(|(_, runner)| !runner.is_on_probation() || runner.tasks.is_empty())
+            .filter(move |(_, runner)| self.allows_trial(task, runner, now))
             .filter(move |(_, runner)| runner.lists_end_of(step, now))
             .filter(move |(_, runner)| !avoids_unproven || !runner.is_unproven())
             .filter(move |(_, runner)| step.allows_labels_of(runner))
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::Cell,
     collections::{
+        BTreeMap,
         BTreeSet,
         HashMap, //
     }, //
@@ -25,6 +26,10 @@
         WarmthChange, //
     },
     hall_spread::UnevenStep,
+    health::{
+        FailingStep,
+        HealthChange, //
+    },
     job::{
         JobEntry,
         JobKey, //
@@ -118,6 +123,10 @@
     pub(crate) lost_runs: Vec<LostRun>,
     /// Runs whose losses were withdrawn since they were last read.
     pub(crate) withdrawn_losses: Vec<(TaskName, u32)>,
+    /// Steps of which a run has failed.
+    pub(crate) failing_steps: BTreeMap<(JobKey, u32), FailingStep>,
+    /// Runners that became failing, or are no longer so, since they were last read.
+    pub(crate) health_changes: Vec<HealthChange>,
     /// Runners that were lost lately.
     pub(crate) recent_losses: Vec<RecentLoss>,
     /// Since when runners have responded to this owner; none before the first response.
@@ -562,6 +571,7 @@
     /// Drops a job from memory.
     pub fn forget_job(&mut self, id: &str) {
         if let Some(key) = self.job_ids.remove(id) {
+            self.forget_failures(key);
             if let Some(job) = self.jobs.remove(key) {
                 self.unconfirmed = self.unconfirmed.saturating_sub(count_unconfirmed(&job));
             }
--- a/crates/hoisthitch-jobs/src/runner.rs
+++ b/crates/hoisthitch-jobs/src/runner.rs
@@ -1,8 +1,8 @@
 //! Runners of a pool: what the platform reports of them, their state as the owner sees it, and
 //! the resources that are reserved on them.
 //!
-//! A [`RunnerEntry`] represents one instance of a runner's process. Its counters for failures
-//! and refusals decide how long it is in backoff, that is, gets no tasks.
+//! A [`RunnerEntry`] represents one instance of a runner's process. Its failures and its counter
+//! for refusals decide how long it is in backoff, that is, gets no tasks.
 
 use std::{
     collections::BTreeSet,
@@ -17,21 +17,12 @@
 use crate::{
     Millis,
     cold_start::RunnerWarmth,
+    health::RunnerHealth,
     resources::ResourceAmounts,
     spec::StepSpec,
     task::TaskRef, //
 };
 
-/// Failed runs in a row, of several jobs, after which a runner goes into backoff.
-///
-/// Tasks fail by their own fault in a few of a hundred runs, so three failures in a row mean a
-/// broken runner in all but one of ten thousand cases.
-const FAILURE_STREAK: u32 = 3;
-
-/// Backoff of a runner on which every run fails, in milliseconds, before one task is tried
-/// there again; troubles of runners last five seconds and more.
-const FAILURE_BACKOFF_MS: Millis = 4_000;
-
 /// Backoff of a runner that refused two starts in a row, in milliseconds; it doubles with each
 /// further refusal. Without it, a gang that is planned again after its other members have
 /// stopped would get a member on that runner again.
@@ -249,8 +240,8 @@
     pub(crate) isolated_task: Option<TaskRef>,
     /// Time until which it is reserved for the isolated run of a suspect.
     pub(crate) reserved_until: Millis,
-    /// Failed runs in a row.
-    failures: u32,
+    /// Its failures.
+    pub(crate) health: RunnerHealth,
     /// Refused starts in a row; refusals of starts that were sent together count once.
     refusals: u32,
     /// Time until which it gets no tasks.
@@ -293,7 +284,7 @@
             loss_suspected: false,
             isolated_task: None,
             reserved_until: 0,
-            failures: 0,
+            health: RunnerHealth::default(),
             refusals: 0,
             backoff_until: 0,
         }
@@ -317,13 +308,7 @@
     pub fn takes_tasks(&self, now: Millis) -> bool {
         let lease = self.lease_confirmed_until;
         let has_lease = lease.is_none_or(|until| until > now + START_LEASE_MIN_MS);
-        self.is_staying() && has_lease && self.backoff_until <= now
-    }
-
-    /// Whether it failed so often in a row that it gets only one task at a time after its
-    /// backoff.
-    pub fn is_on_probation(&self) -> bool {
-        self.failures >= FAILURE_STREAK
+        self.is_staying() && has_lease && self.backoff_until <= now && self.health.takes_task(now)
     }
 
     /// Whether it may drop ends unread.
@@ -395,12 +380,14 @@
         if self.tasks.insert(task) {
             self.long_running += u32::from(step.long_running);
             self.used = self.used.plus(step.reservation());
+            self.health.add_task(task);
         }
     }
 
     /// Releases a task's resources.
     pub fn remove(&mut self, task: TaskRef, step: &StepSpec) {
         if self.tasks.remove(&task) {
+            self.health.remove_task(task);
             self.isolated_task = self.isolated_task.filter(|isolated| *isolated != task);
             self.long_running = self
                 .long_running
@@ -409,21 +396,11 @@
         }
     }
 
-    /// Records that a run on it is done.
-    pub fn record_success(&mut self) {
-        self.failures = 0;
+    /// Ends its backoff, after a run on it is done.
+    pub(crate) fn end_backoff(&mut self) {
         self.backoff_until = 0;
     }
 
-    /// Records a failed run; returns whether the runner is in backoff now.
-    pub fn record_failure(&mut self, now: Millis) -> bool {
-        self.failures += 1;
-        if self.failures >= FAILURE_STREAK {
-            self.backoff_until = now + FAILURE_BACKOFF_MS;
-        }
-        self.failures >= FAILURE_STREAK
-    }
-
     /// Records that it accepted a start.
     pub fn record_acceptance(&mut self) {
         self.refusals = 0;
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod fair;
 mod hall_loss;
 mod halls;
+mod health;
 mod intake;
 mod lives;
 mod load;
--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -77,6 +77,31 @@
         }
     }
 
+    /// Logs the runners that are failing from now on, and those that are not any more.
+    pub(super) fn log_health_changes(&mut self) {
+        for change in self.state.take_health_changes() {
+            let Some(failures) = change.failures else {
+                event!(
+                    Info,
+                    "runner_sound",
+                    runner = change.runner,
+                    pool = self.context.pool,
+                    left_out = change.left_out
+                );
+                continue;
+            };
+            self.count_event("runner_failing");
+            event!(
+                Warn,
+                "runner_failing",
+                runner = change.runner,
+                pool = self.context.pool,
+                failures = failures,
+                left_out = change.left_out
+            );
+        }
+    }
+
     /// Logs the long-running steps that were placed unevenly over data halls, because room lacked
     /// elsewhere.
     pub(super) fn log_uneven_steps(&mut self) {
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -11,6 +11,7 @@
 mod cuts;
 mod delays;
 mod drains;
+mod failures;
 mod halls;
 mod intake;
 mod killers;
