Count the crash of a runner once for all members of a gang on it

Cause: the losses of all isolated tasks of a step are weighed as crashes of their own. Members of a gang that share a runner count as isolated together, so that one crash entered the step's weight once for each of them: 6 x 55 passes the limit of 300.

Change: a loss sample carries a hash of the runner's name, and of a gang's samples only the strongest of each run and runner counts. Losses of different runners still add up.

Measured: a gang that crashes its runners costs two or three of them before its job is failed, as a single task does; it was one.

--- a/crates/hoisthitch-jobs/src/likelihood.rs
+++ b/crates/hoisthitch-jobs/src/likelihood.rs
@@ -115,6 +115,9 @@
     /// Number of the run that was lost.
     #[serde(rename = "u", skip_serializing_if = "is_default")]
     pub(crate) run: u32,
+    /// Hash of the runner's name; zero in records of earlier versions.
+    #[serde(rename = "n", skip_serializing_if = "is_default")]
+    pub(crate) runner: u32,
     /// Running time of the task.
     #[serde(flatten)]
     pub(crate) ran: RunTimeRange,
--- a/crates/hoisthitch-jobs/src/losses.rs
+++ b/crates/hoisthitch-jobs/src/losses.rs
@@ -16,6 +16,8 @@
     }, //
 };
 
+use hoisthitch_core::hash_name;
+
 use crate::{
     Millis,
     job::JobKey,
@@ -466,6 +468,7 @@
         let (from, to) = entry.running_time_between(lost);
         let evidence = LossEvidence {
             run,
+            runner: short_hash(&lost.instance.name),
             loss: lost.loss,
             ran,
             range: RunTimeRange::new(from, to, self.is_long_running(task)),
@@ -661,6 +664,15 @@
     }
 }
 
+/// Tells apart the runners that one run of a gang was lost with.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "half of the hash tells a few runners apart"
+)]
+fn short_hash(name: &str) -> u32 {
+    hash_name(name) as u32
+}
+
 fn is_young(ran: Millis) -> bool {
     ran <= YOUNG_RUN_MS
 }
--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -9,15 +9,21 @@
 //! to crash is cleared. A task that keeps crashing its runners in isolation is failed together
 //! with its job. The evidence against a task is in its job's record before its next start.
 
-use std::hash::{
-    DefaultHasher,
-    Hash,
-    Hasher, //
+use std::{
+    collections::BTreeMap,
+    hash::{
+        DefaultHasher,
+        Hash,
+        Hasher, //
+    }, //
 };
 
 use crate::{
     Millis,
-    likelihood::crash_weight,
+    likelihood::{
+        LossSample,
+        crash_weight, //
+    },
     pool::PoolState,
     record::JobPhase,
     runner::{
@@ -137,7 +143,8 @@
     }
 
     /// Weight of all losses of runners that ran a task of the step in isolation, as if they were of
-    /// one task; zero if one of the step's tasks is done.
+    /// one task; zero if one of the step's tasks is done. A loss counts once, however many members
+    /// of a gang the runner ran.
     fn step_weight(&self, task: TaskRef) -> i32 {
         let job = self.jobs.get(task.job);
         let Some((job, entry)) = job.zip(self.task(task)) else {
@@ -150,6 +157,9 @@
             }
             losses.extend(other.suspicion.isolated_losses());
         }
+        if self.is_gang(task) {
+            losses = merge_shared(losses);
+        }
         crash_weight(&losses)
     }
 
@@ -377,6 +387,18 @@
     }
 }
 
+/// Of the losses of a gang's members, the one that says most for each runner and run of the gang.
+fn merge_shared(losses: Vec<LossSample>) -> Vec<LossSample> {
+    let mut strongest: BTreeMap<(u32, u32), LossSample> = BTreeMap::new();
+    for loss in losses {
+        let kept = strongest.entry((loss.run, loss.runner)).or_insert(loss);
+        if crash_weight(&[loss]) > crash_weight(&[*kept]) {
+            *kept = loss;
+        }
+    }
+    strongest.into_values().collect()
+}
+
 /// A number from zero to one that depends on nothing but the seed.
 fn pseudo_random(seed: &impl Hash) -> f64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/hoisthitch-jobs/src/suspicion.rs
+++ b/crates/hoisthitch-jobs/src/suspicion.rs
@@ -96,6 +96,8 @@
 pub(crate) struct LossEvidence {
     /// Number of the run that was lost.
     pub(crate) run: u32,
+    /// Hash of the runner's name.
+    pub(crate) runner: u32,
     /// How the runner was lost.
     pub(crate) loss: RunnerLoss,
     /// Estimate of the time for which the task had been running; none where that is not known.
@@ -120,6 +122,7 @@
     fn sample(&self) -> LossSample {
         LossSample {
             run: self.run,
+            runner: self.runner,
             ran: self.range,
             rate: per_million_seconds(self.rate / self.share),
             certainty: self.certainty,
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -29,6 +29,7 @@
 use crate::{
     decide,
     end_all,
+    gang,
     new_job,
     pool_of,
     running_on,
@@ -54,6 +55,8 @@
     repeat_of_a_suspect_is_stopped_beside_others => repeated_suspect();
     refused_connections_alone_fail_no_job => cut_off();
     refused_connections_count_once_the_runner_is_lost => refused_and_lost();
+    crash_under_a_gang_counts_once => gang_crash();
+    gang_that_crashes_its_runners_is_given_up => failed_gang();
 }
 
 /// Each runner reports all its runs as running.
@@ -179,6 +182,33 @@
     Ok(())
 }
 
+/// Six members of a gang run alone on one runner, which crashes once. The crash was counted once for
+/// each member, as if six runners had crashed under their step, and the job was failed (review/4).
+async fn gang_crash() -> Result<()> {
+    let mut state = reporting_pool(8, gang(6));
+    let orders = start_all(&mut state, 61_000);
+    let order = first(&orders)?;
+    ensure!(orders.iter().all(|other| other.runner == order.runner));
+    crash(&mut state, order.runner, 61_010);
+    let crashing = state.take_crashing_tasks();
+    ensure!(crashing.is_empty(), "{crashing:?}");
+    let again = start_all(&mut state, 64_000);
+    ensure!(again.len() == 6, "{} members start again", again.len());
+    end_all(&mut state, &again[..1], EndKind::Done, 65_000);
+    let phase = state.job("a").map(|job| job.phase);
+    ensure!(phase == Some(JobPhase::Completed), "{phase:?}");
+    Ok(())
+}
+
+/// A gang of which a member crashes its runner in each run is still failed, after two or three
+/// crashes, like a single task.
+async fn failed_gang() -> Result<()> {
+    let mut state = reporting_pool(8, gang(6));
+    let crashes = crashes_until_failed(&mut state)?;
+    ensure!((2..=3).contains(&crashes), "{crashes} crashes");
+    Ok(())
+}
+
 /// A suspect is run in isolation: no other task is started on its runner.
 async fn runs_in_isolation() -> Result<()> {
     let mut state = reporting_pool(3, step(1));
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -12,6 +12,7 @@
 mod delays;
 mod drains;
 mod failures;
+mod gangs;
 mod halls;
 mod intake;
 mod killers;
