Take no run for lost that a runner may not have listed

Cause: a runner lists 500 ends at once, and the others once these are acknowledged. A run that was missing from the response counted as lost. A new owner released such runs as well, and a stop of one counted as done.

Change: HeartbeatReport says whether more ends may come; the platform sets it from 500 ends on. Nothing is concluded from what such a response lacks. A task that is not listed does not count as stalled either.

The checker of the simulated fleet now also finds a run that began after an earlier one was done whose end is acknowledged later.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -3,7 +3,9 @@
 //!
 //! A response to a heartbeat lists all runs of a runner, so a run that is missing from it is
 //! not there. It only covers orders that were answered before the heartbeat was sent; the
-//! others may still be carried out.
+//! others may still be carried out. Where the response has as many ends as a runner lists at
+//! once, nothing follows from what is missing: the run may have ended done, and a later response
+//! says so.
 
 use std::collections::HashSet;
 
@@ -76,6 +78,12 @@
             runner.last_seen_end = runner.last_seen_end.max(last);
             runner.end_listing = EndListing::Complete;
         }
+        self.record_earlier_instance_loss(key, now);
+        if report.more_ends {
+            self.mark_missing_runs(key, &present);
+            self.fail_crashing_tasks(now);
+            return Vec::new();
+        }
         self.release_unreported(key, now);
         self.resolve_missing_runs(key, &present, sent_at, now)
     }
@@ -378,7 +386,6 @@
         else {
             return;
         };
-        self.record_earlier_instance_loss(key, now);
         self.release_unconfirmed(|runner, _| runner == name, now);
         self.fail_crashing_tasks(now);
     }
@@ -392,21 +399,11 @@
         sent_at: Millis,
         now: Millis,
     ) -> Vec<StartOrder> {
-        let Some(runner) = self.runners.get(key) else {
-            return Vec::new();
-        };
-        let absent: Vec<TaskRef> = runner
-            .tasks
-            .iter()
-            .filter(|task| !present.contains(task))
-            .copied()
-            .collect();
         let mut resent = Vec::new();
-        for task in absent {
+        for task in self.mark_missing_runs(key, present) {
             let Some(entry) = self.task_mut(task) else {
                 continue;
             };
-            entry.reported = false;
             match entry.state {
                 TaskState::Ordered(_) if entry.outcome_unknown && entry.ordered_at < sent_at => {
                     resent.extend(self.resend_start(task, key, now));
@@ -429,6 +426,21 @@
         resent
     }
 
+    /// Marks the tasks that should be on the runner as missing from its report; returns them.
+    fn mark_missing_runs(&mut self, key: RunnerKey, present: &HashSet<TaskRef>) -> Vec<TaskRef> {
+        let Some(runner) = self.runners.get(key) else {
+            return Vec::new();
+        };
+        let tasks = runner.tasks.iter().copied();
+        let missing: Vec<TaskRef> = tasks.filter(|task| !present.contains(task)).collect();
+        for task in &missing {
+            if let Some(entry) = self.task_mut(*task) {
+                entry.reported = false;
+            }
+        }
+        missing
+    }
+
     /// Sends the start of a task again, after no copy of it was answered and the runner does
     /// not report the run; none if it may not be sent.
     fn resend_start(&mut self, task: TaskRef, key: RunnerKey, now: Millis) -> Option<StartOrder> {
--- a/crates/hoisthitch-jobs/src/report.rs
+++ b/crates/hoisthitch-jobs/src/report.rs
@@ -58,8 +58,11 @@
     pub started_at: Option<u64>,
     /// Tasks that are running.
     pub running: Vec<RunningTask>,
-    /// Runs that ended, and were not yet acknowledged as recorded.
+    /// Runs that ended, and were not yet acknowledged as recorded; the earliest come first.
     pub ended: Vec<EndedTask>,
+    /// Whether more runs may have ended than are listed: a runner lists a limited number of ends
+    /// at once. A run that is not listed at all may then have ended in any way.
+    pub more_ends: bool,
 }
 
 /// What became of a start order.
--- a/crates/hoisthitch-jobs/src/stall.rs
+++ b/crates/hoisthitch-jobs/src/stall.rs
@@ -39,8 +39,9 @@
                     let TaskState::Running(runner) = task.state else {
                         return None;
                     };
-                    let is_stalled =
-                        task.changed_at + limit < now && !step.long_running && !step.gang;
+                    let is_late = task.changed_at + limit < now;
+                    // A run that the runner does not list may have ended.
+                    let is_stalled = is_late && task.reported && !step.long_running && !step.gang;
                     is_stalled.then_some((TaskRef { job: key, slot }, runner))
                 })
             })
--- a/crates/hoisthitch-jobs/tests/decisions/halls.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/halls.rs
@@ -533,6 +533,7 @@
             clock_ms: 2_000,
             running: running_on(&state, order.runner, None, 100),
             ended: Vec::new(),
+            more_ends: false,
         };
         state.record_heartbeat(order.runner, &report, 1_999, 2_000);
     }
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -189,6 +189,7 @@
                 kind,
                 checkpoint: String::new(),
             }],
+            more_ends: false,
         };
         state.record_heartbeat(order.runner, &report, now - 1, now);
     }
@@ -405,6 +406,7 @@
             clock_ms: now,
             running: running_on(&state, stuck, None, 40),
             ended: Vec::new(),
+            more_ends: false,
         };
         state.record_heartbeat(stuck, &report, now - 1, now);
     }
@@ -488,6 +490,7 @@
             clock_ms: now,
             running,
             ended: Vec::new(),
+            more_ends: false,
         };
         state.record_heartbeat(runner, &report, now - 1, now);
         let orders = state.pace(runner, now);
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -9,9 +9,11 @@
 use hoisthitch_jobs::{
     AbandonedRun,
     EndKind,
+    EndedTask,
     EvacuationStage,
     EvacuationStatus,
     HeartbeatReport,
+    JobPhase,
     PoolState,
     RunnerKey,
     RunnerLoss,
@@ -43,6 +45,9 @@
     stop_of_a_task_at_work_is_not_repeated_while_others_are_away => repeated_stop();
     unanswered_start_is_withdrawn_by_each_end_of_its_run => abandoned_runs();
     answered_start_is_not_withdrawn_by_the_end_of_its_run => answered_run();
+    run_missing_from_a_cut_list_of_ends_is_not_lost => unlisted_ends();
+    run_missing_from_a_cut_list_is_not_lost_to_a_new_owner => unlisted_ends_after_takeover();
+    stopped_run_missing_from_a_cut_list_waits_for_the_whole => unlisted_stop();
 }
 
 /// A copy of an unanswered start may be queued when the owner gives its run up, and the next run
@@ -313,3 +318,101 @@
     };
     state.record_heartbeat(key, &report, now - 5, now);
 }
+
+/// Ends that a runner lists at once in these tests.
+const ENDS_AT_ONCE: usize = 4;
+
+/// The runs of these orders have ended done on their runner, as ends 1 and up; it lists the next
+/// [`ENDS_AT_ONCE`] after `acked`.
+fn list_ends(orders: &[StartOrder], acked: usize) -> HeartbeatReport {
+    let ended = (1..).zip(orders).skip(acked).take(ENDS_AT_ONCE);
+    let ended = ended.map(|(number, order)| EndedTask {
+        number,
+        name: order.name.to_string(),
+        run: order.run,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    });
+    let ended: Vec<EndedTask> = ended.collect();
+    HeartbeatReport {
+        more_ends: ended.len() >= ENDS_AT_ONCE,
+        ended,
+        ..HeartbeatReport::default()
+    }
+}
+
+/// Ten tasks end on one runner, which lists four ends at once until they are acknowledged. The
+/// others were missing from its response, counted as lost and were started elsewhere, though
+/// their ends `done` were listed and acknowledged later (review/8).
+async fn unlisted_ends() -> Result<()> {
+    let mut state = pool_of(2, 16);
+    state.add_job(new_job("a", vec![step(10)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let runner = orders.first().ok_or_eyre("nothing was started")?.runner;
+    ensure!(orders.iter().all(|order| order.runner == runner));
+    for (acked, now) in [(0, 2_000), (0, 5_000), (4, 5_100), (8, 5_200)] {
+        state.record_heartbeat(runner, &list_ends(&orders, acked), now - 1, now);
+        ensure!(state.stop_stalled(now).is_empty(), "stalled at {now}");
+        let again = decide(&mut state, now);
+        ensure!(again.is_empty(), "started again at {now}: {again:?}");
+    }
+    let phase = state.job("a").map(|job| job.phase);
+    ensure!(phase == Some(JobPhase::Completed), "{phase:?}");
+    Ok(())
+}
+
+/// The same ends, read by an owner that has just taken over: it released what the runner's first
+/// response did not list.
+async fn unlisted_ends_after_takeover() -> Result<()> {
+    let mut before = pool_of(1, 16);
+    before.add_job(new_job("a", vec![step(10)]), 1_000);
+    let orders = decide(&mut before, 1_000);
+    let progress = before.job("a").map(|job| {
+        job.progress(|task| {
+            let runner = before.runner(task.runner()?)?;
+            Some(runner.facts.instance())
+        })
+    });
+    let mut state = pool_of(1, 16);
+    let mut inherited = new_job("a", vec![step(10)]);
+    inherited.progress = progress;
+    state.add_job(inherited, 1_500);
+    let runner = state.runner_key("i-0").ok_or_eyre("no runner")?;
+    for (acked, now) in [(0, 2_000), (4, 2_100), (8, 2_200)] {
+        state.record_heartbeat(runner, &list_ends(&orders, acked), now - 1, now);
+        let again = decide(&mut state, now);
+        ensure!(again.is_empty(), "started again at {now}: {again:?}");
+    }
+    let phase = state.job("a").map(|job| job.phase);
+    ensure!(phase == Some(JobPhase::Completed), "{phase:?}");
+    Ok(())
+}
+
+/// A task was stopped, and its end is not among those that are listed at once: it starts again only
+/// once the list is whole, for it may have ended done before the stop. A task that is then still
+/// missing is started again.
+async fn unlisted_stop() -> Result<()> {
+    let mut state = pool_of(1, 16);
+    state.add_job(new_job("a", vec![step(6)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let last = orders.last().ok_or_eyre("nothing was started")?;
+    let running = running_on(&state, last.runner, None, 10);
+    for now in [1_700, 2_400] {
+        let report = HeartbeatReport {
+            running: running.clone(),
+            ..HeartbeatReport::default()
+        };
+        state.record_heartbeat(last.runner, &report, now - 1, now);
+    }
+    ensure!(!state.stop_stalled(9_000).is_empty());
+    for stop in state.take_stop_orders() {
+        state.record_stop_ack(&stop, 9_010);
+    }
+    state.record_heartbeat(last.runner, &list_ends(&orders, 0), 9_020, 9_030);
+    ensure!(decide(&mut state, 20_000).is_empty(), "started too early");
+    let whole = list_ends(&orders[..5], 4);
+    state.record_heartbeat(last.runner, &whole, 20_100, 20_110);
+    let again = decide(&mut state, 30_000);
+    ensure!(again.len() == 1 && again[0].run == 2, "{again:?}");
+    Ok(())
+}
--- a/crates/hoisthitch-jobs/tests/decisions/pools.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/pools.rs
@@ -70,6 +70,7 @@
             clock_ms: 1_200,
             running: running_on(&state, order.runner, None, percent),
             ended: Vec::new(),
+            more_ends: false,
         };
         state.record_heartbeat(order.runner, &report, 1_199, 1_200);
     }
@@ -264,6 +265,7 @@
         clock_ms: 1_500,
         running: running_on(&state, drains, None, 100),
         ended: Vec::new(),
+        more_ends: false,
     };
     state.record_heartbeat(drains, &report, 1_499, 1_500);
     let mut facts = state
--- a/crates/hoisthitch-jobs/tests/decisions/useless.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/useless.rs
@@ -233,6 +233,7 @@
         clock_ms: now - 900,
         running: running_on(&state, runner, None, 10),
         ended: Vec::new(),
+        more_ends: false,
     };
     state.record_heartbeat(runner, &report, now - 900, now - 900);
     ensure!(state.useless_work(now).tasks == 0);
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -11,6 +11,7 @@
 mod cuts;
 mod delays;
 mod drains;
+mod ends;
 mod failures;
 mod gangs;
 mod halls;
--- a/crates/hoisthitch-tests/src/world/instance.rs
+++ b/crates/hoisthitch-tests/src/world/instance.rs
@@ -30,6 +30,9 @@
 /// Longest lease that a runner accepts.
 const LEASE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Most ends that a runner lists in a response, unless a test sets another number.
+const ENDS_AT_ONCE: usize = 500;
+
 /// Value of a runner's clock at the start of the instance, in milliseconds.
 const CLOCK_START_MS: u64 = 480_000;
 
@@ -75,6 +78,9 @@
     pub(super) lease: Instant,
     pub(super) running: BTreeMap<String, Run>,
     pub(super) ended: Vec<EndedTask>,
+    /// When the work of the runs that ended done was over, by the number of their ends; without
+    /// unguarded runs.
+    pub(super) done_at: BTreeMap<u64, Instant>,
     pub(super) last_end: u64,
     pub(super) acked_end: u64,
     /// Last end before the lease expired. The platform counts such ends as acknowledged only if
@@ -101,6 +107,8 @@
     pub(super) refuses_starts: bool,
     /// Whether each run that starts on it fails.
     pub(super) fails_runs: bool,
+    /// Most ends that it lists in a response.
+    pub(super) ends_at_once: usize,
     /// Time that stopping a task takes.
     pub(super) stop_time: Duration,
     /// Label that steps may require.
@@ -169,6 +177,7 @@
             lease: Instant::now(),
             running: BTreeMap::new(),
             ended: Vec::new(),
+            done_at: BTreeMap::new(),
             last_end: 0,
             acked_end: 0,
             expired_end: 0,
@@ -182,6 +191,7 @@
             capacities: vec![TimedCapacity::usual()],
             refuses_starts: false,
             fails_runs: false,
+            ends_at_once: ENDS_AT_ONCE,
             stop_time: Duration::ZERO,
             label: String::new(),
             sharing: TailModel::default(),
@@ -205,6 +215,11 @@
         self.last_end += 1;
         let over = self.finished_runs.entry(task.to_owned()).or_insert(0);
         *over = (*over).max(run.run);
+        // Nobody could prevent an unguarded run, nor know of it when the next one was ordered.
+        let counts = kind == EndKind::Done && !run.unguarded;
+        if let Some(since) = run.work_since().filter(|_| counts) {
+            self.done_at.insert(self.last_end, since + run.work);
+        }
         self.ended.push(EndedTask {
             number: self.last_end,
             name: task.to_owned(),
@@ -268,7 +283,8 @@
             clock_ms: CLOCK_START_MS + now.duration_since(self.began).as_millis() as u64,
             started_at: self.started_at,
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(self.ends_at_once).cloned().collect(),
+            more_ends: self.ended.len() >= self.ends_at_once,
         }
     }
 }
--- a/crates/hoisthitch-tests/src/world/mod.rs
+++ b/crates/hoisthitch-tests/src/world/mod.rs
@@ -15,6 +15,7 @@
 mod instance;
 mod intake;
 mod order;
+mod repeats;
 mod rules;
 mod runners;
 mod sharing;
--- a/crates/hoisthitch-tests/src/world/runners.rs
+++ b/crates/hoisthitch-tests/src/world/runners.rs
@@ -86,6 +86,8 @@
     pub(super) done: BTreeSet<String>,
     /// Number of acknowledged failures, by task.
     failed: BTreeMap<String, u32>,
+    /// Last run that began and when, by task.
+    pub(super) last_starts: BTreeMap<String, (u32, Instant)>,
     /// Number of starts, by task.
     starts: BTreeMap<String, u32>,
     /// Violations that the checkers found.
@@ -234,6 +236,13 @@
         }
     }
 
+    /// Sets how many ends each of the present runners lists at once.
+    pub fn set_ends_at_once(&self, ends: usize) {
+        for runner in self.state.borrow_mut().runners.values_mut() {
+            runner.ends_at_once = ends;
+        }
+    }
+
     /// Sets whether orders about VMs are lost.
     pub fn lose_vm_orders(&self, lost: bool) {
         self.state.borrow_mut().vms_lost = lost;
@@ -464,6 +473,9 @@
             state.check_draining(name, &task, now);
             state.check_cordoned(name, &task, now);
         }
+        if !state.unguarded {
+            state.last_starts.insert(task.clone(), (order.run, now));
+        }
         *state.starts.entry(task).or_insert(0) += 1;
         drop(guard);
         self.schedule_crash(name, order);
@@ -544,6 +556,11 @@
         for end in acked.into_iter().filter(|end| end.number > void) {
             match end.kind {
                 EndKind::Done => {
+                    let done_at = state
+                        .runners
+                        .get_mut(name)
+                        .and_then(|runner| runner.done_at.remove(&end.number));
+                    state.check_repeat(&end, done_at);
                     state.acked_at.entry(end.name.clone()).or_insert(now);
                     state.acked_done.insert(end.name);
                 }
