--- a/crates/hoisthitch-jobs/tests/patterns/fleet.rs
+++ b/crates/hoisthitch-jobs/tests/patterns/fleet.rs
@@ -511,6 +511,7 @@
                 clock_ms: now,
                 running: vm.runs.iter().map(|run| run.row(now)).collect(),
                 ended: rows,
+                more_ends: false,
             };
             self.state.record_heartbeat(vm.key, &report, now, now);
         }
