--- a/crates/hoisthitch-scheduler/src/fleet.rs
+++ b/crates/hoisthitch-scheduler/src/fleet.rs
@@ -53,6 +53,9 @@
     /// Instances of runners that were listed since this node follows the list, by address and by
     /// VM, and when each was first listed.
     instances: BTreeMap<String, BTreeMap<RunnerInstance, Millis>>,
+    /// Entries below the runners' prefix that can't be used, by name, and why. Their writers may
+    /// renew them every second; a line is logged only when the reason changes.
+    unreadable: BTreeMap<String, String>,
 }
 
 /// An instance of another runner at the same address or on the same VM.
@@ -78,6 +81,7 @@
             FollowEvent::Snapshot(mut values) => {
                 self.runners.clear();
                 self.listed = true;
+                self.keep_unreadable(codec, &values);
                 // A later record at the same address is that of a later instance.
                 values.sort_by_key(|value| value.revision);
                 for value in &values {
@@ -88,15 +92,29 @@
             FollowEvent::Put(value) => self.put_runner(codec, &value, age, now),
             FollowEvent::Progress(_) => false,
             FollowEvent::Deleted(key) => {
-                let name = codec.parse_runner_name(&key);
-                name.is_some_and(|name| self.remove_runner(name))
+                let Some(name) = codec.parse_runner_name(&key) else {
+                    return false;
+                };
+                self.unreadable.remove(name);
+                self.remove_runner(name)
             }
         }
     }
 
+    /// Drops what is known of unreadable entries that are gone.
+    fn keep_unreadable<C: FleetCodec>(&mut self, codec: &C, values: &[StoredValue]) {
+        let names = values
+            .iter()
+            .map(|value| codec.parse_runner_name(&value.key));
+        let names: BTreeSet<&str> = names.flatten().collect();
+        self.unreadable
+            .retain(|name, _| names.contains(name.as_str()));
+    }
+
     /// Clears the list of runners, which is no longer followed.
     pub(crate) fn forget_runners(&mut self) {
         self.runners.clear();
+        self.unreadable.clear();
         self.instances.clear();
         self.listed = false;
     }
@@ -124,10 +142,14 @@
         let record = match codec.parse_runner(name, &value.value) {
             Ok(record) => record,
             Err(err) => {
-                event!(Error, "runner_unreadable", runner = name, error = err);
+                if self.unreadable.get(name) != Some(&err) {
+                    event!(Error, "runner_unreadable", runner = name, error = err);
+                    self.unreadable.insert(name.to_owned(), err);
+                }
                 return self.remove_runner(name);
             }
         };
+        self.unreadable.remove(name);
         if self.runners.get(name) == Some(&record) {
             return false;
         }
