Let no start time years ahead hide the later records of a runner

What callers would see: starts beyond a runner's capacity. An entry under its name with a start time that no instance has, read before its own, made each later record look like that of an earlier instance.

Cause: where responses carry no start time, the later one of two records wins, and nothing bounds it.

--- a/crates/hoisthitch-scheduler/src/owner/instances.rs
+++ b/crates/hoisthitch-scheduler/src/owner/instances.rs
@@ -46,6 +46,10 @@
     }, //
 };
 
+/// Greatest time by which a runner's clock is believed to be ahead of this node's, in
+/// milliseconds: a day.
+const MAX_START_AHEAD_MS: u64 = 86_400_000;
+
 /// Age up to which a successful heartbeat proves that its runner still runs, in milliseconds:
 /// longer than a heartbeat waits, shorter than a VM takes to come back with another runner.
 const LIVENESS_PROOF_MS: Millis = 1_200;
@@ -233,6 +237,13 @@
         }
     }
 
+    /// Whether a start time is so far ahead of this node's time of day that no instance has it. It
+    /// would be later than those of all instances that follow.
+    fn is_far_ahead(&self, started_at: Option<u64>) -> bool {
+        let limit = self.context.shared.clock.unix_ms() + MAX_START_AHEAD_MS;
+        started_at.is_some_and(|started_at| started_at > limit)
+    }
+
     /// Applies the record of another instance than the known one.
     ///
     /// If the runner's responses report its start time, a heartbeat finds out which instance
@@ -241,7 +252,9 @@
         let Some(runner) = self.state.runner(key) else {
             return;
         };
-        if record.facts.started_at < runner.facts.started_at {
+        let known = runner.facts.started_at;
+        let is_earlier = record.facts.started_at < known && !self.is_far_ahead(known);
+        if is_earlier || self.is_far_ahead(record.facts.started_at) {
             return;
         }
         let session = self.sessions.get(&key);
--- a/crates/hoisthitch-scheduler/tests/ownership/lives.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/lives.rs
@@ -15,12 +15,20 @@
     Result,
     ensure, //
 };
-use hoisthitch_jobs::JobPhase;
+use hoisthitch_jobs::{
+    JobPhase,
+    ResourceAmounts, //
+};
+use hoisthitch_tests::world::DEFAULT_CAPACITY;
 
 use super::{
     check_invariants,
     world::{
         TestWorld,
+        codec::{
+            CAPACITY_MARK,
+            STARTED_AT_MARK, //
+        },
         job,
         lasting,
         play,
@@ -41,6 +49,7 @@
     new_owner_waits_for_leases_of_a_restart_it_did_not_see => unseen_restart();
     runner_keeps_its_name_through_an_upkeep => maintenance();
     life_that_tells_no_birth_is_its_name => no_start_times();
+    birth_that_no_life_has_hides_no_later_record => odd_birth();
 }
 
 /// Jobs that are run before a restart, so that the numbers of a new instance's ends begin
@@ -347,3 +356,34 @@
     run_jobs(&world, "after", 4).await?;
     check_invariants(&world)
 }
+
+/// Another writer's entry under a runner's name has a start time years ahead, and is the first that
+/// the node reads. It was believed, so that the runner's own records counted as those of an earlier
+/// instance: its capacity shrank, and it was ordered to start more than that.
+async fn odd_birth() -> Result<()> {
+    let world = TestWorld::start(1, 2).await?;
+    world.fleet.set_start_times_reported(false);
+    let name = world.fleet.begin("vm-7");
+    let key = format!("runner/{name}");
+    let write = |born: u64, cpu_milli: u64| {
+        let record = format!("vm-7{STARTED_AT_MARK}{born}{CAPACITY_MARK}{cpu_milli}");
+        world.store.put(&key, Some(record.as_bytes()), 0);
+    };
+    let today = world.fleet.unix_ms();
+    write(today + 10 * 365 * 86_400_000, 8_000);
+    sleep_ms(1_000).await;
+    let shrunk = ResourceAmounts {
+        cpu_milli: 2_000,
+        ..DEFAULT_CAPACITY
+    };
+    world.fleet.set_capacity(&name, shrunk);
+    write(today, 2_000);
+    // Reduced capacities must be respected only after a while.
+    sleep_ms(6_000).await;
+    for number in 0..4 {
+        let id = format!("j{number}");
+        world.submit(&id, job("work 300", &[24])).await?;
+        world.wait_phase(&id, JobPhase::Completed, 20_000).await?;
+    }
+    check_invariants(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/world/codec.rs
+++ b/crates/hoisthitch-scheduler/tests/world/codec.rs
@@ -45,10 +45,10 @@
 pub const CHOIRS: usize = 40;
 
 /// Precedes the start time of a runner in its record, in Unix milliseconds.
-pub(super) const STARTED_AT_MARK: &str = " born ";
+pub const STARTED_AT_MARK: &str = " born ";
 
 /// Precedes the CPU capacity of a runner in its record, in thousandths of a core.
-pub(super) const CAPACITY_MARK: &str = " has ";
+pub const CAPACITY_MARK: &str = " has ";
 
 /// Separates the VM from the label of its runner in the record of the runner.
 pub const LABELLED: &str = " is ";
