Let sums of capacities saturate instead of overflow

What operators reported: a number too large in one entry ended the processes that read the list. Two runners with a capacity of 2^64-1 did that here in a build with overflow checks ("attempt to add with overflow"), at each decision that sums the pool's processors: the report for the intake, the room for useless work, evictions. In a release build the sum wrapped to almost nothing.

--- a/crates/hoisthitch-jobs/src/evict.rs
+++ b/crates/hoisthitch-jobs/src/evict.rs
@@ -10,6 +10,7 @@
 use crate::{
     Millis,
     pool::PoolState,
+    resources::saturating_sum,
     runner::RunnerKey,
     task::{
         TaskEntry,
@@ -83,16 +84,11 @@
             .runners
             .values()
             .filter(|runner| runner.takes_tasks(now));
-        let free: u64 = accepting
-            .map(|runner| {
-                runner
-                    .facts
-                    .capacity
-                    .cpu_milli
-                    .saturating_sub(runner.used.cpu_milli)
-            })
-            .sum();
-        let requested: u64 = self
+        let free = saturating_sum(accepting.map(|runner| {
+            let capacity = runner.facts.capacity.cpu_milli;
+            capacity.saturating_sub(runner.used.cpu_milli)
+        }));
+        let requested = self
             .active_tasks()
             .filter(|(_, entry)| matches!(entry.state, TaskState::Waiting | TaskState::Stopping(_)))
             .filter_map(|(task, _)| {
@@ -100,9 +96,8 @@
                 let step = job.step_of(task.slot)?;
                 job.is_ready(task.slot)
                     .then_some(step.reservation().cpu_milli)
-            })
-            .sum();
-        free.saturating_sub(requested)
+            });
+        free.saturating_sub(saturating_sum(requested))
     }
 }
 
--- a/crates/hoisthitch-jobs/src/pressure.rs
+++ b/crates/hoisthitch-jobs/src/pressure.rs
@@ -20,6 +20,7 @@
     },
     job::JobEntry,
     pool::PoolState,
+    resources::saturating_sum,
     runner::RunnerEntry,
     task::{
         TaskEntry,
@@ -108,9 +109,9 @@
         *self = self.at(now);
         let number = at / WINDOW_MS;
         if number == self.number {
-            self.work += work;
+            self.work = self.work.saturating_add(work);
         } else if number + 1 == self.number {
-            self.work_before += work;
+            self.work_before = self.work_before.saturating_add(work);
         }
     }
 
@@ -126,21 +127,21 @@
     /// that other pools have sent here and that have not arrived.
     pub fn intake_report(&self, coming: u32, now: Millis) -> IntakeReport {
         let mut works: HashMap<(u32, &str), WaitingWork> = HashMap::new();
-        let mut all = 0;
+        let mut all: u64 = 0;
         let mut long_running = 0;
         for (key, job) in self.unended_jobs() {
             if job.spec.is_long_running() {
                 let tasks = (0..job.tasks.len()).map(|slot| TaskRef { job: key, slot });
                 let reserved = tasks.map(|task| self.long_running_need(job, task));
-                long_running += reserved.sum::<u64>();
+                long_running = saturating_sum(reserved.chain([long_running]));
             } else if is_payable(&job.spec) && !self.is_useless(job, now) {
                 let work = remaining_work(job, self.task_time(&job.queue), now);
                 let sum = works.entry((job.policy.priority, &job.team)).or_default();
-                sum.all += work;
+                sum.all = sum.all.saturating_add(work);
                 if self.latest_start(job) < now {
-                    sum.late += work;
+                    sum.late = sum.late.saturating_add(work);
                 }
-                all += work;
+                all = all.saturating_add(work);
             }
         }
         let capacity = self
@@ -172,7 +173,7 @@
         } else {
             PRESSURE_MS
         };
-        let since = (work > capacity * bound).then(|| since.unwrap_or(now));
+        let since = (work > capacity.saturating_mul(bound)).then(|| since.unwrap_or(now));
         self.pressed_since.set(since);
         since.is_some_and(|since| since + VM_LEAD_MS <= now)
     }
@@ -197,8 +198,8 @@
     fn expected_capacity(&self, coming: u32, now: Millis) -> u64 {
         let runners = self.runners.values();
         let staying = runners.filter(|runner| runner.is_staying() || is_starting(runner, now));
-        let staying: u64 = staying.map(|runner| runner.facts.capacity.cpu_milli).sum();
-        staying + u64::from(coming) * self.vm_capacity()
+        let staying = saturating_sum(staying.map(|runner| runner.facts.capacity.cpu_milli));
+        staying.saturating_add(u64::from(coming).saturating_mul(self.vm_capacity()))
     }
 
     /// Processors of the pool's usual VM, in thousandths of a core.
@@ -235,16 +236,18 @@
 pub(crate) fn remaining_work(job: &JobEntry, time: Millis, now: Millis) -> u64 {
     if job.tasks.is_empty() {
         let steps = job.spec.steps.iter();
-        return steps
-            .map(|step| u64::from(step.count) * step.need.cpu_milli * time)
-            .sum();
+        let works = steps.map(|step| {
+            let cpu = u64::from(step.count).saturating_mul(step.need.cpu_milli);
+            cpu.saturating_mul(time)
+        });
+        return saturating_sum(works);
     }
     let tasks = job.tasks.iter().enumerate();
     let works = tasks.map(|(slot, task)| {
         let cpu = job.step_of(slot).map_or(0, |step| step.need.cpu_milli);
-        cpu * remaining_time(task, time, now)
+        cpu.saturating_mul(remaining_time(task, time, now))
     });
-    works.sum()
+    saturating_sum(works)
 }
 
 /// Expected time until a task is done once it runs, in milliseconds.
--- a/crates/hoisthitch-jobs/src/resources.rs
+++ b/crates/hoisthitch-jobs/src/resources.rs
@@ -17,6 +17,11 @@
     pub gpus: u64,
 }
 
+/// Sum of amounts that runners and callers name; the largest number where it is larger.
+pub(crate) fn saturating_sum(amounts: impl Iterator<Item = u64>) -> u64 {
+    amounts.fold(0, u64::saturating_add)
+}
+
 impl ResourceAmounts {
     pub(crate) fn amounts(self) -> [u64; 3] {
         [self.cpu_milli, self.memory_mb, self.gpus]
--- a/crates/hoisthitch-jobs/src/useless.rs
+++ b/crates/hoisthitch-jobs/src/useless.rs
@@ -20,7 +20,10 @@
         remaining_time,
         remaining_work, //
     },
-    resources::ResourceAmounts,
+    resources::{
+        ResourceAmounts,
+        saturating_sum, //
+    },
     runner::RunnerKey,
     task::TaskRef, //
 };
@@ -127,10 +130,8 @@
     /// Room for tasks that yield, once the others have been placed.
     pub(crate) fn room_for_useless(&self, now: Millis) -> StartRoom {
         let staying = || self.runners.values().filter(|runner| runner.is_staying());
-        let room: u64 = staying()
-            .map(|runner| runner.facts.capacity.cpu_milli)
-            .sum();
-        let used: u64 = staying().map(|runner| runner.used.cpu_milli).sum();
+        let room = saturating_sum(staying().map(|runner| runner.facts.capacity.cpu_milli));
+        let used = saturating_sum(staying().map(|runner| runner.used.cpu_milli));
         let (mut useless, mut waiting, mut long_running) = (0, 0, 0);
         for (key, job) in self.unended_jobs() {
             let yields = self.yields_as_useless(job, now);
--- a/crates/hoisthitch-jobs/tests/decisions/demand.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/demand.rs
@@ -9,8 +9,12 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    EvacuationStage,
     NewJob,
-    PoolState, //
+    PoolState,
+    PoolTerms,
+    ResourceAmounts,
+    RunnerFacts, //
 };
 use hoisthitch_tests::cases;
 
@@ -27,6 +31,7 @@
     end_of_a_turn_shows_within_a_second => falls();
     work_that_is_late_wants_fewer_vms => late_backlog();
     work_that_runs_late_wants_fewer_vms => late_runs();
+    sums_of_huge_capacities_end_no_process => huge_capacities();
 }
 
 /// Adds jobs at these times, each of eight tasks of one core that are expected to take a
@@ -106,3 +111,45 @@
     ensure!(after.steady == 0 && after.now >= 1, "{after:?}");
     Ok(())
 }
+
+/// Two runners with the largest capacity that can be written: their sum overflowed, which ends a
+/// checked build at each decision that adds up the pool's processors, and wraps to almost none in
+/// others.
+async fn huge_capacities() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    state.set_terms(PoolTerms {
+        useless_work_yields: true,
+        ..PoolTerms::default()
+    });
+    for number in 0..2 {
+        let facts = RunnerFacts {
+            name: format!("huge-{number}"),
+            capacity: ResourceAmounts {
+                cpu_milli: u64::MAX,
+                memory_mb: u64::MAX,
+                gpus: u64::MAX,
+            },
+            ..RunnerFacts::default()
+        };
+        let key = state.set_runner(facts, 1_000);
+        state.mark_runner_ready(key);
+        state.extend_lease(key, 1_000_000);
+    }
+    let mut resumable = step(2);
+    resumable.checkpoints = true;
+    resumable.estimate_ms = 60_000;
+    state.add_job(new_job("a", vec![resumable]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    ensure!(orders.len() == 2, "{} starts", orders.len());
+    let report = state.intake_report(2, 2_000);
+    ensure!(report.capacity == u64::MAX, "{}", report.capacity);
+    for order in &orders {
+        state.begin_evacuation(order.runner, EvacuationStage::Emptying, 2_000);
+        state.evict_resumable(order.runner, 2_000);
+    }
+    state.add_job(new_job("late", vec![step(2)]), 2_000);
+    start_all(&mut state, 60_000);
+    state.servable_usage();
+    state.wanted_vms(60_000);
+    Ok(())
+}
