Pause a runner once for all ends that one response lacks

Change: one response counts once.

Evidence: ends_dropped_at_once_pause_a_runner_once fails without the change ("0 starts after a second") and passes with it.

--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -400,6 +400,7 @@
         now: Millis,
     ) -> Vec<StartOrder> {
         let mut resent = Vec::new();
+        let mut is_end_missing = false;
         for task in self.mark_missing_runs(key, present) {
             let Some(entry) = self.task_mut(task) else {
                 continue;
@@ -411,18 +412,22 @@
                 TaskState::Running(_) if entry.ordered_at < sent_at => {
                     self.set_task_state(task, TaskState::Waiting, now);
                     self.mark_dirty(task.job);
-                    self.record_dropped_end(key, now);
+                    is_end_missing = true;
                 }
                 // The stop was acknowledged before the heartbeat was sent, so the run can't
                 // begin any more. It may never have begun, and then no end of it is reported.
                 TaskState::Stopping(_) if entry.stopped_at.is_some_and(|at| at < sent_at) => {
                     self.set_task_state(task, TaskState::Waiting, now);
                     self.mark_dirty(task.job);
-                    self.record_dropped_end(key, now);
+                    is_end_missing = true;
                 }
                 _ => {}
             }
         }
+        // However many ends one response lacks, they were dropped at once.
+        if is_end_missing {
+            self.record_dropped_end(key, now);
+        }
         resent
     }
 
--- a/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/outcomes.rs
@@ -48,6 +48,7 @@
     run_missing_from_a_cut_list_of_ends_is_not_lost => unlisted_ends();
     run_missing_from_a_cut_list_is_not_lost_to_a_new_owner => unlisted_ends_after_takeover();
     stopped_run_missing_from_a_cut_list_waits_for_the_whole => unlisted_stop();
+    ends_dropped_at_once_pause_a_runner_once => dropped_at_once();
 }
 
 /// A copy of an unanswered start may be queued when the owner gives its run up, and the next run
@@ -416,3 +417,18 @@
     ensure!(again.len() == 1 && again[0].run == 2, "{again:?}");
     Ok(())
 }
+
+/// A runner may drop ends unread, and a response lacks six runs at once. Each of them doubled the
+/// pause of the runner, which then got no short tasks for 32 s instead of one.
+async fn dropped_at_once() -> Result<()> {
+    let mut state = pool_of(1, 16);
+    state.add_job(new_job("a", vec![step(6)]), 1_000);
+    let orders = start_all(&mut state, 1_000);
+    let runner = orders.first().ok_or_eyre("nothing was started")?.runner;
+    state.doubt_end_listing(runner);
+    state.record_heartbeat(runner, &HeartbeatReport::default(), 1_900, 2_000);
+    ensure!(decide(&mut state, 2_900).is_empty(), "not paused");
+    let again = decide(&mut state, 3_100);
+    ensure!(again.len() == 1, "{} starts after a second", again.len());
+    Ok(())
+}
