Refuse jobs with numbers that overflow the sums over their tasks

Found with the report on odd entries, in the list of jobs that each owner reads: a caller's 2^64-1 for processors, an estimate or a time of a repeated job was stored. The owner multiplies and adds these, which ends a build with overflow checks each time it takes the pool, and in a release build wraps: a round that is due in ages was due at once.

Evidence: bad_specs_are_refused, extended, fails without the check.

--- a/crates/hoisthitch-jobs/src/spec.rs
+++ b/crates/hoisthitch-jobs/src/spec.rs
@@ -24,6 +24,16 @@
 /// Longest payload, in bytes; the platform's limit.
 pub const PAYLOAD_MAX_BYTES: usize = 4_000;
 
+/// Most of a resource that a task may ask for: a million cores, in thousandths. The sums over a
+/// job's tasks and their times must not overflow.
+const AMOUNT_MAX: u64 = 1_000_000_000;
+
+/// Longest time of a task that may be named, in milliseconds: eleven days.
+const ESTIMATE_MAX_MS: u64 = 1_000_000_000;
+
+/// Latest time and longest interval of a repeated job, in milliseconds since 1970: the year 3084.
+const TIME_MAX_MS: u64 = 1 << 45;
+
 /// Most tasks of a job over all its rounds. The record of a job with that many stays below the
 /// store's size limit for a value.
 const TASKS_MAX: u64 = 4_000;
@@ -146,6 +156,28 @@
     /// A step names the same dependency twice.
     #[error("step {0} names an earlier step twice")]
     DoubledOrder(usize),
+    /// A step asks for more than any runner has, or for more time than any task takes.
+    #[error("step {step}: {field} is {value}; at most {max} is allowed")]
+    TooLarge {
+        /// The step.
+        step: usize,
+        /// What is too large.
+        field: &'static str,
+        /// Its value.
+        value: u64,
+        /// Largest value.
+        max: u64,
+    },
+    /// The times of a repeated job are too far in the future.
+    #[error(
+        "the job is due at {first_ms} ms and every {interval_ms} ms; at most {TIME_MAX_MS} is allowed"
+    )]
+    TooLate {
+        /// When the first round is due.
+        first_ms: u64,
+        /// Interval between two rounds.
+        interval_ms: u64,
+    },
     /// A repeated job has no interval between its rounds.
     #[error("the job is repeated without an interval")]
     NoInterval,
@@ -208,12 +240,20 @@
         if tasks > TASKS_MAX {
             return Err(SpecError::TooManyTasks(tasks));
         }
-        match self.schedule {
-            Some(schedule) if schedule.repetitions > 1 && schedule.interval_ms == 0 => {
-                Err(SpecError::NoInterval)
-            }
-            _ => Ok(()),
+        let Some(schedule) = self.schedule else {
+            return Ok(());
+        };
+        let (first_ms, interval_ms) = (schedule.first_ms, schedule.interval_ms);
+        if schedule.repetitions > 1 && interval_ms == 0 {
+            return Err(SpecError::NoInterval);
+        }
+        if first_ms.max(interval_ms) > TIME_MAX_MS {
+            return Err(SpecError::TooLate {
+                first_ms,
+                interval_ms,
+            });
         }
+        Ok(())
     }
 
     /// Number of tasks of one round, over all steps.
@@ -265,6 +305,23 @@
         if self.count == 0 {
             return Err(SpecError::NoTasks(number));
         }
+        let amounts = [
+            ("cpu", self.need.cpu_milli, AMOUNT_MAX),
+            ("memory", self.need.memory_mb, AMOUNT_MAX),
+            ("gpu", self.need.gpus, AMOUNT_MAX),
+            ("the estimated time", self.estimate_ms, ESTIMATE_MAX_MS),
+            ("the target latency", self.target_ms, ESTIMATE_MAX_MS),
+        ];
+        for (field, value, max) in amounts {
+            if value > max {
+                return Err(SpecError::TooLarge {
+                    step: number,
+                    field,
+                    value,
+                    max,
+                });
+            }
+        }
         let mut seen = HashSet::new();
         for after in &self.after {
             if usize::try_from(*after).is_ok_and(|after| after >= number) {
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -40,6 +40,7 @@
     HeartbeatReport,
     InheritedRuns,
     JobPhase,
+    JobSchedule,
     JobSpec,
     JobSubmission,
     NewJob,
@@ -510,6 +511,8 @@
     Ok(())
 }
 
+/// Specs that can't be run are refused, and so are numbers with which the sums over a job's tasks or
+/// the times of its rounds would overflow.
 async fn bad_specs() -> Result<()> {
     let spec = |steps: Vec<StepSpec>| JobSpec {
         payload: "x".to_owned(),
@@ -531,6 +534,42 @@
         ..spec(vec![step(1)])
     };
     ensure!(long.check() == Err(SpecError::PayloadTooLong(4_001)));
+    let asking = |cpu_milli: u64, memory_mb: u64, gpus: u64, estimate_ms: u64| StepSpec {
+        need: ResourceAmounts {
+            cpu_milli,
+            memory_mb,
+            gpus,
+        },
+        estimate_ms,
+        ..step(1)
+    };
+    for odd in [
+        asking(u64::MAX, 0, 0, 0),
+        asking(0, u64::MAX, 0, 0),
+        asking(0, 0, u64::MAX, 0),
+        asking(0, 0, 0, u64::MAX),
+    ] {
+        let refused = spec(vec![odd]).check();
+        ensure!(
+            matches!(refused, Err(SpecError::TooLarge { step: 0, .. })),
+            "{refused:?}"
+        );
+    }
+    for (first_ms, interval_ms) in [(u64::MAX, 1), (0, u64::MAX)] {
+        let far = JobSpec {
+            schedule: Some(JobSchedule {
+                first_ms,
+                interval_ms,
+                repetitions: 2,
+            }),
+            ..spec(vec![step(1)])
+        };
+        let refused = far.check();
+        ensure!(
+            matches!(refused, Err(SpecError::TooLate { .. })),
+            "{refused:?}"
+        );
+    }
     Ok(())
 }
 
