Start suspects where every runner has long-running tasks

Change: a suspect waits for isolation beyond 1.5 s only if a runner that could run it has no long-running tasks. Members of a gang may join the first of them on its runner then.

Evidence: the two tests suspect_beside_..._everywhere_starts fail without the change and pass; suspect_waits_for_a_runner_that_becomes_free passes before and after.

--- a/crates/hoisthitch-jobs/src/suspects.rs
+++ b/crates/hoisthitch-jobs/src/suspects.rs
@@ -52,7 +52,8 @@
 /// beside other tasks rather than not at all.
 const ISOLATION_WAIT_MS: Millis = 6_000;
 
-/// The same for a long-running task, which may be unavailable for less time.
+/// The same for a long-running task, which may be unavailable for less time, and where each runner
+/// has long-running tasks, so that none becomes free.
 const LONG_RUNNING_ISOLATION_WAIT_MS: Millis = 1_500;
 
 /// Longest time that a suspect that is run in isolation waits for a runner that lists all ends,
@@ -264,17 +265,28 @@
     /// Whether a task is placed on a runner of its own. One that has waited for too long is
     /// placed beside others.
     pub(crate) fn must_isolate(&self, task: TaskRef, now: Millis) -> bool {
-        let Some(entry) = self.task(task) else {
+        let Some(entry) = self.task(task).filter(|_| self.needs_isolation(task)) else {
             return false;
         };
-        let wait = if self.is_long_running(task) {
+        let may_become_free = self.may_become_free(task, now);
+        let wait = if self.is_long_running(task) || !may_become_free {
             LONG_RUNNING_ISOLATION_WAIT_MS
         } else {
             ISOLATION_WAIT_MS
         };
-        let waited = || entry.state == TaskState::Waiting && entry.changed_at + wait <= now;
-        // If crashes in isolation point to the step, its tasks are never placed beside others.
-        self.needs_isolation(task) && (self.step_weight(task) > 0 || !waited())
+        let waited = entry.state == TaskState::Waiting && entry.changed_at + wait <= now;
+        // If crashes in isolation point to the step, its tasks are placed beside others only
+        // where they would wait for good.
+        !waited || (may_become_free && self.step_weight(task) > 0)
+    }
+
+    /// Whether a runner that could run the task has no long-running tasks, which don't end by
+    /// themselves.
+    fn may_become_free(&self, task: TaskRef, now: Millis) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|runner| {
+            runner.is_staying() && !runner.has_long_running() && self.could_run(task, runner, now)
+        })
     }
 
     /// Whether a task is kept off runners that may drop its end unread. Others are stopped
@@ -326,7 +338,9 @@
         now: Millis,
     ) -> bool {
         if !isolate {
-            return runner.isolated_task.is_none() && runner.reserved_until <= now;
+            let isolated = runner.isolated_task;
+            let admits = isolated.is_none_or(|isolated| self.share_gang(task, isolated));
+            return admits && runner.reserved_until <= now;
         }
         let gang = self.is_gang(task);
         let mut others = runner.tasks.iter();
--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -57,6 +57,9 @@
     refused_connections_count_once_the_runner_is_lost => refused_and_lost();
     crash_under_a_gang_counts_once => gang_crash();
     gang_that_crashes_its_runners_is_given_up => failed_gang();
+    suspect_beside_long_running_tasks_everywhere_starts => no_free_runner(step(1));
+    suspect_gang_beside_long_running_tasks_everywhere_starts => no_free_runner(gang(6));
+    suspect_waits_for_a_runner_that_becomes_free => waits_for_free_runner();
 }
 
 /// Each runner reports all its runs as running.
@@ -545,3 +548,48 @@
     ensure!(counted == Some(losses), "{counted:?} of {losses} counted");
     Ok(())
 }
+
+/// Time from the loss of its runner within which a suspect has to be started again.
+const RESTART_LIMIT_MS: u64 = 3_000;
+
+/// A step whose runner crashed, of a pool in which each other runner has a long-running task by
+/// then. Its tasks were placed on a runner without any task or not at all, and there was none.
+async fn no_free_runner(suspect: StepSpec) -> Result<()> {
+    let mut state = reporting_pool(3, suspect);
+    let order = first(&start_all(&mut state, 61_000))?;
+    state.record_missed_heartbeat(order.runner, true, 61_010, 61_010);
+    let lasting = StepSpec {
+        long_running: true,
+        max_per_runner: 1,
+        ..step(2)
+    };
+    state.add_job(new_job("lasting", vec![lasting]), 61_100);
+    ensure!(start_all(&mut state, 61_500).len() == 2);
+    state.remove_runner(order.runner, RunnerLoss::Crashed, 63_000);
+    for now in (63_000..63_000 + RESTART_LIMIT_MS).step_by(100) {
+        report_all(&mut state, now);
+        if !start_all(&mut state, now).is_empty() {
+            return Ok(());
+        }
+    }
+    eyre::bail!("nothing is started")
+}
+
+/// The other runner has a short task, and becomes free: a suspect whose crash in isolation points to
+/// it is not placed beside that task, however long it waits.
+async fn waits_for_free_runner() -> Result<()> {
+    let mut state = reporting_pool(2, step(1));
+    let order = first(&start_all(&mut state, 61_000))?;
+    state.record_missed_heartbeat(order.runner, true, 61_010, 61_010);
+    state.add_job(new_job("short", vec![step(1)]), 61_100);
+    let short = start_all(&mut state, 61_500);
+    ensure!(short.len() == 1);
+    state.remove_runner(order.runner, RunnerLoss::Crashed, 63_000);
+    for now in (63_000..80_000).step_by(500) {
+        report_all(&mut state, now);
+        ensure!(start_all(&mut state, now).is_empty(), "started at {now}");
+    }
+    end_all(&mut state, &short, EndKind::Done, 80_000);
+    ensure!(start_all(&mut state, 80_100).len() == 1);
+    Ok(())
+}
