--- a/crates/hoisthitch-jobs/src/admission.rs
+++ b/crates/hoisthitch-jobs/src/admission.rs
@@ -8,7 +8,8 @@
 //!
 //! A run of which no copy was sent is planned again. A run of which a copy may still be
 //! carried out is stopped first. The stop also ends the run if it has begun meanwhile, so a
-//! long-running task is only stopped while its step can do without it.
+//! long-running task is only stopped while its step can do without it, or once no copy can be
+//! carried out any more: none of the obstacles has to end by itself.
 
 use crate::{
     Millis,
@@ -18,7 +19,10 @@
         RunnerEntry,
         RunnerKey, //
     },
-    task::TaskRef, //
+    task::{
+        TaskName,
+        TaskRef, //
+    }, //
 };
 
 /// Decision about a start.
@@ -26,7 +30,8 @@
 pub(crate) enum StartAdmission {
     /// Send it.
     Send,
-    /// Don't send it now; decide again after the next heartbeat.
+    /// Don't send it now; decide again after the next heartbeat. Ends at the latest when the
+    /// copies that were sent have expired.
     Wait,
     /// Don't send it, and withdraw its run.
     Withdraw,
@@ -60,7 +65,67 @@
     OverLimit,
 }
 
+impl StartObstacle {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::Unlisted => "unlisted",
+            Self::NotReady => "not_ready",
+            Self::Cordoned => "cordoned",
+            Self::HallLost => "hall_lost",
+            Self::Cold => "cold",
+            Self::Evacuating => "evacuating",
+            Self::NoCapacity => "no_capacity",
+            Self::NoTicket => "no_ticket",
+            Self::NotIsolated => "not_isolated",
+            Self::OverLimit => "over_limit",
+        }
+    }
+}
+
+/// A start without an answer that was given up instead of sent again.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WithdrawnStart {
+    /// Name of the task.
+    pub task: TaskName,
+    /// Number of the run.
+    pub run: u32,
+    /// Runner that was ordered to run it.
+    pub runner: RunnerKey,
+    /// Why it may not be sent again.
+    pub reason: &'static str,
+    /// Number of copies that were sent.
+    pub copies: u32,
+    /// Time since the run was decided on.
+    pub age_ms: Millis,
+}
+
 impl PoolState {
+    /// Returns the starts that were given up since the last call.
+    pub fn take_withdrawn_starts(&mut self) -> Vec<WithdrawnStart> {
+        std::mem::take(&mut self.withdrawn_starts)
+    }
+
+    /// Notes for the log that a start without an answer is given up.
+    pub(crate) fn note_withdrawn_start(&mut self, task: TaskRef, key: RunnerKey, now: Millis) {
+        let Some(runner) = self.runners.get(key) else {
+            return;
+        };
+        let obstacle = self.start_obstacle(task, runner, false, now);
+        let named = self.task(task).zip(self.name_of(task));
+        if let Some(((entry, name), obstacle)) = named.zip(obstacle) {
+            let start = WithdrawnStart {
+                task: name,
+                run: entry.run,
+                runner: key,
+                reason: obstacle.as_str(),
+                copies: entry.copies,
+                age_ms: now.saturating_sub(entry.decided_at),
+            };
+            self.withdrawn_starts.push(start);
+        }
+    }
+
     /// Whether the next copy of a task's start may be sent to its runner.
     pub(crate) fn admit_start(&self, task: TaskRef, key: RunnerKey, now: Millis) -> StartAdmission {
         let Some((entry, runner)) = self.task(task).zip(self.runners.get(key)) else {
@@ -83,6 +148,25 @@
         }
     }
 
+    /// Whether the next copy of a task's start may be sent to its runner, after the copies before
+    /// got no answer and the response to a heartbeat that was sent at `sent_at` lacks the run.
+    pub(crate) fn admit_repeat(
+        &self,
+        task: TaskRef,
+        key: RunnerKey,
+        sent_at: Millis,
+        now: Millis,
+    ) -> StartAdmission {
+        let has_expired = self
+            .task(task)
+            .is_some_and(|entry| entry.start_expires_at <= sent_at);
+        match self.admit_start(task, key, now) {
+            // The run did not begin before the heartbeat, and can't begin after it.
+            StartAdmission::Wait if has_expired => StartAdmission::Withdraw,
+            admission => admission,
+        }
+    }
+
     fn start_obstacle(
         &self,
         task: TaskRef,
--- a/crates/hoisthitch-jobs/src/advice.rs
+++ b/crates/hoisthitch-jobs/src/advice.rs
@@ -4,7 +4,10 @@
 //! ticket that is still valid. [`PoolState::next_advice_request`] returns the next request to
 //! send, [`PoolState::record_advice`] stores the tickets of a response.
 
-use std::collections::HashMap;
+use std::collections::{
+    BTreeSet,
+    HashMap, //
+};
 
 use crate::{
     Millis,
@@ -77,11 +80,16 @@
         let entry = job.tasks.get(task.slot)?;
         let key = (task.job, entry.round, entry.step);
         let name = format!("{}.{}.{}", job.id, entry.round, entry.step);
-        let mut runners: Vec<(u64, String)> = self
+        // Starts that are to be sent again have their runners already.
+        let repeats = job.tasks_of(entry.round, entry.step);
+        let repeats = repeats.filter_map(|(_, other)| runner_of_repeat(other));
+        let repeats: BTreeSet<RunnerKey> = repeats.collect();
+        let mut runners: Vec<(bool, u64, String)> = self
             .runners
-            .values()
-            .filter(|runner| runner.takes_tasks(now) && runner.fits(step))
-            .map(|runner| (runner.used.cpu_milli, runner.facts.name.clone()))
+            .iter()
+            .map(|(key, runner)| (repeats.contains(&key), runner))
+            .filter(|(repeats, runner)| *repeats || (runner.takes_tasks(now) && runner.fits(step)))
+            .map(|(repeats, runner)| (!repeats, runner.used.cpu_milli, runner.facts.name.clone()))
             .collect();
         runners.sort();
         runners.truncate((waiting * RUNNERS_PER_TASK).min(REQUEST_RUNNERS_MAX));
@@ -92,16 +100,22 @@
         Some(AdviceRequest {
             task,
             step: name,
-            runners: runners.into_iter().map(|(_, name)| name).collect(),
+            runners: runners.into_iter().map(|(_, _, name)| name).collect(),
         })
     }
 
-    /// Whether a task needs a ticket for some runner now: it waits, or it is long-running and
-    /// its runner is draining.
-    fn needs_ticket(&self, task: TaskRef, entry: &TaskEntry) -> bool {
-        let runner = entry.runner().and_then(|key| self.runners.get(key));
-        let is_draining = runner.is_some_and(|runner| runner.facts.draining);
-        entry.state == TaskState::Waiting || (is_draining && self.is_long_running(task))
+    /// Whether a task needs a ticket for some runner now: it waits, its start is to be sent again
+    /// and the ticket for that has expired, or it is long-running and its runner is draining.
+    fn needs_ticket(&self, task: TaskRef, entry: &TaskEntry, now: Millis) -> bool {
+        if entry.state == TaskState::Waiting {
+            return true;
+        }
+        let Some(runner) = entry.runner().and_then(|key| self.runners.get(key)) else {
+            return false;
+        };
+        let is_repeat = runner_of_repeat(entry).is_some();
+        (is_repeat && !self.has_ticket(task, runner, now))
+            || (runner.facts.draining && self.is_long_running(task))
     }
 
     /// A task that needs a ticket, of a step for which a request may be sent, and the number
@@ -115,7 +129,7 @@
             tasks
                 .filter(|(slot, _)| job.is_ready(*slot))
                 .map(move |(slot, task)| (TaskRef { job: key, slot }, task))
-                .filter(|(task, entry)| self.needs_ticket(*task, entry))
+                .filter(|(task, entry)| self.needs_ticket(*task, entry, now))
         });
         let (task, entry) = candidates.find(|(task, entry)| {
             let advice = self.advice.get(&(task.job, entry.round, entry.step));
@@ -124,7 +138,7 @@
         let tasks = self.jobs.get(task.job)?.tasks_of(entry.round, entry.step);
         let waiting = tasks.filter(|(slot, other)| {
             let job = task.job;
-            self.needs_ticket(TaskRef { job, slot: *slot }, other)
+            self.needs_ticket(TaskRef { job, slot: *slot }, other, now)
         });
         Some((task, waiting.count()))
     }
@@ -183,3 +197,11 @@
         advice.tickets.get(runner)
     }
 }
+
+/// Runner to which a task's start is to be sent again; none where it is not.
+fn runner_of_repeat(entry: &TaskEntry) -> Option<RunnerKey> {
+    match entry.state {
+        TaskState::Ordered(runner) if entry.outcome_unknown => Some(runner),
+        _ => None,
+    }
+}
--- a/crates/hoisthitch-jobs/src/lib.rs
+++ b/crates/hoisthitch-jobs/src/lib.rs
@@ -57,6 +57,7 @@
     EndedJob,
     TimeAccount, //
 };
+pub use admission::WithdrawnStart;
 pub use advice::{
     AdviceRequest,
     AdviceTicket, //
--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -407,7 +407,7 @@
             };
             match entry.state {
                 TaskState::Ordered(_) if entry.outcome_unknown && entry.ordered_at < sent_at => {
-                    resent.extend(self.resend_start(task, key, now));
+                    resent.extend(self.resend_start(task, key, sent_at, now));
                 }
                 TaskState::Running(_) if entry.ordered_at < sent_at => {
                     self.set_task_state(task, TaskState::Waiting, now);
@@ -447,9 +447,16 @@
     }
 
     /// Sends the start of a task again, after no copy of it was answered and the runner does
-    /// not report the run; none if it may not be sent.
-    fn resend_start(&mut self, task: TaskRef, key: RunnerKey, now: Millis) -> Option<StartOrder> {
-        match self.admit_start(task, key, now) {
+    /// not report the run in its response to a heartbeat that was sent at `sent_at`; none if it
+    /// may not be sent.
+    fn resend_start(
+        &mut self,
+        task: TaskRef,
+        key: RunnerKey,
+        sent_at: Millis,
+        now: Millis,
+    ) -> Option<StartOrder> {
+        match self.admit_repeat(task, key, sent_at, now) {
             StartAdmission::Send => {
                 if let Some(entry) = self.task_mut(task) {
                     entry.outcome_unknown = false;
@@ -458,6 +465,7 @@
             }
             StartAdmission::Wait => None,
             StartAdmission::Withdraw => {
+                self.note_withdrawn_start(task, key, now);
                 self.stop_task(task, now);
                 self.break_gang(task, now);
                 None
@@ -479,12 +487,19 @@
     /// Records the outcome of a start order.
     pub fn record_start_outcome(&mut self, order: &StartOrder, outcome: StartOutcome, now: Millis) {
         let task = order.task;
-        let Some(entry) = self.task_mut(task) else {
+        let Some(entry) = self.task(task) else {
             return;
         };
         if entry.run != order.run || entry.runner() != Some(order.runner) {
             return;
         }
+        let lease_until = self
+            .runners
+            .get(order.runner)
+            .map_or(0, |runner| runner.lease_until);
+        let Some(entry) = self.task_mut(task) else {
+            return;
+        };
         entry.ordered_at = now;
         let ordered = entry.state == TaskState::Ordered(order.runner);
         let any_start_unanswered = entry.any_start_unanswered;
@@ -533,6 +548,7 @@
             StartOutcome::Unclear | StartOutcome::Old if ordered => {
                 entry.outcome_unknown = true;
                 entry.any_start_unanswered = true;
+                entry.start_expires_at = entry.start_expires_at.max(lease_until);
                 self.back_off(order.runner, now, UNANSWERED_BACKOFF_MS);
             }
             _ => {}
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -18,6 +18,7 @@
 use crate::{
     Millis,
     account::EndedJob,
+    admission::WithdrawnStart,
     advice::StepAdvice,
     arrivals::ArrivalLog,
     cold_start::{
@@ -127,6 +128,8 @@
     pub(crate) failing_steps: BTreeMap<(JobKey, u32), FailingStep>,
     /// Runners that became failing, or are no longer so, since they were last read.
     pub(crate) health_changes: Vec<HealthChange>,
+    /// Starts without an answer that were given up since they were last read.
+    pub(crate) withdrawn_starts: Vec<WithdrawnStart>,
     /// Runners that were lost lately.
     pub(crate) recent_losses: Vec<RecentLoss>,
     /// Since when runners have responded to this owner; none before the first response.
@@ -448,6 +451,7 @@
             entry.reported = false;
             entry.outcome_unknown = false;
             entry.any_start_unanswered = false;
+            entry.start_expires_at = 0;
             entry.percent = 0;
             entry.pace = 100;
             entry.pace_unconfirmed_until = 0;
--- a/crates/hoisthitch-jobs/src/task.rs
+++ b/crates/hoisthitch-jobs/src/task.rs
@@ -142,6 +142,9 @@
     /// Whether any copy of the run's start got no answer: it may be carried out late, whatever
     /// became of later copies.
     pub any_start_unanswered: bool,
+    /// Time by which no copy of the start that got no answer can be carried out any more: each
+    /// copy names the end of the runner's lease, and is rejected after it.
+    pub start_expires_at: Millis,
     /// Runner on which the last failed run was.
     pub failed_on: Option<RunnerKey>,
     /// Since when the task is unavailable; none while it is available.
@@ -223,6 +226,7 @@
             reported: false,
             outcome_unknown: false,
             any_start_unanswered: false,
+            start_expires_at: 0,
             failed_on: None,
             unavailable_since: Some(now),
         }
--- a/crates/hoisthitch-jobs/tests/decisions/admission.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/admission.rs
@@ -17,7 +17,8 @@
     RunnerKey,
     StartOrder,
     StartOutcome,
-    StepSpec, //
+    StepSpec,
+    TaskState, //
 };
 use hoisthitch_tests::cases;
 
@@ -42,6 +43,11 @@
     first_order_is_not_sent_without_a_ticket => first(Change::TicketEnds);
     lasting_repeat_waits_off_the_list_while_others_are_away => repeat_while_unavailable(Change::Unlisted, false);
     lasting_repeat_is_sent_to_an_emptied_runner_while_others_are_away => repeat_while_unavailable(Change::Evacuates, true);
+    lasting_repeat_is_withdrawn_once_expired_off_the_list => repeat_after_expiry(Change::Unlisted);
+    lasting_repeat_is_withdrawn_once_expired_where_the_room_has_shrunk => repeat_after_expiry(Change::Shrinks);
+    lasting_repeat_is_withdrawn_once_expired_without_a_ticket => repeat_after_expiry(Change::TicketEnds);
+    lasting_repeat_is_withdrawn_once_expired_over_its_limit => repeat_after_expiry(Change::LimitLowered);
+    lasting_repeat_that_may_be_sent_is_sent_after_expiry => repeat_after_expiry(Change::None);
     lasting_repeat_is_stopped_on_a_leaving_runner => drain_while_unavailable();
 }
 
@@ -206,3 +212,67 @@
     ensure!(state.take_stop_orders().len() == 1);
     Ok(())
 }
+
+/// When the lease of the runner ends that a start without an answer names as its deadline.
+const LEASE_END_MS: u64 = 1_000_000;
+
+/// A long-running task none of which may be unavailable waited for good after one start without an
+/// answer, for as long as an obstacle kept the start from being sent again (review/10): neither was
+/// it sent, nor its run withdrawn, nor the task placed elsewhere. The obstacle need not end; the
+/// copies that were sent expire with the lease, and then a stop ends nothing.
+async fn repeat_after_expiry(what: Change) -> Result<()> {
+    let mut state = pool_of(1, 8);
+    let mut new = advised_job();
+    new.submission.spec.steps[0].long_running = true;
+    state.add_job(new, 1_000);
+    state.begin_due_rounds(1_000, 0);
+    let ticket_end = if what == Change::TicketEnds {
+        TICKET_END_MS
+    } else {
+        2 * LEASE_END_MS
+    };
+    advise(&mut state, ticket_end)?;
+    let order = decide(&mut state, 1_000).pop().ok_or_eyre("no order")?;
+    state.record_start_outcome(&order, StartOutcome::Unclear, 1_400);
+    change(&mut state, order.runner, what)?;
+    let lacks_run = HeartbeatReport::default();
+    // A copy may have begun after a heartbeat that was sent before its deadline.
+    for sent_at in [2_000, LEASE_END_MS - 1] {
+        let again = state.record_heartbeat(order.runner, &lacks_run, sent_at, LEASE_END_MS + 10);
+        let sent = usize::from(what == Change::None && sent_at == 2_000);
+        ensure!(again.len() == sent, "sent again at {sent_at}: {again:?}");
+        ensure!(
+            state.take_stop_orders().is_empty(),
+            "a task that may be available was stopped"
+        );
+        for order in &again {
+            state.record_start_outcome(order, StartOutcome::Unclear, LEASE_END_MS - 1);
+        }
+    }
+    let again = state.record_heartbeat(order.runner, &lacks_run, LEASE_END_MS, LEASE_END_MS + 10);
+    let (stops, withdrawn) = (state.take_stop_orders(), state.take_withdrawn_starts());
+    if what == Change::None {
+        ensure!(again.len() == 1 && stops.is_empty(), "{again:?}, {stops:?}");
+        return Ok(());
+    }
+    ensure!(again.is_empty(), "sent though it may not be: {again:?}");
+    ensure!(
+        stops.len() == 1 && withdrawn.len() == 1,
+        "neither sent nor withdrawn: {stops:?}, {withdrawn:?}"
+    );
+    state.record_stop_ack(&stops[0], LEASE_END_MS + 20);
+    state.record_heartbeat(
+        order.runner,
+        &lacks_run,
+        LEASE_END_MS + 30,
+        LEASE_END_MS + 40,
+    );
+    let entry = state.task(order.task).ok_or_eyre("no task")?;
+    ensure!(entry.state == TaskState::Waiting, "{:?}", entry.state);
+    let runner = state.runner(order.runner).ok_or_eyre("no runner")?;
+    ensure!(
+        runner.used == ResourceAmounts::default(),
+        "the run that never began keeps its room"
+    );
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -519,6 +519,7 @@
             self.queue_order(stop.runner, RunnerOrder::Stop(stop));
         }
         self.log_lost_runs();
+        self.log_withdrawn_starts();
         self.log_health_changes();
         self.log_uneven_steps();
         self.log_ended_jobs();
--- a/crates/hoisthitch-scheduler/src/owner/telemetry.rs
+++ b/crates/hoisthitch-scheduler/src/owner/telemetry.rs
@@ -102,6 +102,22 @@
         }
     }
 
+    /// Logs the starts that got no answer and were given up instead of sent again.
+    pub(super) fn log_withdrawn_starts(&mut self) {
+        for start in self.state.take_withdrawn_starts() {
+            event!(
+                Info,
+                "start_withdrawn",
+                task = start.task,
+                run = start.run,
+                runner = self.instance_text(start.runner),
+                reason = start.reason,
+                copies = start.copies,
+                age_ms = start.age_ms
+            );
+        }
+    }
+
     /// Logs the long-running steps that were placed unevenly over data halls, because room lacked
     /// elsewhere.
     pub(super) fn log_uneven_steps(&mut self) {
--- a/crates/hoisthitch-scheduler/tests/contracts/advice.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/advice.rs
@@ -46,6 +46,8 @@
     task_that_crashes_its_runners_is_given_up => crashes_runners();
     owner_killed_while_the_adviser_thinks_loses_nothing => kills_owner_that_asks();
     gang_starts_with_leave_for_all_members => starts_gang();
+    lasting_task_runs_after_a_start_without_an_answer => starts_again(Duration::from_secs(60));
+    lasting_task_runs_beside_a_start_that_arrives_late => starts_again(Duration::from_secs(7));
     lasting_task_finds_leave_elsewhere_when_its_runner_leaves => drains();
 }
 
@@ -283,3 +285,34 @@
     ensure!(kills <= 4, "{kills} runners were lost to one task");
     check_invariants(&world)
 }
+
+/// Time within which the task has to run, in milliseconds: `finish_s` of the users' bounds.
+const START_LIMIT_MS: u64 = 14_000;
+
+/// One start got no answer, and its ticket was over when it was due again: the only task of a
+/// long-running job stayed queued for good (review/10), with permitted runners idle. The start
+/// arrives after `late_by`, when the lease that it names is over.
+async fn starts_again(late_by: Duration) -> Result<()> {
+    let (world, adviser) = start_advised().await?;
+    adviser.set_validity(Duration::from_millis(700));
+    world.fleet.set_late_by(late_by);
+    world.fleet.set_late(1);
+    submit(&world, &lasting(1, 0)).await?;
+    sleep_ms(300).await;
+    world.fleet.set_late(0);
+    let mut waited = 0;
+    while world.fleet.running().is_empty() {
+        ensure!(
+            waited < START_LIMIT_MS,
+            "nothing runs {waited} ms after the start: {:?}",
+            trace(&world, "j")
+        );
+        sleep_ms(50).await;
+        waited += 50;
+    }
+    sleep_ms(9_000).await;
+    let running = world.fleet.running();
+    ensure!(running.len() == 1, "the task was ended again: {running:?}");
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    check_invariants(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -6,6 +6,7 @@
 //! sets in how many orders of tasks that are ready at the same time each is played, and
 //! `FIRST_ORDER` the first of these.
 
+mod advised;
 mod cordons;
 mod crowds;
 mod cuts;
