--- a/crates/hoisthitch-jobs/src/observe.rs
+++ b/crates/hoisthitch-jobs/src/observe.rs
@@ -543,7 +543,7 @@
             StartOutcome::NoTicket if ordered => {
                 self.set_task_state(task, TaskState::Waiting, now);
                 self.break_gang(task, now);
-                self.drop_advice(task);
+                self.drop_tickets(task);
             }
             StartOutcome::Unclear | StartOutcome::Old if ordered => {
                 entry.outcome_unknown = true;
--- a/crates/hoisthitch-jobs/src/place.rs
+++ b/crates/hoisthitch-jobs/src/place.rs
@@ -109,9 +109,17 @@
             .filter(move |(_, runner)| !avoids_unproven || !runner.is_unproven())
             .filter(move |(_, runner)| step.allows_labels_of(runner))
             .filter(move |(_, runner)| self.is_advised(task, runner, now))
-            .filter(move |(_, runner)| {
-                step.max_per_runner == 0 || self.count_same_step(task, runner) < step.max_per_runner
-            })
+            .filter(move |(_, runner)| self.allows_one_more(task, step, runner))
+    }
+
+    /// Whether a runner may get another task of the step beside those that it has.
+    pub(crate) fn allows_one_more(
+        &self,
+        task: TaskRef,
+        step: &StepSpec,
+        runner: &RunnerEntry,
+    ) -> bool {
+        step.max_per_runner == 0 || self.count_same_step(task, runner) < step.max_per_runner
     }
 
     /// Whether a runner could run the task if nothing else ran there.
--- a/crates/hoisthitch-jobs/src/restarts.rs
+++ b/crates/hoisthitch-jobs/src/restarts.rs
@@ -74,10 +74,7 @@
             );
         }
         self.stops.retain(|stop| stop.runner != key);
-        // A ticket is only valid for one instance of a runner.
-        for advice in self.advice.values_mut() {
-            advice.forget_runner(&name);
-        }
+        // Tickets and refusals are those of the key, since they hold for one instance only.
         self.runners.remove(key);
         let mut next = RunnerEntry::new(facts, until, now);
         next.unlisted = true;
--- a/crates/hoisthitch-jobs/tests/decisions/admission.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/admission.rs
@@ -108,7 +108,7 @@
         runner: "i-0".to_owned(),
         ticket: "t".to_owned(),
     };
-    state.record_advice(request.task, vec![ticket], until);
+    state.record_advice(&request, vec![ticket], until);
     Ok(())
 }
 
--- a/crates/hoisthitch-jobs/tests/decisions/main.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod admission;
+mod advice;
 mod cold_start;
 mod cordons;
 mod demand;
@@ -363,7 +364,7 @@
         runner: "i-1".to_owned(),
         ticket: "t-1".to_owned(),
     };
-    state.record_advice(request.task, vec![ticket], 3_000);
+    state.record_advice(&request, vec![ticket], 3_000);
     let orders = decide(&mut state, 1_050);
     ensure!(orders.len() == 2);
     ensure!(orders.iter().all(|order| order.ticket == "t-1"));
@@ -386,7 +387,7 @@
         runner: "i-0".to_owned(),
         ticket: "t".to_owned(),
     };
-    state.record_advice(request.task, vec![ticket], 9_000);
+    state.record_advice(&request, vec![ticket], 9_000);
     let orders = decide(&mut state, 1_100);
     state.record_start_outcome(&orders[0], StartOutcome::NoTicket, 1_200);
     ensure!(decide(&mut state, 1_300).is_empty());
--- a/crates/hoisthitch-scheduler/src/owner/advice.rs
+++ b/crates/hoisthitch-scheduler/src/owner/advice.rs
@@ -66,14 +66,18 @@
                 let valid = Millis::try_from(answer.valid_for.as_millis()).unwrap_or(0);
                 let until = result.answered_at + valid;
                 self.state
-                    .record_advice(result.request.task, answer.tickets, until);
+                    .record_advice(&result.request, answer.tickets, until);
+            }
+            Err(err) => {
+                event!(
+                    Warn,
+                    "advice_missing",
+                    step = result.request.step,
+                    asked = result.request.runners.len(),
+                    error = err
+                );
+                self.state.record_missing_advice(&result.request);
             }
-            Err(err) => event!(
-                Warn,
-                "advice_missing",
-                step = result.request.step,
-                error = err
-            ),
         }
     }
 }
--- a/crates/hoisthitch-scheduler/tests/contracts/advice.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/advice.rs
@@ -48,6 +48,8 @@
     gang_starts_with_leave_for_all_members => starts_gang();
     lasting_task_runs_after_a_start_without_an_answer => starts_again(Duration::from_secs(60));
     lasting_task_runs_beside_a_start_that_arrives_late => starts_again(Duration::from_secs(7));
+    permitted_runners_are_found_after_one_is_lost => finds_permitted(8, 1_500);
+    only_permitted_runner_of_many_is_found => finds_permitted(48, START_LIMIT_MS);
     lasting_task_finds_leave_elsewhere_when_its_runner_leaves => drains();
 }
 
@@ -316,3 +318,25 @@
     ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
     check_invariants(&world)
 }
+
+/// A step of one task was advised on for the same four runners for good (review/12): one of three
+/// permitted runners is lost, and the other two are idle and among those named last. The job has to
+/// be done within `limit_ms`.
+async fn finds_permitted(runners: usize, limit_ms: u64) -> Result<()> {
+    let world = TestWorld::start(3, runners).await?;
+    let mut living = world.fleet.living();
+    living.sort();
+    let places = [0, runners - 2, runners - 1];
+    let permitted = places.map(|place| living[place].1.as_str());
+    let adviser = world.fleet.adviser();
+    adviser.set_good(&permitted);
+    let (lost, _) = &living[0];
+    world.fleet.crash(lost);
+    world.store.put(&format!("runner/{lost}"), None, 0);
+    sleep_ms(8_000).await;
+    let spec = job("work 300", &[1]);
+    submit(&world, &spec).await?;
+    finish(&world, &spec, limit_ms).await?;
+    ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/tests/draws/advised.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/advised.rs
@@ -1,4 +1,5 @@
-//! Jobs on a queue with an adviser, long-running ones among them, whose tickets end soon, while
+//! Jobs on a queue with an adviser that permits few runners, long-running jobs among them. Tickets
+//! end soon, while
 //! starts get no answer, runners crash and owners are restarted. Once the faults are over, each job
 //! that fits is done or runs: no task waits for good for a ticket, nor for a start that will not
 //! be carried out.
@@ -13,7 +14,8 @@
 use rand::{
     Rng,
     SeedableRng,
-    rngs::StdRng, //
+    rngs::StdRng,
+    seq::IndexedRandom, //
 };
 
 use super::{
@@ -32,6 +34,9 @@
 /// Number of VMs; each has one runner.
 const VMS: usize = 6;
 
+/// Least number of VMs whose runners the adviser permits.
+const PERMITTED_MIN: usize = 2;
+
 /// Steps of a history; each submits a job and injects a fault.
 const STEPS: usize = 10;
 
@@ -53,7 +58,9 @@
     let mut world = TestWorld::start(3, VMS).await?;
     let adviser = world.fleet.adviser();
     let vms: Vec<String> = (0..VMS).map(|number| format!("vm-{number}")).collect();
-    let permitted: Vec<&str> = vms.iter().map(String::as_str).collect();
+    let count = rng.random_range(PERMITTED_MIN..=VMS);
+    let permitted = vms.choose_multiple(&mut rng, count);
+    let permitted: Vec<&str> = permitted.map(String::as_str).collect();
     adviser.set_good(&permitted);
     adviser.set_validity(Duration::from_millis(rng.random_range(500..3_000)));
     let (mut jobs, mut long_running) = (Vec::new(), Vec::new());
