--- a/crates/hoisthitch-scheduler/src/keys.rs
+++ b/crates/hoisthitch-scheduler/src/keys.rs
@@ -147,7 +147,8 @@
 }
 
 impl<'a> InboxKey<'a> {
-    /// Parses a key; `prefix` is that of the inbox.
+    /// Parses a key; `prefix` is that of the inbox. Names of pools are chosen by operators: only
+    /// what follows the prefix says what an entry is.
     pub(crate) fn parse(prefix: &str, key: &'a str) -> Option<Self> {
         let rest = key.strip_prefix(prefix)?;
         if let Some(id) = rest.strip_prefix("job-") {
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -75,6 +75,7 @@
     CutHandover,
     LostHalls, //
 };
+use self::inbox::EarlyCancels;
 use self::instances::InstanceTracker;
 use self::intake::IntakeReporter;
 use self::quota::{
@@ -188,6 +189,7 @@
     knew_list: bool,
     /// Which instances of runners are current, and which have ended.
     instances: InstanceTracker,
+    early_cancels: EarlyCancels,
     /// Configuration that this node does not have yet, though a job was accepted under it.
     awaited_policy: Option<AwaitedPolicy>,
     /// Whether the pool is being handed over to the next owner.
@@ -276,6 +278,7 @@
         sessions: BTreeMap::new(),
         session_count: Rc::default(),
         instances: InstanceTracker::new(takeover.epoch, &takeover.notes.unproven),
+        early_cancels: EarlyCancels::default(),
         awaited_policy: None,
         handing_over: false,
         owner_since: now,
--- a/crates/hoisthitch-scheduler/tests/draws/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/mod.rs
@@ -20,6 +20,7 @@
 mod killers;
 mod lives;
 mod losses;
+mod names;
 mod outages;
 mod rooms;
 mod small_pools;
--- a/crates/hoisthitch-scheduler/tests/ownership/cancels.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/cancels.rs
@@ -5,9 +5,11 @@
 //! start: three seconds, after which a node counts as in touch, and the time of a stop.
 
 use eyre::{
+    OptionExt,
     Result,
     ensure, //
 };
+use hoisthitch_jobs::JobPhase;
 
 use super::{
     check_invariants,
@@ -30,6 +32,9 @@
 /// acknowledged would keep the late start from being carried out.
 const STOPS_LOST_MS: u64 = 2_700;
 const TASKS: u32 = 4;
+/// Time after a fault by which nodes are in touch again, in milliseconds: `contact_timeout_ms` of
+/// the users' bounds.
+const CONTACT_MS: u64 = 3_000;
 const SAMPLE_MS: u64 = 50;
 
 /// What happens to the node that ordered the starts.
@@ -48,6 +53,12 @@
     late_start_by_a_node_killed_beside_it_ends => ends_late(StarterFate::Killed(2_700));
     late_start_by_a_removed_node_ends => ends_late(StarterFate::Removed(400));
     late_start_by_a_node_removed_beside_it_ends => ends_late(StarterFate::Removed(2_700));
+    cancel_without_an_owner_holds => cancels_without_owner("halls");
+    cancel_without_an_owner_holds_in_a_pool_named_like_a_cancel => cancels_without_owner("cancel-desk");
+    cancel_without_an_owner_holds_in_a_pool_named_like_a_job => cancels_without_owner("job-desk");
+    cancel_without_an_owner_holds_in_a_pool_named_like_a_key => cancels_without_owner("a/cancel-b/job-c");
+    cancel_that_comes_before_its_job_holds => cancels_early(None);
+    cancel_after_an_unreadable_submission_holds => cancels_early(Some(b"{"));
     starts_that_wait_are_withdrawn_by_a_cancel => withdraws_starts();
 }
 
@@ -104,3 +115,56 @@
     ensure!(started <= 1, "{started} tasks were started");
     check_invariants(&world)
 }
+
+/// Checks that the tasks of a job that was just cancelled are gone in time and stay away.
+async fn check_cancelled(world: &TestWorld, id: &str) -> Result<()> {
+    sleep_ms(CONTACT_MS + MAX_LATE_RUN_MS).await;
+    for _ in 0..MAX_LATE_RUN_MS / SAMPLE_MS {
+        let running = world.fleet.running();
+        ensure!(running.is_empty(), "a cancelled job runs: {running:?}");
+        sleep_ms(SAMPLE_MS).await;
+    }
+    world.wait_phase(id, JobPhase::Cancelled, 1_000).await?;
+    check_invariants(world)
+}
+
+/// A job was submitted and cancelled while its pool had no owner. In a pool named cancel-desk the
+/// next owner took each key of the inbox for a cancel, applied them in their order, dropped the
+/// cancel of a job that it did not know yet, and ran the job for good (review/13).
+async fn cancels_without_owner(pool: &str) -> Result<()> {
+    let world = TestWorld::start_named(pool, 3, 5, 0).await?;
+    let owner = world.owner();
+    ensure!(!owner.is_empty(), "nobody owns {pool}");
+    world.nodes[&owner].kill();
+    world.submit("long", lasting(TASKS, 1)).await?;
+    world.cancel("long").await?;
+    ensure!(world.owner() == owner, "a takeover came before the cancel");
+    check_cancelled(&world, "long").await
+}
+
+/// An owner learns of a cancel before it can add the job; `before` is what the submission's key
+/// holds until then. The cancel was dropped, and a second one changes nothing.
+async fn cancels_early(before: Option<&[u8]>) -> Result<()> {
+    let world = TestWorld::start(3, 5).await?;
+    let inbox = format!("test/in/{}", world.pool);
+    // A submission to be written later, of a job that is over by then.
+    world.submit("model", job("work 100", &[1])).await?;
+    world
+        .wait_phase("model", JobPhase::Completed, 5_000)
+        .await?;
+    let submission = world.store.get(&format!("{inbox}/job-model"));
+    let submission = submission.ok_or_eyre("no submission")?;
+    let key = format!("{inbox}/job-late");
+    if let Some(before) = before {
+        world.store.put(&key, Some(before), 0);
+    }
+    world
+        .store
+        .put(&format!("{inbox}/cancel-late"), Some(b""), 0);
+    sleep_ms(500).await;
+    world.store.put(&key, Some(&submission), 0);
+    sleep_ms(CONTACT_MS).await;
+    let starts = world.fleet.starts("late.0.0.0");
+    ensure!(starts == 0, "a cancelled job was started {starts} times");
+    Ok(())
+}
--- a/crates/hoisthitch-scheduler/tests/world/codec.rs
+++ b/crates/hoisthitch-scheduler/tests/world/codec.rs
@@ -41,6 +41,10 @@
 /// milliseconds they are cold, and how many starts they get in a second.
 pub const COLD: &str = " cold ";
 
+/// Separates the configuration, and the record of a runner, from the name of the pool where it is
+/// not the usual one.
+pub const POOL_MARK: &str = " pool ";
+
 /// Number of teams in such a configuration.
 pub const CHOIRS: usize = 40;
 
@@ -74,10 +78,12 @@
             return None;
         }
         let text = String::from_utf8_lossy(value);
-        let (text, cold) = text.split_once(COLD).unwrap_or((&text, ""));
+        let (text, pool) = text.split_once(POOL_MARK).unwrap_or((&text, POOL));
+        let (text, cold) = text.split_once(COLD).unwrap_or((text, ""));
         let (version, cores) = text.split_once(LIMITED).unwrap_or((text, ""));
         let (version, pools) = version.split_once(POOLS).unwrap_or((version, "1"));
         let policy = policy(
+            pool,
             version.parse().unwrap_or(0),
             pools.parse().unwrap_or(1),
             parse_cold_start(cold),
@@ -113,12 +119,13 @@
         let text = String::from_utf8_lossy(value);
         let draining = text.ends_with(DRAINING);
         let text = text.trim_end_matches(DRAINING);
+        let (text, pool) = text.split_once(POOL_MARK).unwrap_or((text, POOL));
         let (text, room) = text.split_once(CAPACITY_MARK).unwrap_or((text, ""));
         let (text, started_at) = text.split_once(STARTED_AT_MARK).unwrap_or((text, ""));
         let (vm, label) = text.split_once(LABELLED).unwrap_or((text, ""));
         let number = vm_number(vm);
         Ok(RunnerRecord {
-            pool: POOL.to_owned(),
+            pool: pool.to_owned(),
             address: ([127, 0, 0, 1], 10_000 + number).into(),
             facts: RunnerFacts {
                 name: name.to_owned(),
@@ -183,13 +190,22 @@
     })
 }
 
-fn policy(version: u64, pools: usize, cold_start: Option<ColdStart>) -> FleetPolicy {
+fn policy(pool: &str, version: u64, pools: usize, cold_start: Option<ColdStart>) -> FleetPolicy {
     let pools = (0..pools).map(|number| PoolPolicy {
-        name: pool_name(number),
+        name: if number == 0 {
+            pool.to_owned()
+        } else {
+            pool_name(number)
+        },
         spare: false,
         cold_start,
     });
     let queues = vec![queue(), advised_queue()];
+    let queues = queues.into_iter().map(|queue| QueueRoute {
+        pool: pool.to_owned(),
+        ..queue
+    });
+    let queues = queues.collect();
     FleetPolicy::new(version, queues, pools.collect(), 262_144)
 }
 
--- a/crates/hoisthitch-scheduler/tests/world/mod.rs
+++ b/crates/hoisthitch-scheduler/tests/world/mod.rs
@@ -78,6 +78,7 @@
     CAPACITY_MARK,
     CORDONS_PREFIX,
     DRAINING,
+    POOL_MARK,
     STARTED_AT_MARK,
     TestCodec,
     queue, //
@@ -241,6 +242,8 @@
     /// Data halls of nodes, by name; others are in a hall of their own. A change takes effect when
     /// the node starts next.
     pub node_halls: BTreeMap<String, String>,
+    /// Name of the pool.
+    pub pool: String,
     instances: u64,
 }
 
@@ -263,6 +266,20 @@
         nodes: usize,
         runners: usize,
         calls_per_s: u32,
+    ) -> eyre::Result<Self> {
+        Self::start_named(POOL, nodes, runners, calls_per_s).await
+    }
+
+    /// Does the same with a pool of that name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics of a node cannot be created.
+    pub async fn start_named(
+        pool: &str,
+        nodes: usize,
+        runners: usize,
+        calls_per_s: u32,
     ) -> eyre::Result<Self> {
         let store = MemoryStore::default();
         store.set_faults(StoreFaults {
@@ -278,10 +295,12 @@
             terms: DeploymentTerms::with_halls(halls()),
             intake_rules: IntakeRules::default(),
             node_halls: BTreeMap::new(),
+            pool: pool.to_owned(),
             instances: 0,
         };
         spawn_local(run_detached());
-        world.store.put("op/policy", Some(b"1"), 0);
+        let policy = format!("1{}", pool_mark(pool));
+        world.store.put("op/policy", Some(policy.as_bytes()), 0);
         for number in 0..runners {
             world.begin_runner(&format!("vm-{number}"));
         }
@@ -302,7 +321,7 @@
     /// Writes the record of a runner, with the start time and the capacity of its current
     /// instance.
     pub fn record_runner(&self, name: &str, vm: &str) {
-        write_record(&self.store, &self.fleet, name, vm);
+        write_record(&self.store, &self.fleet, &self.pool, name, vm);
     }
 
     /// Marks a runner as draining in its record, as a runner that shuts down does.
@@ -332,7 +351,7 @@
     /// Restarts each runner that a task crashed, `down_ms` after the crash, until the test
     /// ends: under its own name if `named`, or else a new runner on the same VM.
     pub fn keep_begun(&self, down_ms: u64, named: bool) {
-        let (store, fleet) = (self.store.clone(), self.fleet.clone());
+        let (store, fleet, pool) = (self.store.clone(), self.fleet.clone(), self.pool.clone());
         spawn_local(async move {
             loop {
                 for runner in fleet.take_crashed(Duration::from_millis(down_ms)) {
@@ -342,7 +361,7 @@
                     } else {
                         fleet.begin(&runner.vm)
                     };
-                    write_record(&store, &fleet, &name, &runner.vm);
+                    write_record(&store, &fleet, &pool, &name, &runner.vm);
                 }
                 sleep_ms(20).await;
             }
@@ -431,7 +450,7 @@
 
     /// Name of the node that owns the pool according to the store; empty if none does.
     pub fn owner(&self) -> String {
-        self.owner_of(POOL)
+        self.owner_of(&self.pool)
     }
 
     /// The same for any pool.
@@ -452,7 +471,11 @@
     ///
     /// Fails if no node accepts the job in 100 rounds.
     pub async fn submit(&self, id: &str, spec: JobSpec) -> eyre::Result<()> {
-        self.submit_to(&queue(), id, spec).await
+        let queue = QueueRoute {
+            pool: self.pool.clone(),
+            ..queue()
+        };
+        self.submit_to(&queue, id, spec).await
     }
 
     /// Submits a job to a queue, node by node, until one accepts it.
@@ -537,16 +560,25 @@
 }
 
 /// Writes the record of a runner, in the format of [`TestCodec`].
-fn write_record(store: &MemoryStore, fleet: &MemoryFleet, name: &str, vm: &str) {
+fn write_record(store: &MemoryStore, fleet: &MemoryFleet, pool: &str, name: &str, vm: &str) {
     let started_at = fleet.started_at(name);
     let started_at = started_at.map_or_else(String::new, |started_at| {
         format!("{STARTED_AT_MARK}{started_at}")
     });
     let room = fleet.capacity(name).cpu_milli;
-    let record = format!("{vm}{started_at}{CAPACITY_MARK}{room}");
+    let record = format!("{vm}{started_at}{CAPACITY_MARK}{room}{}", pool_mark(pool));
     store.put(&format!("runner/{name}"), Some(record.as_bytes()), 0);
 }
 
+/// Names the pool in a record where it is not the usual one.
+fn pool_mark(pool: &str) -> String {
+    if pool == POOL {
+        String::new()
+    } else {
+        format!("{POOL_MARK}{pool}")
+    }
+}
+
 /// Sleeps on the paused clock of the runtime.
 pub async fn sleep_ms(time: u64) {
     tokio::time::sleep(Duration::from_millis(time)).await;
