Read no inbox and no progress of a pool with a longer name

What callers would see: a job of the pool "a/job-b" also runs in the pool "a", as the job "b/job-ID".

Cause: the records of a pool lie below its name and a slash, and names of pools may contain slashes, so that one pool's prefix may be the beginning of another's.

Change: identifiers of jobs have no slash, so the rest of a key with one is another pool's. Stored keys don't change.

Evidence: inbox_of_a_pool_with_a_longer_name_is_not_read fails on the commit before ("desk/job-other.0.0.0" was started) and passes. Costs nothing measurable: one search of each key for a slash.

--- a/crates/hoisthitch-scheduler/src/keys.rs
+++ b/crates/hoisthitch-scheduler/src/keys.rs
@@ -150,10 +150,17 @@
     /// Parses a key; `prefix` is that of the inbox. Names of pools are chosen by operators: only
     /// what follows the prefix says what an entry is.
     pub(crate) fn parse(prefix: &str, key: &'a str) -> Option<Self> {
-        let rest = key.strip_prefix(prefix)?;
+        let rest = key.strip_prefix(prefix).filter(|rest| is_own(rest))?;
         if let Some(id) = rest.strip_prefix("job-") {
             return Some(Self::Submission(id));
         }
         rest.strip_prefix("cancel-").map(Self::Cancel)
     }
 }
+
+/// Whether the rest of a key after the prefix of a pool's records is of that pool. The records of
+/// another pool begin with the same prefix if its name is longer by a slash and more; identifiers
+/// have no slash.
+pub(crate) fn is_own(rest: &str) -> bool {
+    !rest.contains('/')
+}
--- a/crates/hoisthitch-scheduler/src/owner/mod.rs
+++ b/crates/hoisthitch-scheduler/src/owner/mod.rs
@@ -103,7 +103,10 @@
         PoolJournal,
         RunnerNotes, //
     },
-    keys::JobKeys,
+    keys::{
+        JobKeys,
+        is_own, //
+    },
     platform::Platform,
     session::{
         RunnerOrder,
@@ -384,7 +387,8 @@
     values
         .into_iter()
         .filter_map(|stored| {
-            let id = stored.key.strip_prefix(prefix.as_str())?.to_owned();
+            let rest = stored.key.strip_prefix(prefix.as_str());
+            let id = rest.filter(|rest| is_own(rest))?.to_owned();
             match serde_json::from_slice(&stored.value) {
                 Ok(progress) => Some((id, progress)),
                 Err(err) => {
--- a/crates/hoisthitch-scheduler/tests/ownership/cancels.rs
+++ b/crates/hoisthitch-scheduler/tests/ownership/cancels.rs
@@ -59,6 +59,7 @@
     cancel_without_an_owner_holds_in_a_pool_named_like_a_key => cancels_without_owner("a/cancel-b/job-c");
     cancel_that_comes_before_its_job_holds => cancels_early(None);
     cancel_after_an_unreadable_submission_holds => cancels_early(Some(b"{"));
+    inbox_of_a_pool_with_a_longer_name_is_not_read => ignores_other_inbox();
     starts_that_wait_are_withdrawn_by_a_cancel => withdraws_starts();
 }
 
@@ -168,3 +169,25 @@
     ensure!(starts == 0, "a cancelled job was started {starts} times");
     Ok(())
 }
+
+/// The inbox of a pool whose name begins with another pool's name and a slash begins with that
+/// pool's prefix. Its entries must not be taken for the other pool's.
+async fn ignores_other_inbox() -> Result<()> {
+    let world = TestWorld::start(3, 5).await?;
+    let inbox = format!("test/in/{}", world.pool);
+    world.submit("own", job("work 100", &[1])).await?;
+    world.wait_phase("own", JobPhase::Completed, 5_000).await?;
+    let submission = world.store.get(&format!("{inbox}/job-own"));
+    let submission = submission.ok_or_eyre("no submission")?;
+    // The pool is named like a key of this one's inbox.
+    let other = format!("{inbox}/job-desk/job-other");
+    world.store.put(&other, Some(&submission), 0);
+    sleep_ms(CONTACT_MS).await;
+    let starts = world.fleet.start_records();
+    let foreign = starts.iter().find(|start| start.task.contains("other"));
+    ensure!(
+        foreign.is_none(),
+        "another pool's job was started: {foreign:?}"
+    );
+    Ok(())
+}
