--- a/crates/hoisthitch-jobs/src/advice.rs
+++ b/crates/hoisthitch-jobs/src/advice.rs
@@ -37,9 +37,14 @@
 /// with each response that permits none.
 const RUNNERS_PER_TASK: usize = 4;
 
-/// Least time between two requests for the same step, in milliseconds.
+/// Least time between two requests for the same step, in milliseconds, after a response with
+/// tickets or without a response.
 const REQUEST_INTERVAL_MS: Millis = 700;
 
+/// Least time after a pass over the waiting steps that led to no request, in milliseconds: a pass
+/// visits all runners for each step.
+const CHECK_INTERVAL_MS: Millis = 50;
+
 /// Time for which a ticket must still be valid when a start is planned, in milliseconds: a
 /// record is written before the start is sent.
 const TICKET_MARGIN_MS: Millis = 400;
@@ -77,6 +82,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
     requested_at: Millis,
+    /// Whether the last response permitted no runner.
+    permitted_none: bool,
     /// Number of runners that the next request may name; none for the usual number.
     request_len: Option<usize>,
     named: HashMap<RunnerKey, NamedRunner>,
@@ -95,14 +102,27 @@
         self.named.get(&runner)?.ticket.as_ref()
     }
 
-    /// Records that the request names these runners.
-    fn record_request(&mut self, runners: &[RunnerKey], now: Millis) {
+    /// Whether a request may be sent: after a response that permits no runner at once, since it
+    /// names others.
+    fn is_due(&self, now: Millis) -> bool {
+        self.permitted_none || self.requested_at + REQUEST_INTERVAL_MS <= now
+    }
+
+    /// Records that a request names these runners.
+    fn record_request(&mut self, runners: impl Iterator<Item = RunnerKey>, now: Millis) {
         self.requested_at = now;
+        self.permitted_none = false;
         for runner in runners {
-            self.named.entry(*runner).or_default().named_at = now;
+            self.named.entry(runner).or_default().named_at = now;
         }
     }
 
+    /// Drops what is known of other runners.
+    fn retain(&mut self, is_present: impl Fn(RunnerKey) -> bool) {
+        self.named.retain(|runner, _| is_present(*runner));
+        self.refused.retain(|runner| is_present(*runner));
+    }
+
     /// Of these runners, the ones to name now; `usual` is the usual number of them. Runners that
     /// were permitted before come first, but never take the turn of all others.
     fn choose(&self, mut candidates: Vec<AdviceCandidate>, usual: usize) -> Vec<AdviceCandidate> {
@@ -120,6 +140,20 @@
     }
 }
 
+/// A step with tasks that need a ticket.
+#[derive(Clone, Copy, Debug)]
+struct WaitingStep {
+    /// One of those tasks.
+    task: TaskRef,
+    /// Number of those tasks.
+    tasks: usize,
+    /// By which steps take turns: when advice on it was last requested, or else when it began to
+    /// wait; and, where that is the same time, whether it was requested.
+    turn: (Millis, bool),
+    /// Whether a request for it may be sent.
+    is_due: bool,
+}
+
 /// A runner that may be named in a request.
 #[derive(Clone, Debug)]
 struct AdviceCandidate {
@@ -145,32 +179,43 @@
 }
 
 impl PoolState {
-    /// Returns the next request to an adviser, if one is due.
+    /// Returns the next request to an adviser, if one is due. Steps take turns; one for which no
+    /// runner can be named leaves its turn to the next.
     pub fn next_advice_request(&mut self, now: Millis) -> Option<AdviceRequest> {
-        let (task, waiting) = self.task_without_ticket(now)?;
-        let job = self.jobs.get(task.job)?;
-        let entry = job.tasks.get(task.slot)?;
-        let key = (task.job, entry.round, entry.step);
-        let step = format!("{}.{}.{}", job.id, entry.round, entry.step);
-        let mut advice = self.advice.remove(&key).unwrap_or_default();
-        advice
-            .named
-            .retain(|runner, _| self.runners.contains_key(*runner));
-        advice
-            .refused
-            .retain(|runner| self.runners.contains_key(*runner));
-        let candidates = self.advice_candidates(task, &advice, now);
-        let chosen = advice.choose(candidates, waiting.saturating_mul(RUNNERS_PER_TASK));
-        let keys: Vec<RunnerKey> = chosen.iter().map(|candidate| candidate.key).collect();
-        if !keys.is_empty() {
-            advice.record_request(&keys, now);
+        let checked_at = self.advice_checked_at;
+        if checked_at.is_some_and(|at| now < at + CHECK_INTERVAL_MS) {
+            return None;
         }
-        self.advice.insert(key, advice);
-        let runners: Vec<String> = chosen.into_iter().map(|candidate| candidate.name).collect();
-        (!runners.is_empty()).then_some(AdviceRequest {
+        let steps = self.steps_without_ticket(now);
+        let any_waits = !steps.is_empty();
+        let mut due = steps.into_iter().filter(|waiting| waiting.is_due);
+        let request = due.find_map(|waiting| self.request_advice(&waiting, now));
+        self.advice_checked_at = (request.is_none() && any_waits).then_some(now);
+        request
+    }
+
+    /// The request for a step; none if no runner can be named.
+    fn request_advice(&mut self, waiting: &WaitingStep, now: Millis) -> Option<AdviceRequest> {
+        let task = waiting.task;
+        let key = self.advised_step(task)?;
+        let (_, round, step) = key;
+        let step = format!("{}.{round}.{step}", self.jobs.get(task.job)?.id);
+        let usual = waiting.tasks.saturating_mul(RUNNERS_PER_TASK);
+        let none = StepAdvice::default();
+        let advice = self.advice.get(&key).unwrap_or(&none);
+        let candidates = self.advice_candidates(task, advice, now);
+        let chosen = advice.choose(candidates, usual);
+        if chosen.is_empty() {
+            return None;
+        }
+        let runners = &self.runners;
+        let advice = self.advice.entry(key).or_default();
+        advice.retain(|runner| runners.contains_key(runner));
+        advice.record_request(chosen.iter().map(|candidate| candidate.key), now);
+        Some(AdviceRequest {
             task,
             step,
-            runners,
+            runners: chosen.into_iter().map(|candidate| candidate.name).collect(),
         })
     }
 
@@ -246,29 +291,39 @@
             || (runner.facts.draining && self.is_long_running(task))
     }
 
-    /// A task that needs a ticket, of a step for which a request may be sent, and the number
-    /// of the step's tasks that need one.
-    fn task_without_ticket(&self, now: Millis) -> Option<(TaskRef, usize)> {
+    /// Steps with tasks that need a ticket, in the order of their turns.
+    fn steps_without_ticket(&self, now: Millis) -> Vec<WaitingStep> {
         let jobs = self.active.iter();
         let jobs = jobs.filter_map(|key| Some((*key, self.jobs.get(*key)?)));
         let advised = jobs.filter(|(_, job)| job.policy.advised && !job.phase.is_final());
-        let mut candidates = advised.flat_map(|(key, job)| {
-            let tasks = job.tasks.iter().enumerate();
-            tasks
-                .filter(|(slot, _)| job.is_ready(*slot))
-                .map(move |(slot, task)| (TaskRef { job: key, slot }, task))
-                .filter(|(task, entry)| self.needs_ticket(*task, entry, now))
-        });
-        let (task, entry) = candidates.find(|(task, entry)| {
-            let advice = self.advice.get(&(task.job, entry.round, entry.step));
-            advice.is_none_or(|advice| advice.requested_at + REQUEST_INTERVAL_MS <= now)
-        })?;
-        let tasks = self.jobs.get(task.job)?.tasks_of(entry.round, entry.step);
-        let waiting = tasks.filter(|(slot, other)| {
-            let job = task.job;
-            self.needs_ticket(TaskRef { job, slot: *slot }, other, now)
-        });
-        Some((task, waiting.count()))
+        let mut steps: Vec<WaitingStep> = Vec::new();
+        let mut position: HashMap<(JobKey, u32, u32), usize> = HashMap::new();
+        for (key, job) in advised {
+            for (slot, entry) in job.tasks.iter().enumerate() {
+                let task = TaskRef { job: key, slot };
+                if !job.is_ready(slot) || !self.needs_ticket(task, entry, now) {
+                    continue;
+                }
+                let step = (key, entry.round, entry.step);
+                let known = position.get(&step).and_then(|index| steps.get_mut(*index));
+                if let Some(known) = known {
+                    known.tasks += 1;
+                    continue;
+                }
+                position.insert(step, steps.len());
+                let advice = self.advice.get(&step);
+                steps.push(WaitingStep {
+                    task,
+                    tasks: 1,
+                    turn: advice.map_or((entry.changed_at, false), |advice| {
+                        (advice.requested_at, true)
+                    }),
+                    is_due: advice.is_none_or(|advice| advice.is_due(now)),
+                });
+            }
+        }
+        steps.sort_by_key(|step| step.turn);
+        steps
     }
 
     /// Stores an adviser's response; its tickets are valid until `until`. The runners that it
@@ -285,8 +340,9 @@
         let Some(mut advice) = self.advice.remove(&key) else {
             return;
         };
-        let permits_none = tickets.is_empty();
-        advice.request_len = permits_none.then_some(request.runners.len().saturating_mul(2));
+        advice.permitted_none = tickets.is_empty();
+        let doubled = request.runners.len().saturating_mul(2);
+        advice.request_len = advice.permitted_none.then_some(doubled);
         let mut tickets: HashMap<String, String> = tickets
             .into_iter()
             .map(|row| (row.runner, row.ticket))
--- a/crates/hoisthitch-jobs/src/pool.rs
+++ b/crates/hoisthitch-jobs/src/pool.rs
@@ -118,6 +118,8 @@
     pub(crate) task_times: HashMap<String, Millis>,
     /// Tickets of the advisers, by job, round and step.
     pub(crate) advice: HashMap<(JobKey, u32, u32), StepAdvice>,
+    /// When steps last waited for tickets and there was no request to send; none after a request.
+    pub(crate) advice_checked_at: Option<Millis>,
     /// Jobs that ended since they were last read.
     pub(crate) ended_jobs: Vec<EndedJob>,
     /// Runs that were lost with their runners since they were last read.
--- a/crates/hoisthitch-jobs/tests/decisions/advice.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/advice.rs
@@ -30,6 +30,11 @@
 cases! {
     few_permitted_runners_are_found_among_eight => finds_permitted(8, &[6, 7], 2);
     only_permitted_runner_is_found_among_many => finds_permitted(700, &[699], 11);
+    step_without_room_leaves_its_turn => skips_step(Blocked::NoRoom);
+    step_without_a_runner_of_its_label_leaves_its_turn => skips_step(Blocked::NoLabel);
+    step_that_no_runner_may_run_leaves_its_turn => skips_step(Blocked::AllRefused);
+    steps_without_an_answer_take_turns => takes_turns();
+    new_steps_do_not_take_the_turns_of_older_ones => keeps_turn_of_older();
     refused_runner_is_not_named_again => names_refused_once();
     instance_under_a_refused_name_is_named => names_next_instance();
     answer_about_an_earlier_instance_is_not_used => ignores_late_answer();
@@ -240,3 +245,80 @@
     );
     Ok(())
 }
+
+/// Why no runner can be named for a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Blocked {
+    NoRoom,
+    NoLabel,
+    AllRefused,
+}
+
+/// A step for which no runner could be named ended the advice of its whole pool: no request was
+/// made for the steps behind it either (review/9).
+async fn skips_step(blocked: Blocked) -> Result<()> {
+    let mut first = step(1);
+    match blocked {
+        Blocked::NoRoom => first.need.cpu_milli = 9_000,
+        Blocked::NoLabel => first.label = Some("fast".to_owned()),
+        Blocked::AllRefused => {}
+    }
+    let mut state = pool_with(3, first);
+    if blocked == Blocked::AllRefused {
+        let request = state.next_advice_request(1_000).ok_or_eyre("no request")?;
+        answer(&mut state, &request, &[], 1_010);
+    }
+    state.add_job(advised_job("b", vec![step(1)]), 2_000);
+    state.begin_due_rounds(2_000, 0);
+    let request = state.next_advice_request(2_000).ok_or_eyre("no request")?;
+    ensure!(request.step == "b.0.0", "{request:?}");
+    Ok(())
+}
+
+/// Time that an adviser takes for a request, in milliseconds.
+const REQUEST_MS: u64 = 70;
+
+/// Requests for some ten steps fill the time until the first of them is due again. Steps behind them
+/// never had their turn, for steps were visited in the order of their jobs.
+async fn takes_turns() -> Result<()> {
+    let mut state = pool_of(3, 8);
+    let steps: u64 = 30;
+    for number in 0..steps {
+        state.add_job(advised_job(&format!("j{number}"), vec![step(1)]), 1_000);
+    }
+    state.begin_due_rounds(1_000, 0);
+    let mut requested = BTreeSet::new();
+    for number in 0..steps {
+        let request = state.next_advice_request(1_000 + number * REQUEST_MS);
+        let request = request.ok_or_eyre("no request")?;
+        state.record_missing_advice(&request);
+        requested.insert(request.step);
+    }
+    let count = requested.len() as u64;
+    ensure!(count == steps, "only {count} of {steps} steps had a turn");
+    Ok(())
+}
+
+/// A step that was advised on before takes its turn among those that have come since.
+async fn keeps_turn_of_older() -> Result<()> {
+    let mut state = pool_with(3, step(1));
+    let request = state.next_advice_request(1_000).ok_or_eyre("no request")?;
+    state.record_missing_advice(&request);
+    // New jobs arrive faster than the adviser answers.
+    for number in 0..40 {
+        let now = 1_010 + number * REQUEST_MS;
+        for half in 0..2 {
+            state.add_job(
+                advised_job(&format!("n{number}-{half}"), vec![step(1)]),
+                now,
+            );
+        }
+        state.begin_due_rounds(now, 0);
+        let request = state.next_advice_request(now).ok_or_eyre("no request")?;
+        if request.step == "a.0.0" {
+            return Ok(());
+        }
+        state.record_missing_advice(&request);
+    }
+    eyre::bail!("the first step had no second turn")
+}
--- a/crates/hoisthitch-scheduler/tests/contracts/advice.rs
+++ b/crates/hoisthitch-scheduler/tests/contracts/advice.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eyre::{
+    OptionExt,
     Result,
     ensure, //
 };
@@ -50,6 +51,7 @@
     lasting_task_runs_beside_a_start_that_arrives_late => starts_again(Duration::from_secs(7));
     permitted_runners_are_found_after_one_is_lost => finds_permitted(8, 1_500);
     only_permitted_runner_of_many_is_found => finds_permitted(48, START_LIMIT_MS);
+    job_without_room_holds_back_no_other => waits_alone();
     lasting_task_finds_leave_elsewhere_when_its_runner_leaves => drains();
 }
 
@@ -340,3 +342,35 @@
     ensure!(adviser.refused() == 0, "{} were refused", adviser.refused());
     Ok(())
 }
+
+/// Seven of eight runners have a long-running task, and the empty one is lost. A task of nearly a
+/// whole runner then fits nowhere; for the jobs behind it no advice was requested any more
+/// (review/9).
+async fn waits_alone() -> Result<()> {
+    let world = TestWorld::start(3, 8).await?;
+    let adviser = world.fleet.adviser();
+    let living = world.fleet.living();
+    let vms: Vec<&str> = living.iter().map(|(_, vm)| vm.as_str()).collect();
+    adviser.set_good(&vms);
+    world.submit("long", lasting(7, 1)).await?;
+    sleep_ms(3_000).await;
+    let busy = world.fleet.runners_of("long");
+    let empty = living.iter().find(|(runner, _)| !busy.contains(runner));
+    let (empty, _) = empty.ok_or_eyre("no runner is empty")?;
+    world.fleet.crash(empty);
+    world.store.put(&format!("runner/{empty}"), None, 0);
+    sleep_ms(8_000).await;
+    let mut large = job("work 300", &[1]);
+    large.steps[0].need.cpu_milli = 7_500;
+    world.submit_to(&advised_queue(), "large", large).await?;
+    sleep_ms(1_000).await;
+    for number in 0..6 {
+        let id = format!("j{number}");
+        let spec = job("work 300", &[4]);
+        world.submit_to(&advised_queue(), &id, spec).await?;
+        world
+            .wait_phase(&id, JobPhase::Completed, START_LIMIT_MS)
+            .await?;
+    }
+    check_invariants(&world)
+}
--- a/crates/hoisthitch-scheduler/tests/draws/advised.rs
+++ b/crates/hoisthitch-scheduler/tests/draws/advised.rs
@@ -1,8 +1,7 @@
-//! Jobs on a queue with an adviser that permits few runners, long-running jobs among them. Tickets
-//! end soon, while
-//! starts get no answer, runners crash and owners are restarted. Once the faults are over, each job
-//! that fits is done or runs: no task waits for good for a ticket, nor for a start that will not
-//! be carried out.
+//! Jobs on a queue with an adviser that permits few runners: short ones, long-running ones, and one
+//! that fits on no runner. Tickets end soon, starts get no answer, runners crash and owners are
+//! restarted. Once the faults are over, each job that fits is done or runs: no task waits for good
+//! for a ticket, nor for a start that will not be carried out.
 
 use std::time::Duration;
 
@@ -34,6 +33,9 @@
 /// Number of VMs; each has one runner.
 const VMS: usize = 6;
 
+/// CPU capacity of a VM, in thousandths of a core.
+const CAPACITY_MILLI: u64 = 8_000;
+
 /// Least number of VMs whose runners the adviser permits.
 const PERMITTED_MIN: usize = 2;
 
@@ -67,7 +69,12 @@
     for number in 0..STEPS {
         inject_fault(&mut world, &mut rng).await?;
         let id = format!("j{number}");
-        let spec = if rng.random_bool(0.5) {
+        let spec = if number == 1 {
+            // A step without room on any runner.
+            let mut spec = job("work 300", &[1]);
+            spec.steps[0].need.cpu_milli = CAPACITY_MILLI + 1;
+            spec
+        } else if rng.random_bool(0.5) {
             let spec = lasting(1, rng.random_range(0..2));
             long_running.push(id.clone());
             spec
@@ -114,7 +121,7 @@
             restart_owner(world, planned, down_ms).await?;
         }
         5 => {
-            let capacity = rng.random_range(1_000..8_000);
+            let capacity = rng.random_range(1_000..CAPACITY_MILLI);
             world.set_room(&runner, &vm, capacity);
         }
         _ => clear_faults(world),
@@ -126,6 +133,6 @@
 fn clear_faults(world: &TestWorld) {
     world.fleet.set_late(0);
     for (runner, vm) in world.fleet.living() {
-        world.set_room(&runner, &vm, 8_000);
+        world.set_room(&runner, &vm, CAPACITY_MILLI);
     }
 }
