Count a runner as full only for what its capacity lacks

What callers would see: tasks that could start wait behind one that a runner is not given for other reasons.

Cause: when a task finds no runner, the plan notes its resources as free nowhere and does not try later tasks that need as much. The task may be kept off a runner with room for reasons of its own: a runner that may drop ends unread pauses for short tasks (1 to 64 s), and one on which its step failed takes other steps first.

Change: resources are noted only if no runner has room for a task that nothing of its own keeps off.

Evidence: task_kept_off_unproven_runners_holds_back_no_other fails on ("0 of 2 long-running tasks start") and passes now.

--- a/crates/hoisthitch-jobs/src/advice.rs
+++ b/crates/hoisthitch-jobs/src/advice.rs
@@ -189,13 +189,13 @@
         let steps = self.steps_without_ticket(now);
         let any_waits = !steps.is_empty();
         let mut due = steps.into_iter().filter(|waiting| waiting.is_due);
-        let request = due.find_map(|waiting| self.request_advice(&waiting, now));
+        let request = due.find_map(|waiting| self.build_request(&waiting, now));
         self.advice_checked_at = (request.is_none() && any_waits).then_some(now);
         request
     }
 
     /// The request for a step; none if no runner can be named.
-    fn request_advice(&mut self, waiting: &WaitingStep, now: Millis) -> Option<AdviceRequest> {
+    fn build_request(&mut self, waiting: &WaitingStep, now: Millis) -> Option<AdviceRequest> {
         let task = waiting.task;
         let key = self.advised_step(task)?;
         let (_, round, step) = key;
--- a/crates/hoisthitch-jobs/src/plan.rs
+++ b/crates/hoisthitch-jobs/src/plan.rs
@@ -255,14 +255,28 @@
             return None;
         }
         let chosen = self.choose_runner(task, None, now);
-        // An advised step may lack a ticket for a runner that has free capacity.
+        // An advised step may lack a ticket for a runner that has free capacity, and a task may be
+        // kept off it for other reasons of its own.
         let advised = self.jobs.get(task.job)?.policy.advised;
-        if chosen.is_none() && !advised && is_unbound(step) {
+        if chosen.is_none() && !advised && is_unbound(step) && !self.any_has_room(step, now) {
             full.reservations.push(step.reservation());
         }
         chosen
     }
 
+    /// Whether a task of the step could start on some runner, if nothing but the runner's own state
+    /// kept it off.
+    fn any_has_room(&self, step: &StepSpec, now: Millis) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|runner| {
+            let is_open = runner.isolated_task.is_none() && runner.reserved_until <= now;
+            is_open
+                && runner.takes_tasks(now)
+                && runner.fits(step)
+                && self.rate_allows_plan(runner, now)
+        })
+    }
+
     /// Whether any record has to be written.
     pub fn needs_flush(&self) -> bool {
         self.active
--- a/crates/hoisthitch-jobs/tests/decisions/lives.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/lives.rs
@@ -20,7 +20,8 @@
     RunnerKey,
     RunningTask,
     StartOrder,
-    StartOutcome, //
+    StartOutcome,
+    StepSpec, //
 };
 use hoisthitch_tests::cases;
 
@@ -39,6 +40,7 @@
     end_on_the_next_life_counts => unreported_end();
     run_ordered_from_the_life_before_is_stopped => stray_run();
     life_that_may_drop_ends_is_tried_with_one_start => unproven_instance();
+    task_kept_off_unproven_runners_holds_back_no_other => unproven_beside_others();
     stray_lease_outlasts_the_recorded_end_of_a_silence => stray_lease();
     next_life_gets_nothing_before_it_is_listed => unlisted_instance();
     earlier_run_that_is_at_work_keeps_the_task => earlier_run();
@@ -339,3 +341,34 @@
     ensure!(!instance("i-1@7").may_be(&instance("i-2@7")));
     Ok(())
 }
+
+/// A runner with room that a task was kept off, for a reason that holds for its step alone, passed
+/// for full: tasks of other steps, which could start there, were not placed for as long as the first
+/// waited before them. Here it is the pause of a runner that may drop ends unread, which long-running
+/// tasks do not have.
+async fn unproven_beside_others() -> Result<()> {
+    let mut state = pool_of(1, 8);
+    state.add_job(new_job("a", vec![step(3)]), 1_000);
+    let runner = state.runner_key("i-0").ok_or_eyre("no runner")?;
+    state.doubt_end_listing(runner);
+    start_all(&mut state, 1_000);
+    let stop = state.take_stop_orders().pop();
+    let stop = stop.ok_or_eyre("the task was not stopped")?;
+    state.record_stop_ack(&stop, 1_100);
+    state.record_heartbeat(runner, &HeartbeatReport::default(), 1_200, 1_201);
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(2)
+    };
+    let mut later = new_job("long", vec![lasting]);
+    later.submission.policy.priority = 1;
+    state.add_job(later, 1_250);
+    let orders = decide(&mut state, 1_300);
+    ensure!(
+        orders.len() == 2,
+        "{} of 2 long-running tasks start",
+        orders.len()
+    );
+    ensure!(orders.iter().all(|order| order.name.job == "long"));
+    Ok(())
+}
