Test that an advised suspect has a runner emptied for it

Guards a part of that had no test: a task that must be isolated gets advice for runners that are busy, since one of them is emptied for it once there is a ticket. With could_fit replaced by fits in may_place_advised it fails ("no request"); it passes as it is. No code of the product changes.

--- a/crates/hoisthitch-jobs/tests/decisions/suspects.rs
+++ b/crates/hoisthitch-jobs/tests/decisions/suspects.rs
@@ -10,6 +10,7 @@
     ensure, //
 };
 use hoisthitch_jobs::{
+    AdviceTicket,
     EndKind,
     EvacuationStage,
     HeartbeatReport,
@@ -60,6 +61,7 @@
     suspect_beside_long_running_tasks_everywhere_starts => no_free_runner(step(1));
     suspect_gang_beside_long_running_tasks_everywhere_starts => no_free_runner(gang(6));
     suspect_waits_for_a_runner_that_becomes_free => waits_for_free_runner();
+    advised_suspect_has_a_runner_emptied => advised_suspect();
 }
 
 /// Each runner reports all its runs as running.
@@ -593,3 +595,46 @@
     ensure!(start_all(&mut state, 80_100).len() == 1);
     Ok(())
 }
+
+/// A suspect of an advised queue waited for as long as other tasks used some of each runner: it has
+/// a runner emptied for it, but advice was requested only for runners with room for it beside what
+/// they ran, and without a ticket none is emptied.
+async fn advised_suspect() -> Result<()> {
+    let mut state = pool_of(2, 8);
+    report_all(&mut state, 1_000);
+    report_all(&mut state, 61_000);
+    let mut whole = step(1);
+    whole.need.cpu_milli = 8_000;
+    let mut new = new_job("a", vec![whole]);
+    new.submission.policy.advised = true;
+    state.add_job(new, 61_000);
+    state.begin_due_rounds(61_000, 0);
+    permit_all(&mut state, 61_000)?;
+    let order = first(&start_all(&mut state, 61_010))?;
+    state.add_job(new_job("short", vec![step(1)]), 61_010);
+    let short = start_all(&mut state, 61_020);
+    ensure!(short.len() == 1, "{short:?}");
+    crash(&mut state, order.runner, 61_030);
+    report_all(&mut state, 64_000);
+    permit_all(&mut state, 64_000)?;
+    ensure!(start_all(&mut state, 64_010).is_empty());
+    state.add_job(new_job("next", vec![step(1)]), 64_100);
+    let next = start_all(&mut state, 64_100);
+    ensure!(next.is_empty(), "the runner is not kept for it: {next:?}");
+    end_all(&mut state, &short, EndKind::Done, 64_500);
+    let again = first(&start_all(&mut state, 64_600))?;
+    ensure!(again.name.job == "a", "{again:?}");
+    Ok(())
+}
+
+/// Answers the next request of an adviser, which permits all runners.
+fn permit_all(state: &mut PoolState, now: u64) -> Result<()> {
+    let request = state.next_advice_request(now).ok_or_eyre("no request")?;
+    let tickets = request.runners.iter().map(|runner| AdviceTicket {
+        runner: runner.clone(),
+        ticket: "t".to_owned(),
+    });
+    let tickets = tickets.collect();
+    state.record_advice(&request, tickets, now + 2_000);
+    Ok(())
+}
